--- /dev/null
+++ b/crates/teaseltrack-agent/src/agent.rs
@@ -0,0 +1,397 @@
+//! Starts an agent's tasks and stops them in order.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use serde_json::{Value, json};
+use slog::{Logger, info, warn};
+use snafu::{ResultExt, Snafu};
+use teaseltrack::{
+    clock::{SharedClock, SystemClock, unix_ms},
+    journal::Owner,
+    membership::Role,
+};
+use teaseltrack_daemon::{
+    health::{StatusReport, serve_health},
+    logs,
+    metrics::Metrics,
+    shutdown::Shutdown,
+    spans::Spans,
+};
+use teaseltrack_node::{
+    gossip::push_news,
+    node::NodeMessage,
+    start::{Common, Identity, open_store, start_common},
+};
+use teaseltrack_platform::worker::WorkerClient;
+use teaseltrack_wire::request_path::request_path_server::RequestPathServer;
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, oneshot, watch},
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
+use tonic::transport::{Server, server::TcpIncoming};
+
+use crate::{
+    announce::serve_announcements,
+    options::config::{AgentSettings, TaskSettings},
+    requests::{
+        capacity::{
+            CapacityContext, CapacityHandle, CapacityLimits, CapacityMessage, spawn_capacity,
+        },
+        forward::ForwardServer,
+        target_client::TargetClient,
+    },
+    tasks::{
+        attempts::{self, AttemptContext, AttemptMessage, AttemptStatus, Attempts},
+        lease_keeper::{LeaseKeeper, LeaseView},
+        owner::OwnerContext,
+        reporter::{self, Reporter},
+        route_calls,
+        shard_manager::{self, ShardManager, ShardMessage},
+    },
+};
+
+/// Requests of one entry at once.
+const MAX_STREAMS: u32 = 8_192;
+/// Calls about tasks that may wait.
+const TASK_CALLS: usize = 1_024;
+/// Time for which a stopping agent still refuses requests itself, so that entries hear of it.
+const REFUSAL_GRACE: Duration = Duration::from_secs(1);
+/// Time for running requests and tasks to end in a planned stop.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(30);
+/// Wait before the worker is asked again.
+const WORKER_RETRY: Duration = Duration::from_millis(300);
+
+/// Why an agent didn't start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// An address can't be bound.
+    #[snafu(display("{key}: {address} can't be bound: {source}"))]
+    Bind {
+        /// Key of the address in the settings.
+        key: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// Metrics can't be sent.
+    #[snafu(display("observation.metrics.statsd_address: {source}"))]
+    Metrics {
+        /// Cause.
+        source: std::io::Error,
+    },
+}
+
+/// Addresses that an agent serves.
+#[derive(Clone, Copy, Debug)]
+pub struct AgentAddresses {
+    /// Requests from entries.
+    pub requests: SocketAddr,
+    /// Control calls.
+    pub control: SocketAddr,
+    /// Announcements of the target.
+    pub announce: SocketAddr,
+    /// Liveness, readiness and status.
+    pub health: SocketAddr,
+}
+
+/// A running agent.
+pub struct Agent {
+    common: Common,
+    addresses: AgentAddresses,
+    capacity: CapacityHandle,
+    tasks: Option<RunningTasks>,
+    server: JoinHandle<()>,
+    spans: Spans,
+}
+
+/// The parts of an agent that run tasks.
+struct RunningTasks {
+    attempts: mpsc::Sender<AttemptMessage>,
+    shards: mpsc::Sender<ShardMessage>,
+    release: oneshot::Sender<oneshot::Sender<()>>,
+    status: watch::Receiver<AttemptStatus>,
+}
+
+struct Listeners {
+    requests: TcpListener,
+    control: TcpListener,
+    announce: TcpListener,
+    health: TcpListener,
+}
+
+impl Agent {
+    /// Binds the addresses and starts all tasks.
+    ///
+    /// # Errors
+    ///
+    /// An address can't be bound.
+    pub async fn start(settings: AgentSettings, shutdown: Shutdown) -> Result<Self, StartError> {
+        let logger =
+            logs::logger(settings.observation.logs, "teaseltrack-agent", &settings.instance.name);
+        let metrics = Metrics::new(&settings.observation.metrics).context(MetricsSnafu)?;
+        let spans = Spans::new(settings.observation.traces, logger.clone());
+        let clock: SharedClock = Arc::new(SystemClock);
+        let (listeners, addresses) = bind_all(&settings).await?;
+        let incarnation = unix_ms(clock.wall_now());
+        let identity = Identity {
+            name: settings.instance.name.clone(),
+            zone: settings.instance.zone.clone(),
+            role: Role::Agent,
+            control_address: addresses.control,
+            request_address: addresses.requests,
+            incarnation,
+        };
+        let store = open_store(&settings.platform, clock.clone());
+        let (calls, calls_receiver) = mpsc::channel(TASK_CALLS);
+        let common = start_common(
+            identity,
+            &settings.control,
+            listeners.control,
+            store,
+            Some(calls),
+            (logger.clone(), clock.clone(), shutdown),
+        );
+        let capacity = start_capacity(&settings, &common, &metrics);
+        let tasks = settings.tasks.as_ref().map(|tasks| {
+            start_tasks(tasks, &settings, &common, &capacity, &metrics, incarnation, calls_receiver)
+        });
+        let target = TargetClient::new(settings.target.max_connections);
+        let server = start_requests(
+            &settings,
+            &common,
+            ForwardServer {
+                capacity: capacity.clone(),
+                target: target.clone(),
+                clock,
+                spans: spans.clone(),
+                metrics,
+                max_body_bytes: settings.requests.max_body_bytes,
+            },
+            listeners.requests,
+        );
+        let closing = common.shutdown.closing.clone();
+        tokio::spawn(serve_announcements(listeners.announce, capacity.clone(), closing));
+        let status = status_report(&common, &capacity, &target, tasks.as_ref());
+        tokio::spawn(serve_health(listeners.health, common.shutdown.clone(), status));
+        info!(logger, "agent serves"; "requests" => %addresses.requests,
+            "control" => %addresses.control, "announce" => %addresses.announce);
+        Ok(Self { common, addresses, capacity, tasks, server, spans })
+    }
+
+    /// Addresses that the agent serves.
+    pub fn addresses(&self) -> AgentAddresses {
+        self.addresses
+    }
+
+    /// Waits for the planned stop and carries it out.
+    pub async fn wait(self) {
+        self.common.shutdown.draining.cancelled().await;
+        let logger = self.common.logger.clone();
+        info!(logger, "planned stop begins");
+        let requests = self.capacity.ask(CapacityMessage::Drain);
+        let tasks = drain_tasks(self.tasks, &logger);
+        let (requests, ()) = tokio::join!(timeout(DRAIN_TIMEOUT, requests), tasks);
+        if requests.is_err() {
+            warn!(logger, "requests still running at the end of the planned stop");
+        }
+        sleep(REFUSAL_GRACE).await;
+        self.common.node.ask(NodeMessage::Leave).await;
+        push_news(&self.common.node, &self.common.clients).await;
+        self.common.shutdown.closing.cancel();
+        drop(timeout(DRAIN_TIMEOUT, self.server).await);
+        self.spans.flush();
+        info!(logger, "stopped");
+    }
+}
+
+async fn bind(key: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.context(BindSnafu { key, address })
+}
+
+async fn bind_all(settings: &AgentSettings) -> Result<(Listeners, AgentAddresses), StartError> {
+    let listeners = Listeners {
+        requests: bind("requests.address", settings.requests.address).await?,
+        control: bind("control.address", settings.control.address).await?,
+        announce: bind("target.announce_address", settings.target.announce_address).await?,
+        health: bind("health.address", settings.health.address).await?,
+    };
+    let addresses = AgentAddresses {
+        requests: listeners.requests.local_addr().unwrap_or(settings.requests.address),
+        control: listeners.control.local_addr().unwrap_or(settings.control.address),
+        announce: listeners.announce.local_addr().unwrap_or(settings.target.announce_address),
+        health: listeners.health.local_addr().unwrap_or(settings.health.address),
+    };
+    Ok((listeners, addresses))
+}
+
+fn start_capacity(settings: &AgentSettings, common: &Common, metrics: &Metrics) -> CapacityHandle {
+    let limits = CapacityLimits {
+        max_slots: settings.target.max_slots,
+        queue_per_class: settings.requests.queue_per_class,
+        announcement_ttl: Duration::from_millis(settings.target.announcement_ttl_ms),
+    };
+    let context = CapacityContext {
+        logger: common.logger.clone(),
+        clock: common.clock.clone(),
+        metrics: metrics.clone(),
+        node: common.node.clone(),
+        clients: common.clients.clone(),
+    };
+    spawn_capacity(limits, context)
+}
+
+fn start_requests(
+    settings: &AgentSettings,
+    common: &Common,
+    server: ForwardServer,
+    listener: TcpListener,
+) -> JoinHandle<()> {
+    let closing = common.shutdown.closing.clone();
+    let service =
+        RequestPathServer::new(server).max_decoding_message_size(settings.requests.max_body_bytes);
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+    tokio::spawn(async move {
+        let serving = Server::builder()
+            .max_concurrent_streams(MAX_STREAMS)
+            .add_service(service)
+            .serve_with_incoming_shutdown(incoming, closing.cancelled_owned());
+        drop(serving.await);
+    })
+}
+
+fn start_tasks(
+    tasks: &TaskSettings,
+    settings: &AgentSettings,
+    common: &Common,
+    requests: &CapacityHandle,
+    metrics: &Metrics,
+    holder: u64,
+    calls: mpsc::Receiver<teaseltrack_node::control_server::TaskCall>,
+) -> RunningTasks {
+    let (view, lease) = watch::channel::<Option<LeaseView>>(None);
+    let (attempts, attempts_receiver) = mpsc::channel(attempts::INBOX_MESSAGES);
+    let (reports, reports_receiver) = mpsc::channel(reporter::INBOX_MESSAGES);
+    let (shards, shards_receiver) = mpsc::channel(shard_manager::INBOX_MESSAGES);
+    let (status, status_receiver) = watch::channel(AttemptStatus::default());
+    let (release, release_receiver) = oneshot::channel();
+    let instance = settings.instance.name.clone();
+    let worker = WorkerClient::new(tasks.worker_address, holder, common.clock.clone());
+    let keeper = LeaseKeeper {
+        logger: common.logger.clone(),
+        store: common.store.clone(),
+        clock: common.clock.clone(),
+        instance: instance.clone(),
+        holder,
+        ttl: Duration::from_millis(tasks.lease_ttl_ms),
+        view,
+    };
+    let mut first_look = worker.clone();
+    tokio::spawn(async move {
+        let adopted = adopted_incarnation(&mut first_look).await;
+        keeper.run(adopted, release_receiver).await;
+    });
+    let context = AttemptContext {
+        logger: common.logger.clone(),
+        clock: common.clock.clone(),
+        store: common.store.clone(),
+        worker,
+        capacity: tasks.capacity(),
+        lease,
+        requests: requests.clone(),
+        reports,
+        status,
+        sender: attempts.clone(),
+    };
+    tokio::spawn(Attempts::new(context).run(attempts_receiver));
+    let reporter = Reporter {
+        logger: common.logger.clone(),
+        instance: instance.clone(),
+        store: common.store.clone(),
+        clients: common.clients.clone(),
+        attempts: attempts.clone(),
+    };
+    tokio::spawn(reporter.run(reports_receiver));
+    let owner = Owner {
+        instance,
+        holder,
+        control_address: common.node.members()[0].control_address.clone(),
+    };
+    let context = OwnerContext {
+        logger: common.logger.clone(),
+        metrics: metrics.clone(),
+        clock: common.clock.clone(),
+        store: common.store.clone(),
+        node: common.node.clone(),
+        clients: common.clients.clone(),
+        owner,
+    };
+    let manager = ShardManager::new(common.logger.clone(), Arc::new(context));
+    tokio::spawn(manager.run(shards_receiver));
+    tokio::spawn(route_calls(calls, Some(attempts.clone()), shards.clone()));
+    RunningTasks { attempts, shards, release, status: status_receiver }
+}
+
+/// The incarnation under which the worker runs already, once it answers.
+async fn adopted_incarnation(worker: &mut WorkerClient) -> Option<u64> {
+    loop {
+        match worker.sync(None, None, 1.0, Vec::new()).await {
+            Ok(answer) => return answer.incarnation,
+            Err(_) => sleep(WORKER_RETRY).await,
+        }
+    }
+}
+
+/// Evicts all attempts, gives up the shards and releases the lease, in this order.
+async fn drain_tasks(tasks: Option<RunningTasks>, logger: &Logger) {
+    let Some(tasks) = tasks else { return };
+    let (reply, drained) = oneshot::channel();
+    tasks.attempts.send(AttemptMessage::Drain(reply)).await.ok();
+    let is_drained = matches!(timeout(DRAIN_TIMEOUT, drained).await, Ok(Ok(())));
+    let (reply, given_up) = oneshot::channel();
+    tasks.shards.send(ShardMessage::Drain(reply)).await.ok();
+    drop(timeout(DRAIN_TIMEOUT, given_up).await);
+    if !is_drained {
+        // The lease stays to lapse by itself, which is when others may take the work.
+        warn!(logger, "tasks not handed over by the end of the planned stop");
+        return;
+    }
+    let (reply, released) = oneshot::channel();
+    if tasks.release.send(reply).is_ok() {
+        drop(timeout(DRAIN_TIMEOUT, released).await);
+    }
+}
+
+fn status_report(
+    common: &Common,
+    capacity: &CapacityHandle,
+    target: &TargetClient,
+    tasks: Option<&RunningTasks>,
+) -> StatusReport {
+    let (common, capacity, target) = (common.clone(), capacity.clone(), target.clone());
+    let attempts = tasks.map(|tasks| tasks.status.clone());
+    Arc::new(move || -> Value {
+        let requests = capacity.status();
+        let attempts = attempts.as_ref().map(|status| status.borrow().clone()).unwrap_or_default();
+        json!({
+            "revision": common.node.configuration().revision(),
+            "members": common.node.members().len(),
+            "requests_in_flight": requests.load.in_flight,
+            "requests_queued": requests.load.queued,
+            "requests_started": requests.started,
+            "requests_refused": requests.refused,
+            "max_in_flight": requests.max_in_flight,
+            "target_connections": target.open_connections(),
+            "attempts_running": attempts.running,
+            "attempts_started": attempts.started,
+            "attempts_evicted": attempts.evicted,
+            "batch_share": attempts.share,
+            "control_sent_bytes": common.control_bytes.sent(),
+            "control_received_bytes": common.control_bytes.received(),
+            "store_reads": common.store.usage().reads(),
+            "store_writes": common.store.usage().writes(),
+        })
+    })
+}
--- /dev/null
+++ b/crates/teaseltrack-agent/src/announce.rs
@@ -0,0 +1,82 @@
+//! The loopback port on which the target announces itself.
+//!
+//! `PUT /target` announces or renews, `DELETE /target` withdraws and is answered once the target's
+//! running requests have ended, so that the target may then exit.
+
+use std::net::SocketAddr;
+
+use http::{Method, Request, Response};
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use teaseltrack::outcome::ErrorKind;
+use teaseltrack_daemon::{
+    http_server::{AnswerBody, json_response, read_json, serve},
+    problem::Problem,
+};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use crate::requests::capacity::{CapacityHandle, CapacityMessage};
+
+/// Connections to the port at once.
+const MAX_CONNECTIONS: usize = 16;
+/// Largest announcement, in bytes.
+const MAX_BODY_BYTES: usize = 16 << 10;
+/// Path of the announcement.
+const TARGET_PATH: &str = "/target";
+
+/// What a target says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TargetAnnouncement {
+    /// Service that it answers for.
+    pub service: String,
+    /// Address on which it takes requests, `IP:port`.
+    pub address: SocketAddr,
+    /// Requests that it takes at once.
+    pub slots: u32,
+    /// Differs for each life of the target's process.
+    pub process: String,
+}
+
+/// Serves the announcement port until `closing` is cancelled.
+pub async fn serve_announcements(
+    listener: TcpListener,
+    capacity: CapacityHandle,
+    closing: CancellationToken,
+) {
+    let handler = move |request: Request<Incoming>| answer(capacity.clone(), request);
+    serve(listener, MAX_CONNECTIONS, closing, handler).await;
+}
+
+async fn answer(capacity: CapacityHandle, request: Request<Incoming>) -> Response<AnswerBody> {
+    let path = request.uri().path();
+    if path != TARGET_PATH {
+        let detail = format!("path: {path} doesn't exist");
+        return Problem::new(ErrorKind::NotFound, detail).into_response();
+    }
+    match *request.method() {
+        Method::PUT => announce(capacity, request).await,
+        Method::DELETE => {
+            capacity.ask(CapacityMessage::Withdraw).await;
+            json_response(200, &json!({ "drained": true }))
+        }
+        _ => Problem::new(ErrorKind::InvalidInput, "method: must be PUT or DELETE").into_response(),
+    }
+}
+
+async fn announce(capacity: CapacityHandle, request: Request<Incoming>) -> Response<AnswerBody> {
+    let announcement: TargetAnnouncement =
+        match read_json(request.into_body(), MAX_BODY_BYTES).await {
+            Ok(announcement) => announcement,
+            Err(problem) => return problem.into_response(),
+        };
+    if announcement.slots == 0 || announcement.service.is_empty() {
+        let field = if announcement.slots == 0 { "slots" } else { "service" };
+        let detail = format!("{field}: must not be empty or 0");
+        return Problem::new(ErrorKind::InvalidInput, detail).into_response();
+    }
+    capacity.tell(CapacityMessage::Announce(announcement)).await;
+    json_response(200, &json!({ "announced": true }))
+}
--- /dev/null
+++ b/crates/teaseltrack-agent/src/options/config.rs
@@ -0,0 +1,149 @@
+//! The agent's settings file.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use teaseltrack::placement::Resources;
+use teaseltrack_daemon::settings::{
+    InstanceSettings, ObservationSettings, PlatformSettings, SettingsError, check_concrete,
+    check_positive,
+};
+use teaseltrack_node::settings::ControlSettings;
+
+/// Settings of an agent.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AgentSettings {
+    /// The instance.
+    pub instance: InstanceSettings,
+    /// Membership and control calls.
+    pub control: ControlSettings,
+    /// Requests from entries.
+    pub requests: RequestSettings,
+    /// The target beside the agent.
+    pub target: TargetSettings,
+    /// Tasks; absent on an instance that runs none.
+    pub tasks: Option<TaskSettings>,
+    /// The platform's store.
+    pub platform: PlatformSettings,
+    /// Liveness, readiness and status.
+    pub health: HealthSettings,
+    /// Logs, metrics and traces.
+    #[serde(default)]
+    pub observation: ObservationSettings,
+}
+
+/// Settings of the request path.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RequestSettings {
+    /// Address on which entries' requests arrive, `IP:port`.
+    pub address: SocketAddr,
+    /// Requests of one class that may wait.
+    #[serde(default = "default_queue_per_class")]
+    pub queue_per_class: usize,
+    /// Largest body of a request, in bytes.
+    #[serde(default = "default_max_body_bytes")]
+    pub max_body_bytes: usize,
+}
+
+/// Settings of the target.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TargetSettings {
+    /// Loopback address on which the target announces itself, `IP:port`.
+    pub announce_address: SocketAddr,
+    /// Time after its last announcement when the target is taken to be gone, in milliseconds.
+    #[serde(default = "default_announcement_ttl_ms")]
+    pub announcement_ttl_ms: u64,
+    /// Most requests that the target may be given at once, whatever it announces.
+    #[serde(default = "default_max_slots")]
+    pub max_slots: u32,
+    /// Most connections to the target.
+    #[serde(default = "default_max_connections")]
+    pub max_connections: u32,
+}
+
+/// Settings of tasks.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TaskSettings {
+    /// Address of the platform's worker on this instance, `IP:port`.
+    pub worker_address: SocketAddr,
+    /// Length of the instance's lease, in milliseconds.
+    #[serde(default = "default_lease_ttl_ms")]
+    pub lease_ttl_ms: u64,
+    /// Processors for tasks, in thousandths of a core.
+    pub cpu_milli: u64,
+    /// Memory for tasks, in mebibytes.
+    pub memory_mib: u64,
+    /// Accelerators for tasks.
+    #[serde(default)]
+    pub accelerators: u64,
+}
+
+/// Settings of the health port.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct HealthSettings {
+    /// Address of liveness, readiness and status, `IP:port`.
+    pub address: SocketAddr,
+}
+
+fn default_queue_per_class() -> usize {
+    64
+}
+
+fn default_max_body_bytes() -> usize {
+    1 << 20
+}
+
+fn default_announcement_ttl_ms() -> u64 {
+    3_000
+}
+
+fn default_max_slots() -> u32 {
+    8
+}
+
+fn default_max_connections() -> u32 {
+    64
+}
+
+fn default_lease_ttl_ms() -> u64 {
+    60_000
+}
+
+impl AgentSettings {
+    /// Checks the values.
+    ///
+    /// # Errors
+    ///
+    /// The first key with an impossible value.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        self.instance.check()?;
+        self.control.check()?;
+        check_concrete("requests.address", self.requests.address)?;
+        check_positive("requests.queue_per_class", self.requests.queue_per_class as f64)?;
+        check_positive("requests.max_body_bytes", self.requests.max_body_bytes as f64)?;
+        check_positive("target.announcement_ttl_ms", self.target.announcement_ttl_ms as f64)?;
+        check_positive("target.max_slots", f64::from(self.target.max_slots))?;
+        check_positive("target.max_connections", f64::from(self.target.max_connections))?;
+        if let Some(tasks) = &self.tasks {
+            check_positive("tasks.lease_ttl_ms", tasks.lease_ttl_ms as f64)?;
+        }
+        self.platform.check()?;
+        self.observation.check()
+    }
+}
+
+impl TaskSettings {
+    /// Capacity of the instance for tasks.
+    pub fn capacity(&self) -> Resources {
+        Resources {
+            cpu_milli: self.cpu_milli,
+            memory_mib: self.memory_mib,
+            accelerators: self.accelerators,
+        }
+    }
+}
--- /dev/null
+++ b/crates/teaseltrack-agent/src/requests/target_client.rs
@@ -0,0 +1,120 @@
+//! Connections to the target, and the proof of what wasn't sent.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use teaseltrack::outcome::ErrorKind;
+use tokio::{
+    net::TcpStream,
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time::timeout,
+};
+
+/// Time to connect.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A connection to the target.
+#[derive(Debug)]
+pub struct TargetConnection {
+    address: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+}
+
+/// Connections to the target that are free, and the bound on all of them.
+#[derive(Clone, Debug)]
+pub struct TargetClient {
+    idle: Arc<Mutex<Vec<TargetConnection>>>,
+    permits: Arc<Semaphore>,
+    max_connections: usize,
+}
+
+impl TargetClient {
+    /// A client with at most `max_connections`.
+    pub fn new(max_connections: u32) -> Self {
+        let max_connections = max_connections as usize;
+        let permits = Arc::new(Semaphore::new(max_connections));
+        Self { idle: Arc::default(), permits, max_connections }
+    }
+
+    /// Open connections, busy or free.
+    pub fn open_connections(&self) -> usize {
+        self.max_connections - self.permits.available_permits()
+    }
+
+    /// A free connection, or a new one.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Unreachable`]: nothing was sent.
+    pub async fn connection(&self, address: SocketAddr) -> Result<TargetConnection, ErrorKind> {
+        while let Some(mut connection) = self.take_idle() {
+            let is_good = connection.address == address && connection.sender.ready().await.is_ok();
+            if is_good {
+                return Ok(connection);
+            }
+        }
+        let permit =
+            self.permits.clone().try_acquire_owned().map_err(|_| ErrorKind::Unreachable)?;
+        assert!(self.open_connections() <= self.max_connections, "too many target connections");
+        self.connect(address, permit).await
+    }
+
+    /// Sends a request and waits for the head of the answer; the connection comes back with it.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Unreachable`] proves that nothing was sent; [`ErrorKind::AnswerLost`] proves
+    /// nothing.
+    pub async fn send(
+        &self,
+        mut connection: TargetConnection,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, TargetConnection), ErrorKind> {
+        let sent = connection.sender.try_send_request(request).await;
+        sent.map(|response| (response, connection)).map_err(|mut error| {
+            match error.take_message() {
+                Some(_) => ErrorKind::Unreachable,
+                None => ErrorKind::AnswerLost,
+            }
+        })
+    }
+
+    /// Takes back a connection whose answer was read to the end.
+    pub fn put_back(&self, connection: TargetConnection) {
+        if !connection.sender.is_closed() {
+            self.idle.lock().unwrap_or_else(PoisonError::into_inner).push(connection);
+        }
+    }
+
+    fn take_idle(&self) -> Option<TargetConnection> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner).pop()
+    }
+
+    async fn connect(
+        &self,
+        address: SocketAddr,
+        permit: OwnedSemaphorePermit,
+    ) -> Result<TargetConnection, ErrorKind> {
+        let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let Ok(Ok(stream)) = connected else { return Err(ErrorKind::Unreachable) };
+        drop(stream.set_nodelay(true));
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(|_| ErrorKind::Unreachable)?;
+        tokio::spawn(async move {
+            drop(connection.await);
+            drop(permit);
+        });
+        Ok(TargetConnection { address, sender })
+    }
+}
--- /dev/null
+++ b/crates/teaseltrack-agent/src/tasks/attempts.rs
@@ -0,0 +1,475 @@
+//! The task that owns the instance's room and the attempts on its worker.
+//!
+//! An attempt number is accepted once. Ends are reported to the shard's owner until they are committed
+//! and only then forgotten by the worker, so that an agent that starts anew learns them again.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+use slog::{Logger, debug, info, warn};
+use teaseltrack::{
+    clock::SharedClock,
+    ids::{AttemptNumber, Incarnation},
+    outcome::ErrorKind,
+    placement::{Resources, RoomLedger},
+    shard::shard_of,
+    task::TaskId,
+    throttle::Throttle,
+};
+use teaseltrack_platform::{
+    keys,
+    store::Store,
+    worker::{AttemptKey, StartCall, SyncAnswer, WorkerAttempt, WorkerClient, WorkerState},
+};
+use teaseltrack_wire::control::{
+    AttemptEvent, AttemptReport, RoomAnswer, RoomRequest, ShardOwner, StartOrder, StopCause,
+    StopOrder,
+};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    time::{MissedTickBehavior, interval},
+};
+
+use crate::{
+    requests::capacity::CapacityHandle,
+    tasks::{lease_keeper::LeaseView, reporter::ReportMessage},
+};
+
+/// Messages that may wait for the task.
+pub const INBOX_MESSAGES: usize = 1_024;
+/// Time between looks at the worker.
+const SYNC_PERIOD: Duration = Duration::from_millis(100);
+/// Time for which room is held before its start comes.
+const RESERVATION: Duration = Duration::from_secs(10);
+/// Time for which an accepted attempt is remembered after its end.
+const ACCEPTED_MEMORY: Duration = Duration::from_secs(3_600);
+
+/// A message to the task.
+#[derive(Debug)]
+pub enum AttemptMessage {
+    /// Room is asked for.
+    Reserve(Vec<RoomRequest>, oneshot::Sender<Result<RoomAnswer, ErrorKind>>),
+    /// Committed assignments are to start.
+    Start(ShardOwner, Vec<StartOrder>, oneshot::Sender<Result<(), ErrorKind>>),
+    /// Attempts are to stop.
+    Stop(ShardOwner, Vec<StopOrder>, oneshot::Sender<Result<(), ErrorKind>>),
+    /// The end of an attempt is committed.
+    Acknowledged(Vec<AttemptKey>),
+    /// A checkpoint is stored.
+    Checkpointed(AttemptKey, String, String),
+    /// The agent stops: all attempts are evicted; answered when their ends are committed.
+    Drain(oneshot::Sender<()>),
+}
+
+/// Counts for the status report.
+#[derive(Clone, Debug, Default)]
+pub struct AttemptStatus {
+    /// Attempts that hold room.
+    pub running: u64,
+    /// Attempts started so far.
+    pub started: u64,
+    /// Attempts evicted so far.
+    pub evicted: u64,
+    /// Room that is left.
+    pub room: Resources,
+    /// Share of its full speed at which batch work runs.
+    pub share: f64,
+}
+
+/// What the task needs.
+pub struct AttemptContext {
+    /// Logs.
+    pub logger: Logger,
+    /// Clock.
+    pub clock: SharedClock,
+    /// The store, for checkpoints.
+    pub store: Store,
+    /// The worker.
+    pub worker: WorkerClient,
+    /// Capacity of the instance for tasks.
+    pub capacity: Resources,
+    /// The instance's lease.
+    pub lease: watch::Receiver<Option<LeaseView>>,
+    /// The target's load, for the reflex that throttles batch work.
+    pub requests: CapacityHandle,
+    /// Takes reports.
+    pub reports: mpsc::Sender<ReportMessage>,
+    /// Gets the counts.
+    pub status: watch::Sender<AttemptStatus>,
+    /// The task's own inbox, for what it waits for.
+    pub sender: mpsc::Sender<AttemptMessage>,
+}
+
+/// Owner of the instance's room and attempts.
+pub struct Attempts {
+    context: AttemptContext,
+    ledger: RoomLedger,
+    incarnation: Option<Incarnation>,
+    running: BTreeSet<AttemptKey>,
+    reported_started: BTreeSet<AttemptKey>,
+    ended: BTreeSet<AttemptKey>,
+    stopping: BTreeMap<AttemptKey, StopCause>,
+    accepted: BTreeMap<TaskId, (AttemptNumber, Instant)>,
+    forget: Vec<AttemptKey>,
+    throttle: Throttle,
+    is_draining: bool,
+    drained: Option<oneshot::Sender<()>>,
+    status: AttemptStatus,
+}
+
+impl Attempts {
+    /// An instance without attempts; those on the worker are taken in with the first look at it.
+    pub fn new(context: AttemptContext) -> Self {
+        Self {
+            ledger: RoomLedger::new(context.capacity),
+            context,
+            incarnation: None,
+            running: BTreeSet::new(),
+            reported_started: BTreeSet::new(),
+            ended: BTreeSet::new(),
+            stopping: BTreeMap::new(),
+            accepted: BTreeMap::new(),
+            forget: Vec::new(),
+            throttle: Throttle::default(),
+            is_draining: false,
+            drained: None,
+            status: AttemptStatus::default(),
+        }
+    }
+
+    /// Runs until all senders are gone.
+    pub async fn run(mut self, mut receiver: mpsc::Receiver<AttemptMessage>) {
+        let mut ticks = interval(SYNC_PERIOD);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                message = receiver.recv() => match message {
+                    Some(message) => self.handle(message).await,
+                    None => return,
+                },
+                _ = ticks.tick() => self.sync().await,
+            }
+            self.settle();
+        }
+    }
+
+    async fn handle(&mut self, message: AttemptMessage) {
+        match message {
+            AttemptMessage::Reserve(requests, reply) => {
+                reply.send(Ok(self.reserve(&requests))).ok();
+            }
+            AttemptMessage::Start(owner, orders, reply) => {
+                for order in orders {
+                    self.start(order).await;
+                }
+                debug!(self.context.logger, "starts taken"; "shard" => owner.shard);
+                reply.send(Ok(())).ok();
+            }
+            AttemptMessage::Stop(_, orders, reply) => {
+                for StopOrder { task, attempt, cause } in orders {
+                    self.stop(AttemptKey { task, attempt }, cause).await;
+                }
+                reply.send(Ok(())).ok();
+            }
+            AttemptMessage::Acknowledged(keys) => {
+                for key in keys {
+                    self.ended.remove(&key);
+                    self.reported_started.remove(&key);
+                    self.forget.push(key);
+                }
+            }
+            AttemptMessage::Checkpointed(key, checkpoint, reason) => {
+                self.status.evicted += 1;
+                self.end(&key, AttemptEvent::Evicted { checkpoint, reason }).await;
+            }
+            AttemptMessage::Drain(reply) => {
+                self.is_draining = true;
+                self.drained = Some(reply);
+                for key in self.running.clone() {
+                    self.stop(key, StopCause::Evict).await;
+                }
+            }
+        }
+    }
+
+    fn lease(&self) -> Option<LeaseView> {
+        *self.context.lease.borrow()
+    }
+
+    fn reserve(&mut self, requests: &[RoomRequest]) -> RoomAnswer {
+        let now = self.context.clock.now();
+        self.ledger.expire(now);
+        let lease = self.lease().filter(|lease| lease.deadline > now && !self.is_draining);
+        let mut granted = Vec::with_capacity(requests.len());
+        for request in requests {
+            let is_new = self
+                .accepted
+                .get(&request.task)
+                .is_none_or(|(accepted, _)| *accepted < request.attempt);
+            let is_granted = lease.is_some()
+                && is_new
+                && self.ledger.reserve(
+                    &request.task,
+                    request.attempt,
+                    request.resources,
+                    now + RESERVATION,
+                );
+            granted.push(is_granted);
+        }
+        RoomAnswer {
+            granted,
+            incarnation: lease.map(|lease| lease.incarnation),
+            capacity: if lease.is_some() { self.ledger.capacity() } else { Resources::default() },
+            room: if lease.is_some() { self.ledger.room() } else { Resources::default() },
+        }
+    }
+
+    /// Starts a committed attempt once, or reports why it won't ever start here.
+    async fn start(&mut self, order: StartOrder) {
+        let StartOrder { task, attempt, incarnation, spec, checkpoint } = order;
+        let now = self.context.clock.now();
+        let key = AttemptKey { task, attempt };
+        if self.accepted.get(&key.task).is_some_and(|(accepted, _)| *accepted >= attempt) {
+            return;
+        }
+        self.accepted.insert(key.task.clone(), (attempt, now));
+        let is_leased = self.lease().is_some_and(|lease| lease.incarnation == incarnation);
+        if !is_leased || self.incarnation != Some(incarnation) || self.is_draining {
+            self.release(&key, "the lease changed before the start").await;
+            return;
+        }
+        let resources = Resources::declared(&spec);
+        let has_room = self.ledger.reserve(&key.task, attempt, resources, now + RESERVATION)
+            && self.ledger.confirm(&key.task, attempt);
+        if !has_room {
+            self.release(&key, "no room").await;
+            return;
+        }
+        let checkpoint = match self.read_checkpoint(checkpoint).await {
+            Ok(checkpoint) => checkpoint,
+            Err(reason) => {
+                self.ledger.free(&key.task, attempt);
+                self.release(&key, &reason).await;
+                return;
+            }
+        };
+        let call = StartCall {
+            holder: self.context.worker.holder(),
+            incarnation,
+            key: key.clone(),
+            resources,
+            run_ms: spec.run_ms,
+            checkpoint,
+            not_after_ms: self.context.worker.start_limit_ms(),
+        };
+        self.running.insert(key.clone());
+        self.status.started += 1;
+        if let Err(error) = self.context.worker.start(call).await {
+            warn!(self.context.logger, "worker start unanswered"; "task" => %key.task,
+                "attempt" => attempt, "error" => %error);
+        }
+    }
+
+    async fn read_checkpoint(&self, key: Option<String>) -> Result<Option<String>, String> {
+        let Some(key) = key else { return Ok(None) };
+        match self.context.store.get_object(&key).await {
+            Ok(Some(content)) => Ok(Some(content)),
+            Ok(None) => Err(format!("checkpoint {key} is missing")),
+            Err(error) => Err(format!("checkpoint {key}: {error}")),
+        }
+    }
+
+    async fn release(&mut self, key: &AttemptKey, reason: &str) {
+        self.end(key, AttemptEvent::Released { reason: reason.to_owned() }).await;
+    }
+
+    async fn stop(&mut self, key: AttemptKey, cause: StopCause) {
+        if !self.running.contains(&key) {
+            return;
+        }
+        self.stopping.insert(key.clone(), cause);
+        self.try_stop(key, cause).await;
+    }
+
+    /// Stops an attempt on the worker; tried again with the next look at it if there is no answer.
+    async fn try_stop(&mut self, key: AttemptKey, cause: StopCause) {
+        let is_checkpointed = cause == StopCause::Evict;
+        let Ok(answer) = self.context.worker.stop(key.clone(), is_checkpointed).await else {
+            return;
+        };
+        self.stopping.remove(&key);
+        if matches!(answer.state, WorkerState::Done | WorkerState::Failed(_)) {
+            return;
+        }
+        self.running.remove(&key);
+        self.ledger.free(&key.task, key.attempt);
+        match (cause, answer.checkpoint) {
+            (StopCause::Evict, Some(content)) => self.store_checkpoint(key, content),
+            (StopCause::Evict, None) => self.release(&key, "stopped without a checkpoint").await,
+            (StopCause::Cancel, _) => self.forget.push(key),
+        }
+    }
+
+    /// Stores a checkpoint, however long the store is down; the worker keeps it until then.
+    fn store_checkpoint(&self, key: AttemptKey, content: String) {
+        let store = self.context.store.clone();
+        let sender = self.context.sender.clone();
+        let object = keys::checkpoint(&key.task.job, key.task.index, key.attempt);
+        tokio::spawn(async move {
+            while store.put_object(object.clone(), content.clone()).await.is_err() {
+                tokio::time::sleep(Duration::from_millis(500)).await;
+            }
+            let reason = "evicted".to_owned();
+            sender.send(AttemptMessage::Checkpointed(key, object, reason)).await.ok();
+        });
+    }
+
+    async fn sync(&mut self) {
+        let lease = self.lease();
+        let incarnation = lease.map(|lease| lease.incarnation);
+        if self.incarnation.is_some() && incarnation != self.incarnation {
+            self.drop_all();
+        }
+        let deadline = lease.map(|lease| lease.deadline);
+        if let Some(share) = self.throttle.record(self.context.requests.status().latency_ratio) {
+            info!(self.context.logger, "batch share changed"; "share" => share);
+        }
+        let forget = std::mem::take(&mut self.forget);
+        let share = self.throttle.share();
+        let answer = self.context.worker.sync(incarnation, deadline, share, forget.clone()).await;
+        match answer {
+            Ok(answer) => {
+                self.incarnation = incarnation;
+                self.take_in(answer).await;
+            }
+            Err(error) => {
+                debug!(self.context.logger, "worker unanswered"; "error" => %error);
+                self.forget.extend(forget);
+            }
+        }
+        self.prune();
+    }
+
+    /// Forgets everything of an incarnation that is over; the worker drops it with the next sync.
+    fn drop_all(&mut self) {
+        warn!(self.context.logger, "lease changed, attempts dropped"; "count" => self.running.len());
+        for key in std::mem::take(&mut self.running) {
+            self.ledger.free(&key.task, key.attempt);
+        }
+        self.stopping.clear();
+        self.ended.clear();
+        self.reported_started.clear();
+    }
+
+    async fn take_in(&mut self, answer: SyncAnswer) {
+        let is_current = answer.incarnation == self.incarnation;
+        if !is_current {
+            return;
+        }
+        let mut seen = BTreeSet::new();
+        for attempt in answer.attempts {
+            seen.insert(attempt.key.clone());
+            self.take_in_attempt(attempt).await;
+        }
+        let missing: Vec<AttemptKey> = self.running.difference(&seen).cloned().collect();
+        // A start may still be on its way: the worker is told to stop it, which it remembers.
+        for key in missing {
+            self.stopping.entry(key).or_insert(StopCause::Evict);
+        }
+        for (key, cause) in self.stopping.clone() {
+            self.try_stop(key, cause).await;
+        }
+    }
+
+    async fn take_in_attempt(&mut self, attempt: WorkerAttempt) {
+        let WorkerAttempt { key, state, resources, .. } = attempt;
+        if self.ended.contains(&key) || self.forget.contains(&key) {
+            return;
+        }
+        match state {
+            WorkerState::Running | WorkerState::Paused => {
+                self.adopt(&key, resources);
+                if self.reported_started.insert(key.clone()) {
+                    self.report(&key, AttemptEvent::Started).await;
+                }
+            }
+            WorkerState::Stopped => self.adopt_stopped(key).await,
+            WorkerState::Done => self.finish(&key, AttemptEvent::Done).await,
+            WorkerState::Failed(reason) => {
+                self.finish(&key, AttemptEvent::Failed { reason }).await;
+            }
+        }
+    }
+
+    /// Takes in an attempt that an earlier agent process started.
+    fn adopt(&mut self, key: &AttemptKey, resources: Resources) {
+        if !self.running.insert(key.clone()) {
+            return;
+        }
+        let now = self.context.clock.now();
+        self.accepted.insert(key.task.clone(), (key.attempt, now));
+        let is_held = self.ledger.reserve(&key.task, key.attempt, resources, now + RESERVATION)
+            && self.ledger.confirm(&key.task, key.attempt);
+        if !is_held {
+            warn!(self.context.logger, "adopted attempt doesn't fit"; "task" => %key.task);
+        }
+    }
+
+    /// An attempt that an earlier agent process stopped, or whose checkpoint is being stored.
+    async fn adopt_stopped(&mut self, key: AttemptKey) {
+        let is_known = self.accepted.get(&key.task).is_some_and(|(known, _)| *known >= key.attempt);
+        if is_known {
+            return;
+        }
+        self.accepted.insert(key.task.clone(), (key.attempt, self.context.clock.now()));
+        self.try_stop(key, StopCause::Evict).await;
+    }
+
+    async fn finish(&mut self, key: &AttemptKey, event: AttemptEvent) {
+        self.running.remove(key);
+        self.stopping.remove(key);
+        self.ledger.free(&key.task, key.attempt);
+        self.accepted.insert(key.task.clone(), (key.attempt, self.context.clock.now()));
+        self.end(key, event).await;
+    }
+
+    async fn end(&mut self, key: &AttemptKey, event: AttemptEvent) {
+        self.ended.insert(key.clone());
+        self.report(key, event).await;
+    }
+
+    async fn report(&self, key: &AttemptKey, event: AttemptEvent) {
+        let AttemptKey { task, attempt } = key.clone();
+        let message = ReportMessage {
+            shard: shard_of(&task.job),
+            report: AttemptReport { task, attempt, event },
+            capacity: self.ledger.capacity(),
+            room: self.ledger.room(),
+            incarnation: self.incarnation.unwrap_or(0),
+        };
+        self.context.reports.send(message).await.ok();
+    }
+
+    fn prune(&mut self) {
+        let now = self.context.clock.now();
+        self.ledger.expire(now);
+        let running = &self.running;
+        self.accepted.retain(|task, (attempt, at)| {
+            let key = AttemptKey { task: task.clone(), attempt: *attempt };
+            running.contains(&key) || now.saturating_duration_since(*at) < ACCEPTED_MEMORY
+        });
+    }
+
+    fn settle(&mut self) {
+        self.status.running = self.running.len() as u64;
+        self.status.room = self.ledger.room();
+        self.status.share = self.throttle.share();
+        self.context.status.send_replace(self.status.clone());
+        let is_drained = self.running.is_empty() && self.ended.is_empty();
+        if is_drained && let Some(reply) = self.drained.take() {
+            reply.send(()).ok();
+        }
+    }
+}
--- /dev/null
+++ b/crates/teaseltrack-agent/src/tasks/lease_keeper.rs
@@ -0,0 +1,221 @@
+//! Keeps the instance's lease.
+//!
+//! The lease belongs to the instance, not to the process: a new agent process takes it on if the
+//! worker still runs under it, and begins a new incarnation if not. When a renewal finds the row
+//! changed, either a taker marked it as lapsed, and a new incarnation begins, or a newer agent process
+//! holds it, and this one gives up its tasks.
+
+use std::time::{Duration, Instant};
+
+use rand::RngExt;
+use slog::{Logger, info, warn};
+use teaseltrack::{
+    clock::SharedClock,
+    ids::Incarnation,
+    lease::{HeldLease, LeaseRow, LeaseState},
+    retry::Backoff,
+};
+use teaseltrack_platform::{
+    keys,
+    store::{CommitAnswer, Condition, Row, Store, StoreError, Transaction, Write},
+    stream::transaction_id,
+};
+use tokio::{
+    sync::{oneshot, watch},
+    time::sleep,
+};
+
+/// Least wait after a failed call to the store.
+const MIN_BACKOFF: Duration = Duration::from_millis(100);
+/// Longest wait after a failed call to the store.
+const MAX_BACKOFF: Duration = Duration::from_secs(2);
+
+/// The lease as the instance's other tasks see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseView {
+    /// Incarnation of the lease.
+    pub incarnation: Incarnation,
+    /// Instant at which the work must have stopped.
+    pub deadline: Instant,
+}
+
+/// What the keeper needs.
+pub struct LeaseKeeper {
+    /// Logs.
+    pub logger: Logger,
+    /// The store.
+    pub store: Store,
+    /// Clock.
+    pub clock: SharedClock,
+    /// The instance.
+    pub instance: String,
+    /// Number of this process.
+    pub holder: Incarnation,
+    /// Length of the lease.
+    pub ttl: Duration,
+    /// Gets the lease; `None` while there is none.
+    pub view: watch::Sender<Option<LeaseView>>,
+}
+
+/// A row that was written, with its version.
+struct Written {
+    row: LeaseRow,
+    version: u64,
+    lease: HeldLease,
+}
+
+impl LeaseKeeper {
+    /// Holds the lease until asked to release it; `adopted` is the incarnation under which the worker
+    /// runs already. Ends early when a newer process holds the instance.
+    pub async fn run(
+        self,
+        adopted: Option<Incarnation>,
+        mut release: oneshot::Receiver<oneshot::Sender<()>>,
+    ) {
+        let Some(mut held) = self.acquire(adopted).await else { return };
+        loop {
+            self.publish(&held);
+            let period = held.lease.renewal_period().mul_f64(rand::rng().random_range(0.8..1.0));
+            tokio::select! {
+                () = sleep(period) => {}
+                reply = &mut release => {
+                    self.release(held).await;
+                    if let Ok(reply) = reply {
+                        reply.send(()).ok();
+                    }
+                    return;
+                }
+            }
+            let Some(renewed) = self.renew(held).await else { return };
+            held = renewed;
+        }
+    }
+
+    fn publish(&self, held: &Written) {
+        let (incarnation, deadline) = (held.row.incarnation, held.lease.deadline());
+        self.view.send_replace(Some(LeaseView { incarnation, deadline }));
+    }
+
+    /// Writes the row for this process; `None` if a newer process holds the instance.
+    async fn acquire(&self, adopted: Option<Incarnation>) -> Option<Written> {
+        let mut backoff = Backoff::new(MIN_BACKOFF, MAX_BACKOFF);
+        loop {
+            match self.try_acquire(adopted).await {
+                Ok(Acquired::Held(written)) => {
+                    info!(self.logger, "lease held"; "incarnation" => written.row.incarnation);
+                    return Some(written);
+                }
+                Ok(Acquired::Superseded) => {
+                    warn!(self.logger, "a newer process holds the instance");
+                    self.view.send_replace(None);
+                    return None;
+                }
+                Ok(Acquired::Contended) => {}
+                Err(error) => warn!(self.logger, "lease not written"; "error" => %error),
+            }
+            let wait = backoff.after_failure(&mut rand::rng());
+            sleep(wait).await;
+        }
+    }
+
+    async fn try_acquire(&self, adopted: Option<Incarnation>) -> Result<Acquired, StoreError> {
+        let found = self.store.read(&keys::lease(&self.instance)).await?;
+        let version = found.as_ref().map_or(0, |row| row.version);
+        let found: Option<LeaseRow> = found.as_ref().map(Row::parse).transpose()?;
+        if found.as_ref().is_some_and(|row| row.holder > self.holder) {
+            return Ok(Acquired::Superseded);
+        }
+        let incarnation = match &found {
+            Some(row) if row.state == LeaseState::Held && adopted == Some(row.incarnation) => {
+                row.incarnation
+            }
+            Some(row) => row.incarnation + 1,
+            None => adopted.unwrap_or(0) + 1,
+        };
+        let row = self.row(incarnation, LeaseState::Held);
+        let sent_at = self.clock.now();
+        match self.write(&row, version).await? {
+            CommitAnswer::Committed { version } => Ok(Acquired::Held(Written {
+                row,
+                version,
+                lease: HeldLease::new(self.ttl, sent_at),
+            })),
+            CommitAnswer::Conflict { .. } => Ok(Acquired::Contended),
+        }
+    }
+
+    /// Renews until the store answers; `None` if a newer process holds the instance.
+    async fn renew(&self, mut held: Written) -> Option<Written> {
+        let mut backoff = Backoff::new(MIN_BACKOFF, MAX_BACKOFF);
+        let row = self.row(held.row.incarnation, LeaseState::Held);
+        loop {
+            let sent_at = self.clock.now();
+            match self.write(&row, held.version).await {
+                Ok(CommitAnswer::Committed { version }) => {
+                    held.lease.renew(sent_at);
+                    return Some(Written { row, version, lease: held.lease });
+                }
+                Ok(CommitAnswer::Conflict { .. }) => break,
+                Err(error) => warn!(self.logger, "lease not renewed"; "error" => %error),
+            }
+            let wait = backoff.after_failure(&mut rand::rng());
+            sleep(wait).await;
+        }
+        // The row changed: by an earlier try of this renewal whose answer was lost, by a taker, or by
+        // a newer process. Acquiring anew tells which.
+        let adopted = self.adoptable(&row).await;
+        if adopted.is_none() {
+            warn!(self.logger, "lease lost"; "incarnation" => row.incarnation);
+        }
+        self.acquire(adopted).await
+    }
+
+    /// The incarnation, if the row is still this process's own.
+    async fn adoptable(&self, row: &LeaseRow) -> Option<Incarnation> {
+        let mut backoff = Backoff::new(MIN_BACKOFF, MAX_BACKOFF);
+        loop {
+            if let Ok(found) = self.store.read(&keys::lease(&self.instance)).await {
+                let found: LeaseRow = found?.parse().ok()?;
+                let is_own = found.holder == self.holder && found.state == LeaseState::Held;
+                return (is_own && found.incarnation == row.incarnation).then_some(row.incarnation);
+            }
+            let wait = backoff.after_failure(&mut rand::rng());
+            sleep(wait).await;
+        }
+    }
+
+    async fn release(&self, held: Written) {
+        let row = self.row(held.row.incarnation, LeaseState::Released);
+        if let Err(error) = self.write(&row, held.version).await {
+            warn!(self.logger, "lease not released"; "error" => %error);
+        }
+        self.view.send_replace(None);
+    }
+
+    fn row(&self, incarnation: Incarnation, state: LeaseState) -> LeaseRow {
+        LeaseRow {
+            instance: self.instance.clone(),
+            incarnation,
+            holder: self.holder,
+            ttl_ms: self.ttl.as_millis() as u64,
+            state,
+            transaction: transaction_id(&self.instance),
+        }
+    }
+
+    async fn write(&self, row: &LeaseRow, version: u64) -> Result<CommitAnswer, StoreError> {
+        let key = keys::lease(&self.instance);
+        let transaction = Transaction {
+            id: row.transaction.clone(),
+            conditions: vec![Condition { key: key.clone(), version }],
+            writes: vec![Write::put(key, row)],
+        };
+        self.store.commit(transaction).await
+    }
+}
+
+enum Acquired {
+    Held(Written),
+    Superseded,
+    Contended,
+}
--- /dev/null
+++ b/crates/teaseltrack-agent/src/tasks/owner.rs
@@ -0,0 +1,714 @@
+//! The owner of one job shard.
+//!
+//! A round takes in commands and reports, finds places, commits all decisions in one transaction and
+//! only then acts on them: starts and stops are sent, reports acknowledged. While a commit is under
+//! way the next round's work gathers, so that the store sees one write a round however many tasks
+//! start. An owner whose head has moved has lost the shard and forgets all it knew.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use slog::{Logger, info, warn};
+use teaseltrack::{
+    admission::Class,
+    clock::SharedClock,
+    ids::{InstanceId, ShardNumber},
+    journal::{EntryBody, Owner, SEGMENT_ENTRIES},
+    lease::{LeaseRow, LeaseState, LeaseWatch},
+    outcome::ErrorKind,
+    placement::Resources,
+    shard::{ShardState, stream_of},
+    task::{Decision, TaskId, TaskState},
+};
+use teaseltrack_daemon::metrics::Metrics;
+use teaseltrack_node::{
+    clients::{ControlClients, deadline},
+    node::NodeHandle,
+};
+use teaseltrack_platform::{
+    history::Archive,
+    inbox::{InboxPage, read_inbox},
+    keys,
+    shard_state::{load_shard, write_snapshot},
+    store::{Condition, Row, Store, StoreError, Write},
+    stream::{Append, Appended, Stream},
+};
+use teaseltrack_wire::control::{
+    AttemptEvent, AttemptReport, ReportBatch, ShardOwner, StartOrder, StopCause, StopOrder,
+};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::{MissedTickBehavior, interval, sleep},
+};
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+use crate::tasks::placer::Placer;
+
+/// Time between rounds without a message.
+const TICK: Duration = Duration::from_millis(250);
+/// Ticks between looks at the inbox without a wake-up.
+const INBOX_TICKS: u32 = 4;
+/// Ticks between looks around for room and at suspicious leases.
+const LOOK_AROUND_TICKS: u32 = 4;
+/// Ticks between looks at parked tasks.
+const PARKED_TICKS: u32 = 40;
+/// Messages taken into one round.
+const ROUND_MESSAGES: usize = 512;
+/// Attempts of a task that may fail before it is given up.
+const MAX_FAILURES: u32 = 3;
+/// Time for an agent to take orders.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Wait before orders are sent again.
+const ORDER_RETRY: Duration = Duration::from_millis(300);
+/// Time after which attempts that an unreachable agent should stop are left to their lease.
+const STOP_GIVE_UP: Duration = Duration::from_secs(600);
+/// Wait before a shard is read again when the store doesn't answer.
+const LOAD_RETRY: Duration = Duration::from_millis(500);
+/// Wait between evictions for the sake of urgent tasks.
+const PREEMPTION_PERIOD: Duration = Duration::from_secs(1);
+
+/// What all owners of an agent share.
+pub struct OwnerContext {
+    /// Logs.
+    pub logger: Logger,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Clock.
+    pub clock: SharedClock,
+    /// The store.
+    pub store: Store,
+    /// The node.
+    pub node: NodeHandle,
+    /// Clients of control calls.
+    pub clients: ControlClients,
+    /// This agent as an owner.
+    pub owner: Owner,
+}
+
+/// A message to an owner.
+#[derive(Debug)]
+pub enum OwnerMessage {
+    /// The inbox holds something new.
+    Wake,
+    /// An agent reports events; answered after they are committed.
+    Report(ReportBatch, oneshot::Sender<Result<(), ErrorKind>>),
+    /// The agent stops.
+    GiveUp,
+}
+
+/// What an owner's task begins with.
+pub struct ShardOwnerTask {
+    /// The shard.
+    pub shard: ShardNumber,
+    /// What all owners share.
+    pub context: Arc<OwnerContext>,
+    /// Messages.
+    pub receiver: mpsc::Receiver<OwnerMessage>,
+}
+
+/// What one round gathers before it commits.
+#[derive(Default)]
+struct Round {
+    decisions: Vec<Decision>,
+    conditions: Vec<Condition>,
+    writes: Vec<Write>,
+    stops: BTreeMap<InstanceId, Vec<StopOrder>>,
+    replies: Vec<oneshot::Sender<Result<(), ErrorKind>>>,
+    is_giving_up: bool,
+}
+
+struct ShardLost;
+
+struct OwnedShard {
+    shard: ShardNumber,
+    context: Arc<OwnerContext>,
+    stream: Stream,
+    state: ShardState,
+    archive: Archive,
+    placer: Placer,
+    lease_watches: BTreeMap<InstanceId, LeaseWatch>,
+    preempted_at: Option<Instant>,
+    is_inbox_due: bool,
+    tick: u32,
+    /// Ends the sending of orders when the shard is lost.
+    orders: CancellationToken,
+    /// Cancels `orders` with the shard.
+    _orders_guard: DropGuard,
+}
+
+/// Takes the shard and owns it until it is lost or given up.
+pub async fn run_owner(task: ShardOwnerTask) {
+    let ShardOwnerTask { shard, context, mut receiver } = task;
+    let logger = context.logger.clone();
+    let Some(mut owned) = OwnedShard::take(shard, context).await else {
+        info!(logger, "shard taken by another"; "shard" => shard);
+        return;
+    };
+    owned.resend_starts();
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        let mut round = Round::default();
+        tokio::select! {
+            message = receiver.recv() => match message {
+                Some(message) => owned.take_in(message, &mut round),
+                None => return,
+            },
+            _ = ticks.tick() => owned.tick = owned.tick.wrapping_add(1),
+        }
+        for _ in 0..ROUND_MESSAGES {
+            let Ok(message) = receiver.try_recv() else { break };
+            owned.take_in(message, &mut round);
+        }
+        let is_giving_up = round.is_giving_up;
+        if owned.run_round(round).await.is_err() {
+            warn!(logger, "shard lost"; "shard" => shard);
+            return;
+        }
+        if is_giving_up {
+            owned.give_up().await;
+            return;
+        }
+    }
+}
+
+impl OwnedShard {
+    /// Writes this agent into the shard's head and reads the state; `None` if another was faster.
+    async fn take(shard: ShardNumber, context: Arc<OwnerContext>) -> Option<Self> {
+        let name = stream_of(shard);
+        let mut stream = loop {
+            match Stream::open(&context.store, &name).await {
+                Ok(stream) => break stream,
+                Err(_) => sleep(LOAD_RETRY).await,
+            }
+        };
+        let owner = Some(context.owner.clone());
+        let append = Append {
+            author: context.owner.instance.clone(),
+            body: EntryBody::Ownership { owner: owner.clone(), reason: "no live owner".to_owned() },
+            epoch: stream.head().epoch + 1,
+            owner,
+            conditions: Vec::new(),
+            writes: Vec::new(),
+            give_up_at: None,
+        };
+        let appended = stream.append(&context.store, &context.clock, append).await;
+        if !matches!(appended, Ok(Appended::Committed(_))) {
+            return None;
+        }
+        let loaded = loop {
+            match load_shard(&context.store, shard).await {
+                Ok(loaded) => break loaded,
+                Err(error) => {
+                    warn!(context.logger, "shard not read"; "shard" => shard, "error" => %error);
+                    sleep(LOAD_RETRY).await;
+                }
+            }
+        };
+        info!(context.logger, "shard owned"; "shard" => shard, "epoch" => stream.head().epoch,
+            "jobs" => loaded.state.jobs().len(), "entries" => loaded.sequence);
+        let orders = CancellationToken::new();
+        let placer = Placer::new(context.node.clone(), context.clients.clone());
+        Some(Self {
+            shard,
+            context,
+            stream,
+            state: loaded.state,
+            archive: loaded.archive,
+            placer,
+            lease_watches: BTreeMap::new(),
+            preempted_at: None,
+            is_inbox_due: true,
+            tick: 0,
+            _orders_guard: orders.clone().drop_guard(),
+            orders,
+        })
+    }
+
+    fn take_in(&mut self, message: OwnerMessage, round: &mut Round) {
+        match message {
+            OwnerMessage::Wake => self.is_inbox_due = true,
+            OwnerMessage::Report(batch, reply) => {
+                let ReportBatch { instance, incarnation, capacity, room, reports, .. } = batch;
+                self.placer.report(&instance, incarnation, capacity, room);
+                for report in reports {
+                    self.take_in_report(&instance, report, round);
+                }
+                round.replies.push(reply);
+            }
+            OwnerMessage::GiveUp => round.is_giving_up = true,
+        }
+    }
+
+    /// Turns a report into a decision; one about another attempt than the current changes nothing.
+    fn take_in_report(&mut self, instance: &str, report: AttemptReport, round: &mut Round) {
+        let AttemptReport { task, attempt, event } = report;
+        let is_current = self.state.task(&task).is_some_and(|held| {
+            held.attempt == attempt
+                && held.state.placement().is_some_and(|placement| placement.instance == instance)
+        });
+        if !is_current {
+            return;
+        }
+        let now = self.context.clock.now();
+        let decision = match event {
+            AttemptEvent::Started => Decision::Started { task, attempt },
+            AttemptEvent::Done => {
+                self.placer.record_end(instance, &task.job, true, now);
+                Decision::Done { task, attempt }
+            }
+            AttemptEvent::Evicted { checkpoint, reason } => {
+                Decision::Evicted { task, attempt, checkpoint, reason }
+            }
+            AttemptEvent::Released { reason } => Decision::Released { task, attempt, reason },
+            AttemptEvent::Failed { reason } => {
+                self.placer.record_end(instance, &task.job, false, now);
+                let failures = self.state.task(&task).map_or(0, |held| held.failures);
+                let is_final =
+                    failures + 1 >= MAX_FAILURES && !self.placer.is_on_probation(instance, now);
+                Decision::AttemptFailed { task, attempt, is_final, reason }
+            }
+        };
+        self.decide(decision, round);
+    }
+
+    /// Applies a decision that is about to be committed; nobody learns of it before it is.
+    fn decide(&mut self, decision: Decision, round: &mut Round) {
+        if self.state.apply(&decision).is_ok() {
+            round.decisions.push(decision);
+        }
+    }
+
+    async fn run_round(&mut self, mut round: Round) -> Result<(), ShardLost> {
+        self.take_in_inbox(&mut round).await;
+        if self.tick.is_multiple_of(LOOK_AROUND_TICKS) {
+            self.placer.look_around().await;
+        }
+        self.park_and_unpark(&mut round);
+        if !round.is_giving_up && self.state.waiting_count() > 0 {
+            self.place(&mut round).await;
+        }
+        self.commit(round).await?;
+        if self.tick.is_multiple_of(LOOK_AROUND_TICKS) {
+            self.check_leases().await?;
+            self.archive().await;
+        }
+        Ok(())
+    }
+
+    async fn take_in_inbox(&mut self, round: &mut Round) {
+        let is_due = self.is_inbox_due || self.tick.is_multiple_of(INBOX_TICKS);
+        if !is_due {
+            return;
+        }
+        match read_inbox(&self.context.store, self.shard).await {
+            Ok(InboxPage { decisions, keys }) => {
+                self.is_inbox_due = false;
+                for decision in decisions {
+                    self.note_stops(&decision, round);
+                    self.decide(decision, round);
+                }
+                round.writes.extend(keys.into_iter().map(Write::delete));
+            }
+            Err(error) => {
+                warn!(self.context.logger, "inbox not read"; "shard" => self.shard,
+                    "error" => %error);
+            }
+        }
+    }
+
+    /// Notes the attempts that a command ends.
+    fn note_stops(&self, decision: &Decision, round: &mut Round) {
+        let (job, kept) = match decision {
+            Decision::JobCancelled { job, .. } => (job, 0),
+            Decision::JobAmended { job, spec, .. } => (job, spec.tasks as usize),
+            _ => return,
+        };
+        let Some(held) = self.state.jobs().get(job) else { return };
+        for (index, task) in held.tasks.iter().enumerate().skip(kept) {
+            let Some(placement) = task.state.placement() else { continue };
+            let order = StopOrder {
+                task: TaskId { job: job.clone(), index: index as u32 },
+                attempt: task.attempt,
+                cause: StopCause::Cancel,
+            };
+            round.stops.entry(placement.instance.clone()).or_default().push(order);
+        }
+    }
+
+    fn park_and_unpark(&mut self, round: &mut Round) {
+        let mut impossible: Vec<TaskId> = Vec::new();
+        let mut checked: BTreeMap<&str, bool> = BTreeMap::new();
+        for id in self.state.waiting() {
+            let Some(job) = self.state.jobs().get(&id.job) else { continue };
+            let is_possible = *checked
+                .entry(id.job.as_str())
+                .or_insert_with(|| self.placer.is_possible(&Resources::declared(&job.spec)));
+            if !is_possible {
+                impossible.push(id.clone());
+            }
+        }
+        for task in impossible {
+            let reason = "larger than the capacity of every known instance".to_owned();
+            self.decide(Decision::Parked { task, reason }, round);
+        }
+        if self.tick.is_multiple_of(PARKED_TICKS) {
+            for task in self.unparkable() {
+                let reason = "an instance could hold it now".to_owned();
+                self.decide(Decision::Unparked { task, reason }, round);
+            }
+        }
+    }
+
+    fn unparkable(&self) -> Vec<TaskId> {
+        let mut tasks = Vec::new();
+        for (name, job) in self.state.jobs() {
+            if !self.placer.is_possible(&Resources::declared(&job.spec)) {
+                continue;
+            }
+            for (index, task) in job.tasks.iter().enumerate() {
+                if task.state == TaskState::Parked {
+                    tasks.push(TaskId { job: name.clone(), index: index as u32 });
+                }
+            }
+        }
+        tasks
+    }
+
+    async fn place(&mut self, round: &mut Round) {
+        let now = self.context.clock.now();
+        let placed = self.placer.place(&self.state, now).await;
+        for decision in placed.decisions {
+            self.decide(decision, round);
+        }
+        if let Some(task) = placed.without_room.first() {
+            self.preempt(task, now, round);
+        }
+    }
+
+    /// Evicts background attempts from one instance, so that an urgent task finds room there.
+    fn preempt(&mut self, urgent: &TaskId, now: Instant, round: &mut Round) {
+        let is_too_soon =
+            self.preempted_at.is_some_and(|at| now.duration_since(at) < PREEMPTION_PERIOD);
+        let Some(job) = self.state.jobs().get(&urgent.job) else { return };
+        if is_too_soon {
+            return;
+        }
+        let needed = Resources::declared(&job.spec);
+        let victims = self.state.instances().find_map(|instance| {
+            self.victims(instance, &needed).map(|orders| (instance.clone(), orders))
+        });
+        if let Some((instance, orders)) = victims {
+            info!(self.context.logger, "evicting for an urgent task"; "task" => %urgent,
+                "instance" => &instance, "count" => orders.len());
+            self.preempted_at = Some(now);
+            round.stops.entry(instance).or_default().extend(orders);
+        }
+    }
+
+    /// Background attempts on an instance that together hold what is needed.
+    fn victims(&self, instance: &str, needed: &Resources) -> Option<Vec<StopOrder>> {
+        let mut freed = Resources::default();
+        let mut orders = Vec::new();
+        for id in self.state.placed_on(instance) {
+            let (Some(job), Some(task)) = (self.state.jobs().get(&id.job), self.state.task(id))
+            else {
+                continue;
+            };
+            if Class::from_urgency(job.spec.urgency) == Class::Urgent {
+                continue;
+            }
+            freed = freed.plus(&Resources::declared(&job.spec));
+            let order =
+                StopOrder { task: id.clone(), attempt: task.attempt, cause: StopCause::Evict };
+            orders.push(order);
+            if freed.holds(needed) {
+                return Some(orders);
+            }
+        }
+        None
+    }
+
+    async fn commit(&mut self, round: Round) -> Result<(), ShardLost> {
+        let Round { decisions, conditions, writes, stops, replies, .. } = round;
+        if !decisions.is_empty() || !writes.is_empty() {
+            let count = decisions.len();
+            let body = EntryBody::Decisions(decisions.clone());
+            let append = self.append(body, Some(self.context.owner.clone()), conditions, writes);
+            let started_at = self.context.clock.now();
+            let appended =
+                self.stream.append(&self.context.store, &self.context.clock, append).await;
+            let Ok(Appended::Committed(_)) = appended else { return Err(ShardLost) };
+            if self.stream.head().owner.as_ref() != Some(&self.context.owner) {
+                return Err(ShardLost);
+            }
+            self.context.metrics.time("shard_commit", started_at.elapsed());
+            self.context.metrics.gauge("shard_commit_decisions", count as u64);
+        }
+        for reply in replies {
+            reply.send(Ok(())).ok();
+        }
+        self.send_starts(&decisions);
+        for (instance, orders) in stops {
+            self.send_orders(instance, Orders::Stop(orders));
+        }
+        Ok(())
+    }
+
+    fn append(
+        &self,
+        body: EntryBody,
+        owner: Option<Owner>,
+        conditions: Vec<Condition>,
+        writes: Vec<Write>,
+    ) -> Append {
+        Append {
+            author: self.context.owner.instance.clone(),
+            body,
+            epoch: self.stream.head().epoch,
+            owner,
+            conditions,
+            writes,
+            give_up_at: None,
+        }
+    }
+
+    fn send_starts(&self, decisions: &[Decision]) {
+        let mut by_instance: BTreeMap<InstanceId, Vec<StartOrder>> = BTreeMap::new();
+        for decision in decisions {
+            let Decision::Assigned { task, placement, .. } = decision else { continue };
+            if let Some(order) = self.start_order(task) {
+                by_instance.entry(placement.instance.clone()).or_default().push(order);
+            }
+        }
+        for (instance, orders) in by_instance {
+            self.send_orders(instance, Orders::Start(orders));
+        }
+    }
+
+    /// Sends again the starts that an earlier owner committed and may not have sent.
+    fn resend_starts(&self) {
+        let instances: Vec<InstanceId> = self.state.instances().cloned().collect();
+        for instance in instances {
+            let orders: Vec<StartOrder> =
+                self.state.placed_on(&instance).filter_map(|id| self.start_order(id)).collect();
+            if !orders.is_empty() {
+                self.send_orders(instance, Orders::Start(orders));
+            }
+        }
+    }
+
+    /// The order for a task that is assigned and not known to run.
+    fn start_order(&self, id: &TaskId) -> Option<StartOrder> {
+        let job = self.state.jobs().get(&id.job)?;
+        let task = self.state.task(id)?;
+        let TaskState::Assigned(placement) = &task.state else { return None };
+        Some(StartOrder {
+            task: id.clone(),
+            attempt: task.attempt,
+            incarnation: placement.incarnation,
+            spec: job.spec.clone(),
+            checkpoint: task.checkpoint.clone(),
+        })
+    }
+
+    /// Sends orders until the agent has taken them, the instance is gone or the shard is lost.
+    fn send_orders(&self, instance: InstanceId, orders: Orders) {
+        let owner = ShardOwner {
+            shard: self.shard,
+            epoch: self.stream.head().epoch,
+            control_address: self.context.owner.control_address.clone(),
+        };
+        let (context, ended) = (self.context.clone(), self.orders.clone());
+        let give_up_at = match &orders {
+            Orders::Start(_) => None,
+            Orders::Stop(_) => Some(Instant::now() + STOP_GIVE_UP),
+        };
+        tokio::spawn(async move {
+            while give_up_at.is_none_or(|at| Instant::now() < at) {
+                let address = address_of(&context.node, &instance);
+                if let Some(address) = address
+                    && send_once(&context.clients, address, &owner, &orders).await.is_ok()
+                {
+                    return;
+                }
+                tokio::select! {
+                    () = sleep(ORDER_RETRY) => {}
+                    () = ended.cancelled() => return,
+                }
+            }
+        });
+    }
+
+    /// Takes back the attempts of instances whose lease has lapsed or begun anew.
+    async fn check_leases(&mut self) -> Result<(), ShardLost> {
+        let members = self.context.node.members();
+        let present: BTreeSet<&str> =
+            members.iter().map(|member| member.instance.as_str()).collect();
+        let suspicious: Vec<InstanceId> = self
+            .state
+            .instances()
+            .filter(|instance| {
+                !present.contains(instance.as_str()) || self.has_new_incarnation(instance)
+            })
+            .cloned()
+            .collect();
+        self.lease_watches.retain(|instance, _| suspicious.contains(instance));
+        for instance in suspicious {
+            let sent_at = self.context.clock.now();
+            let Ok(row) = self.context.store.read(&keys::lease(&instance)).await else { continue };
+            self.check_lease(&instance, row, sent_at).await?;
+        }
+        Ok(())
+    }
+
+    fn has_new_incarnation(&self, instance: &str) -> bool {
+        let Some(heard) = self.placer.incarnation(instance) else { return false };
+        self.state.placed_on(instance).any(|id| {
+            let placement = self.state.task(id).and_then(|task| task.state.placement());
+            placement.is_some_and(|placement| placement.incarnation < heard)
+        })
+    }
+
+    async fn check_lease(
+        &mut self,
+        instance: &str,
+        row: Option<Row>,
+        sent_at: Instant,
+    ) -> Result<(), ShardLost> {
+        let Some(row) = row else { return Ok(()) };
+        let Ok(lease) = row.parse::<LeaseRow>() else { return Ok(()) };
+        let watch = self
+            .lease_watches
+            .entry(instance.to_owned())
+            .or_insert_with(|| LeaseWatch::new(row.version, sent_at));
+        watch.observe(row.version, sent_at);
+        let is_over = lease.state != LeaseState::Held;
+        let is_lapsed = !is_over && watch.is_lapsed(Duration::from_millis(lease.ttl_ms));
+        let last_incarnation =
+            if is_over || is_lapsed { lease.incarnation } else { lease.incarnation - 1 };
+        let lost: Vec<(TaskId, u32)> = self
+            .state
+            .placed_on(instance)
+            .filter_map(|id| {
+                let task = self.state.task(id)?;
+                let placement = task.state.placement()?;
+                (placement.incarnation <= last_incarnation).then(|| (id.clone(), task.attempt))
+            })
+            .collect();
+        if lost.is_empty() {
+            return Ok(());
+        }
+        self.take_back(lost, &row, lease, is_lapsed).await
+    }
+
+    /// Commits that attempts are lost, together with the mark that their lease has lapsed.
+    async fn take_back(
+        &mut self,
+        lost: Vec<(TaskId, u32)>,
+        row: &Row,
+        lease: LeaseRow,
+        is_lapsed: bool,
+    ) -> Result<(), ShardLost> {
+        warn!(self.context.logger, "taking tasks back"; "instance" => &lease.instance,
+            "incarnation" => lease.incarnation, "count" => lost.len(), "lapsed" => is_lapsed);
+        let mut round = Round::default();
+        let conditions = vec![Condition { key: row.key.clone(), version: row.version }];
+        if is_lapsed {
+            let marked = LeaseRow { state: LeaseState::Lapsed, ..lease.clone() };
+            round.writes.push(Write::put(row.key.clone(), &marked));
+        }
+        round.conditions = conditions;
+        let reason = format!("lease {} of {} is over", lease.incarnation, lease.instance);
+        let decisions: Vec<Decision> = lost
+            .into_iter()
+            .map(|(task, attempt)| Decision::Released { task, attempt, reason: reason.clone() })
+            .collect();
+        let body = EntryBody::Decisions(decisions.clone());
+        let owner = Some(self.context.owner.clone());
+        let append = self.append(body, owner, round.conditions, round.writes);
+        match self.stream.append(&self.context.store, &self.context.clock, append).await {
+            Ok(Appended::Committed(_)) => {
+                for decision in &decisions {
+                    let applied = self.state.apply(decision);
+                    assert!(applied.is_ok(), "committed decision doesn't apply: {applied:?}");
+                }
+                Ok(())
+            }
+            // The holder renewed in time: its tasks stay where they are.
+            Ok(Appended::Conflict { .. }) => {
+                self.lease_watches.remove(&lease.instance);
+                Ok(())
+            }
+            Ok(Appended::HeadMoved) | Err(_) => Err(ShardLost),
+        }
+    }
+
+    /// Writes a snapshot and moves a segment of the journal, when there is a whole one.
+    async fn archive(&mut self) {
+        let sequence = self.stream.head().sequence;
+        if sequence < self.archive.mark.through_sequence + SEGMENT_ENTRIES {
+            return;
+        }
+        if let Err(error) = self.try_archive(sequence).await {
+            warn!(self.context.logger, "journal not archived"; "shard" => self.shard,
+                "error" => %error);
+        }
+    }
+
+    async fn try_archive(&mut self, sequence: u64) -> Result<(), StoreError> {
+        let store = &self.context.store;
+        write_snapshot(store, self.shard, &self.state, sequence).await?;
+        let author = &self.context.owner.instance;
+        let stream = stream_of(self.shard);
+        self.archive.move_segment(store, &stream, author, sequence, sequence).await?;
+        Ok(())
+    }
+
+    /// Writes into the head that the shard has no owner.
+    async fn give_up(&mut self) {
+        let body =
+            EntryBody::Ownership { owner: None, reason: "planned stop of the owner".to_owned() };
+        let mut append = self.append(body, None, Vec::new(), Vec::new());
+        append.give_up_at = Some(self.context.clock.now() + ORDER_TIMEOUT);
+        let appended = self.stream.append(&self.context.store, &self.context.clock, append).await;
+        info!(self.context.logger, "shard given up"; "shard" => self.shard,
+            "committed" => matches!(appended, Ok(Appended::Committed(_))));
+    }
+}
+
+enum Orders {
+    Start(Vec<StartOrder>),
+    Stop(Vec<StopOrder>),
+}
+
+fn address_of(node: &NodeHandle, instance: &str) -> Option<SocketAddr> {
+    let members = node.members();
+    let member = members.iter().find(|member| member.instance == instance)?;
+    member.control_address.parse().ok()
+}
+
+async fn send_once(
+    clients: &ControlClients,
+    address: SocketAddr,
+    owner: &ShardOwner,
+    orders: &Orders,
+) -> Result<(), ErrorKind> {
+    let client = clients.client(address).await?;
+    let context = deadline(ORDER_TIMEOUT);
+    let answer = match orders {
+        Orders::Start(orders) => client.start_tasks(context, owner.clone(), orders.clone()).await,
+        Orders::Stop(orders) => client.stop_tasks(context, owner.clone(), orders.clone()).await,
+    };
+    match answer {
+        Ok(result) => result,
+        Err(_) => {
+            clients.forget(address);
+            Err(ErrorKind::AnswerLost)
+        }
+    }
+}
--- /dev/null
+++ b/crates/teaseltrack-agent/src/tasks/shard_manager.rs
@@ -0,0 +1,186 @@
+//! Decides which job shards this agent owns.
+//!
+//! Every shard prefers agents in an order that all compute alike. The most preferred one takes a shard
+//! that has no owner, or whose owner the fleet takes to be gone; the second does so after a while. The
+//! epoch in the shard's head makes a wrong guess harmless.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use rand::RngExt;
+use slog::{Logger, debug, info};
+use teaseltrack::{
+    ids::{InstanceId, ShardNumber},
+    journal::{Owner, StreamHead},
+    membership::Role,
+    outcome::ErrorKind,
+    shard::{SHARDS, preferred_owners, stream_of},
+};
+use teaseltrack_platform::{
+    keys,
+    store::{Row, StoreError},
+};
+use teaseltrack_wire::control::ReportBatch;
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::sleep,
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::tasks::owner::{OwnerContext, OwnerMessage, ShardOwnerTask, run_owner};
+
+/// Messages that may wait for the task.
+pub const INBOX_MESSAGES: usize = 1_024;
+/// Time between looks at the shards.
+const PERIOD: Duration = Duration::from_secs(1);
+/// Time after which the second choice takes an ownerless shard.
+const SECOND_CHOICE_WAIT: Duration = Duration::from_secs(5);
+/// Agents that may take a shard.
+const CANDIDATES: usize = 2;
+/// Messages that may wait for an owner.
+const OWNER_MESSAGES: usize = 1_024;
+
+/// A message to the task.
+#[derive(Debug)]
+pub enum ShardMessage {
+    /// The shard's inbox holds something new.
+    Wake(ShardNumber),
+    /// An agent reports events.
+    Report(ReportBatch, oneshot::Sender<Result<(), ErrorKind>>),
+    /// The agent stops; answered when all shards are given up.
+    Drain(oneshot::Sender<()>),
+}
+
+/// Decides which shards this agent owns.
+pub struct ShardManager {
+    logger: Logger,
+    context: Arc<OwnerContext>,
+    owned: BTreeMap<ShardNumber, OwnedShard>,
+    ownerless_since: BTreeMap<ShardNumber, Instant>,
+}
+
+struct OwnedShard {
+    sender: mpsc::Sender<OwnerMessage>,
+    ended: CancellationToken,
+}
+
+impl ShardManager {
+    /// Owns nothing yet.
+    pub fn new(logger: Logger, context: Arc<OwnerContext>) -> Self {
+        Self { logger, context, owned: BTreeMap::new(), ownerless_since: BTreeMap::new() }
+    }
+
+    /// Runs until the agent stops.
+    pub async fn run(mut self, mut receiver: mpsc::Receiver<ShardMessage>) {
+        loop {
+            let wait = PERIOD.mul_f64(rand::rng().random_range(0.8..1.2));
+            tokio::select! {
+                message = receiver.recv() => match message {
+                    Some(ShardMessage::Drain(reply)) => {
+                        self.give_up_all().await;
+                        reply.send(()).ok();
+                        return;
+                    }
+                    Some(message) => self.handle(message),
+                    None => return,
+                },
+                () = sleep(wait) => {
+                    if let Err(error) = self.look().await {
+                        debug!(self.logger, "no look at the shards"; "error" => %error);
+                    }
+                }
+            }
+        }
+    }
+
+    fn handle(&mut self, message: ShardMessage) {
+        match message {
+            ShardMessage::Wake(shard) => {
+                if let Some(owned) = self.owned.get(&shard) {
+                    owned.sender.try_send(OwnerMessage::Wake).ok();
+                }
+            }
+            ShardMessage::Report(batch, reply) => {
+                let Some(owned) = self.owned.get(&batch.shard) else {
+                    reply.send(Err(ErrorKind::NotFound)).ok();
+                    return;
+                };
+                // A full inbox drops the reply, and the agent reports again.
+                owned.sender.try_send(OwnerMessage::Report(batch, reply)).ok();
+            }
+            ShardMessage::Drain(reply) => {
+                reply.send(()).ok();
+            }
+        }
+    }
+
+    async fn look(&mut self) -> Result<(), StoreError> {
+        self.owned.retain(|_, owned| !owned.ended.is_cancelled());
+        let members = self.context.node.members();
+        let agents: Vec<InstanceId> = members
+            .iter()
+            .filter(|member| member.role == Role::Agent)
+            .map(|member| member.instance.clone())
+            .collect();
+        for shard in 0..SHARDS {
+            if self.owned.contains_key(&shard) {
+                continue;
+            }
+            let preferred = preferred_owners(shard, agents.iter());
+            let rank = preferred.iter().position(|agent| **agent == self.context.owner.instance);
+            if let Some(rank) = rank.filter(|rank| *rank < CANDIDATES) {
+                self.consider(shard, rank, &agents).await?;
+            }
+        }
+        Ok(())
+    }
+
+    async fn consider(
+        &mut self,
+        shard: ShardNumber,
+        rank: usize,
+        agents: &[InstanceId],
+    ) -> Result<(), StoreError> {
+        let row = self.context.store.read(&keys::head(&stream_of(shard))).await?;
+        let head: StreamHead = row.as_ref().map(Row::parse).transpose()?.unwrap_or_default();
+        let is_owned = head.owner.as_ref().is_some_and(|owner| self.is_live(owner, agents));
+        if is_owned {
+            self.ownerless_since.remove(&shard);
+            return Ok(());
+        }
+        let since = *self.ownerless_since.entry(shard).or_insert_with(Instant::now);
+        if rank == 0 || since.elapsed() >= SECOND_CHOICE_WAIT {
+            self.ownerless_since.remove(&shard);
+            self.take(shard);
+        }
+        Ok(())
+    }
+
+    /// Whether an owner may still act; an earlier process of this instance may not.
+    fn is_live(&self, owner: &Owner, agents: &[InstanceId]) -> bool {
+        owner.instance != self.context.owner.instance && agents.contains(&owner.instance)
+    }
+
+    fn take(&mut self, shard: ShardNumber) {
+        info!(self.logger, "taking a shard"; "shard" => shard);
+        let (sender, receiver) = mpsc::channel(OWNER_MESSAGES);
+        let ended = CancellationToken::new();
+        let guard = ended.clone().drop_guard();
+        let context = self.context.clone();
+        tokio::spawn(async move {
+            run_owner(ShardOwnerTask { shard, context, receiver }).await;
+            drop(guard);
+        });
+        self.owned.insert(shard, OwnedShard { sender, ended });
+    }
+
+    async fn give_up_all(&mut self) {
+        for owned in std::mem::take(&mut self.owned).into_values() {
+            owned.sender.send(OwnerMessage::GiveUp).await.ok();
+            owned.ended.cancelled().await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/teaseltrack-cli/src/main.rs
@@ -0,0 +1,7 @@
+//! The operators' command line.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    teaseltrack_cli::run_from_command_line()
+}
--- /dev/null
+++ b/crates/teaseltrack-cli/src/options.rs
@@ -0,0 +1,3 @@
+//! What an operator gives on the command line.
+
+pub mod args;
--- /dev/null
+++ b/crates/teaseltrack-daemon/src/http_server.rs
@@ -0,0 +1,123 @@
+//! HTTP/1.1 and HTTP/2 servers.
+
+use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, header::CONTENT_TYPE};
+use http_body_util::{BodyExt, Full, Limited, combinators::UnsyncBoxBody};
+use hyper::{body::Incoming, service::service_fn};
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo, TokioTimer},
+    server::{conn::auto, graceful::GracefulShutdown},
+};
+use serde::{Serialize, de::DeserializeOwned};
+use teaseltrack::outcome::ErrorKind;
+use tokio::{
+    net::TcpListener,
+    sync::Semaphore,
+    time::{sleep, timeout},
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::problem::Problem;
+
+/// Body of an answer.
+pub type AnswerBody = UnsyncBoxBody<Bytes, BodyError>;
+/// Why the body of an answer stopped short.
+pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
+
+/// Time within which a caller must send its headers.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Time for which open answers may go on when the server closes.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// A body that is there as a whole.
+pub fn full_body(bytes: impl Into<Bytes>) -> AnswerBody {
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
+}
+
+/// An answer in JSON.
+pub fn json_response<T: Serialize>(status: u16, value: &T) -> Response<AnswerBody> {
+    let text = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = Response::new(full_body(text));
+    *response.status_mut() = http::StatusCode::from_u16(status).unwrap_or_default();
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+/// Reads a whole body of at most `max_bytes`.
+///
+/// # Errors
+///
+/// The body is too large or stopped short.
+pub async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Problem> {
+    match Limited::new(body, max_bytes).collect().await {
+        Ok(whole) => Ok(whole.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            let detail = format!("body: larger than {max_bytes} bytes");
+            Err(Problem::new(ErrorKind::BodyTooLarge, detail))
+        }
+        Err(error) => Err(Problem::new(ErrorKind::InvalidInput, format!("body: {error}"))),
+    }
+}
+
+/// Reads a JSON body of at most `max_bytes`.
+///
+/// # Errors
+///
+/// The body is too large or doesn't follow the schema; the detail names the field.
+pub async fn read_json<T: DeserializeOwned>(
+    body: Incoming,
+    max_bytes: usize,
+) -> Result<T, Problem> {
+    let bytes = read_body(body, max_bytes).await?;
+    serde_json::from_slice(&bytes)
+        .map_err(|error| Problem::new(ErrorKind::InvalidInput, format!("body: {error}")))
+}
+
+/// Serves connections until `closing` is cancelled, then lets open answers end.
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    max_connections: usize,
+    closing: CancellationToken,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<AnswerBody>> + Send + 'static,
+{
+    let permits = Arc::new(Semaphore::new(max_connections));
+    let graceful = GracefulShutdown::new();
+    let mut server = auto::Builder::new(TokioExecutor::new());
+    server.http1().timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT);
+    server.http2().timer(TokioTimer::new());
+    loop {
+        let permit = tokio::select! {
+            permit = permits.clone().acquire_owned() => permit,
+            () = closing.cancelled() => break,
+        };
+        let stream = tokio::select! {
+            accepted = listener.accept() => accepted.map(|(stream, _)| stream),
+            () = closing.cancelled() => break,
+        };
+        let Ok(stream) = stream else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        drop(stream.set_nodelay(true));
+        let handler = handler.clone();
+        let service = service_fn(move |request| {
+            let answer = handler(request);
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
+        let connection = server.serve_connection(TokioIo::new(stream), service).into_owned();
+        let connection = graceful.watch(connection);
+        tokio::spawn(async move {
+            drop(connection.await);
+            drop(permit);
+        });
+    }
+    drop(listener);
+    drop(timeout(CLOSE_TIMEOUT, graceful.shutdown()).await);
+}
--- /dev/null
+++ b/crates/teaseltrack-daemon/src/lifecycle.rs
@@ -0,0 +1,57 @@
+//! From the command line to a running daemon and back.
+
+use std::{fmt::Display, future::Future, process::ExitCode};
+
+use crate::{args::DaemonArgs, settings::SettingsError, shutdown::Shutdown};
+
+/// Exit code for bad settings.
+const EXIT_BAD_SETTINGS: u8 = 2;
+/// Exit code for a daemon that couldn't start.
+const EXIT_NOT_STARTED: u8 = 1;
+
+/// Checks the settings, and runs the daemon until it is asked to stop.
+///
+/// `start` returns once the daemon serves; the future it returns ends with the planned stop.
+pub fn run_daemon<S, F, E, W>(
+    args: &DaemonArgs,
+    settings: Result<S, SettingsError>,
+    start: impl FnOnce(S, Shutdown) -> F,
+) -> ExitCode
+where
+    F: Future<Output = Result<W, E>>,
+    E: Display,
+    W: Future<Output = ()>,
+{
+    let settings = match settings {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(EXIT_BAD_SETTINGS);
+        }
+    };
+    if args.is_check {
+        println!("{}: good", args.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    let Ok(runtime) = tokio::runtime::Builder::new_multi_thread().enable_all().build() else {
+        eprintln!("the runtime can't start");
+        return ExitCode::from(EXIT_NOT_STARTED);
+    };
+    runtime.block_on(async {
+        let shutdown = Shutdown::new();
+        if let Err(error) = shutdown.drain_on_signal() {
+            eprintln!("signals: {error}");
+            return ExitCode::from(EXIT_NOT_STARTED);
+        }
+        match start(settings, shutdown).await {
+            Ok(waiting) => {
+                waiting.await;
+                ExitCode::SUCCESS
+            }
+            Err(error) => {
+                eprintln!("{error}");
+                ExitCode::from(EXIT_NOT_STARTED)
+            }
+        }
+    })
+}
--- /dev/null
+++ b/crates/teaseltrack-daemon/src/problem.rs
@@ -0,0 +1,82 @@
+//! Refusals as problem details (RFC 9457).
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{
+    HeaderValue, Response,
+    header::{CONTENT_TYPE, RETRY_AFTER},
+};
+use serde::{Deserialize, Serialize};
+use teaseltrack::outcome::{ErrorKind, Outcome};
+
+use crate::http_server::{AnswerBody, full_body};
+
+const PROBLEM_JSON: HeaderValue = HeaderValue::from_static("application/problem+json");
+
+/// A refusal, as it is written and read.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Problem {
+    /// Name of the error kind.
+    pub reason: ErrorKind,
+    /// HTTP status code.
+    pub status: u16,
+    /// What is known about the request.
+    pub outcome: Outcome,
+    /// What went wrong, naming the field.
+    pub detail: String,
+    /// The request.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub request_id: String,
+    /// When another try may do better, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
+}
+
+impl Problem {
+    /// A refusal of the given kind.
+    pub fn new(reason: ErrorKind, detail: impl Into<String>) -> Self {
+        let rule = reason.rule();
+        Self {
+            reason,
+            status: rule.status,
+            outcome: rule.outcome,
+            detail: detail.into(),
+            request_id: String::new(),
+            retry_after_ms: None,
+        }
+    }
+
+    /// Names the request.
+    #[must_use]
+    pub fn with_request_id(mut self, request_id: &str) -> Self {
+        request_id.clone_into(&mut self.request_id);
+        self
+    }
+
+    /// Says when another try may do better.
+    #[must_use]
+    pub fn with_retry_after(mut self, wait: Duration) -> Self {
+        self.retry_after_ms = Some(wait.as_millis() as u64);
+        self
+    }
+
+    /// The answer to the caller.
+    pub fn into_response(self) -> Response<AnswerBody> {
+        let text = serde_json::to_vec(&self).unwrap_or_default();
+        let mut response = Response::new(full_body(Bytes::from(text)));
+        *response.status_mut() = http::StatusCode::from_u16(self.status).unwrap_or_default();
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, PROBLEM_JSON);
+        headers.insert("x-outcome", HeaderValue::from_static(self.outcome.as_str()));
+        if let Some(wait_ms) = self.retry_after_ms {
+            headers.insert(RETRY_AFTER, HeaderValue::from(wait_ms.div_ceil(1_000).max(1)));
+        }
+        if let Ok(request_id) = HeaderValue::from_str(&self.request_id)
+            && !self.request_id.is_empty()
+        {
+            headers.insert("x-request-id", request_id);
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/teaseltrack-entry/src/entry.rs
@@ -0,0 +1,274 @@
+//! Starts an entry's tasks and stops them in order.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use serde_json::json;
+use slog::info;
+use snafu::{ResultExt, Snafu};
+use teaseltrack::{
+    clock::{SharedClock, SystemClock, unix_ms},
+    membership::Role,
+};
+use teaseltrack_daemon::{
+    health::{StatusReport, serve_health},
+    http_server::serve,
+    logs,
+    metrics::Metrics,
+    shutdown::Shutdown,
+    spans::Spans,
+};
+use teaseltrack_node::{
+    gossip::push_news,
+    node::NodeMessage,
+    seeds::{SeedRow, keep_seed_row},
+    start::{Common, Identity, open_store, start_common},
+};
+use tokio::{
+    net::TcpListener,
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
+use tokio_util::task::TaskTracker;
+
+use crate::{
+    callers::{
+        agent_connection::AgentConnections, attempt::AttemptContext, dispatcher::spawn_dispatcher,
+        server::CallerServer,
+    },
+    operators::{commands::CommandContext, server::answer},
+    options::config::EntrySettings,
+};
+
+/// Connections of operators at once.
+const MAX_OPERATOR_CONNECTIONS: usize = 64;
+/// Time for open answers to end in a planned stop.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time for the seed row to be deleted in a planned stop.
+const SEED_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Why an entry didn't start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// An address can't be bound.
+    #[snafu(display("{key}: {address} can't be bound: {source}"))]
+    Bind {
+        /// Key of the address in the settings.
+        key: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// Metrics can't be sent.
+    #[snafu(display("observation.metrics.statsd_address: {source}"))]
+    Metrics {
+        /// Cause.
+        source: std::io::Error,
+    },
+}
+
+/// Addresses that an entry serves.
+#[derive(Clone, Copy, Debug)]
+pub struct EntryAddresses {
+    /// Requests from callers.
+    pub callers: SocketAddr,
+    /// Commands and queries from operators.
+    pub operators: SocketAddr,
+    /// Control calls.
+    pub control: SocketAddr,
+    /// Liveness, readiness and status.
+    pub health: SocketAddr,
+}
+
+/// A running entry.
+pub struct Entry {
+    common: Common,
+    addresses: EntryAddresses,
+    drain_grace: Duration,
+    answers: TaskTracker,
+    servers: Vec<JoinHandle<()>>,
+    seed_row: JoinHandle<()>,
+    spans: Spans,
+}
+
+struct Listeners {
+    callers: TcpListener,
+    operators: TcpListener,
+    control: TcpListener,
+    health: TcpListener,
+}
+
+impl Entry {
+    /// Binds the addresses and starts all tasks.
+    ///
+    /// # Errors
+    ///
+    /// An address can't be bound.
+    pub async fn start(settings: EntrySettings, shutdown: Shutdown) -> Result<Self, StartError> {
+        let logger =
+            logs::logger(settings.observation.logs, "teaseltrack-entry", &settings.instance.name);
+        let metrics = Metrics::new(&settings.observation.metrics).context(MetricsSnafu)?;
+        let spans = Spans::new(settings.observation.traces, logger.clone());
+        let clock: SharedClock = Arc::new(SystemClock);
+        let (listeners, addresses) = bind_all(&settings).await?;
+        let identity = Identity {
+            name: settings.instance.name.clone(),
+            zone: settings.instance.zone.clone(),
+            role: Role::Entry,
+            control_address: addresses.control,
+            request_address: addresses.callers,
+            incarnation: unix_ms(clock.wall_now()),
+        };
+        let store = open_store(&settings.platform, clock.clone());
+        let common = start_common(
+            identity,
+            &settings.control,
+            listeners.control,
+            store,
+            None,
+            (logger.clone(), clock.clone(), shutdown),
+        );
+        let seed = SeedRow {
+            instance: settings.instance.name.clone(),
+            control_address: addresses.control,
+            written_at_ms: 0,
+        };
+        let draining = common.shutdown.draining.clone();
+        let seed_row = tokio::spawn(keep_seed_row(common.store.clone(), seed, draining));
+        let answers = TaskTracker::new();
+        let callers = caller_server(&settings, &common, &spans, &metrics, &answers);
+        let servers = vec![
+            serve_callers(&settings, &common, callers, listeners.callers),
+            serve_operators(&common, listeners.operators),
+        ];
+        let status = status_report(&common, &answers);
+        tokio::spawn(serve_health(listeners.health, common.shutdown.clone(), status));
+        info!(logger, "entry serves"; "callers" => %addresses.callers,
+            "operators" => %addresses.operators, "control" => %addresses.control);
+        let drain_grace = Duration::from_millis(settings.callers.drain_grace_ms);
+        Ok(Self { common, addresses, drain_grace, answers, servers, seed_row, spans })
+    }
+
+    /// Addresses that the entry serves.
+    pub fn addresses(&self) -> EntryAddresses {
+        self.addresses
+    }
+
+    /// Waits for the planned stop and carries it out.
+    pub async fn wait(self) {
+        self.common.shutdown.draining.cancelled().await;
+        let logger = self.common.logger.clone();
+        info!(logger, "planned stop begins");
+        sleep(self.drain_grace).await;
+        self.common.node.ask(NodeMessage::Leave).await;
+        push_news(&self.common.node, &self.common.clients).await;
+        self.common.shutdown.closing.cancel();
+        for server in self.servers {
+            drop(timeout(DRAIN_TIMEOUT, server).await);
+        }
+        self.answers.close();
+        drop(timeout(DRAIN_TIMEOUT, self.answers.wait()).await);
+        drop(timeout(SEED_TIMEOUT, self.seed_row).await);
+        self.spans.flush();
+        info!(logger, "stopped");
+    }
+}
+
+async fn bind(key: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.context(BindSnafu { key, address })
+}
+
+async fn bind_all(settings: &EntrySettings) -> Result<(Listeners, EntryAddresses), StartError> {
+    let listeners = Listeners {
+        callers: bind("callers.address", settings.callers.address).await?,
+        operators: bind("operators.address", settings.operators.address).await?,
+        control: bind("control.address", settings.control.address).await?,
+        health: bind("health.address", settings.health.address).await?,
+    };
+    let addresses = EntryAddresses {
+        callers: listeners.callers.local_addr().unwrap_or(settings.callers.address),
+        operators: listeners.operators.local_addr().unwrap_or(settings.operators.address),
+        control: listeners.control.local_addr().unwrap_or(settings.control.address),
+        health: listeners.health.local_addr().unwrap_or(settings.health.address),
+    };
+    Ok((listeners, addresses))
+}
+
+fn caller_server(
+    settings: &EntrySettings,
+    common: &Common,
+    spans: &Spans,
+    metrics: &Metrics,
+    answers: &TaskTracker,
+) -> CallerServer {
+    let zone = settings.instance.zone.clone();
+    let connections = AgentConnections::default();
+    tokio::spawn(drop_old_connections(common.clone(), connections.clone()));
+    CallerServer {
+        node: common.node.clone(),
+        dispatcher: spawn_dispatcher(common.node.clone(), zone, common.clock.clone()),
+        attempts: AttemptContext { connections, clock: common.clock.clone() },
+        spans: spans.clone(),
+        metrics: metrics.clone(),
+        shutdown: common.shutdown.clone(),
+        answers: answers.clone(),
+        max_body_bytes: settings.callers.max_body_bytes,
+    }
+}
+
+/// Drops connections to agents that have gone.
+async fn drop_old_connections(common: Common, connections: AgentConnections) {
+    let mut members = common.node.watch_members();
+    while members.changed().await.is_ok() {
+        let present = members.borrow_and_update().clone();
+        connections.retain(|agent| {
+            let agent = agent.to_string();
+            present.iter().any(|member| member.request_address == agent)
+        });
+    }
+}
+
+fn serve_callers(
+    settings: &EntrySettings,
+    common: &Common,
+    callers: CallerServer,
+    listener: TcpListener,
+) -> JoinHandle<()> {
+    let max_connections = settings.callers.max_connections;
+    let closing = common.shutdown.closing.clone();
+    tokio::spawn(serve(listener, max_connections, closing, move |request| {
+        callers.clone().answer(request)
+    }))
+}
+
+fn serve_operators(common: &Common, listener: TcpListener) -> JoinHandle<()> {
+    let context = CommandContext {
+        store: common.store.clone(),
+        clock: common.clock.clone(),
+        node: common.node.clone(),
+        clients: common.clients.clone(),
+    };
+    let closing = common.shutdown.closing.clone();
+    tokio::spawn(serve(listener, MAX_OPERATOR_CONNECTIONS, closing, move |request| {
+        answer(context.clone(), request)
+    }))
+}
+
+fn status_report(common: &Common, answers: &TaskTracker) -> StatusReport {
+    let (common, answers) = (common.clone(), answers.clone());
+    Arc::new(move || {
+        let members = common.node.members();
+        let targets = members.iter().filter(|member| member.target.is_some()).count();
+        json!({
+            "revision": common.node.configuration().revision(),
+            "records": common.node.configuration().record_count(),
+            "members": members.len(),
+            "targets": targets,
+            "answers_in_flight": answers.len(),
+            "control_sent_bytes": common.control_bytes.sent(),
+            "control_received_bytes": common.control_bytes.received(),
+            "store_reads": common.store.usage().reads(),
+            "store_writes": common.store.usage().writes(),
+        })
+    })
+}
--- /dev/null
+++ b/crates/teaseltrack-entry/src/main.rs
@@ -0,0 +1,7 @@
+//! The process between callers and agents.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    teaseltrack_entry::run_from_command_line()
+}
--- /dev/null
+++ b/crates/teaseltrack-entry/src/operators.rs
@@ -0,0 +1,5 @@
+//! The operators' port: commands change records, queries read them.
+
+pub mod commands;
+pub mod queries;
+pub mod server;
--- /dev/null
+++ b/crates/teaseltrack-entry/src/options.rs
@@ -0,0 +1,3 @@
+//! What an operator sets for an entry.
+
+pub mod config;
--- /dev/null
+++ b/crates/teaseltrack-lab/src/options.rs
@@ -0,0 +1,3 @@
+//! What a developer gives on the command line.
+
+pub mod args;
--- /dev/null
+++ b/crates/teaseltrack-lab/src/platform.rs
@@ -0,0 +1,206 @@
+//! Stand-in of the platform's transactional table and object store.
+//!
+//! [`table`] holds the rows and objects; this module serves them over HTTP, with limits, latency,
+//! outages and answers that are lost after the write took effect.
+
+pub mod table;
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+
+use http::{Method, Request, Response};
+use hyper::body::Incoming;
+use rand::RngExt;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use teaseltrack::{outcome::ErrorKind, quota::TokenBucket};
+use teaseltrack_daemon::{
+    http_server::{AnswerBody, json_response, read_json},
+    problem::Problem,
+};
+use teaseltrack_platform::{http_adapter::STORE_PATH, store::StoreCall};
+use tokio::{net::TcpListener, time::sleep};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    LabError, options::args::PlatformOptions, platform::table::Table, server::serve_cuttable,
+};
+
+/// Largest call, in bytes.
+const MAX_CALL_BYTES: usize = 64 << 20;
+
+/// How the store is out.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outage {
+    /// It isn't.
+    #[default]
+    None,
+    /// Connections are cut.
+    Cut,
+    /// Nothing is answered.
+    Silent,
+}
+
+/// Faults of the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// How it is out.
+    pub outage: Outage,
+    /// Time that each call takes on top, in milliseconds.
+    pub latency_ms: f64,
+    /// Share of writes whose answer is lost after they took effect.
+    pub lost_answer_ratio: f64,
+}
+
+/// Calls that were served.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Served {
+    /// Writes.
+    pub writes: u64,
+    /// Reads.
+    pub reads: u64,
+    /// Calls beyond the limits.
+    pub throttled: u64,
+}
+
+struct State {
+    table: Table,
+    faults: Faults,
+    writes: TokenBucket,
+    reads: TokenBucket,
+    served: Served,
+}
+
+/// A running store, cheap to clone.
+#[derive(Clone)]
+pub struct Platform {
+    address: SocketAddr,
+    latency: Duration,
+    state: Arc<Mutex<State>>,
+}
+
+impl Platform {
+    /// Starts a store.
+    ///
+    /// # Errors
+    ///
+    /// The address can't be bound.
+    pub async fn start(options: &PlatformOptions) -> Result<Self, LabError> {
+        let listener = TcpListener::bind(options.address).await?;
+        let now = Instant::now();
+        let state = State {
+            table: Table::default(),
+            faults: Faults::default(),
+            writes: TokenBucket::new(options.writes_per_s, options.writes_per_s, now),
+            reads: TokenBucket::new(options.reads_per_s, options.reads_per_s, now),
+            served: Served::default(),
+        };
+        let platform = Self {
+            address: listener.local_addr()?,
+            latency: options.latency,
+            state: Arc::new(Mutex::new(state)),
+        };
+        let served = platform.clone();
+        let handler = move |request| served.clone().answer(request);
+        tokio::spawn(serve_cuttable(listener, CancellationToken::new(), handler));
+        Ok(platform)
+    }
+
+    /// Address of the store.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets the faults.
+    pub fn set_faults(&self, faults: Faults) {
+        self.lock().faults = faults;
+    }
+
+    /// Calls served so far.
+    pub fn served(&self) -> Served {
+        self.lock().served
+    }
+
+    /// Reads a row past all limits and faults, for checks.
+    pub fn peek(&self, key: &str) -> Option<String> {
+        self.lock().table.read(key).map(|row| row.value)
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn answer(self, request: Request<Incoming>) -> Option<Response<AnswerBody>> {
+        let path = request.uri().path().to_owned();
+        if request.method() != Method::POST {
+            return Some(refused(ErrorKind::InvalidInput, "method: must be POST"));
+        }
+        match path.as_str() {
+            STORE_PATH => match read_json(request.into_body(), MAX_CALL_BYTES).await {
+                Ok(call) => self.serve(call).await,
+                Err(problem) => Some(problem.into_response()),
+            },
+            "/faults" => match read_json(request.into_body(), MAX_CALL_BYTES).await {
+                Ok(faults) => {
+                    self.set_faults(faults);
+                    Some(json_response(200, &json!({ "set": true })))
+                }
+                Err(problem) => Some(problem.into_response()),
+            },
+            _ => Some(refused(ErrorKind::NotFound, "path: must be /store or /faults")),
+        }
+    }
+
+    async fn serve(&self, call: StoreCall) -> Option<Response<AnswerBody>> {
+        let faults = self.lock().faults;
+        match faults.outage {
+            Outage::None => {}
+            Outage::Cut => return None,
+            Outage::Silent => std::future::pending().await,
+        }
+        sleep(self.latency + Duration::from_secs_f64(faults.latency_ms / 1_000.0)).await;
+        let is_write = call.is_write();
+        let reply = self.apply(call);
+        let Some(reply) = reply else {
+            return Some(refused(ErrorKind::StoreUnavailable, "beyond the limit"));
+        };
+        let is_lost = is_write && rand::rng().random::<f64>() < faults.lost_answer_ratio;
+        if is_lost {
+            return None;
+        }
+        Some(json_response(200, &reply))
+    }
+
+    fn apply(&self, call: StoreCall) -> Option<teaseltrack_platform::store::StoreReply> {
+        let mut state = self.lock();
+        let bucket = if call.is_write() { &mut state.writes } else { &mut state.reads };
+        if bucket.take(1.0, Instant::now()).is_err() {
+            state.served.throttled += 1;
+            return None;
+        }
+        let count =
+            if call.is_write() { &mut state.served.writes } else { &mut state.served.reads };
+        *count += 1;
+        Some(state.table.apply(call))
+    }
+}
+
+fn refused(kind: ErrorKind, detail: &str) -> Response<AnswerBody> {
+    Problem::new(kind, detail).into_response()
+}
+
+/// Serves a store until the process is ended.
+///
+/// # Errors
+///
+/// The address can't be bound.
+pub async fn run(options: &PlatformOptions) -> Result<(), LabError> {
+    let platform = Platform::start(options).await?;
+    println!("platform serves on {}", platform.address());
+    std::future::pending().await
+}
--- /dev/null
+++ b/crates/teaseltrack-lab/src/platform/table.rs
@@ -0,0 +1,79 @@
+//! Rows and objects in memory.
+
+use std::collections::BTreeMap;
+
+use teaseltrack_platform::store::{CommitAnswer, Row, StoreCall, StoreReply, Transaction};
+
+#[derive(Clone, Debug)]
+struct Stored {
+    version: u64,
+    value: String,
+}
+
+/// Rows with versions, and objects.
+#[derive(Debug, Default)]
+pub struct Table {
+    version: u64,
+    rows: BTreeMap<String, Stored>,
+    objects: BTreeMap<String, String>,
+}
+
+impl Table {
+    /// Carries out a call.
+    pub fn apply(&mut self, call: StoreCall) -> StoreReply {
+        match call {
+            StoreCall::Read { key } => StoreReply::Rows(self.read(&key).into_iter().collect()),
+            StoreCall::List { prefix, after, limit } => {
+                StoreReply::Rows(self.list(&prefix, &after, limit))
+            }
+            StoreCall::Commit(transaction) => StoreReply::Commit(self.commit(transaction)),
+            StoreCall::PutObject { key, value } => {
+                self.objects.insert(key, value);
+                StoreReply::Stored
+            }
+            StoreCall::GetObject { key } => StoreReply::Object(self.objects.get(&key).cloned()),
+        }
+    }
+
+    /// Reads a row.
+    pub fn read(&self, key: &str) -> Option<Row> {
+        self.rows.get(key).map(|stored| row(key, stored))
+    }
+
+    fn list(&self, prefix: &str, after: &str, limit: usize) -> Vec<Row> {
+        let start = if after > prefix { after } else { prefix };
+        self.rows
+            .range(start.to_owned()..)
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .filter(|(key, _)| key.as_str() > after)
+            .take(limit)
+            .map(|(key, stored)| row(key, stored))
+            .collect()
+    }
+
+    fn commit(&mut self, transaction: Transaction) -> CommitAnswer {
+        for condition in &transaction.conditions {
+            let version = self.rows.get(&condition.key).map_or(0, |stored| stored.version);
+            if version != condition.version {
+                return CommitAnswer::Conflict { key: condition.key.clone() };
+            }
+        }
+        self.version += 1;
+        let version = self.version;
+        for write in transaction.writes {
+            match write.value {
+                Some(value) => {
+                    self.rows.insert(write.key, Stored { version, value });
+                }
+                None => {
+                    self.rows.remove(&write.key);
+                }
+            }
+        }
+        CommitAnswer::Committed { version }
+    }
+}
+
+fn row(key: &str, stored: &Stored) -> Row {
+    Row { key: key.to_owned(), version: stored.version, value: stored.value.clone() }
+}
--- /dev/null
+++ b/crates/teaseltrack-lab/src/processes.rs
@@ -0,0 +1,293 @@
+//! A fleet of real processes, which can be killed, frozen and stopped one by one.
+
+use std::{
+    fs, io,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use serde_json::Value;
+use teaseltrack_daemon::http_client::HttpClient;
+use tempfile::TempDir;
+
+use crate::{
+    LabError,
+    fleet::{FleetPlan, wait_until},
+    ledger::Ledger,
+    platform::Platform,
+};
+
+/// Clock ticks a second of the kernel's accounting.
+const TICKS_PER_S: f64 = 100.0;
+/// Bytes of a page.
+const PAGE_BYTES: u64 = 4_096;
+/// Time for a process to become ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// A child process; killed when dropped.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    name: String,
+}
+
+impl Process {
+    /// Starts a program from the directory of this one.
+    ///
+    /// # Errors
+    ///
+    /// The program can't be started.
+    pub fn start(program: &str, name: &str, args: &[String]) -> io::Result<Self> {
+        let path = binary_path(program)?;
+        let child = Command::new(path)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::inherit())
+            .spawn()?;
+        Ok(Self { child, name: name.to_owned() })
+    }
+
+    /// Name of the process.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        kill(Pid::from_raw(self.child.id() as i32), signal).ok();
+    }
+
+    /// Kills the process at once.
+    pub fn kill(&mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+
+    /// Asks the process to stop and waits until it has; false if it didn't in time.
+    pub async fn stop(&mut self, limit: Duration) -> bool {
+        self.signal(Signal::SIGTERM);
+        let deadline = Instant::now() + limit;
+        while Instant::now() < deadline {
+            if matches!(self.child.try_wait(), Ok(Some(_))) {
+                return true;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        false
+    }
+
+    /// Processor time used so far.
+    ///
+    /// # Errors
+    ///
+    /// The process is gone.
+    pub fn cpu_time(&self) -> io::Result<Duration> {
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.child.id()))?;
+        let after_name = stat.rsplit_once(") ").map_or("", |(_, rest)| rest);
+        let fields: Vec<&str> = after_name.split(' ').collect();
+        let ticks: f64 =
+            [11, 12].iter().filter_map(|&field| fields.get(field)?.parse::<f64>().ok()).sum();
+        Ok(Duration::from_secs_f64(ticks / TICKS_PER_S))
+    }
+
+    /// Memory held, in bytes.
+    ///
+    /// # Errors
+    ///
+    /// The process is gone.
+    pub fn memory_bytes(&self) -> io::Result<u64> {
+        let statm = fs::read_to_string(format!("/proc/{}/statm", self.child.id()))?;
+        let pages = statm.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok());
+        Ok(pages.unwrap_or(0) * PAGE_BYTES)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Path of a program that was built beside this one.
+///
+/// # Errors
+///
+/// It isn't there.
+pub fn binary_path(program: &str) -> io::Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    let mut directory = own.parent().unwrap_or(Path::new(".")).to_owned();
+    if directory.ends_with("deps") {
+        directory.pop();
+    }
+    let path = directory.join(program);
+    if path.exists() {
+        return Ok(path);
+    }
+    Err(io::Error::new(io::ErrorKind::NotFound, format!("{program} isn't built")))
+}
+
+/// A fleet of real processes; the platform and the ledger are in this one.
+pub struct ProcessFleet {
+    /// What it consists of.
+    pub plan: FleetPlan,
+    /// The store.
+    pub platform: Platform,
+    /// What ran.
+    pub ledger: Ledger,
+    /// Entries by number.
+    pub entries: Vec<Process>,
+    /// Agents by number.
+    pub agents: Vec<Process>,
+    /// Targets by number.
+    pub targets: Vec<Process>,
+    /// Workers by number.
+    pub workers: Vec<Process>,
+    settings: TempDir,
+}
+
+impl ProcessFleet {
+    /// Starts a fleet and waits until all of it is ready.
+    ///
+    /// # Errors
+    ///
+    /// A program isn't built, or doesn't become ready.
+    pub async fn start(plan: FleetPlan) -> Result<Self, LabError> {
+        let mut fleet = Self::start_unready(plan).await?;
+        fleet.wait_ready().await?;
+        Ok(fleet)
+    }
+
+    async fn start_unready(plan: FleetPlan) -> Result<Self, LabError> {
+        let platform = Platform::start(&plan.platform_options()).await?;
+        let ledger = Ledger::default();
+        ledger.listen(plan.ledger_address()).await?;
+        let settings = TempDir::new()?;
+        let mut fleet = Self {
+            platform,
+            ledger,
+            entries: Vec::new(),
+            agents: Vec::new(),
+            targets: Vec::new(),
+            workers: Vec::new(),
+            settings,
+            plan,
+        };
+        for index in 0..fleet.plan.entries {
+            let entry = fleet.spawn_entry(index)?;
+            fleet.entries.push(entry);
+        }
+        for index in 0..fleet.plan.agents {
+            if fleet.plan.has_workers {
+                let worker = fleet.spawn_worker(index)?;
+                fleet.workers.push(worker);
+            }
+            let agent = fleet.spawn_agent(index)?;
+            fleet.agents.push(agent);
+            let target = fleet.spawn_target(index)?;
+            fleet.targets.push(target);
+        }
+        Ok(fleet)
+    }
+
+    /// Waits until every entry knows every target.
+    ///
+    /// # Errors
+    ///
+    /// They don't in time.
+    pub async fn wait_ready(&mut self) -> Result<(), LabError> {
+        let targets = self.targets.len() as u64;
+        for index in 0..self.entries.len() {
+            let is_ready = wait_until(READY_TIMEOUT, || async {
+                self.entry_status(index).await.is_some_and(|status| status["targets"] == targets)
+            })
+            .await;
+            if !is_ready {
+                let status = self.entry_status(index).await;
+                return Err(format!("entry {index} isn't ready: {status:?}").into());
+            }
+        }
+        Ok(())
+    }
+
+    /// Status of an entry.
+    pub async fn entry_status(&self, index: usize) -> Option<Value> {
+        status(self.plan.entry_health_address(index)).await
+    }
+
+    /// Status of an agent.
+    pub async fn agent_status(&self, index: usize) -> Option<Value> {
+        status(self.plan.agent_health_address(index)).await
+    }
+
+    /// Starts an entry's process.
+    ///
+    /// # Errors
+    ///
+    /// The program can't be started.
+    pub fn spawn_entry(&self, index: usize) -> Result<Process, LabError> {
+        let text = toml::to_string(&self.plan.entry_settings(index))?;
+        self.spawn_daemon("teaseltrack-entry", &format!("entry-{index}"), &text)
+    }
+
+    /// Starts an agent's process.
+    ///
+    /// # Errors
+    ///
+    /// The program can't be started.
+    pub fn spawn_agent(&self, index: usize) -> Result<Process, LabError> {
+        let text = toml::to_string(&self.plan.agent_settings(index))?;
+        self.spawn_daemon("teaseltrack-agent", &format!("agent-{index}"), &text)
+    }
+
+    /// Starts a target's process.
+    ///
+    /// # Errors
+    ///
+    /// The program can't be started.
+    pub fn spawn_target(&self, index: usize) -> Result<Process, LabError> {
+        let options = self.plan.target_options(index);
+        let args = [
+            "target".to_owned(),
+            format!("--address={}", options.address),
+            format!("--announce={}", options.announce),
+            format!("--service={}", options.service),
+            format!("--slots={}", options.slots),
+            format!("--service-time-ms={}", options.behaviour.service_time_ms),
+            format!("--ledger={}", self.plan.ledger_address()),
+        ];
+        Ok(Process::start("teaseltrack-lab", &format!("target-{index}"), &args)?)
+    }
+
+    /// Starts a worker's process.
+    ///
+    /// # Errors
+    ///
+    /// The program can't be started.
+    pub fn spawn_worker(&self, index: usize) -> Result<Process, LabError> {
+        let options = self.plan.worker_options(index);
+        let args = [
+            "worker".to_owned(),
+            format!("--address={}", options.address),
+            format!("--instance={}", options.instance),
+            format!("--ledger={}", self.plan.ledger_address()),
+        ];
+        Ok(Process::start("teaseltrack-lab", &format!("worker-{index}"), &args)?)
+    }
+
+    fn spawn_daemon(&self, program: &str, name: &str, settings: &str) -> Result<Process, LabError> {
+        let path = self.settings.path().join(format!("{name}.toml"));
+        fs::write(&path, settings)?;
+        let args = ["--settings".to_owned(), path.display().to_string()];
+        Ok(Process::start(program, name, &args)?)
+    }
+}
+
+async fn status(address: std::net::SocketAddr) -> Option<Value> {
+    HttpClient::new(Duration::from_secs(1)).get(address, "/status").await.ok()
+}
--- /dev/null
+++ b/crates/teaseltrack-node/src/settings.rs
@@ -0,0 +1,44 @@
+//! Settings of the control port.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use teaseltrack_daemon::settings::{SettingsError, check_concrete, check_positive};
+
+/// Settings of membership and control calls.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ControlSettings {
+    /// Address on which control calls arrive, `IP:port`.
+    pub address: SocketAddr,
+    /// Control addresses of instances that were there last, tried before the table's.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Time between probes, in milliseconds.
+    #[serde(default = "default_probe_period_ms")]
+    pub probe_period_ms: u64,
+    /// Time between looks at the store for configuration changes, in milliseconds.
+    #[serde(default = "default_poll_period_ms")]
+    pub poll_period_ms: u64,
+}
+
+fn default_probe_period_ms() -> u64 {
+    1_000
+}
+
+fn default_poll_period_ms() -> u64 {
+    2_000
+}
+
+impl ControlSettings {
+    /// Checks the values.
+    ///
+    /// # Errors
+    ///
+    /// The first key with an impossible value.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        check_concrete("control.address", self.address)?;
+        check_positive("control.probe_period_ms", self.probe_period_ms as f64)?;
+        check_positive("control.poll_period_ms", self.poll_period_ms as f64)
+    }
+}
--- /dev/null
+++ b/crates/teaseltrack-platform/src/history.rs
@@ -0,0 +1,133 @@
+//! Moving journals to the object store, and reading them back.
+
+use teaseltrack::journal::{ArchiveMark, ChainPosition, SEGMENT_ENTRIES, SealedEntry};
+
+use crate::{
+    keys,
+    store::{
+        CommitAnswer, Condition, Row, Store, StoreError, Transaction, UnavailableSnafu, Write,
+    },
+    stream::transaction_id,
+};
+
+/// How much of a stream is archived, with the version of the row that says so.
+#[derive(Clone, Debug, Default)]
+pub struct Archive {
+    /// The mark.
+    pub mark: ArchiveMark,
+    /// Version of its row; 0 if there is none.
+    pub version: u64,
+}
+
+impl Archive {
+    /// Reads the mark of a stream.
+    ///
+    /// # Errors
+    ///
+    /// The store doesn't answer.
+    pub async fn read(store: &Store, stream: &str) -> Result<Self, StoreError> {
+        let row = store.read(&keys::archive_mark(stream)).await?;
+        let mark = row.as_ref().map(Row::parse).transpose()?.unwrap_or_default();
+        Ok(Self { mark, version: row.map_or(0, |row| row.version) })
+    }
+
+    /// Moves the next whole segment to the object store, if there is one that ends at or before
+    /// `through_sequence`; true if one was moved.
+    ///
+    /// # Errors
+    ///
+    /// The store doesn't answer. Nothing is lost: the entries go from the table only together with
+    /// the mark, after the segment is stored.
+    pub async fn move_segment(
+        &mut self,
+        store: &Store,
+        stream: &str,
+        author: &str,
+        through_sequence: u64,
+        snapshot_sequence: u64,
+    ) -> Result<bool, StoreError> {
+        let first = self.mark.through_sequence + 1;
+        let last = self.mark.through_sequence + SEGMENT_ENTRIES;
+        if last > through_sequence {
+            return Ok(false);
+        }
+        let entries = read_rows(store, stream, first, last).await?;
+        let mut position =
+            ChainPosition { sequence: self.mark.through_sequence, hash: self.mark.hash.clone() };
+        for entry in &entries {
+            position
+                .advance(stream, Some(entry))
+                .map_err(|error| StoreError::Unavailable { message: error.to_string() })?;
+        }
+        if position.sequence != last {
+            return Ok(false);
+        }
+        let number = (last - 1) / SEGMENT_ENTRIES;
+        let text = serde_json::to_string(&entries).unwrap_or_default();
+        store.put_object(keys::segment(stream, number), text).await?;
+        let mark = ArchiveMark { through_sequence: last, hash: position.hash, snapshot_sequence };
+        self.commit_mark(store, stream, author, mark, first..=last).await
+    }
+
+    async fn commit_mark(
+        &mut self,
+        store: &Store,
+        stream: &str,
+        author: &str,
+        mark: ArchiveMark,
+        moved: std::ops::RangeInclusive<u64>,
+    ) -> Result<bool, StoreError> {
+        let key = keys::archive_mark(stream);
+        let mut writes: Vec<Write> =
+            moved.map(|sequence| Write::delete(keys::journal_entry(stream, sequence))).collect();
+        writes.push(Write::put(key.clone(), &mark));
+        let conditions = vec![Condition { key, version: self.version }];
+        let transaction = Transaction { id: transaction_id(author), conditions, writes };
+        match store.commit(transaction).await? {
+            CommitAnswer::Committed { version } => {
+                *self = Self { mark, version };
+                Ok(true)
+            }
+            CommitAnswer::Conflict { .. } => {
+                *self = Self::read(store, stream).await?;
+                Ok(false)
+            }
+        }
+    }
+}
+
+/// Reads entries after a sequence number, wherever they are: at least one if there is one.
+///
+/// # Errors
+///
+/// The store doesn't answer.
+pub async fn read_entries(
+    store: &Store,
+    stream: &str,
+    after_sequence: u64,
+) -> Result<Vec<SealedEntry>, StoreError> {
+    let archive = Archive::read(store, stream).await?;
+    if after_sequence >= archive.mark.through_sequence {
+        return read_rows(store, stream, after_sequence + 1, u64::MAX).await;
+    }
+    let number = after_sequence / SEGMENT_ENTRIES;
+    let key = keys::segment(stream, number);
+    let Some(text) = store.get_object(&key).await? else {
+        return UnavailableSnafu { message: format!("{key}: missing") }.fail();
+    };
+    let entries: Vec<SealedEntry> =
+        serde_json::from_str(&text).map_err(|source| StoreError::Unreadable { key, source })?;
+    Ok(entries.into_iter().skip((after_sequence % SEGMENT_ENTRIES) as usize).collect())
+}
+
+async fn read_rows(
+    store: &Store,
+    stream: &str,
+    first: u64,
+    last: u64,
+) -> Result<Vec<SealedEntry>, StoreError> {
+    let after = keys::journal_entry(stream, first - 1);
+    let rows = store.list(&keys::journal(stream), &after).await?;
+    let wanted = rows.iter().take_while(|row| row.key <= keys::journal_entry(stream, last));
+    wanted.map(Row::parse).collect()
+}
