--- a/crates/teaseltrack-agent/src/agent.rs
+++ b/crates/teaseltrack-agent/src/agent.rs
@@ -374,10 +374,12 @@
     let attempts = tasks.map(|tasks| tasks.status.clone());
     Arc::new(move || -> Value {
         let requests = capacity.status();
+        let members = common.node.members();
         let attempts = attempts.as_ref().map(|status| status.borrow().clone()).unwrap_or_default();
         json!({
             "revision": common.node.configuration().revision(),
-            "members": common.node.members().len(),
+            "members": members.len(),
+            "targets": members.iter().filter(|member| member.target.is_some()).count(),
             "requests_in_flight": requests.load.in_flight,
             "requests_queued": requests.load.queued,
             "requests_started": requests.started,
--- a/crates/teaseltrack-agent/src/tasks/attempts.rs
+++ b/crates/teaseltrack-agent/src/tasks/attempts.rs
@@ -111,6 +111,8 @@
     reported_started: BTreeSet<AttemptKey>,
     ended: BTreeSet<AttemptKey>,
     stopping: BTreeMap<AttemptKey, StopCause>,
+    /// Stopped attempts whose checkpoint is on its way to the store.
+    storing: BTreeSet<AttemptKey>,
     accepted: BTreeMap<TaskId, (AttemptNumber, Instant)>,
     forget: Vec<AttemptKey>,
     throttle: Throttle,
@@ -130,6 +132,7 @@
             reported_started: BTreeSet::new(),
             ended: BTreeSet::new(),
             stopping: BTreeMap::new(),
+            storing: BTreeSet::new(),
             accepted: BTreeMap::new(),
             forget: Vec::new(),
             throttle: Throttle::default(),
@@ -181,6 +184,7 @@
                 }
             }
             AttemptMessage::Checkpointed(key, checkpoint, reason) => {
+                self.storing.remove(&key);
                 self.status.evicted += 1;
                 self.end(&key, AttemptEvent::Evicted { checkpoint, reason }).await;
             }
@@ -313,7 +317,8 @@
     }
 
     /// Stores a checkpoint, however long the store is down; the worker keeps it until then.
-    fn store_checkpoint(&self, key: AttemptKey, content: String) {
+    fn store_checkpoint(&mut self, key: AttemptKey, content: String) {
+        self.storing.insert(key.clone());
         let store = self.context.store.clone();
         let sender = self.context.sender.clone();
         let object = keys::checkpoint(&key.task.job, key.task.index, key.attempt);
@@ -359,6 +364,7 @@
             self.ledger.free(&key.task, key.attempt);
         }
         self.stopping.clear();
+        self.storing.clear();
         self.ended.clear();
         self.reported_started.clear();
     }
@@ -467,7 +473,8 @@
         self.status.room = self.ledger.room();
         self.status.share = self.throttle.share();
         self.context.status.send_replace(self.status.clone());
-        let is_drained = self.running.is_empty() && self.ended.is_empty();
+        let is_drained =
+            self.running.is_empty() && self.storing.is_empty() && self.ended.is_empty();
         if is_drained && let Some(reply) = self.drained.take() {
             reply.send(()).ok();
         }
--- a/crates/teaseltrack-agent/src/tasks/owner.rs
+++ b/crates/teaseltrack-agent/src/tasks/owner.rs
@@ -54,6 +54,8 @@
 const INBOX_TICKS: u32 = 4;
 /// Ticks between looks around for room and at suspicious leases.
 const LOOK_AROUND_TICKS: u32 = 4;
+/// Ticks between looks at the shard's head.
+const HEAD_TICKS: u32 = 20;
 /// Ticks between looks at parked tasks.
 const PARKED_TICKS: u32 = 40;
 /// Messages taken into one round.
@@ -297,6 +299,9 @@
             self.check_leases().await?;
             self.archive().await;
         }
+        if self.tick.is_multiple_of(HEAD_TICKS) {
+            self.check_head().await?;
+        }
         Ok(())
     }
 
@@ -544,6 +549,15 @@
         });
     }
 
+    /// Ends an owner that another has replaced, which it would else learn only with its next commit.
+    async fn check_head(&self) -> Result<(), ShardLost> {
+        let Ok(row) = self.context.store.read(&keys::head(self.stream.name())).await else {
+            return Ok(());
+        };
+        let is_own = row.is_some_and(|row| row.version == self.stream.version());
+        if is_own { Ok(()) } else { Err(ShardLost) }
+    }
+
     /// Takes back the attempts of instances whose lease has lapsed or begun anew.
     async fn check_leases(&mut self) -> Result<(), ShardLost> {
         let members = self.context.node.members();
--- a/crates/teaseltrack-agent/src/tasks/shard_manager.rs
+++ b/crates/teaseltrack-agent/src/tasks/shard_manager.rs
@@ -38,6 +38,10 @@
 const PERIOD: Duration = Duration::from_secs(1);
 /// Time after which the second choice takes an ownerless shard.
 const SECOND_CHOICE_WAIT: Duration = Duration::from_secs(5);
+/// Time for which an owner that the fleet takes to be there is believed without reading the head.
+const OWNER_MEMORY: Duration = Duration::from_secs(5);
+/// Time after its start before an agent takes shards.
+const START_GRACE: Duration = Duration::from_secs(2);
 /// Agents that may take a shard.
 const CANDIDATES: usize = 2;
 /// Messages that may wait for an owner.
@@ -60,6 +64,16 @@
     context: Arc<OwnerContext>,
     owned: BTreeMap<ShardNumber, OwnedShard>,
     ownerless_since: BTreeMap<ShardNumber, Instant>,
+    seen_owners: BTreeMap<ShardNumber, SeenOwner>,
+    /// Shards that this agent may take, with its rank, for the members in `agents`.
+    candidacies: Vec<(ShardNumber, usize)>,
+    agents: Vec<InstanceId>,
+}
+
+/// A live owner, as last read from the shard's head.
+struct SeenOwner {
+    owner: Owner,
+    read_at: Instant,
 }
 
 struct OwnedShard {
@@ -70,11 +84,20 @@
 impl ShardManager {
     /// Owns nothing yet.
     pub fn new(logger: Logger, context: Arc<OwnerContext>) -> Self {
-        Self { logger, context, owned: BTreeMap::new(), ownerless_since: BTreeMap::new() }
+        Self {
+            logger,
+            context,
+            owned: BTreeMap::new(),
+            ownerless_since: BTreeMap::new(),
+            seen_owners: BTreeMap::new(),
+            candidacies: Vec::new(),
+            agents: Vec::new(),
+        }
     }
 
     /// Runs until the agent stops.
     pub async fn run(mut self, mut receiver: mpsc::Receiver<ShardMessage>) {
+        let started_at = Instant::now();
         loop {
             let wait = PERIOD.mul_f64(rand::rng().random_range(0.8..1.2));
             tokio::select! {
@@ -87,7 +110,11 @@
                     Some(message) => self.handle(message),
                     None => return,
                 },
+                // An agent that has just started knows too few others to tell who is preferred.
                 () = sleep(wait) => {
+                    if started_at.elapsed() < START_GRACE {
+                        continue;
+                    }
                     if let Err(error) = self.look().await {
                         debug!(self.logger, "no look at the shards"; "error" => %error);
                     }
@@ -119,36 +146,50 @@
 
     async fn look(&mut self) -> Result<(), StoreError> {
         self.owned.retain(|_, owned| !owned.ended.is_cancelled());
+        self.follow_members();
+        for (shard, rank) in self.candidacies.clone() {
+            if !self.owned.contains_key(&shard) {
+                self.consider(shard, rank).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Works out anew which shards this agent may take, if other agents are there than before.
+    fn follow_members(&mut self) {
         let members = self.context.node.members();
         let agents: Vec<InstanceId> = members
             .iter()
             .filter(|member| member.role == Role::Agent)
             .map(|member| member.instance.clone())
             .collect();
-        for shard in 0..SHARDS {
-            if self.owned.contains_key(&shard) {
-                continue;
-            }
-            let preferred = preferred_owners(shard, agents.iter());
-            let rank = preferred.iter().position(|agent| **agent == self.context.owner.instance);
-            if let Some(rank) = rank.filter(|rank| *rank < CANDIDATES) {
-                self.consider(shard, rank, &agents).await?;
-            }
+        if agents == self.agents {
+            return;
         }
-        Ok(())
+        let own = &self.context.owner.instance;
+        self.candidacies = (0..SHARDS)
+            .filter_map(|shard| {
+                let preferred = preferred_owners(shard, agents.iter());
+                let rank = preferred.iter().position(|agent| *agent == own)?;
+                (rank < CANDIDATES).then_some((shard, rank))
+            })
+            .collect();
+        self.agents = agents;
     }
 
-    async fn consider(
-        &mut self,
-        shard: ShardNumber,
-        rank: usize,
-        agents: &[InstanceId],
-    ) -> Result<(), StoreError> {
+    async fn consider(&mut self, shard: ShardNumber, rank: usize) -> Result<(), StoreError> {
+        let is_known_live = self
+            .seen_owners
+            .get(&shard)
+            .is_some_and(|seen| seen.read_at.elapsed() < OWNER_MEMORY && self.is_live(&seen.owner));
+        if is_known_live {
+            return Ok(());
+        }
         let row = self.context.store.read(&keys::head(&stream_of(shard))).await?;
         let head: StreamHead = row.as_ref().map(Row::parse).transpose()?.unwrap_or_default();
-        let is_owned = head.owner.as_ref().is_some_and(|owner| self.is_live(owner, agents));
-        if is_owned {
+        if let Some(owner) = head.owner.filter(|owner| self.is_live(owner)) {
             self.ownerless_since.remove(&shard);
+            self.seen_owners.insert(shard, SeenOwner { owner, read_at: Instant::now() });
             return Ok(());
         }
         let since = *self.ownerless_since.entry(shard).or_insert_with(Instant::now);
@@ -160,8 +201,8 @@
     }
 
     /// Whether an owner may still act; an earlier process of this instance may not.
-    fn is_live(&self, owner: &Owner, agents: &[InstanceId]) -> bool {
-        owner.instance != self.context.owner.instance && agents.contains(&owner.instance)
+    fn is_live(&self, owner: &Owner) -> bool {
+        owner.instance != self.context.owner.instance && self.agents.contains(&owner.instance)
     }
 
     fn take(&mut self, shard: ShardNumber) {
--- a/crates/teaseltrack-daemon/src/http_server.rs
+++ b/crates/teaseltrack-daemon/src/http_server.rs
@@ -73,7 +73,8 @@
     max_bytes: usize,
 ) -> Result<T, Problem> {
     let bytes = read_body(body, max_bytes).await?;
-    serde_json::from_slice(&bytes)
+    let mut deserializer = serde_json::Deserializer::from_slice(&bytes);
+    serde_path_to_error::deserialize(&mut deserializer)
         .map_err(|error| Problem::new(ErrorKind::InvalidInput, format!("body: {error}")))
 }
 
--- a/crates/teaseltrack-lab/src/experiments.rs
+++ b/crates/teaseltrack-lab/src/experiments.rs
@@ -1,11 +1,16 @@
 //! Experiments: each prints the metrics of one run.
 
+pub mod drain;
+pub mod flood;
+pub mod kill;
 pub mod overhead;
+pub mod slopes;
+pub mod slow_target;
 
 use crate::{LabError, options::args::RunOptions, report::Report};
 
 /// Names of all experiments.
-pub const NAMES: [&str; 1] = ["overhead"];
+pub const NAMES: [&str; 6] = ["overhead", "flood", "slow-target", "kill", "drain", "slopes"];
 
 /// Runs an experiment and prints its report.
 ///
@@ -16,6 +21,11 @@
     let mut report = Report::new(&options.name, options.seed);
     match options.name.as_str() {
         "overhead" => overhead::run(options.seed, &mut report).await?,
+        "flood" => flood::run(options.seed, &mut report).await?,
+        "slow-target" => slow_target::run(options.seed, &mut report).await?,
+        "kill" => kill::run(options.seed, &mut report).await?,
+        "drain" => drain::run(options.seed, &mut report).await?,
+        "slopes" => slopes::run(options.seed, &mut report).await?,
         name => return Err(format!("no experiment is called {name}").into()),
     }
     if options.is_json {
--- /dev/null
+++ b/crates/teaseltrack-lab/src/experiments/kill.rs
@@ -0,0 +1,101 @@
+//! Instances killed and frozen under load: what callers see, and how soon service is whole again.
+
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::Signal;
+use tokio::time::sleep;
+
+use crate::{
+    LabError,
+    fleet::FleetPlan,
+    load::{Ending, LoadPlan, LoadResult, send_load},
+    operator::Operator,
+    processes::ProcessFleet,
+    report::Report,
+};
+
+/// Time of the load.
+const LOAD_TIME: Duration = Duration::from_secs(30);
+/// Requests a second.
+const RATE_PER_S: f64 = 200.0;
+/// Time between faults.
+const FAULT_PERIOD: Duration = Duration::from_secs(5);
+/// Time for which a process is frozen.
+const FREEZE: Duration = Duration::from_secs(3);
+/// Targets.
+const AGENTS: usize = 5;
+
+/// Runs the experiment.
+///
+/// # Errors
+///
+/// The fleet can't be started.
+pub async fn run(seed: u64, report: &mut Report) -> Result<(), LabError> {
+    let plan = FleetPlan { agents: AGENTS, ..FleetPlan::default() };
+    let mut fleet = ProcessFleet::start(plan).await?;
+    let operator = Operator::new(fleet.plan.operator_address(0), "lab");
+    operator.submit_service("tickets", 2_000).await?;
+    sleep(Duration::from_secs(3)).await;
+    let load = LoadPlan {
+        addresses: (0..fleet.plan.entries).map(|entry| fleet.plan.caller_address(entry)).collect(),
+        name: "kill".to_owned(),
+        rate_per_s: RATE_PER_S,
+        duration: LOAD_TIME,
+        seed,
+        ..LoadPlan::default()
+    };
+    let loading = tokio::spawn(send_load(load));
+    let faults = inject(&mut fleet).await?;
+    let result = loading.await?;
+    let verdict = result.verdict(&fleet.ledger.requests());
+    report.count("requests", result.requests.len() as u64);
+    report.count("answered", verdict.answered);
+    report.count("not_run", verdict.not_run);
+    report.count("unknown", verdict.unknown);
+    report.count("late", result.count(Ending::Late));
+    report.count("lost", verdict.lost + verdict.wrong);
+    report.count("connections_cut", verdict.truncated + result.count(Ending::ConnectionLost));
+    report.count("duplicated", verdict.duplicated);
+    report.count("false_not_run", verdict.false_not_run);
+    report.count("over_capacity", verdict.over_capacity);
+    for (name, at) in faults {
+        report.set(&format!("recovery_s_{name}"), recovery(&result, at).as_secs_f64());
+    }
+    Ok(())
+}
+
+/// Kills and freezes one of each; the names of the faults and when they came.
+async fn inject(fleet: &mut ProcessFleet) -> Result<Vec<(&'static str, Instant)>, LabError> {
+    let mut faults = Vec::new();
+    sleep(FAULT_PERIOD).await;
+    faults.push(("agent_killed", Instant::now()));
+    fleet.agents[0].kill();
+    sleep(FAULT_PERIOD).await;
+    fleet.agents[0] = fleet.spawn_agent(0)?;
+    faults.push(("target_killed", Instant::now()));
+    fleet.targets[1].kill();
+    sleep(FAULT_PERIOD).await;
+    fleet.targets[1] = fleet.spawn_target(1)?;
+    faults.push(("agent_frozen", Instant::now()));
+    fleet.agents[2].signal(Signal::SIGSTOP);
+    sleep(FREEZE).await;
+    fleet.agents[2].signal(Signal::SIGCONT);
+    sleep(FAULT_PERIOD - FREEZE).await;
+    faults.push(("target_frozen", Instant::now()));
+    fleet.targets[3].signal(Signal::SIGSTOP);
+    sleep(FREEZE).await;
+    fleet.targets[3].signal(Signal::SIGCONT);
+    Ok(faults)
+}
+
+/// Time from the fault to the sending of the last request before the next fault that wasn't answered.
+fn recovery(result: &LoadResult, at: Instant) -> Duration {
+    let window = at..at + FAULT_PERIOD;
+    result
+        .requests
+        .iter()
+        .filter(|request| window.contains(&request.sent_at) && request.ending != Ending::Answered)
+        .map(|request| request.sent_at.duration_since(at))
+        .max()
+        .unwrap_or(Duration::ZERO)
+}
--- /dev/null
+++ b/crates/teaseltrack-lab/src/experiments/slopes.rs
@@ -0,0 +1,231 @@
+//! What control costs a node, against the size of the fleet.
+//!
+//! Entries and agents are real processes; workers and the platform are in this one. Each size is left
+//! alone for a while, then one target announces itself and one record changes, and all processes are
+//! asked until they know.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use futures::future::join_all;
+use serde_json::Value;
+use teaseltrack_daemon::http_client::HttpClient;
+use tokio::time::sleep;
+
+use crate::{
+    LabError,
+    fleet::{FleetPlan, wait_until},
+    ledger::Ledger,
+    operator::Operator,
+    processes::{Process, ProcessFleet},
+    report::Report,
+    target::Target,
+    worker::Worker,
+};
+
+/// Numbers of agents.
+const SIZES: [usize; 3] = [11, 44, 176];
+/// Entries at each size.
+const ENTRIES: usize = 2;
+/// Time for which a fleet is left alone while its cost is measured.
+const QUIET: Duration = Duration::from_secs(12);
+/// Time for a fleet to find itself and settle.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time for changes to spread.
+const SPREAD_TIMEOUT: Duration = Duration::from_secs(20);
+/// Changes whose spread is measured.
+const CHANGES: usize = 5;
+/// Records submitted to measure what one costs in memory.
+const RECORDS: usize = 400;
+
+/// Runs the experiment.
+///
+/// # Errors
+///
+/// A fleet can't be started.
+pub async fn run(seed: u64, report: &mut Report) -> Result<(), LabError> {
+    for size in SIZES {
+        run_size(size, seed, report).await?;
+    }
+    Ok(())
+}
+
+async fn run_size(size: usize, seed: u64, report: &mut Report) -> Result<(), LabError> {
+    let plan = FleetPlan {
+        entries: ENTRIES,
+        agents: size,
+        has_workers: true,
+        probe_period_ms: 1_000,
+        lease_ttl_ms: 60_000,
+        platform_writes_per_s: 1_000.0,
+        ..FleetPlan::default()
+    };
+    let started_at = Instant::now();
+    let mut fleet = ProcessFleet::start_control_only(plan).await?;
+    let ledger = Ledger::default();
+    let mut workers = Vec::new();
+    for index in 0..size {
+        workers.push(Worker::start(fleet.plan.worker_options(index), ledger.sender()).await?);
+    }
+    let members = (size + ENTRIES) as u64;
+    wait_for(&fleet, "members", members, SETTLE_TIMEOUT).await?;
+    report.set(&format!("membership_complete_s_at_{size}"), started_at.elapsed().as_secs_f64());
+    sleep(Duration::from_secs(5)).await;
+    measure_quiet(&fleet, size, report).await;
+    measure_config(&fleet, size, seed, report).await?;
+    measure_membership(&fleet, size, report).await?;
+    if size == SIZES[0] {
+        measure_records(&fleet, report).await?;
+    }
+    fleet.agents.clear();
+    Ok(())
+}
+
+/// Processor time, memory, bytes and calls while nothing happens.
+async fn measure_quiet(fleet: &ProcessFleet, size: usize, report: &mut Report) {
+    let before = statuses(&fleet.plan).await;
+    let cpu_before = (cpu_s(&fleet.entries), cpu_s(&fleet.agents));
+    let served_before = fleet.platform.served();
+    sleep(QUIET).await;
+    let after = statuses(&fleet.plan).await;
+    let cpu_after = (cpu_s(&fleet.entries), cpu_s(&fleet.agents));
+    let served_after = fleet.platform.served();
+    let quiet_s = QUIET.as_secs_f64();
+    let bytes = |statuses: &[Value]| -> f64 {
+        statuses
+            .iter()
+            .skip(ENTRIES)
+            .map(|status| {
+                number(status, "control_sent_bytes") + number(status, "control_received_bytes")
+            })
+            .sum()
+    };
+    let agents = size as f64;
+    let bytes_per_s = (bytes(&after) - bytes(&before)) / quiet_s / agents;
+    report.set(&format!("control_bytes_per_s_at_{size}"), bytes_per_s);
+    let percent = |seconds: f64, count: f64| 100.0 * seconds / quiet_s / count;
+    let agent_percent = percent(cpu_after.1 - cpu_before.1, agents);
+    report.set(&format!("control_cpu_percent_at_{size}"), agent_percent);
+    let entry_percent = percent(cpu_after.0 - cpu_before.0, ENTRIES as f64);
+    report.set(&format!("entry_cpu_percent_at_{size}"), entry_percent);
+    report.set(&format!("agent_idle_rss_mb_at_{size}"), memory_mb(&fleet.agents));
+    report.set(&format!("entry_idle_rss_mb_at_{size}"), memory_mb(&fleet.entries));
+    let per_s = |after: u64, before: u64| (after - before) as f64 / quiet_s;
+    let writes = per_s(served_after.writes, served_before.writes);
+    report.set(&format!("table_writes_per_s_at_{size}"), writes);
+    let reads = per_s(served_after.reads, served_before.reads);
+    report.set(&format!("table_reads_per_s_at_{size}"), reads);
+    for (prefix, count) in &served_after.by_prefix {
+        let before = served_before.by_prefix.get(prefix).copied().unwrap_or(0);
+        report.set(&format!("table_{prefix}_calls_per_s_at_{size}"), per_s(*count, before));
+    }
+}
+
+/// Time from the acceptance of a record until it is in force everywhere.
+async fn measure_config(
+    fleet: &ProcessFleet,
+    size: usize,
+    seed: u64,
+    report: &mut Report,
+) -> Result<(), LabError> {
+    let operator = Operator::new(fleet.plan.operator_address(0), "lab");
+    let mut spreads_s = Vec::new();
+    for change in 0..CHANGES {
+        let name = format!("service-{seed}-{change}");
+        let record = operator.submit_service(&name, 1_000).await?;
+        let accepted_at = Instant::now();
+        wait_for(fleet, "revision", record.revision, SPREAD_TIMEOUT).await?;
+        spreads_s.push(accepted_at.elapsed().as_secs_f64());
+    }
+    report.set(&format!("config_spread_max_s_at_{size}"), largest(&spreads_s));
+    Ok(())
+}
+
+/// Time from a target's start until all processes know of it.
+async fn measure_membership(
+    fleet: &ProcessFleet,
+    size: usize,
+    report: &mut Report,
+) -> Result<(), LabError> {
+    let ledger = Ledger::default();
+    let mut spreads_s = Vec::new();
+    for change in 0..CHANGES {
+        let started_at = Instant::now();
+        Target::start(fleet.plan.target_options(change), ledger.sender()).await?;
+        wait_for(fleet, "targets", change as u64 + 1, SPREAD_TIMEOUT).await?;
+        spreads_s.push(started_at.elapsed().as_secs_f64());
+    }
+    report.set(&format!("membership_spread_max_s_at_{size}"), largest(&spreads_s));
+    Ok(())
+}
+
+/// Memory that a record in force takes at an agent.
+async fn measure_records(fleet: &ProcessFleet, report: &mut Report) -> Result<(), LabError> {
+    let before_mb = memory_mb(&fleet.agents);
+    let operator = Operator::new(fleet.plan.operator_address(1), "lab");
+    let started_at = Instant::now();
+    let mut revision = 0;
+    for number in 0..RECORDS {
+        let name = format!("record-{number}");
+        revision = operator.submit_service(&name, 1_000).await?.revision;
+    }
+    report.set("record_submits_per_s", RECORDS as f64 / started_at.elapsed().as_secs_f64());
+    wait_for(fleet, "revision", revision, SPREAD_TIMEOUT).await?;
+    let grown_kb = (memory_mb(&fleet.agents) - before_mb) * 1_024.0;
+    report.set("agent_kb_per_record", grown_kb / RECORDS as f64);
+    Ok(())
+}
+
+async fn wait_for(
+    fleet: &ProcessFleet,
+    field: &str,
+    value: u64,
+    limit: Duration,
+) -> Result<(), LabError> {
+    let is_there = wait_until(limit, || async {
+        statuses(&fleet.plan).await.iter().all(|status| number(status, field) >= value as f64)
+    })
+    .await;
+    if is_there {
+        return Ok(());
+    }
+    let known: Vec<f64> =
+        statuses(&fleet.plan).await.iter().map(|status| number(status, field)).collect();
+    Err(format!("{field} isn't {value} everywhere: {known:?}").into())
+}
+
+/// Status of all processes, entries first; null for one that doesn't answer.
+async fn statuses(plan: &FleetPlan) -> Vec<Value> {
+    let entries = (0..plan.entries).map(|index| plan.entry_health_address(index));
+    let agents = (0..plan.agents).map(|index| plan.agent_health_address(index));
+    let client = HttpClient::new(Duration::from_secs(2));
+    let addresses: Vec<SocketAddr> = entries.chain(agents).collect();
+    join_all(addresses.into_iter().map(|address| {
+        let client = client.clone();
+        async move { client.get(address, "/status").await.unwrap_or_default() }
+    }))
+    .await
+}
+
+fn number(status: &Value, field: &str) -> f64 {
+    status[field].as_f64().unwrap_or(0.0)
+}
+
+fn largest(values: &[f64]) -> f64 {
+    values.iter().copied().fold(0.0, f64::max)
+}
+
+fn cpu_s(processes: &[Process]) -> f64 {
+    processes
+        .iter()
+        .filter_map(|process| process.cpu_time().ok())
+        .map(|time| time.as_secs_f64())
+        .sum()
+}
+
+fn memory_mb(processes: &[Process]) -> f64 {
+    let bytes: u64 = processes.iter().filter_map(|process| process.memory_bytes().ok()).sum();
+    bytes as f64 / (1 << 20) as f64 / processes.len() as f64
+}
--- a/crates/teaseltrack-lab/src/fleet.rs
+++ b/crates/teaseltrack-lab/src/fleet.rs
@@ -31,6 +31,7 @@
     ledger::Ledger,
     options::args::PlatformOptions,
     platform::Platform,
+    relay::Relay,
     target::{Target, TargetBehaviour, TargetOptions},
     worker::{Worker, WorkerOptions},
 };
@@ -53,6 +54,8 @@
 const PLATFORM_PORT: u16 = 7_108;
 /// Port of the ledger.
 const LEDGER_PORT: u16 = 7_109;
+/// Port of the relay to the target.
+const RELAY_PORT: u16 = 7_110;
 /// Instances of one network.
 const NETWORK_INSTANCES: usize = 250;
 
@@ -91,6 +94,10 @@
     pub agents: usize,
     /// Whether each agent has a worker.
     pub has_workers: bool,
+    /// Whether a relay stands between each agent and its target.
+    pub has_relays: bool,
+    /// Whether the settings name the first entry as a seed.
+    pub has_seeds: bool,
     /// Service that all targets answer for.
     pub service: String,
     /// Slots of each target.
@@ -123,6 +130,8 @@
             entries: 2,
             agents: 4,
             has_workers: false,
+            has_relays: false,
+            has_seeds: false,
             service: "tickets".to_owned(),
             slots: 8,
             queue_per_class: 64,
@@ -187,6 +196,11 @@
         self.network.address(self.agent_number(agent), TARGET_PORT)
     }
 
+    /// Port of the relay to an agent's target.
+    pub fn relay_address(&self, agent: usize) -> SocketAddr {
+        self.network.address(self.agent_number(agent), RELAY_PORT)
+    }
+
     /// Port of an agent's worker.
     pub fn worker_address(&self, agent: usize) -> SocketAddr {
         self.network.address(self.agent_number(agent), WORKER_PORT)
@@ -269,6 +283,7 @@
     pub fn target_options(&self, index: usize) -> TargetOptions {
         TargetOptions {
             address: self.target_address(index),
+            advertised: self.has_relays.then(|| self.relay_address(index)),
             announce: self.announce_address(index),
             service: self.service.clone(),
             slots: self.slots,
@@ -289,11 +304,13 @@
     }
 
     fn control_settings(&self, number: usize) -> ControlSettings {
+        let first_entry = self.network.address(1, CONTROL_PORT);
+        let seeds = if self.has_seeds { vec![first_entry] } else { Vec::new() };
         ControlSettings {
             address: self.network.address(number, CONTROL_PORT),
-            seeds: Vec::new(),
+            seeds,
             probe_period_ms: self.probe_period_ms,
-            poll_period_ms: 2_000,
+            poll_period_ms: if number <= self.entries { 2_000 } else { 30_000 },
         }
     }
 
@@ -342,6 +359,8 @@
     pub targets: Vec<Target>,
     /// Workers by number.
     pub workers: Vec<Worker>,
+    /// Relays to targets by number.
+    pub relays: Vec<Relay>,
 }
 
 impl Fleet {
@@ -360,6 +379,7 @@
             agents: Vec::new(),
             targets: Vec::new(),
             workers: Vec::new(),
+            relays: Vec::new(),
             plan,
         };
         for index in 0..fleet.plan.entries {
@@ -387,6 +407,9 @@
         let agent = Agent::start(self.plan.agent_settings(index), shutdown.clone()).await?;
         self.agents.push(Some(RunningDaemon { shutdown, task: tokio::spawn(agent.wait()) }));
         let options = self.plan.target_options(index);
+        if let Some(address) = options.advertised {
+            self.relays.push(Relay::start(address, options.address).await?);
+        }
         self.targets.push(Target::start(options, self.ledger.sender()).await?);
         Ok(())
     }
--- a/crates/teaseltrack-lab/src/ledger.rs
+++ b/crates/teaseltrack-lab/src/ledger.rs
@@ -25,6 +25,8 @@
 pub enum LedgerEvent {
     /// A target began to run a request.
     RequestStarted {
+        /// Address of the target.
+        target: SocketAddr,
         /// The request.
         request_id: String,
         /// Whether running it twice does harm.
@@ -110,7 +112,8 @@
     pub fn requests(&self) -> RequestLedger {
         let mut requests = RequestLedger::default();
         for (_, event) in self.events() {
-            let LedgerEvent::RequestStarted { request_id, is_idempotent, running, slots } = event
+            let LedgerEvent::RequestStarted { request_id, is_idempotent, running, slots, .. } =
+                event
             else {
                 continue;
             };
--- a/crates/teaseltrack-lab/src/load.rs
+++ b/crates/teaseltrack-lab/src/load.rs
@@ -231,6 +231,8 @@
     } else {
         (Method::GET, Bytes::new())
     };
+    let mut expected = request_id.clone().into_bytes();
+    expected.resize(expected.len() + body.len(), b'.');
     let request = Request::builder()
         .method(method)
         .uri(format!("http://{address}{}/sack", plan.prefix))
@@ -244,7 +246,8 @@
     let latency = sent_at.elapsed();
     let ending = match answer {
         Ok(Ok(answer)) if answer.status.is_success() => {
-            let is_own = answer.body.starts_with(request_id.as_bytes());
+            // The target pads its answer to the length of the request's body.
+            let is_own = answer.body == expected;
             match (is_own, latency <= plan.timeout) {
                 (false, _) => Ending::Mismatched,
                 (true, true) => Ending::Answered,
--- a/crates/teaseltrack-lab/src/options/args.rs
+++ b/crates/teaseltrack-lab/src/options/args.rs
@@ -71,6 +71,7 @@
     Command::new("target")
         .about("Stand-in of a request service; POST /lab/behaviour sets its behaviour")
         .arg(address("address", "Address on which it takes requests"))
+        .arg(optional_address("advertise", "Address that it announces, if that is a relay's"))
         .arg(address("announce", "Announcement port of its agent"))
         .arg(Arg::new("service").long("service").default_value("tickets"))
         .arg(number("slots", "8", "Requests that it takes at once"))
@@ -144,6 +145,7 @@
     let service_time_ms = get_number(matches, "service-time-ms");
     TargetOptions {
         address: get_address(matches, "address"),
+        advertised: get_optional_address(matches, "advertise"),
         announce: get_address(matches, "announce"),
         service: get_text(matches, "service"),
         slots: get_number(matches, "slots") as u32,
--- a/crates/teaseltrack-lab/src/platform.rs
+++ b/crates/teaseltrack-lab/src/platform.rs
@@ -6,6 +6,7 @@
 pub mod table;
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::{Duration, Instant},
@@ -58,8 +59,10 @@
 }
 
 /// Calls that were served.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Served {
+    /// Calls by the first part of their key.
+    pub by_prefix: BTreeMap<String, u64>,
     /// Writes.
     pub writes: u64,
     /// Reads.
@@ -123,7 +126,7 @@
 
     /// Calls served so far.
     pub fn served(&self) -> Served {
-        self.lock().served
+        self.lock().served.clone()
     }
 
     /// Reads a row past all limits and faults, for checks.
@@ -186,10 +189,25 @@
         let count =
             if call.is_write() { &mut state.served.writes } else { &mut state.served.reads };
         *count += 1;
+        *state.served.by_prefix.entry(prefix_of(&call)).or_insert(0) += 1;
         Some(state.table.apply(call))
     }
 }
 
+/// First part of a call's key; of the first write for a transaction.
+fn prefix_of(call: &StoreCall) -> String {
+    let key = match call {
+        StoreCall::Read { key }
+        | StoreCall::PutObject { key, .. }
+        | StoreCall::GetObject { key } => key.as_str(),
+        StoreCall::List { prefix, .. } => prefix.as_str(),
+        StoreCall::Commit(transaction) => {
+            transaction.writes.first().map_or("", |write| write.key.as_str())
+        }
+    };
+    key.split(['/', '-']).next().unwrap_or_default().to_owned()
+}
+
 fn refused(kind: ErrorKind, detail: &str) -> Response<AnswerBody> {
     Problem::new(kind, detail).into_response()
 }
--- a/crates/teaseltrack-lab/src/processes.rs
+++ b/crates/teaseltrack-lab/src/processes.rs
@@ -164,6 +164,24 @@
     }
 
     async fn start_unready(plan: FleetPlan) -> Result<Self, LabError> {
+        let mut fleet = Self::start_control_only(plan).await?;
+        for index in 0..fleet.plan.agents {
+            if fleet.plan.has_workers {
+                let worker = fleet.spawn_worker(index)?;
+                fleet.workers.push(worker);
+            }
+            let target = fleet.spawn_target(index)?;
+            fleet.targets.push(target);
+        }
+        Ok(fleet)
+    }
+
+    /// Starts entries and agents without targets and workers, and doesn't wait for anything.
+    ///
+    /// # Errors
+    ///
+    /// A program isn't built.
+    pub async fn start_control_only(plan: FleetPlan) -> Result<Self, LabError> {
         let platform = Platform::start(&plan.platform_options()).await?;
         let ledger = Ledger::default();
         ledger.listen(plan.ledger_address()).await?;
@@ -183,14 +201,8 @@
             fleet.entries.push(entry);
         }
         for index in 0..fleet.plan.agents {
-            if fleet.plan.has_workers {
-                let worker = fleet.spawn_worker(index)?;
-                fleet.workers.push(worker);
-            }
             let agent = fleet.spawn_agent(index)?;
             fleet.agents.push(agent);
-            let target = fleet.spawn_target(index)?;
-            fleet.targets.push(target);
         }
         Ok(fleet)
     }
--- a/crates/teaseltrack-lab/src/target.rs
+++ b/crates/teaseltrack-lab/src/target.rs
@@ -70,6 +70,8 @@
 pub struct TargetOptions {
     /// Address on which it takes requests.
     pub address: SocketAddr,
+    /// Address that it announces, if that is a relay's.
+    pub advertised: Option<SocketAddr>,
     /// Announcement port of its agent.
     pub announce: SocketAddr,
     /// Service that it answers for.
@@ -85,6 +87,7 @@
 /// A running target, cheap to clone.
 #[derive(Clone)]
 pub struct Target {
+    address: SocketAddr,
     slots: u32,
     /// Requests beyond the slots wait their turn here.
     turns: Arc<Semaphore>,
@@ -112,7 +115,9 @@
     /// The address can't be bound.
     pub async fn start(options: TargetOptions, ledger: LedgerSender) -> Result<Self, LabError> {
         let listener = TcpListener::bind(options.address).await?;
+        let address = listener.local_addr()?;
         let target = Self {
+            address,
             slots: options.slots,
             turns: Arc::new(Semaphore::new(options.slots as usize)),
             behaviour: Arc::new(Mutex::new(options.behaviour)),
@@ -124,7 +129,7 @@
         };
         let announcement = TargetAnnouncement {
             service: options.service,
-            address: listener.local_addr()?,
+            address: options.advertised.unwrap_or(address),
             slots: options.slots,
             process: format!("{:016x}", rand::rng().random::<u64>()),
         };
@@ -186,6 +191,7 @@
         let running = self.running.fetch_add(1, Ordering::SeqCst) + 1;
         let guard = Running(self.running.clone());
         (self.ledger)(LedgerEvent::RequestStarted {
+            target: self.address,
             request_id: String::from_utf8_lossy(request_id.as_bytes()).into_owned(),
             is_idempotent: parts.method.is_idempotent(),
             running,
--- /dev/null
+++ b/crates/teaseltrack-lab/tests/requests.rs
@@ -0,0 +1,186 @@
+//! Requests under failure: cuts, freezes, a store that is out, all of them checked against what ran.
+
+mod util;
+
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use teaseltrack_daemon::http_client::HttpClient;
+use teaseltrack_lab::{
+    experiments::flood::wait_ready,
+    fleet::{Fleet, FleetPlan, wait_until},
+    load::{Ending, LoadPlan, LoadResult, Verdict, send_load},
+    operator::Operator,
+    platform::{Faults, Outage},
+    relay::RelayFaults,
+    target::TargetBehaviour,
+};
+use tokio::time::sleep;
+use util::{assert_invariants, load, start_processes, wait_served};
+use yare::parameterized;
+
+/// A load through both entries of a fleet in this process.
+async fn send(fleet: &Fleet, name: &str) -> LoadResult {
+    send_load(LoadPlan {
+        addresses: (0..fleet.plan.entries).map(|entry| fleet.plan.caller_address(entry)).collect(),
+        name: name.to_owned(),
+        rate_per_s: 80.0,
+        duration: Duration::from_secs(2),
+        timeout: Duration::from_secs(1),
+        ..LoadPlan::default()
+    })
+    .await
+}
+
+async fn start(plan: FleetPlan) -> Fleet {
+    let fleet = Fleet::start(plan).await.unwrap();
+    let operator = Operator::new(fleet.plan.operator_address(0), "test");
+    operator.submit_service("tickets", 2_000).await.unwrap();
+    wait_ready(&fleet).await.unwrap();
+    fleet
+}
+
+fn assert_sound(fleet: &Fleet, result: &LoadResult) -> Verdict {
+    let verdict = result.verdict(&fleet.ledger.requests());
+    let broken = [
+        verdict.duplicated,
+        verdict.false_not_run,
+        verdict.wrong,
+        verdict.over_capacity,
+        verdict.lost,
+    ];
+    assert_eq!(broken, [0; 5], "{verdict:?}");
+    verdict
+}
+
+#[parameterized(
+    before_request = { RelayFaults { is_refusing: true, ..RelayFaults::default() } },
+    at_request = { RelayFaults { cut_after_request_bytes: Some(0), ..RelayFaults::default() } },
+    within_request = { RelayFaults { cut_after_request_bytes: Some(120), ..RelayFaults::default() } },
+    before_answer = { RelayFaults { cut_after_answer_bytes: Some(0), ..RelayFaults::default() } },
+    within_answer = { RelayFaults { cut_after_answer_bytes: Some(100), ..RelayFaults::default() } },
+    between_answers = { RelayFaults { cut_after_answer_bytes: Some(1_000), ..RelayFaults::default() } },
+    delayed = { RelayFaults { delay: Duration::from_millis(40), ..RelayFaults::default() } },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn requests_sound_with_connections_cut(faults: RelayFaults) {
+    let plan = FleetPlan { agents: 2, has_relays: true, ..FleetPlan::default() };
+    let fleet = start(plan).await;
+    fleet.relays[0].set_faults(faults);
+    fleet.relays[0].cut_all();
+    let result = send(&fleet, "cut").await;
+    let verdict = assert_sound(&fleet, &result);
+    assert!(verdict.answered * 4 > result.requests.len() as u64, "{verdict:?}");
+}
+
+#[parameterized(
+    before_answer = { TargetBehaviour { cut_before_ratio: 0.3, service_time_ms: 5.0, ..TargetBehaviour::default() } },
+    within_answer = { TargetBehaviour { cut_within_ratio: 0.3, service_time_ms: 5.0, ..TargetBehaviour::default() } },
+    slow = { TargetBehaviour { service_time_ms: 900.0, jitter_ms: 300.0, ..TargetBehaviour::default() } },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn requests_sound_with_bad_targets(behaviour: TargetBehaviour) {
+    let fleet = start(FleetPlan { agents: 2, ..FleetPlan::default() }).await;
+    fleet.targets[0].set_behaviour(behaviour);
+    fleet.targets[1].set_behaviour(behaviour);
+    let result = send(&fleet, "bad").await;
+    assert_sound(&fleet, &result);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_sound_with_agent_and_target_frozen() {
+    let fleet = start_processes(FleetPlan { agents: 3, ..FleetPlan::default() }).await;
+    let loading = tokio::spawn(send_load(LoadPlan {
+        duration: Duration::from_secs(8),
+        timeout: Duration::from_secs(1),
+        ..load(&fleet, "frozen")
+    }));
+    sleep(Duration::from_secs(1)).await;
+    fleet.targets[0].signal(Signal::SIGSTOP);
+    sleep(Duration::from_secs(1)).await;
+    fleet.agents[1].signal(Signal::SIGSTOP);
+    sleep(Duration::from_secs(2)).await;
+    fleet.targets[0].signal(Signal::SIGCONT);
+    fleet.agents[1].signal(Signal::SIGCONT);
+    let result = loading.await.unwrap();
+    assert_invariants(&fleet, &result);
+    wait_served(&fleet, "thawed").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_answered_without_store() {
+    let plan = FleetPlan { agents: 2, has_seeds: true, ..FleetPlan::default() };
+    let mut fleet = start_processes(plan).await;
+    fleet.platform.set_faults(Faults { outage: Outage::Silent, ..Faults::default() });
+    let result = send_load(load(&fleet, "outage")).await;
+    assert_eq!(result.count(Ending::Answered), result.requests.len() as u64);
+
+    // An entry that starts during the outage learns records and targets from its peers.
+    fleet.entries[1].kill();
+    fleet.entries[1] = fleet.spawn_entry(1).unwrap();
+    fleet.wait_ready().await.unwrap();
+    util::wait_in_force(&fleet).await;
+    wait_served(&fleet, "new-entry").await;
+    assert_invariants(&fleet, &result);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_uncut_by_planned_stops() {
+    let plan = FleetPlan { agents: 2, drain_grace_ms: 1_000, ..FleetPlan::default() };
+    let mut fleet = start_processes(plan).await;
+    let steady = LoadPlan {
+        addresses: vec![fleet.plan.caller_address(0)],
+        duration: Duration::from_secs(8),
+        ..load(&fleet, "planned")
+    };
+    let loading = tokio::spawn(send_load(steady));
+    sleep(Duration::from_millis(500)).await;
+    let limit = Duration::from_secs(30);
+    assert!(fleet.targets[0].stop(limit).await);
+    fleet.targets[0] = fleet.spawn_target(0).unwrap();
+    fleet.wait_ready().await.unwrap();
+    assert!(fleet.agents[1].stop(limit).await);
+    assert!(fleet.entries[1].stop(limit).await);
+    let result = loading.await.unwrap();
+    assert_eq!(
+        result.count(Ending::Answered),
+        result.requests.len() as u64,
+        "{:?}",
+        result.counts()
+    );
+    assert_invariants(&fleet, &result);
+}
+
+#[parameterized(
+    timeout = { "x-timeout-ms", "soon", "x-timeout-ms" },
+    priority = { "priority", "u=9", "priority" },
+    request_id = { "x-request-id", "", "x-request-id" },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn request_refused_names_header(name: &str, value: &str, named: &str) {
+    let fleet = start(FleetPlan { agents: 1, entries: 1, ..FleetPlan::default() }).await;
+    let address = fleet.plan.caller_address(0);
+    let request = http::Request::get(format!("http://{address}/tickets/a"))
+        .header(name, value)
+        .body(http_body_util::Full::default())
+        .unwrap();
+    let answer = HttpClient::new(Duration::from_secs(5)).send(address, request).await.unwrap();
+    let text = String::from_utf8_lossy(&answer.body).into_owned();
+    assert_eq!(answer.status, 400, "{text}");
+    assert!(text.contains(named) && text.contains("not_run"), "{text}");
+    assert!(
+        wait_until(Duration::from_secs(5), || async { wait_ready(&fleet).await.is_ok() }).await
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_refused_body_too_large() {
+    let fleet = start(FleetPlan { agents: 1, entries: 1, ..FleetPlan::default() }).await;
+    let address = fleet.plan.caller_address(0);
+    let request = http::Request::post(format!("http://{address}/tickets/a"))
+        .body(http_body_util::Full::from(vec![b'a'; (1 << 20) + 1]))
+        .unwrap();
+    let answer = HttpClient::new(Duration::from_secs(5)).send(address, request).await.unwrap();
+    assert_eq!(answer.status, 413);
+    assert!(fleet.ledger.requests().runs.keys().all(|id| id.starts_with("ready")));
+}
--- /dev/null
+++ b/crates/teaseltrack-lab/tests/tasks.rs
@@ -0,0 +1,189 @@
+//! Records and tasks under failure: races, lost answers, outages, frozen and stopped agents.
+
+mod util;
+
+use std::time::Duration;
+
+use http::Method;
+use nix::sys::signal::Signal;
+use serde_json::json;
+use teaseltrack::{
+    outcome::ErrorKind,
+    record::{Record, RecordKind},
+};
+use teaseltrack_cli::{client::CliError, verify::verify_streams};
+use teaseltrack_daemon::http_client::CallError;
+use teaseltrack_lab::{
+    fleet::{FleetPlan, wait_until},
+    ledger::TaskLedger,
+    operator::{LabJob, Operator},
+    platform::{Faults, Outage},
+    processes::ProcessFleet,
+};
+use teaseltrack_wire::operators::SubmittedRecord;
+use tokio::time::sleep;
+use util::{RECOVERY_LIMIT, short_job, start_processes, wait_done};
+
+/// Three instances, each with room for eight tasks of a core.
+async fn start() -> (ProcessFleet, Operator) {
+    let plan = FleetPlan { agents: 3, has_workers: true, ..FleetPlan::default() };
+    let fleet = start_processes(plan).await;
+    let operator = Operator::new(fleet.plan.operator_address(0), "test");
+    (fleet, operator)
+}
+
+async fn wait_running(operator: &Operator, job: &str) {
+    let is_running = wait_until(RECOVERY_LIMIT, || async {
+        operator.job(job).await.is_ok_and(|view| view.counts.running > 0)
+    })
+    .await;
+    assert!(is_running, "{job} doesn't run");
+}
+
+fn assert_once(tasks: &TaskLedger, done: usize) {
+    assert_eq!(tasks.done.len(), done);
+    assert_eq!((tasks.duplicated(), tasks.in_two_places, tasks.attempts_repeated), (0, 0, 0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn amend_race_has_one_winner() {
+    let (fleet, operator) = start().await;
+    let other = Operator::new(fleet.plan.operator_address(1), "other");
+    let record = operator.submit_service("gate", 1_000).await.unwrap();
+    let amend = |operator: Operator, timeout_ms: u64| async move {
+        let body = SubmittedRecord { schema_version: 2, body: json!({ "timeout_ms": timeout_ms }) };
+        let path = "/records/service/gate";
+        let seen = Some(record.revision);
+        operator.client.command::<_, Record>(Method::PUT, path, seen, Some(&body)).await
+    };
+    let (first, second) = tokio::join!(amend(operator, 2_000), amend(other, 3_000));
+    let (winner, loser) = match (first, second) {
+        (Ok(winner), Err(loser)) | (Err(loser), Ok(winner)) => (winner, loser),
+        both => panic!("not one winner: {both:?}"),
+    };
+    let CliError::Call { source } = loser else { panic!("{loser:?}") };
+    let CallError::Refused { problem } = *source else { panic!("{source:?}") };
+    assert_eq!(problem.reason, ErrorKind::RevisionConflict);
+    let names = [winner.revision.to_string(), winner.author];
+    assert!(names.iter().all(|name| problem.detail.contains(name.as_str())), "{}", problem.detail);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn notice_acted_on_once() {
+    let (fleet, operator) = start().await;
+    let action = LabJob { tasks: 1, cpu_milli: 100, run_ms: 50, urgency: 0 };
+    let watch = json!({ "job_prefix": "recall-", "job": action.body() });
+    operator.submit(RecordKind::Watch, "recalls", 1, watch).await.unwrap();
+    let tellers: Vec<_> = (0..6)
+        .map(|number| {
+            let entry = fleet.plan.operator_address(number % 2);
+            tokio::spawn(
+                async move { Operator::new(entry, "teller").notify("recalls", "lot-7").await },
+            )
+        })
+        .collect();
+    let mut accepted = 0;
+    for teller in tellers {
+        accepted += u32::from(teller.await.unwrap().is_ok());
+    }
+    assert_eq!(accepted, 1);
+    wait_done(&operator, "recall-lot-7").await;
+    assert_once(&fleet.ledger.tasks(&[]), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn tasks_once_with_lost_answers() {
+    let (fleet, operator) = start().await;
+    fleet.platform.set_faults(Faults { lost_answer_ratio: 0.4, ..Faults::default() });
+    for number in 0..5 {
+        operator.submit_job(&format!("job-{number}"), short_job(4, 200)).await.unwrap();
+    }
+    for number in 0..5 {
+        wait_done(&operator, &format!("job-{number}")).await;
+    }
+    assert_once(&fleet.ledger.tasks(&[]), 20);
+    let streams = verify_streams(&operator.client).await.unwrap();
+    let configuration = &streams[0];
+    assert_eq!((configuration.stream.as_str(), configuration.entries), ("configuration", 6));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn tasks_once_through_outage_longer_than_lease() {
+    let (fleet, operator) = start().await;
+    operator.submit_job("settlement", short_job(12, 3_000)).await.unwrap();
+    wait_running(&operator, "settlement").await;
+    fleet.platform.set_faults(Faults { outage: Outage::Silent, ..Faults::default() });
+    sleep(Duration::from_millis(fleet.plan.lease_ttl_ms * 2)).await;
+    fleet.platform.set_faults(Faults::default());
+    wait_done(&operator, "settlement").await;
+    assert_once(&fleet.ledger.tasks(&[]), 12);
+    verify_streams(&operator.client).await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn tasks_move_while_agent_is_frozen() {
+    let (fleet, operator) = start().await;
+    operator.submit_job("settlement", short_job(20, 6_000)).await.unwrap();
+    wait_running(&operator, "settlement").await;
+    sleep(Duration::from_millis(500)).await;
+    fleet.agents[0].signal(Signal::SIGSTOP);
+    sleep(Duration::from_millis(fleet.plan.lease_ttl_ms * 4)).await;
+    fleet.agents[0].signal(Signal::SIGCONT);
+    wait_done(&operator, "settlement").await;
+    let tasks = fleet.ledger.tasks(&[]);
+    assert_once(&tasks, 20);
+    let moved = tasks.attempts.iter().filter(|(_, attempt)| *attempt > 1).count();
+    assert!(moved > 0, "no task moved away from the frozen agent");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn tasks_resumed_once_after_planned_stop() {
+    let (mut fleet, operator) = start().await;
+    operator.submit_job("settlement", short_job(20, 4_000)).await.unwrap();
+    wait_running(&operator, "settlement").await;
+    sleep(Duration::from_millis(800)).await;
+    assert!(fleet.agents[1].stop(RECOVERY_LIMIT).await);
+    wait_done(&operator, "settlement").await;
+    let tasks = fleet.ledger.tasks(&[]);
+    assert_once(&tasks, 20);
+    assert!(!tasks.resumed.is_empty());
+    assert!(tasks.resumed.iter().all(|(_, attempt)| *attempt == 2), "{:?}", tasks.resumed);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn withdrawn_job_stops() {
+    let (fleet, operator) = start().await;
+    let record = operator.submit_job("settlement", short_job(6, 60_000)).await.unwrap();
+    wait_running(&operator, "settlement").await;
+    let path = "/records/job/settlement";
+    let seen = Some(record.revision);
+    let withdrawn: Result<Record, _> =
+        operator.client.command(Method::DELETE, path, seen, None::<&()>).await;
+    withdrawn.unwrap();
+    let is_idle = wait_until(RECOVERY_LIMIT, || async {
+        let mut running = 0.0;
+        for agent in 0..fleet.plan.agents {
+            let status = fleet.agent_status(agent).await.unwrap_or_default();
+            running += status["attempts_running"].as_f64().unwrap_or(1.0);
+        }
+        running == 0.0
+    })
+    .await;
+    assert!(is_idle, "withdrawn tasks still run");
+    let counts = operator.job("settlement").await.unwrap().counts;
+    assert_eq!((counts.cancelled, counts.running), (6, 0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn impossible_job_parked_and_others_run() {
+    let (_fleet, operator) = start().await;
+    let huge = LabJob { tasks: 2, cpu_milli: 1_000_000, run_ms: 100, urgency: 0 };
+    operator.submit_job("huge", huge).await.unwrap();
+    operator.submit_job("small", short_job(4, 100)).await.unwrap();
+    wait_done(&operator, "small").await;
+    let is_parked = wait_until(RECOVERY_LIMIT, || async {
+        operator.job("huge").await.is_ok_and(|view| view.counts.parked == 2)
+    })
+    .await;
+    assert!(is_parked);
+}
--- a/crates/teaseltrack-node/src/configuration.rs
+++ b/crates/teaseltrack-node/src/configuration.rs
@@ -60,17 +60,18 @@
     clients: &ControlClients,
     address: SocketAddr,
 ) -> bool {
-    let mut has_changed = false;
+    let mut after = node.configuration().revision();
     loop {
-        let revision = node.configuration().revision();
-        let Ok(client) = clients.connect(address).await else { return has_changed };
-        let call = client.changes_after(deadline(FETCH_TIMEOUT), revision);
-        let Ok(page) = call.await else { return has_changed };
-        let is_new = node.ask(|reply| NodeMessage::Apply(page, reply)).await == Some(true);
-        if !is_new {
-            return has_changed;
+        let Ok(client) = clients.connect(address).await else { return false };
+        let Ok(page) = client.changes_after(deadline(FETCH_TIMEOUT), after).await else {
+            return false;
+        };
+        let next_after = page.next_after();
+        let is_higher = node.ask(|reply| NodeMessage::Apply(page, reply)).await == Some(true);
+        match next_after {
+            Some(next) => after = next,
+            None => return is_higher,
         }
-        has_changed = true;
     }
 }
 
@@ -102,20 +103,20 @@
         }
     }
     records.sort_by_key(|record| record.revision);
-    Ok(ChangePage { records, through_revision })
+    Ok(ChangePage::complete(records, through_revision))
 }
 
 async fn read_after(store: &Store, revision: Revision) -> Result<ChangePage, StoreError> {
-    let mut page = ChangePage { records: Vec::new(), through_revision: revision };
+    let (mut records, mut through_revision) = (Vec::new(), revision);
     for sealed in read_entries(store, CONFIGURATION_STREAM, revision).await? {
         let entry = sealed.open().map_err(|source| StoreError::Unreadable {
             key: CONFIGURATION_STREAM.to_owned(),
             source,
         })?;
-        page.through_revision = entry.sequence;
+        through_revision = entry.sequence;
         if let EntryBody::Change { record, .. } = entry.body {
-            page.records.push(record);
+            records.push(record);
         }
     }
-    Ok(page)
+    Ok(ChangePage::complete(records, through_revision))
 }
--- a/crates/teaseltrack-node/src/gossip.rs
+++ b/crates/teaseltrack-node/src/gossip.rs
@@ -6,7 +6,7 @@
 use rand::RngExt;
 use teaseltrack::{ids::InstanceId, membership::Member};
 use teaseltrack_wire::control::Gossip;
-use tokio::time::sleep;
+use tokio::{sync::mpsc, time::sleep};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -66,11 +66,29 @@
     if follow_up.is_exchange_due {
         exchange(node, clients, address).await;
     }
-    if follow_up.is_peer_ahead && fetch_from_peer(node, clients, address).await {
+    if follow_up.is_peer_ahead {
+        fetch_and_push(node, clients, address).await;
+    }
+    true
+}
+
+/// Fetches changes from peers that probed this instance and have a higher revision in force.
+pub async fn follow_peers(
+    node: NodeHandle,
+    clients: ControlClients,
+    mut ahead: mpsc::Receiver<SocketAddr>,
+) {
+    while let Some(address) = ahead.recv().await {
+        fetch_and_push(&node, &clients, address).await;
+    }
+}
+
+/// Fetches what a peer has in force, and tells others if it was new here.
+async fn fetch_and_push(node: &NodeHandle, clients: &ControlClients, address: SocketAddr) {
+    if fetch_from_peer(node, clients, address).await {
         let (node, clients) = (node.clone(), clients.clone());
         tokio::spawn(async move { Box::pin(push_news(&node, &clients)).await });
     }
-    true
 }
 
 /// Whether an address answers a probe.
--- a/crates/teaseltrack-node/src/node.rs
+++ b/crates/teaseltrack-node/src/node.rs
@@ -1,6 +1,6 @@
 //! The task that owns the membership and the configuration in force.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use slog::{Logger, info};
 use teaseltrack::{
@@ -118,13 +118,19 @@
     membership: Membership,
     configuration: Configuration,
     mismatches: u32,
+    ahead: mpsc::Sender<SocketAddr>,
     published_version: u64,
     members: watch::Sender<Arc<Vec<Member>>>,
     in_force: watch::Sender<Arc<Configuration>>,
 }
 
-/// Starts the node's task.
-pub fn spawn_node(own: Member, clock: SharedClock, logger: Logger) -> NodeHandle {
+/// Starts the node's task; `ahead` gets the addresses of peers that probed and have a higher revision.
+pub fn spawn_node(
+    own: Member,
+    clock: SharedClock,
+    logger: Logger,
+    ahead: mpsc::Sender<SocketAddr>,
+) -> NodeHandle {
     let (sender, receiver) = mpsc::channel(INBOX_MESSAGES);
     let (members, members_receiver) = watch::channel(Arc::new(vec![own.clone()]));
     let (in_force, configuration) = watch::channel(Arc::default());
@@ -134,6 +140,7 @@
         clock,
         configuration: Configuration::default(),
         mismatches: 0,
+        ahead,
         published_version: 0,
         members,
         in_force,
@@ -164,6 +171,7 @@
         match message {
             NodeMessage::Probed(gossip, reply) => {
                 self.take_in(&gossip);
+                self.note_if_ahead(&gossip);
                 drop(reply.send(self.gossip()));
             }
             NodeMessage::Gossip(reply) => drop(reply.send(self.gossip())),
@@ -220,6 +228,15 @@
         self.membership.merge(news, now);
     }
 
+    /// Has the prober asked for its changes, if it has a higher revision in force.
+    fn note_if_ahead(&self, gossip: &Gossip) {
+        let is_ahead = gossip.revision > self.configuration.revision();
+        if let Some(address) = gossip.sender.control_address.parse().ok().filter(|_| is_ahead) {
+            // A full channel means that changes are being fetched already.
+            self.ahead.try_send(address).ok();
+        }
+    }
+
     fn follow_up(&mut self, gossip: &Gossip) -> FollowUp {
         let is_same = self.membership.digest_hash() == gossip.digest_hash;
         self.mismatches = if is_same { 0 } else { self.mismatches + 1 };
--- a/crates/teaseltrack-node/src/start.rs
+++ b/crates/teaseltrack-node/src/start.rs
@@ -18,12 +18,15 @@
     clients::ControlClients,
     configuration::run_configuration,
     control_server::{TaskCall, serve_control},
-    gossip::run_gossip,
+    gossip::{follow_peers, run_gossip},
     node::{NodeHandle, spawn_node},
     seeds::{SeedSources, run_seeds},
     settings::ControlSettings,
 };
 
+/// Peers with a higher revision that may wait to be asked for it.
+const AHEAD_PEERS: usize = 4;
+
 /// What every process shares between its tasks.
 #[derive(Clone)]
 pub struct Common {
@@ -79,10 +82,12 @@
 ) -> Common {
     let is_entry = identity.role == Role::Entry;
     let control_address = identity.control_address;
-    let node = spawn_node(member_of(identity), clock.clone(), logger.clone());
+    let (ahead, ahead_receiver) = mpsc::channel(AHEAD_PEERS);
+    let node = spawn_node(member_of(identity), clock.clone(), logger.clone(), ahead);
     let control_bytes = Arc::new(ByteCount::default());
     let clients = ControlClients::new(control_bytes.clone());
     let closing = shutdown.closing.clone();
+    tokio::spawn(follow_peers(node.clone(), clients.clone(), ahead_receiver));
     tokio::spawn(serve_control(
         listener,
         node.clone(),
--- a/crates/teaseltrack/src/configuration.rs
+++ b/crates/teaseltrack/src/configuration.rs
@@ -14,12 +14,28 @@
 };
 
 /// Records that came after a revision, superseded ones left out.
+///
+/// Several pages may be needed. A process counts a revision as in force only after the last of them,
+/// since a record left out as superseded may come with any later page.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ChangePage {
     /// Records by rising revision.
     pub records: Vec<Record>,
-    /// Revision up to which the page is complete.
-    pub through_revision: Revision,
+    /// Revision in force at the source, if this is the last page.
+    pub complete_revision: Option<Revision>,
+}
+
+impl ChangePage {
+    /// The only page, or the last.
+    pub fn complete(records: Vec<Record>, revision: Revision) -> Self {
+        Self { records, complete_revision: Some(revision) }
+    }
+
+    /// Revision after which the next page begins; `None` after the last.
+    pub fn next_after(&self) -> Option<Revision> {
+        let is_last = self.complete_revision.is_some();
+        self.records.last().map(|record| record.revision).filter(|_| !is_last)
+    }
 }
 
 /// Records in force and what was parsed of them.
@@ -52,29 +68,27 @@
         self.records.len()
     }
 
-    /// Applies a page; true if the revision went up.
+    /// Applies a page; true if the revision in force went up.
     pub fn apply(&mut self, page: ChangePage) -> bool {
-        if page.through_revision <= self.revision {
-            return false;
-        }
         for record in page.records {
             self.apply_record(record);
         }
-        self.revision = page.through_revision;
-        true
+        let complete_revision = page.complete_revision.unwrap_or(0);
+        let is_higher = complete_revision > self.revision;
+        self.revision = self.revision.max(complete_revision);
+        is_higher
     }
 
-    /// What came after a revision, at most `limit` records.
+    /// A page of what came after a revision, at most `limit` records.
     pub fn page_after(&self, revision: Revision, limit: usize) -> ChangePage {
         let mut records: Vec<&Record> =
             self.records.values().filter(|record| record.revision > revision).collect();
         records.sort_by_key(|record| record.revision);
-        let is_whole = records.len() <= limit;
+        let is_last = records.len() <= limit;
         records.truncate(limit);
-        let last = records.last().map_or(self.revision, |record| record.revision);
         ChangePage {
             records: records.into_iter().cloned().collect(),
-            through_revision: if is_whole { self.revision } else { last },
+            complete_revision: is_last.then_some(self.revision),
         }
     }
 
--- a/crates/teaseltrack/src/record.rs
+++ b/crates/teaseltrack/src/record.rs
@@ -228,7 +228,8 @@
 }
 
 fn read<T: DeserializeOwned>(body: &Value) -> Result<T, RecordError> {
-    T::deserialize(body).map_err(|error| RecordError::Malformed { message: error.to_string() })
+    serde_path_to_error::deserialize(body)
+        .map_err(|error| RecordError::Malformed { message: error.to_string() })
 }
 
 fn check_spec(spec: &Spec) -> Result<(), RecordError> {
--- /dev/null
+++ b/crates/teaseltrack/tests/routing.rs
@@ -0,0 +1,168 @@
+//! Routing: who is chosen, who is left out, and for how long.
+
+use std::time::{Duration, Instant};
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use teaseltrack::routing::{LoadReport, Router, TargetInfo, TargetKey};
+
+const SERVICE: &str = "tickets";
+const ZONE: &str = "zilina-a";
+const DRAWS: u32 = 400;
+
+struct Fixture {
+    router: Router,
+    keys: Vec<TargetKey>,
+    now: Instant,
+    rng: ChaCha8Rng,
+}
+
+/// Targets in the given zones, long enough there to get their full share.
+fn fixture(zones: &[&str]) -> Fixture {
+    let start = Instant::now();
+    let mut router = Router::default();
+    let keys = zones
+        .iter()
+        .enumerate()
+        .map(|(index, zone)| router.upsert(info(index, zone, 1), start))
+        .collect();
+    let now = start + Duration::from_secs(60);
+    Fixture { router, keys, now, rng: ChaCha8Rng::seed_from_u64(1) }
+}
+
+fn info(index: usize, zone: &str, incarnation: u64) -> TargetInfo {
+    TargetInfo {
+        instance: format!("agent-{index}"),
+        zone: zone.to_owned(),
+        service: SERVICE.to_owned(),
+        slots: 8,
+        incarnation,
+    }
+}
+
+impl Fixture {
+    fn choose(&mut self, tried: &[TargetKey]) -> Option<TargetKey> {
+        self.router.choose(SERVICE, ZONE, tried, self.now, &mut self.rng)
+    }
+
+    /// How often each target is chosen when nothing else happens.
+    fn shares(&mut self) -> Vec<u32> {
+        let mut shares = vec![0; self.keys.len()];
+        for _ in 0..DRAWS {
+            let chosen = self.choose(&[]).unwrap();
+            let index = self.keys.iter().position(|key| *key == chosen).unwrap();
+            shares[index] += 1;
+        }
+        shares
+    }
+
+    fn answer(&mut self, index: usize, latency_ms: u64) {
+        self.router.begin(self.keys[index]);
+        let latency = Duration::from_millis(latency_ms);
+        self.router.finish(self.keys[index], latency, None, self.now);
+    }
+
+    fn fail(&mut self, index: usize) {
+        self.router.begin(self.keys[index]);
+        self.router.fail(self.keys[index], Duration::from_millis(5), self.now);
+    }
+}
+
+#[test]
+fn choose_unknown_service() {
+    let mut fixture = fixture(&[]);
+    assert_eq!(fixture.choose(&[]), None);
+}
+
+#[test]
+fn choose_own_zone() {
+    let mut fixture = fixture(&[ZONE, ZONE, "martin-b"]);
+    (0..3).for_each(|index| fixture.answer(index, 5));
+    assert_eq!(fixture.shares()[2], 0);
+}
+
+#[test]
+fn choose_spills_when_own_zone_is_full() {
+    let mut fixture = fixture(&[ZONE, "martin-b"]);
+    (0..2).for_each(|index| fixture.answer(index, 5));
+    (0..8).for_each(|_| fixture.router.begin(fixture.keys[0]));
+    assert_eq!(fixture.shares(), [0, DRAWS]);
+}
+
+#[test]
+fn choose_avoids_slow_target() {
+    let mut fixture = fixture(&[ZONE, ZONE, ZONE]);
+    fixture.answer(0, 100);
+    fixture.answer(1, 5);
+    fixture.answer(2, 5);
+    assert_eq!(fixture.shares()[0], 0);
+}
+
+#[test]
+fn choose_other_than_tried() {
+    let mut fixture = fixture(&[ZONE, ZONE]);
+    let tried = [fixture.keys[0]];
+    for _ in 0..DRAWS {
+        assert_eq!(fixture.choose(&tried), Some(fixture.keys[1]));
+    }
+    let tried = fixture.keys.clone();
+    assert_eq!(fixture.choose(&tried), None);
+}
+
+#[test]
+fn choose_leaves_out_failing_target_for_a_while() {
+    let mut fixture = fixture(&[ZONE, ZONE]);
+    (0..3).for_each(|_| fixture.fail(0));
+    assert_eq!(fixture.shares()[0], 0);
+    fixture.now += Duration::from_secs(60);
+    assert!(fixture.shares()[0] > 0);
+}
+
+#[test]
+fn choose_failing_target_when_no_other_is_left() {
+    let mut fixture = fixture(&[ZONE]);
+    (0..3).for_each(|_| fixture.fail(0));
+    assert_eq!(fixture.choose(&[]), Some(fixture.keys[0]));
+}
+
+#[test]
+fn choose_leaves_out_suspected_and_draining() {
+    let mut fixture = fixture(&[ZONE, ZONE, ZONE]);
+    fixture.router.set_suspected(fixture.keys[0], true);
+    let draining = LoadReport { is_draining: true, ..LoadReport::default() };
+    fixture.router.begin(fixture.keys[1]);
+    fixture.router.refuse(fixture.keys[1], Some(draining));
+    assert_eq!(fixture.shares(), [0, 0, DRAWS]);
+}
+
+#[test]
+fn upsert_new_incarnation_forgets_draining() {
+    let mut fixture = fixture(&[ZONE, "martin-b"]);
+    let draining = LoadReport { is_draining: true, ..LoadReport::default() };
+    fixture.router.begin(fixture.keys[0]);
+    fixture.router.refuse(fixture.keys[0], Some(draining));
+    assert_eq!(fixture.shares()[0], 0);
+    fixture.keys[0] = fixture.router.upsert(info(0, ZONE, 2), fixture.now);
+    fixture.now += Duration::from_secs(60);
+    assert_eq!(fixture.shares()[1], 0);
+}
+
+#[test]
+fn choose_takes_new_target_in_gradually() {
+    let mut fixture = fixture(&[ZONE, ZONE]);
+    (0..2).for_each(|index| fixture.answer(index, 5));
+    fixture.keys.push(fixture.router.upsert(info(2, ZONE, 1), fixture.now));
+    assert_eq!(fixture.shares()[2], 0);
+    fixture.now += Duration::from_secs(10);
+    assert!(fixture.shares()[2] > 0);
+}
+
+#[test]
+fn retain_drops_gone_instances() {
+    let mut fixture = fixture(&[ZONE, ZONE]);
+    fixture.router.retain(|instance| instance == "agent-1");
+    assert_eq!(fixture.router.target_count(SERVICE), 1);
+    assert_eq!(fixture.choose(&[]), Some(fixture.keys[1]));
+    fixture.router.retain(|_| false);
+    assert_eq!(fixture.choose(&[]), None);
+}
