History of the configuration archived; leases of many read by listing; starts and outage measured

A lost zone would have each shard's owner read 200 leases one by one each second, 3,200 reads a second over 16 shards against a limit of 2,000.

Owners list all leases once more than eight are suspicious. An agent tells all entries at once of a target that comes or goes. The stand-in target's cut within an answer now lets the first byte out; before, the head was cut as well, and the test couldn't fail.

--- a/crates/teaseltrack-agent/src/requests/capacity.rs
+++ b/crates/teaseltrack-agent/src/requests/capacity.rs
@@ -18,7 +18,7 @@
 use teaseltrack_daemon::metrics::Metrics;
 use teaseltrack_node::{
     clients::ControlClients,
-    gossip::push_news,
+    gossip::push_announcement,
     node::{NodeHandle, NodeMessage},
 };
 use tokio::{
@@ -349,7 +349,7 @@
     async fn tell_fleet(&self, target: Option<Announcement>) {
         self.node.tell(NodeMessage::Announce(target)).await;
         let (node, clients) = (self.node.clone(), self.clients.clone());
-        tokio::spawn(async move { push_news(&node, &clients).await });
+        tokio::spawn(async move { push_announcement(&node, &clients).await });
     }
 
     fn refuse_waiting(&mut self) {
--- a/crates/teaseltrack-agent/src/tasks/owner.rs
+++ b/crates/teaseltrack-agent/src/tasks/owner.rs
@@ -70,6 +70,8 @@
 const STOP_GIVE_UP: Duration = Duration::from_secs(600);
 /// Wait before a shard is read again when the store doesn't answer.
 const LOAD_RETRY: Duration = Duration::from_millis(500);
+/// Leases that are read one by one; more are read by listing all.
+const MAX_SINGLE_READS: usize = 8;
 /// Wait between evictions for the sake of urgent tasks.
 const PREEMPTION_PERIOD: Duration = Duration::from_secs(1);
 
@@ -572,14 +574,29 @@
             .cloned()
             .collect();
         self.lease_watches.retain(|instance, _| suspicious.contains(instance));
-        for instance in suspicious {
-            let sent_at = self.context.clock.now();
-            let Ok(row) = self.context.store.read(&keys::lease(&instance)).await else { continue };
-            self.check_lease(&instance, row, sent_at).await?;
+        let sent_at = self.context.clock.now();
+        let Ok(rows) = self.read_leases(&suspicious).await else { return Ok(()) };
+        for row in rows {
+            self.check_lease(row, sent_at).await?;
         }
         Ok(())
     }
 
+    /// Leases of the instances: a few are read one by one, many by listing all.
+    async fn read_leases(&self, instances: &[InstanceId]) -> Result<Vec<Row>, StoreError> {
+        let keys: BTreeSet<String> =
+            instances.iter().map(|instance| keys::lease(instance)).collect();
+        if keys.len() > MAX_SINGLE_READS {
+            let rows = self.context.store.list_all(keys::LEASES).await?;
+            return Ok(rows.into_iter().filter(|row| keys.contains(&row.key)).collect());
+        }
+        let mut rows = Vec::with_capacity(keys.len());
+        for key in keys {
+            rows.extend(self.context.store.read(&key).await?);
+        }
+        Ok(rows)
+    }
+
     fn has_new_incarnation(&self, instance: &str) -> bool {
         let Some(heard) = self.placer.incarnation(instance) else { return false };
         self.state.placed_on(instance).any(|id| {
@@ -588,17 +605,12 @@
         })
     }
 
-    async fn check_lease(
-        &mut self,
-        instance: &str,
-        row: Option<Row>,
-        sent_at: Instant,
-    ) -> Result<(), ShardLost> {
-        let Some(row) = row else { return Ok(()) };
+    async fn check_lease(&mut self, row: Row, sent_at: Instant) -> Result<(), ShardLost> {
         let Ok(lease) = row.parse::<LeaseRow>() else { return Ok(()) };
+        let instance = lease.instance.clone();
         let watch = self
             .lease_watches
-            .entry(instance.to_owned())
+            .entry(instance.clone())
             .or_insert_with(|| LeaseWatch::new(row.version, sent_at));
         watch.observe(row.version, sent_at);
         let is_over = lease.state != LeaseState::Held;
@@ -607,7 +619,7 @@
             if is_over || is_lapsed { lease.incarnation } else { lease.incarnation - 1 };
         let lost: Vec<(TaskId, u32)> = self
             .state
-            .placed_on(instance)
+            .placed_on(&instance)
             .filter_map(|id| {
                 let task = self.state.task(id)?;
                 let placement = task.state.placement()?;
--- a/crates/teaseltrack-entry/src/entry.rs
+++ b/crates/teaseltrack-entry/src/entry.rs
@@ -35,7 +35,7 @@
         agent_connection::AgentConnections, attempt::AttemptContext, dispatcher::spawn_dispatcher,
         server::CallerServer,
     },
-    operators::{commands::CommandContext, server::answer},
+    operators::{archivist::keep_archiving, commands::CommandContext, server::answer},
     options::config::EntrySettings,
 };
 
@@ -135,6 +135,12 @@
         };
         let draining = common.shutdown.draining.clone();
         let seed_row = tokio::spawn(keep_seed_row(common.store.clone(), seed, draining));
+        tokio::spawn(keep_archiving(
+            common.store.clone(),
+            settings.instance.name.clone(),
+            logger.clone(),
+            common.shutdown.closing.clone(),
+        ));
         let answers = TaskTracker::new();
         let callers = caller_server(&settings, &common, &spans, &metrics, &answers);
         let servers = vec![
--- a/crates/teaseltrack-lab/src/experiments.rs
+++ b/crates/teaseltrack-lab/src/experiments.rs
@@ -3,14 +3,17 @@
 pub mod drain;
 pub mod flood;
 pub mod kill;
+pub mod outage;
 pub mod overhead;
 pub mod slopes;
 pub mod slow_target;
+pub mod starts;
 
 use crate::{LabError, options::args::RunOptions, report::Report};
 
 /// Names of all experiments.
-pub const NAMES: [&str; 6] = ["overhead", "flood", "slow-target", "kill", "drain", "slopes"];
+pub const NAMES: [&str; 8] =
+    ["overhead", "flood", "slow-target", "kill", "drain", "slopes", "starts", "outage"];
 
 /// Runs an experiment and prints its report.
 ///
@@ -25,6 +28,8 @@
         "slow-target" => slow_target::run(options.seed, &mut report).await?,
         "kill" => kill::run(options.seed, &mut report).await?,
         "drain" => drain::run(options.seed, &mut report).await?,
+        "starts" => starts::run(options.seed, &mut report).await?,
+        "outage" => outage::run(options.seed, &mut report).await?,
         "slopes" => slopes::run(options.seed, &mut report).await?,
         name => return Err(format!("no experiment is called {name}").into()),
     }
--- /dev/null
+++ b/crates/teaseltrack-lab/src/experiments/outage.rs
@@ -0,0 +1,81 @@
+//! The platform's store gone under load: nothing is lost, nothing runs twice, all of it goes on.
+
+use std::time::{Duration, Instant};
+
+use tokio::time::sleep;
+
+use crate::{
+    LabError,
+    experiments::flood::wait_ready,
+    fleet::{Fleet, FleetPlan, wait_until},
+    load::{LoadPlan, send_load},
+    operator::{LabJob, Operator},
+    platform::{Faults, Outage},
+    report::Report,
+};
+
+/// Time for which the store is gone.
+const OUTAGE: Duration = Duration::from_secs(60);
+/// Time of the load before and after.
+const AROUND: Duration = Duration::from_secs(5);
+/// Tasks that run when the store goes.
+const TASKS: u32 = 40;
+/// Run time of a task, longer than the outage, in milliseconds.
+const RUN_MS: u64 = 40_000;
+/// Time for all tasks to finish.
+const FINISH_TIMEOUT: Duration = Duration::from_secs(120);
+
+/// Runs the experiment.
+///
+/// # Errors
+///
+/// The fleet can't be started, or a job is refused.
+pub async fn run(seed: u64, report: &mut Report) -> Result<(), LabError> {
+    let plan = FleetPlan {
+        has_workers: true,
+        cpu_milli: 16_000,
+        lease_ttl_ms: 10_000,
+        ..FleetPlan::default()
+    };
+    let fleet = Fleet::start(plan).await?;
+    let operator = Operator::new(fleet.plan.operator_address(0), "lab");
+    operator.submit_service("tickets", 2_000).await?;
+    wait_ready(&fleet).await?;
+    let job = LabJob { tasks: TASKS, cpu_milli: 1_000, run_ms: RUN_MS, urgency: 6 };
+    operator.submit_job("settlement", job).await?;
+    let load = LoadPlan {
+        addresses: (0..fleet.plan.entries).map(|entry| fleet.plan.caller_address(entry)).collect(),
+        name: "outage".to_owned(),
+        duration: AROUND + OUTAGE + AROUND,
+        seed,
+        ..LoadPlan::default()
+    };
+    let loading = tokio::spawn(send_load(load));
+    sleep(AROUND).await;
+    let silent = Faults { outage: Outage::Silent, ..Faults::default() };
+    fleet.platform.set_faults(silent);
+    sleep(OUTAGE).await;
+    fleet.platform.set_faults(Faults::default());
+    let back_at = Instant::now();
+    operator.submit_job("after", LabJob { tasks: 1, run_ms: 100, ..job }).await?;
+    let is_recovered = wait_until(FINISH_TIMEOUT, || async {
+        fleet.ledger.tasks(&[]).done.contains_key("after/0")
+    })
+    .await;
+    report.set("recovery_s", back_at.elapsed().as_secs_f64());
+    let is_done = wait_until(FINISH_TIMEOUT, || async {
+        fleet.ledger.tasks(&[]).done.len() > TASKS as usize
+    })
+    .await;
+    let result = loading.await?;
+    let verdict = result.verdict(&fleet.ledger.requests());
+    let tasks = fleet.ledger.tasks(&[]);
+    report.count("is_recovered", u64::from(is_recovered && is_done));
+    report.count("requests", result.requests.len() as u64);
+    report.count("requests_lost", result.requests.len() as u64 - verdict.answered);
+    report.count("tasks_lost", u64::from(TASKS) + 1 - tasks.done.len() as u64);
+    report.count("tasks_duplicated", tasks.duplicated() + tasks.in_two_places);
+    report.count("resumed_twice", tasks.attempts_repeated);
+    fleet.stop().await;
+    Ok(())
+}
--- a/crates/teaseltrack-lab/src/experiments/slopes.rs
+++ b/crates/teaseltrack-lab/src/experiments/slopes.rs
@@ -150,13 +150,25 @@
     report: &mut Report,
 ) -> Result<(), LabError> {
     let ledger = Ledger::default();
-    let mut spreads_s = Vec::new();
+    let (mut spreads_s, mut entries_s) = (Vec::new(), Vec::new());
     for change in 0..CHANGES {
         let started_at = Instant::now();
         Target::start(fleet.plan.target_options(change), ledger.sender()).await?;
+        let targets = change as f64 + 1.0;
+        let are_told = wait_until(SPREAD_TIMEOUT, || async {
+            let first = fleet.entry_status(0).await.unwrap_or_default();
+            let last = fleet.entry_status(ENTRIES - 1).await.unwrap_or_default();
+            number(&first, "targets") >= targets && number(&last, "targets") >= targets
+        })
+        .await;
+        if !are_told {
+            return Err("entries don't know of a target".into());
+        }
+        entries_s.push(started_at.elapsed().as_secs_f64());
         wait_for(fleet, "targets", change as u64 + 1, SPREAD_TIMEOUT).await?;
         spreads_s.push(started_at.elapsed().as_secs_f64());
     }
+    report.set(&format!("entries_know_target_max_s_at_{size}"), largest(&entries_s));
     report.set(&format!("membership_spread_max_s_at_{size}"), largest(&spreads_s));
     Ok(())
 }
--- /dev/null
+++ b/crates/teaseltrack-lab/src/experiments/starts.rs
@@ -0,0 +1,128 @@
+//! Task starts at the peak rate through a table with a limit on writes, and how soon urgent ones start.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use tokio::time::{sleep, sleep_until};
+
+use crate::{
+    LabError,
+    fleet::{Fleet, FleetPlan, wait_until},
+    ledger::LedgerEvent,
+    operator::{LabJob, Operator},
+    report::Report,
+};
+
+/// Agents.
+const AGENTS: usize = 8;
+/// Time for which jobs are submitted.
+const LOAD_TIME: Duration = Duration::from_secs(10);
+/// Tasks that should start each second.
+const STARTS_PER_S: u32 = 900;
+/// Batch jobs a second, so that their shards differ.
+const JOBS_PER_S: u32 = 6;
+/// Time between urgent jobs.
+const URGENT_PERIOD: Duration = Duration::from_millis(250);
+/// Run time of a task, in milliseconds.
+const RUN_MS: u64 = 1_000;
+/// Processor use of a task, in thousandths of a core.
+const TASK_CPU_MILLI: u64 = 100;
+/// Time for the shards to find owners.
+const SETTLE: Duration = Duration::from_secs(6);
+/// Time for all tasks to finish.
+const FINISH_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Runs the experiment.
+///
+/// # Errors
+///
+/// The fleet can't be started, or a job is refused.
+pub async fn run(_seed: u64, report: &mut Report) -> Result<(), LabError> {
+    let plan = FleetPlan {
+        agents: AGENTS,
+        has_workers: true,
+        cpu_milli: 100_000,
+        lease_ttl_ms: 10_000,
+        ..FleetPlan::default()
+    };
+    let fleet = Fleet::start(plan).await?;
+    sleep(SETTLE).await;
+    let operator = Operator::new(fleet.plan.operator_address(0), "lab");
+    let served_before = fleet.platform.served();
+    let started_at = Instant::now();
+    let (batch, urgent) = tokio::join!(submit_batch(&operator), submit_urgent(&operator));
+    let (tasks, submitted) = (batch?, urgent?);
+    let expected = (tasks + submitted.len() as u32) as usize;
+    let is_done =
+        wait_until(FINISH_TIMEOUT, || async { fleet.ledger.tasks(&[]).done.len() >= expected })
+            .await;
+    let served = fleet.platform.served();
+    let first_runs = first_runs(&fleet);
+    let last_start = first_runs.values().max().copied().unwrap_or(started_at);
+    let ran = fleet.ledger.tasks(&[]);
+    report.count("tasks", expected as u64);
+    report.count("tasks_unfinished", (expected - ran.done.len().min(expected)) as u64);
+    report.count("is_done", u64::from(is_done));
+    let starts = first_runs.len() as f64;
+    report.set("starts_per_s", starts / last_start.duration_since(started_at).as_secs_f64());
+    let writes = (served.writes - served_before.writes) as f64;
+    report.set("writes_per_start", writes / starts);
+    report.set("writes_per_s", writes / started_at.elapsed().as_secs_f64());
+    report.count("writes_throttled", served.throttled - served_before.throttled);
+    report.count("duplicated", ran.duplicated() + ran.in_two_places + ran.attempts_repeated);
+    let mut waits_ms: Vec<f64> = submitted
+        .iter()
+        .filter_map(|(task, at)| Some(first_runs.get(task)?.duration_since(*at)))
+        .map(|wait| wait.as_secs_f64() * 1_000.0)
+        .collect();
+    waits_ms.sort_by(f64::total_cmp);
+    let quantile = |quantile: f64| {
+        let index = (waits_ms.len() as f64 * quantile) as usize;
+        waits_ms.get(index.min(waits_ms.len().saturating_sub(1))).copied().unwrap_or(f64::NAN)
+    };
+    report.set("urgent_start_p50_ms", quantile(0.5));
+    report.set("urgent_start_p99_ms", quantile(0.99));
+    fleet.stop().await;
+    Ok(())
+}
+
+/// Submits batch jobs at a steady pace; the number of their tasks.
+async fn submit_batch(operator: &Operator) -> Result<u32, LabError> {
+    let start = tokio::time::Instant::now();
+    let jobs = LOAD_TIME.as_secs() as u32 * JOBS_PER_S;
+    let tasks = STARTS_PER_S / JOBS_PER_S;
+    for number in 0..jobs {
+        sleep_until(start + Duration::from_secs(1) * number / JOBS_PER_S).await;
+        let job = LabJob { tasks, cpu_milli: TASK_CPU_MILLI, run_ms: RUN_MS, urgency: 6 };
+        operator.submit_job(&format!("batch-{number}"), job).await?;
+    }
+    Ok(jobs * tasks)
+}
+
+/// Submits urgent jobs of one task; each task and when it was submitted.
+async fn submit_urgent(operator: &Operator) -> Result<Vec<(String, Instant)>, LabError> {
+    let start = tokio::time::Instant::now();
+    let jobs = (LOAD_TIME.as_millis() / URGENT_PERIOD.as_millis()) as u32;
+    let mut submitted = Vec::new();
+    for number in 0..jobs {
+        sleep_until(start + URGENT_PERIOD * number).await;
+        let job = LabJob { tasks: 1, cpu_milli: TASK_CPU_MILLI, run_ms: RUN_MS, urgency: 0 };
+        let name = format!("urgent-{number}");
+        submitted.push((format!("{name}/0"), Instant::now()));
+        operator.submit_job(&name, job).await?;
+    }
+    Ok(submitted)
+}
+
+/// When each task first ran.
+fn first_runs(fleet: &Fleet) -> BTreeMap<String, Instant> {
+    let mut first = BTreeMap::new();
+    for (at, event) in fleet.ledger.events() {
+        if let LedgerEvent::AttemptRunning { task, .. } = event {
+            first.entry(task).or_insert(at);
+        }
+    }
+    first
+}
--- a/crates/teaseltrack-lab/src/target.rs
+++ b/crates/teaseltrack-lab/src/target.rs
@@ -13,7 +13,7 @@
 };
 
 use bytes::Bytes;
-use futures::stream;
+use futures::{StreamExt, future::ready, stream};
 use http::{HeaderValue, Method, Request, Response};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
@@ -44,6 +44,8 @@
 const ANNOUNCE_PERIOD: Duration = Duration::from_millis(500);
 /// Time for the agent to answer an announcement, or to drain.
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time between the first byte of an answer and its cut, so that the byte goes out.
+const CUT_DELAY: Duration = Duration::from_millis(20);
 /// Largest body, in bytes.
 const MAX_BODY_BYTES: usize = 64 << 20;
 /// Path that sets the behaviour.
@@ -227,11 +229,15 @@
     ratio > 0.0 && rand::rng().random::<f64>() < ratio
 }
 
-/// A body that stops short after its first half.
+/// A body that stops short after its first byte has gone out.
 fn cut_body(text: Vec<u8>) -> AnswerBody {
-    let half = Bytes::from(text).slice(..1);
-    let parts = [Ok(Frame::data(half)), Err("the connection is cut".into())];
-    StreamBody::new(stream::iter(parts)).boxed_unsync()
+    let first = Bytes::from(text).slice(..1);
+    let begun = stream::once(ready(Ok(Frame::data(first))));
+    let cut = stream::once(async {
+        sleep(CUT_DELAY).await;
+        Err("the connection is cut".into())
+    });
+    StreamBody::new(begun.chain(cut)).boxed_unsync()
 }
 
 /// Serves requests until the process is asked to stop, then leaves by a planned stop.
--- a/crates/teaseltrack-lab/tests/requests.rs
+++ b/crates/teaseltrack-lab/tests/requests.rs
@@ -107,6 +107,25 @@
     wait_served(&fleet, "thawed").await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_within_slots_after_thaw() {
+    let plan = FleetPlan { agents: 1, entries: 1, ..FleetPlan::default() };
+    let fleet = start_processes(plan).await;
+    let loading = tokio::spawn(send_load(LoadPlan {
+        duration: Duration::from_secs(6),
+        timeout: Duration::from_millis(500),
+        post_ratio: 1.0,
+        ..load(&fleet, "thaw")
+    }));
+    sleep(Duration::from_secs(1)).await;
+    fleet.targets[0].signal(Signal::SIGSTOP);
+    sleep(Duration::from_secs(3)).await;
+    fleet.targets[0].signal(Signal::SIGCONT);
+    let result = loading.await.unwrap();
+    assert_invariants(&fleet, &result);
+    wait_served(&fleet, "thawed").await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_answered_without_store() {
     let plan = FleetPlan { agents: 2, has_seeds: true, ..FleetPlan::default() };
--- a/crates/teaseltrack-node/src/gossip.rs
+++ b/crates/teaseltrack-node/src/gossip.rs
@@ -4,7 +4,10 @@
 
 use futures::future::join_all;
 use rand::RngExt;
-use teaseltrack::{ids::InstanceId, membership::Member};
+use teaseltrack::{
+    ids::InstanceId,
+    membership::{Member, Role},
+};
 use teaseltrack_wire::control::Gossip;
 use tokio::{sync::mpsc, time::sleep};
 use tokio_util::sync::CancellationToken;
@@ -23,6 +26,8 @@
 const INDIRECT_PROBES: usize = 2;
 /// Peers told at once of a configuration change or a departure.
 const PUSH_PEERS: usize = 3;
+/// Entries told at once of a target that came or went.
+const MAX_ENTRIES: usize = 16;
 /// Least share of the probe period between two probes.
 const MIN_PERIOD_SHARE: f64 = 0.8;
 /// Largest share of the probe period between two probes.
@@ -54,6 +59,15 @@
     join_all(peers.into_iter().map(|peer| probe_member(node.clone(), clients.clone(), peer))).await;
 }
 
+/// Tells all entries, and a few random peers, of what became of this instance's target.
+pub async fn push_announcement(node: &NodeHandle, clients: &ControlClients) {
+    let members = node.members();
+    let entries = members.iter().filter(|member| member.role == Role::Entry).take(MAX_ENTRIES);
+    let told = entries.map(|entry| probe_member(node.clone(), clients.clone(), entry.clone()));
+    join_all(told).await;
+    push_news(node, clients).await;
+}
+
 /// Probes an address and follows up on what it knows; true if it answered.
 pub async fn probe_address(
     node: &NodeHandle,
--- a/crates/teaseltrack-platform/src/keys.rs
+++ b/crates/teaseltrack-platform/src/keys.rs
@@ -58,9 +58,12 @@
     format!("inbox/{shard:04}/{revision:020}")
 }
 
+/// Prefix of the leases of all instances.
+pub const LEASES: &str = "lease/";
+
 /// Lease of an instance.
 pub fn lease(instance: &str) -> String {
-    format!("lease/{instance}")
+    format!("{LEASES}{instance}")
 }
 
 /// A notice that a watch acted on.
@@ -70,7 +73,7 @@
 
 /// Address of an entry, for instances that start.
 pub fn seed(instance: &str) -> String {
-    format!("seed/{instance}")
+    format!("{SEEDS}{instance}")
 }
 
 /// Prefix of the addresses of entries.
