--- a/crates/teaseltrack/tests/journals.rs
+++ b/crates/teaseltrack/tests/journals.rs
@@ -58,6 +58,16 @@
         prop_assert!(verify(&chain).is_err());
     }
 
+    #[test]
+    fn advance_resealed_entry(at in 0..19_usize) {
+        let mut chain = chain(20);
+        let mut entry = chain[at].open().unwrap();
+        entry.author = "someone else".to_owned();
+        let previous = if at == 0 { String::new() } else { chain[at - 1].hash.clone() };
+        chain[at] = SealedEntry::seal(&previous, &entry);
+        prop_assert!(verify(&chain).is_err());
+    }
+
     #[test]
     fn advance_removed_entry(at in 0..19_usize) {
         let mut chain = chain(20);
