Tasks test: the lease outlasts the membership's patience

Cause: with the wait for the lease taken out, the test still passed, because the membership took as long to give the frozen agent up as the lease lasted. The lease is now 8 s, the agent is given up after 3 to 4 s.

--- a/crates/teaseltrack-lab/tests/tasks.rs
+++ b/crates/teaseltrack-lab/tests/tasks.rs
@@ -26,7 +26,11 @@
 
 /// Three instances, each with room for eight tasks of a core.
 async fn start() -> (ProcessFleet, Operator) {
-    let plan = FleetPlan { agents: 3, has_workers: true, ..FleetPlan::default() };
+    start_with(FleetPlan::default()).await
+}
+
+async fn start_with(plan: FleetPlan) -> (ProcessFleet, Operator) {
+    let plan = FleetPlan { agents: 3, has_workers: true, ..plan };
     let fleet = start_processes(plan).await;
     let operator = Operator::new(fleet.plan.operator_address(0), "test");
     (fleet, operator)
@@ -122,12 +126,14 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn tasks_move_while_agent_is_frozen() {
-    let (fleet, operator) = start().await;
-    operator.submit_job("settlement", short_job(20, 6_000)).await.unwrap();
+    // The lease is longer than the membership takes to give the agent up.
+    let plan = FleetPlan { lease_ttl_ms: 8_000, ..FleetPlan::default() };
+    let (fleet, operator) = start_with(plan).await;
+    operator.submit_job("settlement", short_job(20, 9_000)).await.unwrap();
     wait_running(&operator, "settlement").await;
     sleep(Duration::from_millis(500)).await;
     fleet.agents[0].signal(Signal::SIGSTOP);
-    sleep(Duration::from_millis(fleet.plan.lease_ttl_ms * 4)).await;
+    sleep(Duration::from_millis(fleet.plan.lease_ttl_ms * 2)).await;
     fleet.agents[0].signal(Signal::SIGCONT);
     wait_done(&operator, "settlement").await;
     let tasks = fleet.ledger.tasks(&[]);
