Requests tests: planned stops meet running requests, a leaving target refuses

Cause: with the drain taken out, and with the check for a leaving target taken out, no test failed: requests of 5 ms are seldom under way when a process stops, and entries hear of a leaving target so soon that its agent had nothing to refuse. Requests now take 200 ms and aren't idempotent, and one test asks the agent itself.

--- a/crates/teaseltrack-lab/src/fleet.rs
+++ b/crates/teaseltrack-lab/src/fleet.rs
@@ -181,6 +181,11 @@
         self.network.address(1 + entry, HEALTH_PORT)
     }
 
+    /// Port of an agent's requests from entries.
+    pub fn request_address(&self, agent: usize) -> SocketAddr {
+        self.network.address(self.agent_number(agent), REQUEST_PORT)
+    }
+
     /// Health port of an agent.
     pub fn agent_health_address(&self, agent: usize) -> SocketAddr {
         self.network.address(self.agent_number(agent), HEALTH_PORT)
@@ -262,7 +267,7 @@
             },
             control: self.control_settings(number),
             requests: RequestSettings {
-                address: self.network.address(number, REQUEST_PORT),
+                address: self.request_address(index),
                 queue_per_class: self.queue_per_class,
                 max_body_bytes: 1 << 20,
             },
--- a/crates/teaseltrack-lab/tests/requests.rs
+++ b/crates/teaseltrack-lab/tests/requests.rs
@@ -2,10 +2,11 @@
 
 mod util;
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use nix::sys::signal::Signal;
 use teaseltrack_daemon::http_client::HttpClient;
+use teaseltrack_entry::callers::agent_connection::AgentConnections;
 use teaseltrack_lab::{
     experiments::flood::wait_ready,
     fleet::{Fleet, FleetPlan, wait_until},
@@ -15,6 +16,9 @@
     relay::RelayFaults,
     target::TargetBehaviour,
 };
+use teaseltrack_wire::request_path::{
+    RequestFrame, RequestHead, answer_frame, request_frame, request_path_client::RequestPathClient,
+};
 use tokio::time::sleep;
 use util::{assert_invariants, load, start_processes, wait_served};
 use yare::parameterized;
@@ -145,19 +149,24 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_uncut_by_planned_stops() {
-    let plan = FleetPlan { agents: 2, drain_grace_ms: 1_000, ..FleetPlan::default() };
+    // Requests take long and aren't idempotent, so that every stop finds some that it could cut off.
+    let behaviour = TargetBehaviour { service_time_ms: 200.0, ..TargetBehaviour::default() };
+    let plan = FleetPlan { agents: 2, drain_grace_ms: 1_000, behaviour, ..FleetPlan::default() };
     let mut fleet = start_processes(plan).await;
     let steady = LoadPlan {
         addresses: vec![fleet.plan.caller_address(0)],
-        duration: Duration::from_secs(8),
+        rate_per_s: 25.0,
+        duration: Duration::from_secs(10),
+        post_ratio: 1.0,
         ..load(&fleet, "planned")
     };
     let loading = tokio::spawn(send_load(steady));
-    sleep(Duration::from_millis(500)).await;
+    sleep(Duration::from_secs(1)).await;
     let limit = Duration::from_secs(30);
     assert!(fleet.targets[0].stop(limit).await);
     fleet.targets[0] = fleet.spawn_target(0).unwrap();
     fleet.wait_ready().await.unwrap();
+    sleep(Duration::from_secs(2)).await;
     assert!(fleet.agents[1].stop(limit).await);
     assert!(fleet.entries[1].stop(limit).await);
     let result = loading.await.unwrap();
@@ -170,6 +179,46 @@
     assert_invariants(&fleet, &result);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_target_gets_no_new_work() {
+    let behaviour = TargetBehaviour { service_time_ms: 1_500.0, ..TargetBehaviour::default() };
+    let plan = FleetPlan { agents: 1, entries: 1, behaviour, ..FleetPlan::default() };
+    let fleet = Fleet::start(plan).await.unwrap();
+    let operator = Operator::new(fleet.plan.operator_address(0), "test");
+    operator.submit_service("tickets", 5_000).await.unwrap();
+    let agent = fleet.plan.request_address(0);
+    let first = wait_until(util::RECOVERY_LIMIT, || forward(agent, "ready")).await;
+    assert!(first, "the agent doesn't forward");
+
+    let running = tokio::spawn(async move { forward(agent, "running").await });
+    sleep(Duration::from_millis(300)).await;
+    let target = fleet.targets[0].clone();
+    let leaving = tokio::spawn(async move { target.leave().await });
+    sleep(Duration::from_millis(300)).await;
+    assert!(!forward(agent, "late").await, "a leaving target got new work");
+    assert!(running.await.unwrap(), "a running request was cut off");
+    leaving.await.unwrap();
+    assert!(!fleet.ledger.requests().runs.contains_key("late"));
+}
+
+/// Sends a request straight to an agent; whether the target answered it.
+async fn forward(agent: SocketAddr, request_id: &str) -> bool {
+    let Ok(call) = AgentConnections::default().connection(agent).await else { return false };
+    let head = RequestHead {
+        request_id: request_id.to_owned(),
+        service: "tickets".to_owned(),
+        method: "POST".to_owned(),
+        path_and_query: "/".to_owned(),
+        remaining_ms: 4_000,
+        ..RequestHead::default()
+    };
+    let frame = RequestFrame { frame: Some(request_frame::Frame::Head(head)) };
+    let mut client = RequestPathClient::with_origin(call, "http://agent".parse().unwrap());
+    let Ok(response) = client.forward(tokio_stream::iter([frame])).await else { return false };
+    let first = response.into_inner().message().await.ok().flatten();
+    matches!(first.and_then(|frame| frame.frame), Some(answer_frame::Frame::Head(_)))
+}
+
 #[parameterized(
     timeout = { "x-timeout-ms", "soon", "x-timeout-ms" },
     priority = { "priority", "u=9", "priority" },
