Planned stops test: the agent that stops is the one with requests

Cause: the entry keeps to its own zone, so the agent that the test stopped had nothing under way. With the drain taken out the test now sees 2 unknown of 240; with it, all answered.

--- a/crates/teaseltrack-lab/tests/requests.rs
+++ b/crates/teaseltrack-lab/tests/requests.rs
@@ -149,7 +149,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_uncut_by_planned_stops() {
-    // Requests take long and aren't idempotent, so that every stop finds some that it could cut off.
+    // Requests take long, aren't idempotent and go to the entry's own zone, so that every stop finds
+    // some that it could cut off.
     let behaviour = TargetBehaviour { service_time_ms: 200.0, ..TargetBehaviour::default() };
     let plan = FleetPlan { agents: 2, drain_grace_ms: 1_000, behaviour, ..FleetPlan::default() };
     let mut fleet = start_processes(plan).await;
@@ -167,7 +168,7 @@
     fleet.targets[0] = fleet.spawn_target(0).unwrap();
     fleet.wait_ready().await.unwrap();
     sleep(Duration::from_secs(2)).await;
-    assert!(fleet.agents[1].stop(limit).await);
+    assert!(fleet.agents[0].stop(limit).await);
     assert!(fleet.entries[1].stop(limit).await);
     let result = loading.await.unwrap();
     assert_eq!(
