--- a/crates/teaseltrack-agent/src/agent.rs
+++ b/crates/teaseltrack-agent/src/agent.rs
@@ -4,7 +4,7 @@
 
 use serde_json::{Value, json};
 use slog::{Logger, info, warn};
-use snafu::{ResultExt, Snafu};
+use snafu::ResultExt;
 use teaseltrack::{
     clock::{SharedClock, SystemClock, unix_ms},
     journal::Owner,
@@ -12,6 +12,7 @@
 };
 use teaseltrack_daemon::{
     health::{StatusReport, serve_health},
+    lifecycle::{MetricsSnafu, StartError, bind},
     logs,
     metrics::Metrics,
     shutdown::Shutdown,
@@ -63,27 +64,6 @@
 /// Wait before the worker is asked again.
 const WORKER_RETRY: Duration = Duration::from_millis(300);
 
-/// Why an agent didn't start.
-#[derive(Debug, Snafu)]
-pub enum StartError {
-    /// An address can't be bound.
-    #[snafu(display("{key}: {address} can't be bound: {source}"))]
-    Bind {
-        /// Key of the address in the settings.
-        key: &'static str,
-        /// The address.
-        address: SocketAddr,
-        /// Cause.
-        source: std::io::Error,
-    },
-    /// Metrics can't be sent.
-    #[snafu(display("observation.metrics.statsd_address: {source}"))]
-    Metrics {
-        /// Cause.
-        source: std::io::Error,
-    },
-}
-
 /// Addresses that an agent serves.
 #[derive(Clone, Copy, Debug)]
 pub struct AgentAddresses {
@@ -207,22 +187,18 @@
     }
 }
 
-async fn bind(key: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address).await.context(BindSnafu { key, address })
-}
-
 async fn bind_all(settings: &AgentSettings) -> Result<(Listeners, AgentAddresses), StartError> {
-    let listeners = Listeners {
-        requests: bind("requests.address", settings.requests.address).await?,
-        control: bind("control.address", settings.control.address).await?,
-        announce: bind("target.announce_address", settings.target.announce_address).await?,
-        health: bind("health.address", settings.health.address).await?,
-    };
+    let (requests, requests_address) = bind("requests.address", settings.requests.address).await?;
+    let (control, control_address) = bind("control.address", settings.control.address).await?;
+    let (announce, announce_address) =
+        bind("target.announce_address", settings.target.announce_address).await?;
+    let (health, health_address) = bind("health.address", settings.health.address).await?;
+    let listeners = Listeners { requests, control, announce, health };
     let addresses = AgentAddresses {
-        requests: listeners.requests.local_addr().unwrap_or(settings.requests.address),
-        control: listeners.control.local_addr().unwrap_or(settings.control.address),
-        announce: listeners.announce.local_addr().unwrap_or(settings.target.announce_address),
-        health: listeners.health.local_addr().unwrap_or(settings.health.address),
+        requests: requests_address,
+        control: control_address,
+        announce: announce_address,
+        health: health_address,
     };
     Ok((listeners, addresses))
 }
--- a/crates/teaseltrack-agent/src/options/config.rs
+++ b/crates/teaseltrack-agent/src/options/config.rs
@@ -5,8 +5,8 @@
 use serde::{Deserialize, Serialize};
 use teaseltrack::placement::Resources;
 use teaseltrack_daemon::settings::{
-    InstanceSettings, ObservationSettings, PlatformSettings, SettingsError, check_concrete,
-    check_positive,
+    HealthSettings, InstanceSettings, ObservationSettings, PlatformSettings, SettingsError,
+    check_concrete, check_positive,
 };
 use teaseltrack_node::settings::ControlSettings;
 
@@ -82,14 +82,6 @@
     pub accelerators: u64,
 }
 
-/// Settings of the health port.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct HealthSettings {
-    /// Address of liveness, readiness and status, `IP:port`.
-    pub address: SocketAddr,
-}
-
 fn default_queue_per_class() -> usize {
     64
 }
--- a/crates/teaseltrack-agent/src/tasks/lease_keeper.rs
+++ b/crates/teaseltrack-agent/src/tasks/lease_keeper.rs
@@ -30,6 +30,9 @@
 /// Longest wait after a failed call to the store.
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 
+/// Least share of the renewal period between two renewals.
+const MIN_PERIOD_SHARE: f64 = 0.8;
+
 /// The lease as the instance's other tasks see it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeaseView {
@@ -73,9 +76,13 @@
         mut release: oneshot::Receiver<oneshot::Sender<()>>,
     ) {
         let Some(mut held) = self.acquire(adopted).await else { return };
+        // Instances that start together don't renew together.
+        let mut least_share = 0.0;
         loop {
             self.publish(&held);
-            let period = held.lease.renewal_period().mul_f64(rand::rng().random_range(0.8..1.0));
+            let share = rand::rng().random_range(least_share..1.0);
+            least_share = MIN_PERIOD_SHARE;
+            let period = held.lease.renewal_period().mul_f64(share);
             tokio::select! {
                 () = sleep(period) => {}
                 reply = &mut release => {
--- a/crates/teaseltrack-agent/src/tasks/owner.rs
+++ b/crates/teaseltrack-agent/src/tasks/owner.rs
@@ -5,48 +5,44 @@
 //! way the next round's work gathers, so that the store sees one write a round however many tasks
 //! start. An owner whose head has moved has lost the shard and forgets all it knew.
 
+mod leases;
+mod orders;
+mod places;
+
 use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
+    collections::BTreeMap,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use slog::{Logger, info, warn};
 use teaseltrack::{
-    admission::Class,
     clock::SharedClock,
     ids::{InstanceId, ShardNumber},
     journal::{EntryBody, Owner, SEGMENT_ENTRIES},
-    lease::{LeaseRow, LeaseState, LeaseWatch},
+    lease::LeaseWatch,
     outcome::ErrorKind,
-    placement::Resources,
     shard::{ShardState, stream_of},
-    task::{Decision, TaskId, TaskState},
+    task::{Decision, TaskId},
 };
 use teaseltrack_daemon::metrics::Metrics;
-use teaseltrack_node::{
-    clients::{ControlClients, deadline},
-    node::NodeHandle,
-};
+use teaseltrack_node::{clients::ControlClients, node::NodeHandle};
 use teaseltrack_platform::{
     history::Archive,
     inbox::{InboxPage, read_inbox},
     keys,
     shard_state::{load_shard, write_snapshot},
-    store::{Condition, Row, Store, StoreError, Write},
+    store::{Condition, Store, StoreError, Write},
     stream::{Append, Appended, Stream},
 };
-use teaseltrack_wire::control::{
-    AttemptEvent, AttemptReport, ReportBatch, ShardOwner, StartOrder, StopCause, StopOrder,
-};
+use teaseltrack_wire::control::{AttemptEvent, AttemptReport, ReportBatch, StopCause, StopOrder};
 use tokio::{
     sync::{mpsc, oneshot},
     time::{MissedTickBehavior, interval, sleep},
 };
 use tokio_util::sync::{CancellationToken, DropGuard};
 
-use crate::tasks::placer::Placer;
+use crate::tasks::{owner::orders::Orders, placer::Placer};
 
 /// Time between rounds without a message.
 const TICK: Duration = Duration::from_millis(250);
@@ -56,24 +52,14 @@
 const LOOK_AROUND_TICKS: u32 = 4;
 /// Ticks between looks at the shard's head.
 const HEAD_TICKS: u32 = 20;
-/// Ticks between looks at parked tasks.
-const PARKED_TICKS: u32 = 40;
 /// Messages taken into one round.
 const ROUND_MESSAGES: usize = 512;
 /// Attempts of a task that may fail before it is given up.
 const MAX_FAILURES: u32 = 3;
-/// Time for an agent to take orders.
-const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
-/// Wait before orders are sent again.
-const ORDER_RETRY: Duration = Duration::from_millis(300);
-/// Time after which attempts that an unreachable agent should stop are left to their lease.
-const STOP_GIVE_UP: Duration = Duration::from_secs(600);
+/// Time for the store to take the shard back in a planned stop.
+const GIVE_UP_TIMEOUT: Duration = Duration::from_secs(2);
 /// Wait before a shard is read again when the store doesn't answer.
 const LOAD_RETRY: Duration = Duration::from_millis(500);
-/// Leases that are read one by one; more are read by listing all.
-const MAX_SINGLE_READS: usize = 8;
-/// Wait between evictions for the sake of urgent tasks.
-const PREEMPTION_PERIOD: Duration = Duration::from_secs(1);
 
 /// What all owners of an agent share.
 pub struct OwnerContext {
@@ -347,99 +333,6 @@
         }
     }
 
-    fn park_and_unpark(&mut self, round: &mut Round) {
-        let mut impossible: Vec<TaskId> = Vec::new();
-        let mut checked: BTreeMap<&str, bool> = BTreeMap::new();
-        for id in self.state.waiting() {
-            let Some(job) = self.state.jobs().get(&id.job) else { continue };
-            let is_possible = *checked
-                .entry(id.job.as_str())
-                .or_insert_with(|| self.placer.is_possible(&Resources::declared(&job.spec)));
-            if !is_possible {
-                impossible.push(id.clone());
-            }
-        }
-        for task in impossible {
-            let reason = "larger than the capacity of every known instance".to_owned();
-            self.decide(Decision::Parked { task, reason }, round);
-        }
-        if self.tick.is_multiple_of(PARKED_TICKS) {
-            for task in self.unparkable() {
-                let reason = "an instance could hold it now".to_owned();
-                self.decide(Decision::Unparked { task, reason }, round);
-            }
-        }
-    }
-
-    fn unparkable(&self) -> Vec<TaskId> {
-        let mut tasks = Vec::new();
-        for (name, job) in self.state.jobs() {
-            if !self.placer.is_possible(&Resources::declared(&job.spec)) {
-                continue;
-            }
-            for (index, task) in job.tasks.iter().enumerate() {
-                if task.state == TaskState::Parked {
-                    tasks.push(TaskId { job: name.clone(), index: index as u32 });
-                }
-            }
-        }
-        tasks
-    }
-
-    async fn place(&mut self, round: &mut Round) {
-        let now = self.context.clock.now();
-        let placed = self.placer.place(&self.state, now).await;
-        for decision in placed.decisions {
-            self.decide(decision, round);
-        }
-        if let Some(task) = placed.without_room.first() {
-            self.preempt(task, now, round);
-        }
-    }
-
-    /// Evicts background attempts from one instance, so that an urgent task finds room there.
-    fn preempt(&mut self, urgent: &TaskId, now: Instant, round: &mut Round) {
-        let is_too_soon =
-            self.preempted_at.is_some_and(|at| now.duration_since(at) < PREEMPTION_PERIOD);
-        let Some(job) = self.state.jobs().get(&urgent.job) else { return };
-        if is_too_soon {
-            return;
-        }
-        let needed = Resources::declared(&job.spec);
-        let victims = self.state.instances().find_map(|instance| {
-            self.victims(instance, &needed).map(|orders| (instance.clone(), orders))
-        });
-        if let Some((instance, orders)) = victims {
-            info!(self.context.logger, "evicting for an urgent task"; "task" => %urgent,
-                "instance" => &instance, "count" => orders.len());
-            self.preempted_at = Some(now);
-            round.stops.entry(instance).or_default().extend(orders);
-        }
-    }
-
-    /// Background attempts on an instance that together hold what is needed.
-    fn victims(&self, instance: &str, needed: &Resources) -> Option<Vec<StopOrder>> {
-        let mut freed = Resources::default();
-        let mut orders = Vec::new();
-        for id in self.state.placed_on(instance) {
-            let (Some(job), Some(task)) = (self.state.jobs().get(&id.job), self.state.task(id))
-            else {
-                continue;
-            };
-            if Class::from_urgency(job.spec.urgency) == Class::Urgent {
-                continue;
-            }
-            freed = freed.plus(&Resources::declared(&job.spec));
-            let order =
-                StopOrder { task: id.clone(), attempt: task.attempt, cause: StopCause::Evict };
-            orders.push(order);
-            if freed.holds(needed) {
-                return Some(orders);
-            }
-        }
-        None
-    }
-
     async fn commit(&mut self, round: Round) -> Result<(), ShardLost> {
         let Round { decisions, conditions, writes, stops, replies, .. } = round;
         if !decisions.is_empty() || !writes.is_empty() {
@@ -484,73 +377,6 @@
         }
     }
 
-    fn send_starts(&self, decisions: &[Decision]) {
-        let mut by_instance: BTreeMap<InstanceId, Vec<StartOrder>> = BTreeMap::new();
-        for decision in decisions {
-            let Decision::Assigned { task, placement, .. } = decision else { continue };
-            if let Some(order) = self.start_order(task) {
-                by_instance.entry(placement.instance.clone()).or_default().push(order);
-            }
-        }
-        for (instance, orders) in by_instance {
-            self.send_orders(instance, Orders::Start(orders));
-        }
-    }
-
-    /// Sends again the starts that an earlier owner committed and may not have sent.
-    fn resend_starts(&self) {
-        let instances: Vec<InstanceId> = self.state.instances().cloned().collect();
-        for instance in instances {
-            let orders: Vec<StartOrder> =
-                self.state.placed_on(&instance).filter_map(|id| self.start_order(id)).collect();
-            if !orders.is_empty() {
-                self.send_orders(instance, Orders::Start(orders));
-            }
-        }
-    }
-
-    /// The order for a task that is assigned and not known to run.
-    fn start_order(&self, id: &TaskId) -> Option<StartOrder> {
-        let job = self.state.jobs().get(&id.job)?;
-        let task = self.state.task(id)?;
-        let TaskState::Assigned(placement) = &task.state else { return None };
-        Some(StartOrder {
-            task: id.clone(),
-            attempt: task.attempt,
-            incarnation: placement.incarnation,
-            spec: job.spec.clone(),
-            checkpoint: task.checkpoint.clone(),
-        })
-    }
-
-    /// Sends orders until the agent has taken them, the instance is gone or the shard is lost.
-    fn send_orders(&self, instance: InstanceId, orders: Orders) {
-        let owner = ShardOwner {
-            shard: self.shard,
-            epoch: self.stream.head().epoch,
-            control_address: self.context.owner.control_address.clone(),
-        };
-        let (context, ended) = (self.context.clone(), self.orders.clone());
-        let give_up_at = match &orders {
-            Orders::Start(_) => None,
-            Orders::Stop(_) => Some(Instant::now() + STOP_GIVE_UP),
-        };
-        tokio::spawn(async move {
-            while give_up_at.is_none_or(|at| Instant::now() < at) {
-                let address = address_of(&context.node, &instance);
-                if let Some(address) = address
-                    && send_once(&context.clients, address, &owner, &orders).await.is_ok()
-                {
-                    return;
-                }
-                tokio::select! {
-                    () = sleep(ORDER_RETRY) => {}
-                    () = ended.cancelled() => return,
-                }
-            }
-        });
-    }
-
     /// Ends an owner that another has replaced, which it would else learn only with its next commit.
     async fn check_head(&self) -> Result<(), ShardLost> {
         let Ok(row) = self.context.store.read(&keys::head(self.stream.name())).await else {
@@ -560,120 +386,6 @@
         if is_own { Ok(()) } else { Err(ShardLost) }
     }
 
-    /// Takes back the attempts of instances whose lease has lapsed or begun anew.
-    async fn check_leases(&mut self) -> Result<(), ShardLost> {
-        let members = self.context.node.members();
-        let present: BTreeSet<&str> =
-            members.iter().map(|member| member.instance.as_str()).collect();
-        let suspicious: Vec<InstanceId> = self
-            .state
-            .instances()
-            .filter(|instance| {
-                !present.contains(instance.as_str()) || self.has_new_incarnation(instance)
-            })
-            .cloned()
-            .collect();
-        self.lease_watches.retain(|instance, _| suspicious.contains(instance));
-        let sent_at = self.context.clock.now();
-        let Ok(rows) = self.read_leases(&suspicious).await else { return Ok(()) };
-        for row in rows {
-            self.check_lease(row, sent_at).await?;
-        }
-        Ok(())
-    }
-
-    /// Leases of the instances: a few are read one by one, many by listing all.
-    async fn read_leases(&self, instances: &[InstanceId]) -> Result<Vec<Row>, StoreError> {
-        let keys: BTreeSet<String> =
-            instances.iter().map(|instance| keys::lease(instance)).collect();
-        if keys.len() > MAX_SINGLE_READS {
-            let rows = self.context.store.list_all(keys::LEASES).await?;
-            return Ok(rows.into_iter().filter(|row| keys.contains(&row.key)).collect());
-        }
-        let mut rows = Vec::with_capacity(keys.len());
-        for key in keys {
-            rows.extend(self.context.store.read(&key).await?);
-        }
-        Ok(rows)
-    }
-
-    fn has_new_incarnation(&self, instance: &str) -> bool {
-        let Some(heard) = self.placer.incarnation(instance) else { return false };
-        self.state.placed_on(instance).any(|id| {
-            let placement = self.state.task(id).and_then(|task| task.state.placement());
-            placement.is_some_and(|placement| placement.incarnation < heard)
-        })
-    }
-
-    async fn check_lease(&mut self, row: Row, sent_at: Instant) -> Result<(), ShardLost> {
-        let Ok(lease) = row.parse::<LeaseRow>() else { return Ok(()) };
-        let instance = lease.instance.clone();
-        let watch = self
-            .lease_watches
-            .entry(instance.clone())
-            .or_insert_with(|| LeaseWatch::new(row.version, sent_at));
-        watch.observe(row.version, sent_at);
-        let is_over = lease.state != LeaseState::Held;
-        let is_lapsed = !is_over && watch.is_lapsed(Duration::from_millis(lease.ttl_ms));
-        let last_incarnation =
-            if is_over || is_lapsed { lease.incarnation } else { lease.incarnation - 1 };
-        let lost: Vec<(TaskId, u32)> = self
-            .state
-            .placed_on(&instance)
-            .filter_map(|id| {
-                let task = self.state.task(id)?;
-                let placement = task.state.placement()?;
-                (placement.incarnation <= last_incarnation).then(|| (id.clone(), task.attempt))
-            })
-            .collect();
-        if lost.is_empty() {
-            return Ok(());
-        }
-        self.take_back(lost, &row, lease, is_lapsed).await
-    }
-
-    /// Commits that attempts are lost, together with the mark that their lease has lapsed.
-    async fn take_back(
-        &mut self,
-        lost: Vec<(TaskId, u32)>,
-        row: &Row,
-        lease: LeaseRow,
-        is_lapsed: bool,
-    ) -> Result<(), ShardLost> {
-        warn!(self.context.logger, "taking tasks back"; "instance" => &lease.instance,
-            "incarnation" => lease.incarnation, "count" => lost.len(), "lapsed" => is_lapsed);
-        let mut round = Round::default();
-        let conditions = vec![Condition { key: row.key.clone(), version: row.version }];
-        if is_lapsed {
-            let marked = LeaseRow { state: LeaseState::Lapsed, ..lease.clone() };
-            round.writes.push(Write::put(row.key.clone(), &marked));
-        }
-        round.conditions = conditions;
-        let reason = format!("lease {} of {} is over", lease.incarnation, lease.instance);
-        let decisions: Vec<Decision> = lost
-            .into_iter()
-            .map(|(task, attempt)| Decision::Released { task, attempt, reason: reason.clone() })
-            .collect();
-        let body = EntryBody::Decisions(decisions.clone());
-        let owner = Some(self.context.owner.clone());
-        let append = self.append(body, owner, round.conditions, round.writes);
-        match self.stream.append(&self.context.store, &self.context.clock, append).await {
-            Ok(Appended::Committed(_)) => {
-                for decision in &decisions {
-                    let applied = self.state.apply(decision);
-                    assert!(applied.is_ok(), "committed decision doesn't apply: {applied:?}");
-                }
-                Ok(())
-            }
-            // The holder renewed in time: its tasks stay where they are.
-            Ok(Appended::Conflict { .. }) => {
-                self.lease_watches.remove(&lease.instance);
-                Ok(())
-            }
-            Ok(Appended::HeadMoved) | Err(_) => Err(ShardLost),
-        }
-    }
-
     /// Writes a snapshot and moves a segment of the journal, when there is a whole one.
     async fn archive(&mut self) {
         let sequence = self.stream.head().sequence;
@@ -700,41 +412,9 @@
         let body =
             EntryBody::Ownership { owner: None, reason: "planned stop of the owner".to_owned() };
         let mut append = self.append(body, None, Vec::new(), Vec::new());
-        append.give_up_at = Some(self.context.clock.now() + ORDER_TIMEOUT);
+        append.give_up_at = Some(self.context.clock.now() + GIVE_UP_TIMEOUT);
         let appended = self.stream.append(&self.context.store, &self.context.clock, append).await;
         info!(self.context.logger, "shard given up"; "shard" => self.shard,
             "committed" => matches!(appended, Ok(Appended::Committed(_))));
     }
 }
-
-enum Orders {
-    Start(Vec<StartOrder>),
-    Stop(Vec<StopOrder>),
-}
-
-fn address_of(node: &NodeHandle, instance: &str) -> Option<SocketAddr> {
-    let members = node.members();
-    let member = members.iter().find(|member| member.instance == instance)?;
-    member.control_address.parse().ok()
-}
-
-async fn send_once(
-    clients: &ControlClients,
-    address: SocketAddr,
-    owner: &ShardOwner,
-    orders: &Orders,
-) -> Result<(), ErrorKind> {
-    let client = clients.client(address).await?;
-    let context = deadline(ORDER_TIMEOUT);
-    let answer = match orders {
-        Orders::Start(orders) => client.start_tasks(context, owner.clone(), orders.clone()).await,
-        Orders::Stop(orders) => client.stop_tasks(context, owner.clone(), orders.clone()).await,
-    };
-    match answer {
-        Ok(result) => result,
-        Err(_) => {
-            clients.forget(address);
-            Err(ErrorKind::AnswerLost)
-        }
-    }
-}
--- /dev/null
+++ b/crates/teaseltrack-agent/src/tasks/owner/leases.rs
@@ -0,0 +1,139 @@
+//! Taking attempts back from instances whose lease is over.
+
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
+
+use slog::warn;
+use teaseltrack::{
+    ids::InstanceId,
+    journal::EntryBody,
+    lease::{LeaseRow, LeaseState, LeaseWatch},
+    task::{Decision, TaskId},
+};
+use teaseltrack_platform::{
+    keys,
+    store::{Condition, Row, StoreError, Write},
+    stream::Appended,
+};
+
+use crate::tasks::owner::{OwnedShard, ShardLost};
+
+/// Leases that are read one by one; more are read by listing all.
+const MAX_SINGLE_READS: usize = 8;
+
+impl OwnedShard {
+    /// Takes back the attempts of instances whose lease has lapsed or begun anew.
+    pub(super) async fn check_leases(&mut self) -> Result<(), ShardLost> {
+        let members = self.context.node.members();
+        let present: BTreeSet<&str> =
+            members.iter().map(|member| member.instance.as_str()).collect();
+        let suspicious: Vec<InstanceId> = self
+            .state
+            .instances()
+            .filter(|instance| {
+                !present.contains(instance.as_str()) || self.has_new_incarnation(instance)
+            })
+            .cloned()
+            .collect();
+        self.lease_watches.retain(|instance, _| suspicious.contains(instance));
+        let sent_at = self.context.clock.now();
+        let Ok(rows) = self.read_leases(&suspicious).await else { return Ok(()) };
+        for row in rows {
+            self.check_lease(row, sent_at).await?;
+        }
+        Ok(())
+    }
+
+    /// Leases of the instances: a few are read one by one, many by listing all.
+    async fn read_leases(&self, instances: &[InstanceId]) -> Result<Vec<Row>, StoreError> {
+        let keys: BTreeSet<String> =
+            instances.iter().map(|instance| keys::lease(instance)).collect();
+        if keys.len() > MAX_SINGLE_READS {
+            let rows = self.context.store.list_all(keys::LEASES).await?;
+            return Ok(rows.into_iter().filter(|row| keys.contains(&row.key)).collect());
+        }
+        let mut rows = Vec::with_capacity(keys.len());
+        for key in keys {
+            rows.extend(self.context.store.read(&key).await?);
+        }
+        Ok(rows)
+    }
+
+    fn has_new_incarnation(&self, instance: &str) -> bool {
+        let Some(heard) = self.placer.incarnation(instance) else { return false };
+        self.state.placed_on(instance).any(|id| {
+            let placement = self.state.task(id).and_then(|task| task.state.placement());
+            placement.is_some_and(|placement| placement.incarnation < heard)
+        })
+    }
+
+    async fn check_lease(&mut self, row: Row, sent_at: Instant) -> Result<(), ShardLost> {
+        let Ok(lease) = row.parse::<LeaseRow>() else { return Ok(()) };
+        let instance = lease.instance.clone();
+        let watch = self
+            .lease_watches
+            .entry(instance.clone())
+            .or_insert_with(|| LeaseWatch::new(row.version, sent_at));
+        watch.observe(row.version, sent_at);
+        let is_over = lease.state != LeaseState::Held;
+        let is_lapsed = !is_over && watch.is_lapsed(Duration::from_millis(lease.ttl_ms));
+        let last_incarnation =
+            if is_over || is_lapsed { lease.incarnation } else { lease.incarnation - 1 };
+        let lost: Vec<(TaskId, u32)> = self
+            .state
+            .placed_on(&instance)
+            .filter_map(|id| {
+                let task = self.state.task(id)?;
+                let placement = task.state.placement()?;
+                (placement.incarnation <= last_incarnation).then(|| (id.clone(), task.attempt))
+            })
+            .collect();
+        if lost.is_empty() {
+            return Ok(());
+        }
+        self.take_back(lost, &row, lease, is_lapsed).await
+    }
+
+    /// Commits that attempts are lost, together with the mark that their lease has lapsed.
+    async fn take_back(
+        &mut self,
+        lost: Vec<(TaskId, u32)>,
+        row: &Row,
+        lease: LeaseRow,
+        is_lapsed: bool,
+    ) -> Result<(), ShardLost> {
+        warn!(self.context.logger, "taking tasks back"; "instance" => &lease.instance,
+            "incarnation" => lease.incarnation, "count" => lost.len(), "lapsed" => is_lapsed);
+        let conditions = vec![Condition { key: row.key.clone(), version: row.version }];
+        let mut writes = Vec::new();
+        if is_lapsed {
+            let marked = LeaseRow { state: LeaseState::Lapsed, ..lease.clone() };
+            writes.push(Write::put(row.key.clone(), &marked));
+        }
+        let reason = format!("lease {} of {} is over", lease.incarnation, lease.instance);
+        let decisions: Vec<Decision> = lost
+            .into_iter()
+            .map(|(task, attempt)| Decision::Released { task, attempt, reason: reason.clone() })
+            .collect();
+        let body = EntryBody::Decisions(decisions.clone());
+        let owner = Some(self.context.owner.clone());
+        let append = self.append(body, owner, conditions, writes);
+        match self.stream.append(&self.context.store, &self.context.clock, append).await {
+            Ok(Appended::Committed(_)) => {
+                for decision in &decisions {
+                    let applied = self.state.apply(decision);
+                    assert!(applied.is_ok(), "committed decision doesn't apply: {applied:?}");
+                }
+                Ok(())
+            }
+            // The holder renewed in time: its tasks stay where they are.
+            Ok(Appended::Conflict { .. }) => {
+                self.lease_watches.remove(&lease.instance);
+                Ok(())
+            }
+            Ok(Appended::HeadMoved) | Err(_) => Err(ShardLost),
+        }
+    }
+}
--- /dev/null
+++ b/crates/teaseltrack-agent/src/tasks/owner/places.rs
@@ -0,0 +1,116 @@
+//! Places for waiting tasks: asked for, made by eviction, or found to be impossible.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use slog::info;
+use teaseltrack::{
+    admission::Class,
+    placement::Resources,
+    task::{Decision, TaskId, TaskState},
+};
+use teaseltrack_wire::control::{StopCause, StopOrder};
+
+use crate::tasks::owner::{OwnedShard, Round};
+
+/// Ticks between looks at parked tasks.
+const PARKED_TICKS: u32 = 40;
+/// Wait between evictions for the sake of urgent tasks.
+const PREEMPTION_PERIOD: Duration = Duration::from_secs(1);
+
+impl OwnedShard {
+    pub(super) fn park_and_unpark(&mut self, round: &mut Round) {
+        let mut impossible: Vec<TaskId> = Vec::new();
+        let mut checked: BTreeMap<&str, bool> = BTreeMap::new();
+        for id in self.state.waiting() {
+            let Some(job) = self.state.jobs().get(&id.job) else { continue };
+            let is_possible = *checked
+                .entry(id.job.as_str())
+                .or_insert_with(|| self.placer.is_possible(&Resources::declared(&job.spec)));
+            if !is_possible {
+                impossible.push(id.clone());
+            }
+        }
+        for task in impossible {
+            let reason = "larger than the capacity of every known instance".to_owned();
+            self.decide(Decision::Parked { task, reason }, round);
+        }
+        if self.tick.is_multiple_of(PARKED_TICKS) {
+            for task in self.unparkable() {
+                let reason = "an instance could hold it now".to_owned();
+                self.decide(Decision::Unparked { task, reason }, round);
+            }
+        }
+    }
+
+    fn unparkable(&self) -> Vec<TaskId> {
+        let mut tasks = Vec::new();
+        for (name, job) in self.state.jobs() {
+            if !self.placer.is_possible(&Resources::declared(&job.spec)) {
+                continue;
+            }
+            for (index, task) in job.tasks.iter().enumerate() {
+                if task.state == TaskState::Parked {
+                    tasks.push(TaskId { job: name.clone(), index: index as u32 });
+                }
+            }
+        }
+        tasks
+    }
+
+    pub(super) async fn place(&mut self, round: &mut Round) {
+        let now = self.context.clock.now();
+        let placed = self.placer.place(&self.state, now).await;
+        for decision in placed.decisions {
+            self.decide(decision, round);
+        }
+        if let Some(task) = placed.without_room.first() {
+            self.preempt(task, now, round);
+        }
+    }
+
+    /// Evicts background attempts from one instance, so that an urgent task finds room there.
+    fn preempt(&mut self, urgent: &TaskId, now: Instant, round: &mut Round) {
+        let is_too_soon =
+            self.preempted_at.is_some_and(|at| now.duration_since(at) < PREEMPTION_PERIOD);
+        let Some(job) = self.state.jobs().get(&urgent.job) else { return };
+        if is_too_soon {
+            return;
+        }
+        let needed = Resources::declared(&job.spec);
+        let victims = self.state.instances().find_map(|instance| {
+            self.victims(instance, &needed).map(|orders| (instance.clone(), orders))
+        });
+        if let Some((instance, orders)) = victims {
+            info!(self.context.logger, "evicting for an urgent task"; "task" => %urgent,
+                "instance" => &instance, "count" => orders.len());
+            self.preempted_at = Some(now);
+            round.stops.entry(instance).or_default().extend(orders);
+        }
+    }
+
+    /// Background attempts on an instance that together hold what is needed.
+    fn victims(&self, instance: &str, needed: &Resources) -> Option<Vec<StopOrder>> {
+        let mut freed = Resources::default();
+        let mut orders = Vec::new();
+        for id in self.state.placed_on(instance) {
+            let (Some(job), Some(task)) = (self.state.jobs().get(&id.job), self.state.task(id))
+            else {
+                continue;
+            };
+            if Class::from_urgency(job.spec.urgency) == Class::Urgent {
+                continue;
+            }
+            freed = freed.plus(&Resources::declared(&job.spec));
+            let order =
+                StopOrder { task: id.clone(), attempt: task.attempt, cause: StopCause::Evict };
+            orders.push(order);
+            if freed.holds(needed) {
+                return Some(orders);
+            }
+        }
+        None
+    }
+}
--- a/crates/teaseltrack-daemon/src/lifecycle.rs
+++ b/crates/teaseltrack-daemon/src/lifecycle.rs
@@ -1,6 +1,9 @@
 //! From the command line to a running daemon and back.
 
-use std::{fmt::Display, future::Future, process::ExitCode};
+use std::{fmt::Display, future::Future, net::SocketAddr, process::ExitCode};
+
+use snafu::{ResultExt, Snafu};
+use tokio::net::TcpListener;
 
 use crate::{args::DaemonArgs, settings::SettingsError, shutdown::Shutdown};
 
@@ -11,6 +14,42 @@
 /// Exit code for a daemon that couldn't start.
 const EXIT_NOT_STARTED: u8 = 1;
 
+/// Why a daemon didn't start.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum StartError {
+    /// An address can't be bound.
+    #[snafu(display("{key}: {address} can't be bound: {source}"))]
+    Bind {
+        /// Key of the address in the settings.
+        key: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// Metrics can't be sent.
+    #[snafu(display("observation.metrics.statsd_address: {source}"))]
+    Metrics {
+        /// Cause.
+        source: std::io::Error,
+    },
+}
+
+/// Binds the address of a key in the settings; the address is the bound one, its port never 0.
+///
+/// # Errors
+///
+/// The address can't be bound.
+pub async fn bind(
+    key: &'static str,
+    address: SocketAddr,
+) -> Result<(TcpListener, SocketAddr), StartError> {
+    let listener = TcpListener::bind(address).await.context(BindSnafu { key, address })?;
+    let bound = listener.local_addr().context(BindSnafu { key, address })?;
+    Ok((listener, bound))
+}
+
 /// Checks the settings, and runs the daemon until it is asked to stop.
 ///
 /// `start` returns once the daemon serves; the future it returns ends with the planned stop.
--- a/crates/teaseltrack-daemon/src/settings.rs
+++ b/crates/teaseltrack-daemon/src/settings.rs
@@ -74,6 +74,14 @@
     pub reads_per_s: f64,
 }
 
+/// Settings of the health port.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct HealthSettings {
+    /// Address of liveness, readiness and status, `IP:port`.
+    pub address: SocketAddr,
+}
+
 /// Logs, metrics and traces.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/teaseltrack-entry/src/entry.rs
+++ b/crates/teaseltrack-entry/src/entry.rs
@@ -4,7 +4,7 @@
 
 use serde_json::json;
 use slog::info;
-use snafu::{ResultExt, Snafu};
+use snafu::ResultExt;
 use teaseltrack::{
     clock::{SharedClock, SystemClock, unix_ms},
     membership::Role,
@@ -12,6 +12,7 @@
 use teaseltrack_daemon::{
     health::{StatusReport, serve_health},
     http_server::serve,
+    lifecycle::{MetricsSnafu, StartError, bind},
     logs,
     metrics::Metrics,
     shutdown::Shutdown,
@@ -46,27 +47,6 @@
 /// Time for the seed row to be deleted in a planned stop.
 const SEED_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Why an entry didn't start.
-#[derive(Debug, Snafu)]
-pub enum StartError {
-    /// An address can't be bound.
-    #[snafu(display("{key}: {address} can't be bound: {source}"))]
-    Bind {
-        /// Key of the address in the settings.
-        key: &'static str,
-        /// The address.
-        address: SocketAddr,
-        /// Cause.
-        source: std::io::Error,
-    },
-    /// Metrics can't be sent.
-    #[snafu(display("observation.metrics.statsd_address: {source}"))]
-    Metrics {
-        /// Cause.
-        source: std::io::Error,
-    },
-}
-
 /// Addresses that an entry serves.
 #[derive(Clone, Copy, Debug)]
 pub struct EntryAddresses {
@@ -180,22 +160,18 @@
     }
 }
 
-async fn bind(key: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address).await.context(BindSnafu { key, address })
-}
-
 async fn bind_all(settings: &EntrySettings) -> Result<(Listeners, EntryAddresses), StartError> {
-    let listeners = Listeners {
-        callers: bind("callers.address", settings.callers.address).await?,
-        operators: bind("operators.address", settings.operators.address).await?,
-        control: bind("control.address", settings.control.address).await?,
-        health: bind("health.address", settings.health.address).await?,
-    };
+    let (callers, callers_address) = bind("callers.address", settings.callers.address).await?;
+    let (operators, operators_address) =
+        bind("operators.address", settings.operators.address).await?;
+    let (control, control_address) = bind("control.address", settings.control.address).await?;
+    let (health, health_address) = bind("health.address", settings.health.address).await?;
+    let listeners = Listeners { callers, operators, control, health };
     let addresses = EntryAddresses {
-        callers: listeners.callers.local_addr().unwrap_or(settings.callers.address),
-        operators: listeners.operators.local_addr().unwrap_or(settings.operators.address),
-        control: listeners.control.local_addr().unwrap_or(settings.control.address),
-        health: listeners.health.local_addr().unwrap_or(settings.health.address),
+        callers: callers_address,
+        operators: operators_address,
+        control: control_address,
+        health: health_address,
     };
     Ok((listeners, addresses))
 }
--- a/crates/teaseltrack-entry/src/options/config.rs
+++ b/crates/teaseltrack-entry/src/options/config.rs
@@ -4,8 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 use teaseltrack_daemon::settings::{
-    InstanceSettings, ObservationSettings, PlatformSettings, SettingsError, check_concrete,
-    check_positive,
+    HealthSettings, InstanceSettings, ObservationSettings, PlatformSettings, SettingsError,
+    check_concrete, check_positive,
 };
 use teaseltrack_node::settings::ControlSettings;
 
@@ -55,14 +55,6 @@
     pub address: SocketAddr,
 }
 
-/// Settings of the health port.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct HealthSettings {
-    /// Address of liveness, readiness and status, `IP:port`.
-    pub address: SocketAddr,
-}
-
 fn default_max_connections() -> usize {
     4_096
 }
--- a/crates/teaseltrack-lab/src/fleet.rs
+++ b/crates/teaseltrack-lab/src/fleet.rs
@@ -7,21 +7,16 @@
 use rand::RngExt;
 use teaseltrack_agent::{
     agent::Agent,
-    options::config::{
-        AgentSettings, HealthSettings as AgentHealthSettings, RequestSettings, TargetSettings,
-        TaskSettings,
-    },
+    options::config::{AgentSettings, RequestSettings, TargetSettings, TaskSettings},
 };
 use teaseltrack_daemon::{
     logs::{LogLevel, LogSettings},
-    settings::{InstanceSettings, ObservationSettings, PlatformSettings},
+    settings::{HealthSettings, InstanceSettings, ObservationSettings, PlatformSettings},
     shutdown::Shutdown,
 };
 use teaseltrack_entry::{
     entry::Entry,
-    options::config::{
-        CallerSettings, EntrySettings, HealthSettings as EntryHealthSettings, OperatorSettings,
-    },
+    options::config::{CallerSettings, EntrySettings, OperatorSettings},
 };
 use teaseltrack_node::settings::ControlSettings;
 use tokio::{task::JoinHandle, time::sleep};
@@ -244,7 +239,7 @@
             },
             operators: OperatorSettings { address: self.operator_address(index) },
             platform: self.platform_settings(),
-            health: EntryHealthSettings { address: self.entry_health_address(index) },
+            health: HealthSettings { address: self.entry_health_address(index) },
             observation: self.observation_settings(),
         }
     }
@@ -279,7 +274,7 @@
             },
             tasks: self.has_workers.then_some(tasks),
             platform: self.platform_settings(),
-            health: AgentHealthSettings { address: self.agent_health_address(index) },
+            health: HealthSettings { address: self.agent_health_address(index) },
             observation: self.observation_settings(),
         }
     }
