One thread for an agent

Cause: the agent's processor time goes to waking threads, and it is taken from the target beside it.

Change: the number of threads is the program's own; 1 for the agent, 2 for the entry as before.

--- a/crates/teaseltrack-agent/src/lib.rs
+++ b/crates/teaseltrack-agent/src/lib.rs
@@ -17,6 +17,9 @@
 
 use crate::{agent::Agent, options::config::AgentSettings};
 
+/// Threads of the process; waking up more of them costs more than they gain.
+const WORKER_THREADS: usize = 1;
+
 /// Runs the agent as the command line says.
 pub fn run_from_command_line() -> ExitCode {
     let about = "Owns an instance's capacity: admits requests for its target and runs its tasks";
@@ -24,7 +27,7 @@
     let args = DaemonArgs::from_matches(&matches);
     let settings = read_settings::<AgentSettings>(&args.settings)
         .and_then(|settings| settings.check().map(|()| settings));
-    run_daemon(&args, settings, |settings, shutdown| async move {
+    run_daemon(&args, WORKER_THREADS, settings, |settings, shutdown| async move {
         Agent::start(settings, shutdown).await.map(Agent::wait)
     })
 }
--- a/crates/teaseltrack-daemon/src/lifecycle.rs
+++ b/crates/teaseltrack-daemon/src/lifecycle.rs
@@ -7,8 +7,6 @@
 
 use crate::{args::DaemonArgs, settings::SettingsError, shutdown::Shutdown};
 
-/// Threads of a daemon; with more, waking them up costs more than they gain.
-const WORKER_THREADS: usize = 2;
 /// Exit code for bad settings.
 const EXIT_BAD_SETTINGS: u8 = 2;
 /// Exit code for a daemon that couldn't start.
@@ -55,6 +53,7 @@
 /// `start` returns once the daemon serves; the future it returns ends with the planned stop.
 pub fn run_daemon<S, F, E, W>(
     args: &DaemonArgs,
+    worker_threads: usize,
     settings: Result<S, SettingsError>,
     start: impl FnOnce(S, Shutdown) -> F,
 ) -> ExitCode
@@ -75,7 +74,7 @@
         return ExitCode::SUCCESS;
     }
     let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(WORKER_THREADS)
+        .worker_threads(worker_threads)
         .enable_all()
         .build();
     let Ok(runtime) = runtime else {
--- a/crates/teaseltrack-entry/src/lib.rs
+++ b/crates/teaseltrack-entry/src/lib.rs
@@ -15,6 +15,9 @@
 
 use crate::{entry::Entry, options::config::EntrySettings};
 
+/// Threads of the process; waking up more of them costs more than they gain.
+const WORKER_THREADS: usize = 2;
+
 /// Runs the entry as the command line says.
 pub fn run_from_command_line() -> ExitCode {
     let about = "Takes callers' requests and operators' commands";
@@ -22,7 +25,7 @@
     let args = DaemonArgs::from_matches(&matches);
     let settings = read_settings::<EntrySettings>(&args.settings)
         .and_then(|settings| settings.check().map(|()| settings));
-    run_daemon(&args, settings, |settings, shutdown| async move {
+    run_daemon(&args, WORKER_THREADS, settings, |settings, shutdown| async move {
         Entry::start(settings, shutdown).await.map(Entry::wait)
     })
 }
