An agent that knows nothing of its worker yet takes no orders

Cause, found by reading: an owner that gets no answer sends a start again. If the agent's process was replaced in between, the new one had no lease yet and reported the attempt as released, although the worker was running it; the owner would have started the next attempt elsewhere beside it. A stop order was dropped in the same way.

Change: start and stop orders are refused until the worker was seen under the lease in force, and the owner sends them again. An attempt that reports its start although its shard knows better is told to stop.

start_again_before_worker_was_seen failed before, passes now. All task tests pass.

--- a/crates/teaseltrack-agent/src/tasks/attempts.rs
+++ b/crates/teaseltrack-agent/src/tasks/attempts.rs
@@ -164,17 +164,11 @@
                 reply.send(Ok(self.reserve(&requests))).ok();
             }
             AttemptMessage::Start(owner, orders, reply) => {
-                for order in orders {
-                    self.start(order).await;
-                }
-                debug!(self.context.logger, "starts taken"; "shard" => owner.shard);
-                reply.send(Ok(())).ok();
+                debug!(self.context.logger, "starts ordered"; "shard" => owner.shard);
+                reply.send(self.start_all(orders).await).ok();
             }
             AttemptMessage::Stop(_, orders, reply) => {
-                for StopOrder { task, attempt, cause } in orders {
-                    self.stop(AttemptKey { task, attempt }, cause).await;
-                }
-                reply.send(Ok(())).ok();
+                reply.send(self.stop_all(orders).await).ok();
             }
             AttemptMessage::Acknowledged(keys) => {
                 for key in keys {
@@ -230,8 +224,34 @@
         }
     }
 
+    /// The incarnation whose attempts are all known here; an agent that has just started, or whose
+    /// lease has just changed, doesn't know yet what its worker runs and can tell nothing of attempts.
+    fn known_incarnation(&self) -> Result<Incarnation, ErrorKind> {
+        let held = self.lease().map(|lease| lease.incarnation);
+        self.incarnation.filter(|known| held == Some(*known)).ok_or(ErrorKind::Draining)
+    }
+
+    async fn start_all(&mut self, orders: Vec<StartOrder>) -> Result<(), ErrorKind> {
+        let known = self.known_incarnation()?;
+        if orders.iter().any(|order| order.incarnation > known) {
+            return Err(ErrorKind::Draining);
+        }
+        for order in orders {
+            self.start(order, known).await;
+        }
+        Ok(())
+    }
+
+    async fn stop_all(&mut self, orders: Vec<StopOrder>) -> Result<(), ErrorKind> {
+        self.known_incarnation()?;
+        for StopOrder { task, attempt, cause } in orders {
+            self.stop(AttemptKey { task, attempt }, cause).await;
+        }
+        Ok(())
+    }
+
     /// Starts a committed attempt once, or reports why it won't ever start here.
-    async fn start(&mut self, order: StartOrder) {
+    async fn start(&mut self, order: StartOrder, known: Incarnation) {
         let StartOrder { task, attempt, incarnation, spec, checkpoint } = order;
         let now = self.context.clock.now();
         let key = AttemptKey { task, attempt };
@@ -239,9 +259,8 @@
             return;
         }
         self.accepted.insert(key.task.clone(), (attempt, now));
-        let is_leased = self.lease().is_some_and(|lease| lease.incarnation == incarnation);
-        if !is_leased || self.incarnation != Some(incarnation) || self.is_draining {
-            self.release(&key, "the lease changed before the start").await;
+        if incarnation < known || self.is_draining {
+            self.release(&key, "the lease changed or the agent stops").await;
             return;
         }
         let resources = Resources::declared(&spec);
--- a/crates/teaseltrack-agent/src/tasks/owner.rs
+++ b/crates/teaseltrack-agent/src/tasks/owner.rs
@@ -242,6 +242,11 @@
                 && held.state.placement().is_some_and(|placement| placement.instance == instance)
         });
         if !is_current {
+            // An attempt that runs although the shard knows better isn't wanted there.
+            if event == AttemptEvent::Started {
+                let order = StopOrder { task, attempt, cause: StopCause::Cancel };
+                round.stops.entry(instance.to_owned()).or_default().push(order);
+            }
             return;
         }
         let now = self.context.clock.now();
