--- a/crates/teaseltrack-lab/src/experiments.rs
+++ b/crates/teaseltrack-lab/src/experiments.rs
@@ -1,5 +1,6 @@
 //! Experiments: each prints the metrics of one run.
 
+pub mod chaos;
 pub mod drain;
 pub mod flood;
 pub mod kill;
@@ -12,8 +13,8 @@
 use crate::{LabError, options::args::RunOptions, report::Report};
 
 /// Names of all experiments.
-pub const NAMES: [&str; 8] =
-    ["overhead", "flood", "slow-target", "kill", "drain", "slopes", "starts", "outage"];
+pub const NAMES: [&str; 9] =
+    ["overhead", "flood", "slow-target", "kill", "drain", "slopes", "starts", "outage", "chaos"];
 
 /// Runs an experiment and prints its report.
 ///
@@ -30,6 +31,7 @@
         "drain" => drain::run(options.seed, &mut report).await?,
         "starts" => starts::run(options.seed, &mut report).await?,
         "outage" => outage::run(options.seed, &mut report).await?,
+        "chaos" => chaos::run(options.seed, &mut report).await?,
         "slopes" => slopes::run(options.seed, &mut report).await?,
         name => return Err(format!("no experiment is called {name}").into()),
     }
