Entry: a chosen target's count ends with the value that carries it

Cause: as with the slot, a caller that left between the choice and its receipt left the target's in-flight hint one too high for good.

Change: the guard that ends the count is made by the dispatcher and travels with the choice. Request tests pass, 20 of 20; no test reaches the race itself.

--- a/crates/teaseltrack-entry/src/callers/dispatcher.rs
+++ b/crates/teaseltrack-entry/src/callers/dispatcher.rs
@@ -47,13 +47,26 @@
     Abandoned,
 }
 
+/// A target that is wanted.
+#[derive(Debug)]
+pub struct TargetRequest {
+    /// The service.
+    pub service: ServiceName,
+    /// Targets that were tried.
+    pub tried: Vec<TargetKey>,
+    /// Takes the end of the attempt.
+    pub ends: mpsc::Sender<DispatchMessage>,
+    /// Gets the target; the guard counts the attempt even if nobody waits for it any more.
+    pub reply: oneshot::Sender<Option<(ChosenTarget, AttemptGuard)>>,
+}
+
 /// A message to the task.
 #[derive(Debug)]
 pub enum DispatchMessage {
     /// A request of the team comes in; replies with the wait if its quota is used up.
     Admit(TeamName, Class, oneshot::Sender<Result<(), Duration>>),
     /// A target is wanted, none of those tried if another is left.
-    Choose(ServiceName, Vec<TargetKey>, oneshot::Sender<Option<ChosenTarget>>),
+    Choose(TargetRequest),
     /// An attempt ended.
     End(TargetKey, AttemptEnd),
     /// A failed attempt may be made again after the wait that is replied.
@@ -86,10 +99,9 @@
         tried: &[TargetKey],
     ) -> Option<(ChosenTarget, AttemptGuard)> {
         let (service, tried) = (service.to_owned(), tried.to_vec());
-        let chosen =
-            self.ask(|reply| DispatchMessage::Choose(service, tried, reply)).await.flatten()?;
-        let guard = AttemptGuard { key: Some(chosen.key), sender: self.sender.clone() };
-        Some((chosen, guard))
+        let ends = self.sender.clone();
+        let wanted = |reply| DispatchMessage::Choose(TargetRequest { service, tried, ends, reply });
+        self.ask(wanted).await.flatten()
     }
 }
 
@@ -183,10 +195,12 @@
             DispatchMessage::Admit(team, class, reply) => {
                 reply.send(self.admit(&team, class)).ok();
             }
-            DispatchMessage::Choose(service, tried, reply) => {
-                if let Err(Some(chosen)) = reply.send(self.choose(&service, &tried)) {
-                    self.end(chosen.key, AttemptEnd::Abandoned);
-                }
+            DispatchMessage::Choose(TargetRequest { service, tried, ends, reply }) => {
+                let chosen = self.choose(&service, &tried).map(|chosen| {
+                    let guard = AttemptGuard { key: Some(chosen.key), sender: ends };
+                    (chosen, guard)
+                });
+                reply.send(chosen).ok();
             }
             DispatchMessage::End(key, end) => self.end(key, end),
             DispatchMessage::Retry(class, failed, reply) => {
