--- a/crates/teaseltrack-agent/src/tasks/attempts.rs
+++ b/crates/teaseltrack-agent/src/tasks/attempts.rs
@@ -378,7 +378,10 @@
 
     /// Forgets everything of an incarnation that is over; the worker drops it with the next sync.
     fn drop_all(&mut self) {
-        warn!(self.context.logger, "lease changed, attempts dropped"; "count" => self.running.len());
+        if !self.running.is_empty() {
+            warn!(self.context.logger, "lease changed, attempts dropped";
+                "count" => self.running.len());
+        }
         for key in std::mem::take(&mut self.running) {
             self.ledger.free(&key.task, key.attempt);
         }
