--- a/crates/teaseltrack-lab/src/experiments/chaos.rs
+++ b/crates/teaseltrack-lab/src/experiments/chaos.rs
@@ -6,11 +6,13 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use teaseltrack_cli::verify::verify_streams;
+use teaseltrack_wire::operators::ExplainedDecision;
 use tokio::time::sleep;
 
 use crate::{
     LabError,
     fleet::{FleetPlan, wait_until},
+    ledger::TaskLedger,
     load::{Ending, LoadPlan, send_load},
     operator::{LabJob, Operator},
     platform::{Faults, Outage},
@@ -123,6 +125,7 @@
     for (name, count) in broken {
         report.count(name, count);
     }
+    trace_duplicated(&fleet, &tasks, &killed_workers, &operator).await;
     if !is_done {
         explain_unfinished(&operator, &jobs).await;
     }
@@ -158,6 +161,35 @@
     jobs
 }
 
+/// Prints all that happened to tasks that finished more than once.
+async fn trace_duplicated(
+    fleet: &ProcessFleet,
+    tasks: &TaskLedger,
+    killed_workers: &[(String, Instant)],
+    operator: &Operator,
+) {
+    let events = fleet.ledger.events();
+    let Some((start, _)) = events.first() else { return };
+    let seconds = |at: &Instant| at.saturating_duration_since(*start).as_secs_f64();
+    for (task, _) in tasks.done.iter().filter(|(_, count)| **count > 1) {
+        for (instance, at) in killed_workers {
+            eprintln!("{:8.3} worker of {instance} killed", seconds(at));
+        }
+        for (at, event) in events.iter().filter(|(_, event)| event.task() == Some(task.as_str())) {
+            eprintln!("{:8.3} {event:?}", seconds(at));
+        }
+        let job = task.split('/').next().unwrap_or_default();
+        let explained: Result<Vec<ExplainedDecision>, _> =
+            operator.client.query(&format!("/explain/{job}")).await;
+        for decision in explained.unwrap_or_default() {
+            let is_about = decision.decision.task().is_some_and(|id| id.to_string() == *task);
+            if is_about {
+                eprintln!("{} {} {:?}", decision.at_ms, decision.author, decision.decision);
+            }
+        }
+    }
+}
+
 /// Says which tasks aren't done, and where they are.
 async fn explain_unfinished(operator: &Operator, jobs: &[String]) {
     for name in jobs {
--- a/crates/teaseltrack-lab/src/ledger.rs
+++ b/crates/teaseltrack-lab/src/ledger.rs
@@ -62,6 +62,16 @@
     },
 }
 
+impl LedgerEvent {
+    /// The task that the event is about, if it is about one.
+    pub fn task(&self) -> Option<&str> {
+        match self {
+            Self::AttemptRunning { task, .. } | Self::AttemptHalted { task, .. } => Some(task),
+            Self::RequestStarted { .. } => None,
+        }
+    }
+}
+
 /// Where stand-ins tell what they do.
 pub type LedgerSender = Arc<dyn Fn(LedgerEvent) + Send + Sync>;
 
