Starts are repeated until their end is known; busy agents look at the shards

Owners now repeat the starts of all placed attempts every 10 s; an agent that knows an attempt ignores them. - Found by the test of the first: reports that came more often than once a second kept an agent from ever looking at the shards, since each message began the wait anew. The look has its own time now.

start_repeated_when_worker_never_heard_of_it failed with the first change alone and passes with both. A round that begins with a message no longer repeats the work of the tick before it.

--- a/crates/teaseltrack-agent/src/tasks/owner.rs
+++ b/crates/teaseltrack-agent/src/tasks/owner.rs
@@ -52,6 +52,8 @@
 const LOOK_AROUND_TICKS: u32 = 4;
 /// Ticks between looks at the shard's head.
 const HEAD_TICKS: u32 = 20;
+/// Ticks between repetitions of all starts whose end isn't known.
+const REPEAT_TICKS: u32 = 40;
 /// Messages taken into one round.
 const ROUND_MESSAGES: usize = 512;
 /// Attempts of a task that may fail before it is given up.
@@ -109,6 +111,8 @@
     stops: BTreeMap<InstanceId, Vec<StopOrder>>,
     replies: Vec<oneshot::Sender<Result<(), ErrorKind>>>,
     is_giving_up: bool,
+    /// Whether the round began with a tick, not with a message.
+    is_tick: bool,
 }
 
 struct ShardLost;
@@ -138,7 +142,7 @@
         info!(logger, "shard taken by another"; "shard" => shard);
         return;
     };
-    owned.resend_starts();
+    owned.repeat_starts();
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -148,7 +152,10 @@
                 Some(message) => owned.take_in(message, &mut round),
                 None => return,
             },
-            _ = ticks.tick() => owned.tick = owned.tick.wrapping_add(1),
+            _ = ticks.tick() => {
+                owned.tick = owned.tick.wrapping_add(1);
+                round.is_tick = true;
+            }
         }
         for _ in 0..ROUND_MESSAGES {
             let Ok(message) = receiver.try_recv() else { break };
@@ -279,8 +286,10 @@
     }
 
     async fn run_round(&mut self, mut round: Round) -> Result<(), ShardLost> {
+        let (is_tick, tick) = (round.is_tick, self.tick);
+        let is_due = |ticks: u32| is_tick && tick.is_multiple_of(ticks);
         self.take_in_inbox(&mut round).await;
-        if self.tick.is_multiple_of(LOOK_AROUND_TICKS) {
+        if is_due(LOOK_AROUND_TICKS) {
             self.placer.look_around().await;
         }
         self.park_and_unpark(&mut round);
@@ -288,18 +297,21 @@
             self.place(&mut round).await;
         }
         self.commit(round).await?;
-        if self.tick.is_multiple_of(LOOK_AROUND_TICKS) {
+        if is_due(LOOK_AROUND_TICKS) {
             self.check_leases().await?;
             self.archive().await;
         }
-        if self.tick.is_multiple_of(HEAD_TICKS) {
+        if is_due(HEAD_TICKS) {
             self.check_head().await?;
         }
+        if is_due(REPEAT_TICKS) {
+            self.repeat_starts();
+        }
         Ok(())
     }
 
     async fn take_in_inbox(&mut self, round: &mut Round) {
-        let is_due = self.is_inbox_due || self.tick.is_multiple_of(INBOX_TICKS);
+        let is_due = self.is_inbox_due || (round.is_tick && self.tick.is_multiple_of(INBOX_TICKS));
         if !is_due {
             return;
         }
--- a/crates/teaseltrack-agent/src/tasks/owner/orders.rs
+++ b/crates/teaseltrack-agent/src/tasks/owner/orders.rs
@@ -9,7 +9,7 @@
 use teaseltrack::{
     ids::InstanceId,
     outcome::ErrorKind,
-    task::{Decision, TaskId, TaskState},
+    task::{Decision, TaskId},
 };
 use teaseltrack_node::{
     clients::{ControlClients, deadline},
@@ -49,8 +49,11 @@
         }
     }
 
-    /// Sends again the starts that an earlier owner committed and may not have sent.
-    pub(super) fn resend_starts(&self) {
+    /// Sends the starts of all placed attempts again.
+    ///
+    /// An earlier owner may not have sent them, and an agent whose process was replaced may have taken
+    /// them without its worker ever hearing of them. An agent that knows an attempt ignores its start.
+    pub(super) fn repeat_starts(&self) {
         let instances: Vec<InstanceId> = self.state.instances().cloned().collect();
         for instance in instances {
             let orders: Vec<StartOrder> =
@@ -61,11 +64,11 @@
         }
     }
 
-    /// The order for a task that is assigned and not known to run.
+    /// The order for a task that is assigned or running.
     fn start_order(&self, id: &TaskId) -> Option<StartOrder> {
         let job = self.state.jobs().get(&id.job)?;
         let task = self.state.task(id)?;
-        let TaskState::Assigned(placement) = &task.state else { return None };
+        let placement = task.state.placement()?;
         Some(StartOrder {
             task: id.clone(),
             attempt: task.attempt,
--- a/crates/teaseltrack-agent/src/tasks/owner/places.rs
+++ b/crates/teaseltrack-agent/src/tasks/owner/places.rs
@@ -37,7 +37,7 @@
             let reason = "larger than the capacity of every known instance".to_owned();
             self.decide(Decision::Parked { task, reason }, round);
         }
-        if self.tick.is_multiple_of(PARKED_TICKS) {
+        if round.is_tick && self.tick.is_multiple_of(PARKED_TICKS) {
             for task in self.unparkable() {
                 let reason = "an instance could hold it now".to_owned();
                 self.decide(Decision::Unparked { task, reason }, round);
--- a/crates/teaseltrack-agent/src/tasks/shard_manager.rs
+++ b/crates/teaseltrack-agent/src/tasks/shard_manager.rs
@@ -26,7 +26,7 @@
 use teaseltrack_wire::control::ReportBatch;
 use tokio::{
     sync::{mpsc, oneshot},
-    time::sleep,
+    time::sleep_until,
 };
 use tokio_util::sync::CancellationToken;
 
@@ -97,9 +97,9 @@
 
     /// Runs until the agent stops.
     pub async fn run(mut self, mut receiver: mpsc::Receiver<ShardMessage>) {
-        let started_at = Instant::now();
+        // An agent that has just started knows too few others to tell who is preferred.
+        let mut look_at = Instant::now() + START_GRACE;
         loop {
-            let wait = PERIOD.mul_f64(rand::rng().random_range(0.8..1.2));
             tokio::select! {
                 message = receiver.recv() => match message {
                     Some(ShardMessage::Drain(reply)) => {
@@ -110,11 +110,8 @@
                     Some(message) => self.handle(message),
                     None => return,
                 },
-                // An agent that has just started knows too few others to tell who is preferred.
-                () = sleep(wait) => {
-                    if started_at.elapsed() < START_GRACE {
-                        continue;
-                    }
+                () = sleep_until(look_at.into()) => {
+                    look_at = Instant::now() + PERIOD.mul_f64(rand::rng().random_range(0.8..1.2));
                     if let Err(error) = self.look().await {
                         debug!(self.logger, "no look at the shards"; "error" => %error);
                     }
--- a/crates/teaseltrack-lab/tests/tasks.rs
+++ b/crates/teaseltrack-lab/tests/tasks.rs
@@ -193,3 +193,24 @@
     .await;
     assert!(is_parked);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn start_repeated_when_worker_never_heard_of_it() {
+    let plan =
+        FleetPlan { agents: 1, has_workers: true, lease_ttl_ms: 60_000, ..FleetPlan::default() };
+    let mut fleet = start_processes(plan).await;
+    let operator = Operator::new(fleet.plan.operator_address(0), "test");
+    operator.submit_job("first", short_job(1, 50)).await.unwrap();
+    wait_done(&operator, "first").await;
+
+    // The agent takes the start, its worker doesn't answer, and the agent's process is replaced.
+    fleet.workers[0].signal(Signal::SIGSTOP);
+    operator.submit_job("second", short_job(1, 50)).await.unwrap();
+    wait_running(&operator, "second").await;
+    sleep(Duration::from_millis(2_500)).await;
+    fleet.agents[0].kill();
+    fleet.workers[0].signal(Signal::SIGCONT);
+    fleet.agents[0] = fleet.spawn_agent(0).unwrap();
+    wait_done(&operator, "second").await;
+    assert_once(&fleet.ledger.tasks(&[]), 2);
+}
