The users' platform: jobs of dependent stages, a cell's owner, agents and entries behind platform/

Cause: the product had no jobs of stages and no way onto the users' platform. Change: a pure cell (teaseltrack::cell), the processes around it (teaseltrack-cell), and an adapter that only translates (platform/). The store port learns versions and changes.

--- /dev/null
+++ b/crates/teaseltrack-cell/src/configuration.rs
@@ -0,0 +1,106 @@
+//! The configuration in force, followed through the store.
+
+use std::{sync::Arc, time::Duration};
+
+use slog::{Logger, info, warn};
+use teaseltrack_platform::store::{Store, StoreError};
+use tokio::{sync::watch, time::sleep};
+
+use crate::constants::{FEED_WAIT, RETRY_PAUSE};
+
+/// Where a configuration lies and how it is read.
+pub struct ConfigurationSource<T> {
+    /// Table that is followed.
+    pub table: String,
+    /// Key of the row.
+    pub key: String,
+    /// Reads the row's text; the error says why it can't be read.
+    pub decode: Arc<dyn Fn(&str) -> Result<T, String> + Send + Sync>,
+    /// Version of a configuration.
+    pub version: fn(&T) -> u64,
+}
+
+impl<T> Clone for ConfigurationSource<T> {
+    fn clone(&self) -> Self {
+        Self {
+            table: self.table.clone(),
+            key: self.key.clone(),
+            decode: self.decode.clone(),
+            version: self.version,
+        }
+    }
+}
+
+/// Follows the configuration and hands on each newer version; an older one is never taken.
+pub async fn follow_configuration<T>(
+    store: Store,
+    source: ConfigurationSource<T>,
+    sender: watch::Sender<Option<Arc<T>>>,
+    logger: Logger,
+) {
+    let mut after: Option<u64> = None;
+    loop {
+        match next_change(&store, &source, after, &sender, &logger).await {
+            Ok(version) => after = version,
+            Err(error) => {
+                warn!(logger, "configuration can't be followed"; "error" => %error);
+                sleep(RETRY_PAUSE * 2).await;
+            }
+        }
+    }
+}
+
+/// Reads the row, or waits for its next change; returns the version to go on from.
+async fn next_change<T>(
+    store: &Store,
+    source: &ConfigurationSource<T>,
+    after: Option<u64>,
+    sender: &watch::Sender<Option<Arc<T>>>,
+    logger: &Logger,
+) -> Result<Option<u64>, StoreError> {
+    let Some(after) = after else {
+        let version = store.version(&source.table).await?;
+        if let Some(row) = store.read(&source.key).await? {
+            apply(source, &row.value, sender, logger);
+        }
+        return Ok(Some(version));
+    };
+    let page = store.changes(&source.table, after, FEED_WAIT).await?;
+    if page.is_history_lost {
+        info!(logger, "history of the configuration was dropped; reading it anew");
+        return Ok(None);
+    }
+    for change in page.changes.iter().filter(|change| change.key == source.key) {
+        if let Some(value) = &change.value {
+            apply(source, value, sender, logger);
+        }
+    }
+    if page.version <= after && page.changes.is_empty() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    Ok(Some(page.version.max(after)))
+}
+
+fn apply<T>(
+    source: &ConfigurationSource<T>,
+    text: &str,
+    sender: &watch::Sender<Option<Arc<T>>>,
+    logger: &Logger,
+) {
+    let configuration = match (source.decode)(text) {
+        Ok(configuration) => configuration,
+        Err(error) => {
+            warn!(logger, "configuration can't be read"; "error" => error);
+            return;
+        }
+    };
+    let version = (source.version)(&configuration);
+    sender.send_if_modified(|current| {
+        if current.as_ref().is_some_and(|known| (source.version)(known) >= version) {
+            return false;
+        }
+        info!(logger, "configuration in force"; "version" => version);
+        *current = Some(Arc::new(configuration));
+        true
+    });
+}
--- /dev/null
+++ b/crates/teaseltrack-cell/src/constants.rs
@@ -0,0 +1,94 @@
+//! Bounds of a cell that no deployment sets.
+
+use std::time::Duration;
+
+use teaseltrack::cell::{
+    CellSettings, ownership::OwnershipSettings, pacing::PacingSettings, planning::PlanningSettings,
+};
+
+/// Longest lease granted to a worker, unless the platform's own bound is shorter: a takeover and a
+/// restart of the agent fit in, with the time that an outage leaves the owner to grant.
+pub const MAX_LEASE: Duration = Duration::from_millis(5_000);
+/// Drift of workers' clocks that leases allow for; the platform promises 2%.
+const CLOCK_DRIFT: f64 = 0.02;
+/// Margin on every wait for a lease's end: one stop of a worker's tasks.
+const LEASE_MARGIN: Duration = Duration::from_millis(300);
+/// Silence of an agent after which its worker gets no new tasks: two of its reports.
+const AGENT_SILENCE: Duration = Duration::from_millis(1_200);
+/// Pause of placement on a worker that refused a start.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(500);
+
+/// Time between commits of an owner that has nothing else to commit.
+pub const RENEWAL_INTERVAL: Duration = Duration::from_millis(400);
+/// Rows of one commit; the platform takes 100 entries.
+pub const MAX_COMMIT_ROWS: usize = 90;
+/// Owner's look at leases and due work.
+pub const OWNER_TICK: Duration = Duration::from_millis(100);
+/// Time after which an owner that can't commit asks to be replaced.
+pub const STORE_LOST_AFTER: Duration = Duration::from_millis(900);
+/// Silence of the owner after which an agent looks at the owner's row: a parked report and a
+/// message's way.
+pub const OWNER_SUSPECT_AFTER: Duration = Duration::from_millis(900);
+/// Time between two looks of a candidate at the owner's row.
+pub const CANDIDATE_INTERVAL: Duration = Duration::from_millis(250);
+/// Step between the delays of candidates: one transaction with its answer.
+pub const CANDIDATE_STEP: Duration = Duration::from_millis(60);
+/// Number of different delays.
+pub const CANDIDATE_STEPS: u64 = 8;
+
+/// Time for which an owner parks a report that it has no news for.
+pub const REPORT_WAIT: Duration = Duration::from_millis(400);
+/// Time between full reports of an agent.
+pub const FULL_REPORT_INTERVAL: Duration = Duration::from_millis(400);
+/// Time beyond the wait within which a call between processes must be answered.
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time to connect to another process.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time for which a worker holds a listing back while nothing ends.
+pub const HOLD_WAIT: Duration = Duration::from_millis(500);
+/// Pause after a call that failed: short against every bound, long against a call's cost.
+pub const RETRY_PAUSE: Duration = Duration::from_millis(60);
+/// Time within which a worker's answer to a start or stop is awaited.
+pub const WORKER_CALL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after a worker took the stop of a run that may not exist, until its absence is believed.
+pub const VOID_AFTER: Duration = Duration::from_millis(700);
+/// Longest wait for changes in one call to the store; a connection that has gone silent is noticed
+/// within it and a call's timeout, which must leave time to put a configuration in force.
+pub const FEED_WAIT: Duration = Duration::from_millis(1_200);
+
+/// Bounds of ownership: an owner's commits may each take several renewals on a slow store.
+pub const OWNERSHIP: OwnershipSettings = OwnershipSettings {
+    silence: Duration::from_millis(1_500),
+    grant_period: Duration::from_millis(4_000),
+};
+
+/// Answers to tails: act at nine tenths of a target, pause within half of the platform's bound.
+pub const PACING: PacingSettings = PacingSettings {
+    slow_at: 0.85,
+    quicken_below: 0.6,
+    slow_factor: 0.5,
+    quicken_step: 15,
+    least_percent: 12,
+    settle: Duration::from_millis(600),
+    pause_after: Duration::from_millis(1_800),
+};
+
+/// Shares of a worker; a serving task uses about half of what it declares.
+const PLANNING: PlanningSettings = PlanningSettings {
+    batch_reserve: 0.06,
+    serving_load: 0.55,
+    best_effort_floor: 0.5,
+    hopeless_factor: 3.0,
+};
+
+/// An owner's settings under the platform's bound on leases.
+pub fn cell_settings(max_lease: Duration) -> CellSettings {
+    CellSettings {
+        lease: MAX_LEASE.min(max_lease),
+        clock_drift: CLOCK_DRIFT,
+        lease_margin: LEASE_MARGIN,
+        agent_silence: AGENT_SILENCE,
+        refusal_pause: REFUSAL_PAUSE,
+        planning: PLANNING,
+    }
+}
--- /dev/null
+++ b/crates/teaseltrack-cell/src/entry.rs
@@ -0,0 +1,271 @@
+//! What an entry does with callers' jobs.
+//!
+//! A job is accepted once its row is stored, and cancelled once the row of its cancellation is.
+//! States come from the owner; while there is none, from what is stored.
+
+use std::time::{Duration, Instant};
+
+use slog::{Logger, info, warn};
+use teaseltrack::{
+    cell::{
+        job::{InvalidJob, JobId, JobSpec, Queue, QueueName},
+        ownership::OwnerRecord,
+        progress::{JobProgress, JobState},
+    },
+    clock::SharedClock,
+};
+use teaseltrack_platform::store::{
+    CommitAnswer, Condition, Store, StoreError, Transaction, Write,
+};
+use teaseltrack_wire::cell::JobLookup;
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout_at},
+};
+
+use crate::{
+    calls::{CellClient, KnownOwner},
+    constants::{FEED_WAIT, RETRY_PAUSE},
+    rows::{
+        OWNER_KEY, OWNERS_TABLE, Submission, cancellation_key, progress_key, submission_key,
+    },
+};
+
+/// Outcome of a submission.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SubmitOutcome {
+    /// It is stored.
+    Accepted,
+    /// It can't be accepted, whoever asks.
+    Invalid(InvalidJob),
+    /// It isn't stored and won't be.
+    Refused,
+    /// It may be stored.
+    Unknown,
+}
+
+/// Outcome of a cancellation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CancelOutcome {
+    /// It is stored.
+    Cancelled,
+    /// There is no such job.
+    NoSuchJob,
+    /// It may be stored.
+    Unknown,
+}
+
+/// Outcome of a question.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lookup<T> {
+    /// The answer.
+    Found(T),
+    /// There is no such thing.
+    Absent,
+    /// Nobody could be asked in time.
+    Unavailable,
+}
+
+/// Takes callers' jobs; cheap to clone.
+#[derive(Clone)]
+pub struct JobDesk {
+    /// The store.
+    pub store: Store,
+    /// The clock.
+    pub clock: SharedClock,
+    /// Calls to the owner.
+    pub client: CellClient,
+    /// Who owns the cell.
+    pub known_owner: watch::Receiver<KnownOwner>,
+    /// Where decisions are told.
+    pub logger: Logger,
+}
+
+impl JobDesk {
+    /// Stores a job; the same identifier again is the same job.
+    pub async fn submit(
+        &self,
+        job: &JobId,
+        spec: JobSpec,
+        queue: &Queue,
+        deadline: Instant,
+    ) -> SubmitOutcome {
+        if let Err(error) = spec.validate() {
+            return SubmitOutcome::Invalid(error);
+        }
+        let key = submission_key(job);
+        let transaction = Transaction {
+            id: job.clone(),
+            conditions: vec![Condition { key: key.clone(), version: 0 }],
+            writes: vec![Write::put(key, &Submission { spec, queue: queue.clone() })],
+        };
+        let mut may_be_stored = false;
+        let storing = async {
+            loop {
+                match self.store.commit(transaction.clone()).await {
+                    Ok(CommitAnswer::Committed { .. } | CommitAnswer::Conflict { .. }) => return,
+                    Err(error) => {
+                        may_be_stored |= !matches!(error, StoreError::Refused { .. });
+                        sleep(RETRY_PAUSE).await;
+                    }
+                }
+            }
+        };
+        let outcome = match timeout_at(deadline.into(), storing).await {
+            Ok(()) => SubmitOutcome::Accepted,
+            Err(_) if may_be_stored => SubmitOutcome::Unknown,
+            Err(_) => SubmitOutcome::Refused,
+        };
+        info!(self.logger, "job submitted"; "request_id" => job, "queue" => &queue.name,
+            "outcome" => ?outcome);
+        outcome
+    }
+
+    /// Stores the cancellation of a job.
+    pub async fn cancel(&self, job: &JobId, deadline: Instant) -> CancelOutcome {
+        let cancelling = async {
+            loop {
+                match self.try_cancel(job).await {
+                    Ok(outcome) => return outcome,
+                    Err(error) => {
+                        warn!(self.logger, "cancellation not stored yet"; "request_id" => job,
+                            "error" => %error);
+                        sleep(RETRY_PAUSE).await;
+                    }
+                }
+            }
+        };
+        let outcome =
+            timeout_at(deadline.into(), cancelling).await.unwrap_or(CancelOutcome::Unknown);
+        info!(self.logger, "job cancelled"; "request_id" => job, "outcome" => ?outcome);
+        outcome
+    }
+
+    async fn try_cancel(&self, job: &JobId) -> Result<CancelOutcome, StoreError> {
+        let key = submission_key(job);
+        let Some(row) = self.store.read(&key).await? else { return Ok(CancelOutcome::NoSuchJob) };
+        let cancellation = cancellation_key(job);
+        let transaction = Transaction {
+            id: cancellation.clone(),
+            conditions: vec![
+                Condition { key, version: row.version },
+                Condition { key: cancellation.clone(), version: 0 },
+            ],
+            writes: vec![Write::put(cancellation, &true)],
+        };
+        self.store.commit(transaction).await?;
+        Ok(CancelOutcome::Cancelled)
+    }
+
+    /// State of a job.
+    pub async fn state(&self, job: &JobId, deadline: Instant) -> Lookup<JobState> {
+        let looking = async {
+            loop {
+                if let Some(state) = self.state_from_owner(job).await {
+                    return Lookup::Found(state);
+                }
+                match self.state_from_store(job).await {
+                    Ok(Some(state)) => return Lookup::Found(state),
+                    Ok(None) => return Lookup::Absent,
+                    Err(error) => {
+                        warn!(self.logger, "state can't be read"; "request_id" => job,
+                            "error" => %error);
+                        sleep(RETRY_PAUSE).await;
+                    }
+                }
+            }
+        };
+        timeout_at(deadline.into(), looking).await.unwrap_or(Lookup::Unavailable)
+    }
+
+    /// Jobs of a queue of which no task has started.
+    pub async fn pending_count(&self, queue: &QueueName, deadline: Instant) -> Lookup<u64> {
+        let counting = async {
+            loop {
+                let owner = self.known_owner.borrow().address;
+                if let Some(address) = owner
+                    && let Some(count) = self.client.pending_count(address, queue.clone()).await
+                {
+                    return Lookup::Found(count);
+                }
+                sleep(RETRY_PAUSE).await;
+            }
+        };
+        timeout_at(deadline.into(), counting).await.unwrap_or(Lookup::Unavailable)
+    }
+
+    async fn state_from_owner(&self, job: &JobId) -> Option<JobState> {
+        let address = self.known_owner.borrow().address?;
+        match self.client.job_state(address, job.clone()).await? {
+            JobLookup::State(state) => Some(state),
+            JobLookup::NotOwner | JobLookup::Unknown => None,
+        }
+    }
+
+    /// The stored state; a job whose owner hasn't written anything is queued.
+    async fn state_from_store(&self, job: &JobId) -> Result<Option<JobState>, StoreError> {
+        if self.store.read(&submission_key(job)).await?.is_none() {
+            return Ok(None);
+        }
+        if self.store.read(&cancellation_key(job)).await?.is_some() {
+            return Ok(Some(JobState::Cancelled));
+        }
+        let Some(row) = self.store.read(&progress_key(job)).await? else {
+            return Ok(Some(JobState::Queued));
+        };
+        let progress: JobProgress = row.parse()?;
+        Ok(Some(progress.state))
+    }
+}
+
+/// Follows who owns the cell.
+pub async fn follow_owner(store: Store, sender: watch::Sender<KnownOwner>, logger: Logger) {
+    let mut after: Option<u64> = None;
+    loop {
+        match next_owner(&store, after, &sender).await {
+            Ok(version) => after = version,
+            Err(error) => {
+                warn!(logger, "owner can't be followed"; "error" => %error);
+                sleep(RETRY_PAUSE * 2).await;
+            }
+        }
+    }
+}
+
+async fn next_owner(
+    store: &Store,
+    after: Option<u64>,
+    sender: &watch::Sender<KnownOwner>,
+) -> Result<Option<u64>, StoreError> {
+    let Some(after) = after else {
+        let version = store.version(OWNERS_TABLE).await?;
+        if let Some(row) = store.read(OWNER_KEY).await? {
+            tell_owner(&row.parse()?, sender);
+        }
+        return Ok(Some(version));
+    };
+    let page = store.changes(OWNERS_TABLE, after, FEED_WAIT).await?;
+    if page.is_history_lost {
+        return Ok(None);
+    }
+    for value in page.changes.iter().filter_map(|change| change.value.as_ref()) {
+        if let Ok(record) = serde_json::from_str::<OwnerRecord>(value) {
+            tell_owner(&record, sender);
+        }
+    }
+    if page.version <= after && page.changes.is_empty() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    Ok(Some(page.version.max(after)))
+}
+
+fn tell_owner(record: &OwnerRecord, sender: &watch::Sender<KnownOwner>) {
+    let address = record.address.parse().ok();
+    sender.send_if_modified(|known| {
+        let is_newer = record.epoch > known.epoch;
+        if is_newer {
+            *known = KnownOwner { epoch: record.epoch, address };
+        }
+        is_newer
+    });
+}
--- a/crates/teaseltrack-daemon/src/lifecycle.rs
+++ b/crates/teaseltrack-daemon/src/lifecycle.rs
@@ -50,7 +50,7 @@
 
 /// Checks the settings, and runs the daemon until it is asked to stop.
 ///
-/// `start` returns once the daemon serves; the future it returns ends with the planned stop.
+/// With 0 worker threads everything runs on the calling thread. `start` returns once the daemon serves; the future it returns ends with the planned stop.
 pub fn run_daemon<S, F, E, W>(
     args: &DaemonArgs,
     worker_threads: usize,
@@ -73,10 +73,13 @@
         println!("{}: good", args.settings.display());
         return ExitCode::SUCCESS;
     }
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(worker_threads)
-        .enable_all()
-        .build();
+    let runtime = match worker_threads {
+        0 => tokio::runtime::Builder::new_current_thread().enable_all().build(),
+        count => tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(count)
+            .enable_all()
+            .build(),
+    };
     let Ok(runtime) = runtime else {
         eprintln!("the runtime can't start");
         return ExitCode::from(EXIT_NOT_STARTED);
--- a/crates/teaseltrack-daemon/src/logs.rs
+++ b/crates/teaseltrack-daemon/src/logs.rs
@@ -42,7 +42,7 @@
     pub level: LogLevel,
 }
 
-/// A logger that writes to standard error.
+/// A logger that writes JSON lines to standard output, or lines for people to standard error.
 pub fn logger(settings: LogSettings, program: &'static str, instance: &str) -> Logger {
     let level = match settings.level {
         LogLevel::Error => Level::Error,
@@ -58,7 +58,7 @@
             Logger::root(buffered(LevelFilter::new(drain, level)), fields)
         }
         LogFormat::Json => {
-            let drain = slog_json::Json::default(std::io::stderr()).ignore_res();
+            let drain = slog_json::Json::default(std::io::stdout()).ignore_res();
             Logger::root(buffered(LevelFilter::new(drain, level)), fields)
         }
     }
--- a/crates/teaseltrack-lab/src/platform.rs
+++ b/crates/teaseltrack-lab/src/platform.rs
@@ -201,6 +201,7 @@
         | StoreCall::PutObject { key, .. }
         | StoreCall::GetObject { key } => key.as_str(),
         StoreCall::List { prefix, .. } => prefix.as_str(),
+        StoreCall::Version { table } | StoreCall::Changes { table, .. } => table.as_str(),
         StoreCall::Commit(transaction) => {
             transaction.writes.first().map_or("", |write| write.key.as_str())
         }
--- a/crates/teaseltrack-lab/src/platform/table.rs
+++ b/crates/teaseltrack-lab/src/platform/table.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use teaseltrack_platform::store::{CommitAnswer, Row, StoreCall, StoreReply, Transaction};
+use teaseltrack_platform::store::{
+    ChangePage, CommitAnswer, Row, RowChange, StoreCall, StoreReply, Transaction,
+};
 
 #[derive(Clone, Debug)]
 struct Stored {
@@ -26,6 +28,10 @@
             StoreCall::List { prefix, after, limit } => {
                 StoreReply::Rows(self.list(&prefix, &after, limit))
             }
+            StoreCall::Version { .. } => StoreReply::Version(self.version),
+            StoreCall::Changes { table, after, .. } => {
+                StoreReply::Changes(self.changes(&table, after))
+            }
             StoreCall::Commit(transaction) => StoreReply::Commit(self.commit(transaction)),
             StoreCall::PutObject { key, value } => {
                 self.objects.insert(key, value);
@@ -51,6 +57,19 @@
             .collect()
     }
 
+    /// Changes of rows that still exist; deletions aren't kept.
+    fn changes(&self, table: &str, after: u64) -> ChangePage {
+        let prefix = format!("{table}/");
+        let mut changes: Vec<RowChange> = self
+            .list(&prefix, "", usize::MAX)
+            .into_iter()
+            .filter(|row| row.version > after)
+            .map(|row| RowChange { key: row.key, version: row.version, value: Some(row.value) })
+            .collect();
+        changes.sort_by_key(|change| change.version);
+        ChangePage { changes, version: self.version, is_history_lost: false }
+    }
+
     fn commit(&mut self, transaction: Transaction) -> CommitAnswer {
         for condition in &transaction.conditions {
             let version = self.rows.get(&condition.key).map_or(0, |stored| stored.version);
--- a/crates/teaseltrack-platform/src/store.rs
+++ b/crates/teaseltrack-platform/src/store.rs
@@ -33,6 +33,12 @@
         /// Cause.
         message: String,
     },
+    /// The store turned the call away and did nothing.
+    #[snafu(display("store refused the call: {message}"))]
+    Refused {
+        /// Cause.
+        message: String,
+    },
     /// A row or object can't be read.
     #[snafu(display("{key}: {source}"))]
     Unreadable {
@@ -65,6 +71,28 @@
     }
 }
 
+/// A row that was written or deleted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RowChange {
+    /// Its key.
+    pub key: String,
+    /// Version of the change.
+    pub version: u64,
+    /// Its value as JSON text; `None` if it was deleted.
+    pub value: Option<String>,
+}
+
+/// Changes after a version, in their order.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangePage {
+    /// The changes.
+    pub changes: Vec<RowChange>,
+    /// Version to go on from.
+    pub version: u64,
+    /// Whether the history asked for is no longer kept; the rows must be listed anew.
+    pub is_history_lost: bool,
+}
+
 /// Requires a row to have a version.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Condition {
@@ -140,6 +168,20 @@
         /// Most rows.
         limit: usize,
     },
+    /// Tells the newest version of a table.
+    Version {
+        /// First part of the table's keys.
+        table: String,
+    },
+    /// Waits for changes of a table.
+    Changes {
+        /// First part of the table's keys.
+        table: String,
+        /// Version after which changes are wanted.
+        after: u64,
+        /// Longest wait for the first change, in milliseconds.
+        wait_ms: u64,
+    },
     /// Commits a transaction.
     Commit(Transaction),
     /// Stores an object.
@@ -169,6 +211,10 @@
 pub enum StoreReply {
     /// Rows, at most one for a read.
     Rows(Vec<Row>),
+    /// Newest version.
+    Version(u64),
+    /// Changes.
+    Changes(ChangePage),
     /// Answer to a transaction.
     Commit(CommitAnswer),
     /// The object is stored.
@@ -300,6 +346,40 @@
         }
     }
 
+    /// Newest version of a table.
+    ///
+    /// # Errors
+    ///
+    /// No answer in time.
+    pub async fn version(&self, table: &str) -> Result<u64, StoreError> {
+        match self.call(StoreCall::Version { table: table.to_owned() }).await? {
+            StoreReply::Version(version) => Ok(version),
+            _ => UnavailableSnafu { message: "unexpected answer to a version read" }.fail(),
+        }
+    }
+
+    /// Changes of a table after a version; waits at most `wait` for the first.
+    ///
+    /// # Errors
+    ///
+    /// No answer in time.
+    pub async fn changes(
+        &self,
+        table: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<ChangePage, StoreError> {
+        let call = StoreCall::Changes {
+            table: table.to_owned(),
+            after,
+            wait_ms: wait.as_millis() as u64,
+        };
+        match self.call(call).await? {
+            StoreReply::Changes(page) => Ok(page),
+            _ => UnavailableSnafu { message: "unexpected answer to a wait for changes" }.fail(),
+        }
+    }
+
     /// Commits a transaction.
     ///
     /// # Errors
--- a/crates/teaseltrack-wire/src/lib.rs
+++ b/crates/teaseltrack-wire/src/lib.rs
@@ -1,8 +1,10 @@
 //! Protocols between the processes of teaseltrack.
 //!
 //! [`request_path`] is tonic's: it carries callers' requests from an entry to an agent, with streamed
-//! answers. [`control`] is tarpc's: membership, configuration and tasks. [`operators`] is HTTP/JSON.
+//! answers. [`cell`] is tarpc's: reports and orders of a cell. [`control`] is tarpc's: membership,
+//! configuration and tasks. [`operators`] is HTTP/JSON.
 
+pub mod cell;
 pub mod control;
 pub mod headers;
 pub mod operators;
--- /dev/null
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -0,0 +1,332 @@
+//! Which waiting task goes where, and in which order.
+//!
+//! Tasks that hold processors come first, by their queue's priority and by the time left until
+//! their job is late; then tasks that last, which leave a reserve free; then best-effort tasks, on
+//! workers whose processors aren't spoken for yet.
+
+use std::time::{Duration, Instant};
+
+use crate::{
+    cell::{
+        Cell, CellEvent, JobKey, Occurrence, Run, Task, WorkerKey,
+        job::Stage,
+        progress::{JobState, TaskPhase},
+        worker::{TaskKey, Worker, held},
+    },
+    ids::AttemptNumber,
+};
+
+/// How planning shares workers.
+#[derive(Clone, Copy, Debug)]
+pub struct PlanningSettings {
+    /// Share of a worker's processors that long-running tasks leave to batch tasks.
+    pub batch_reserve: f64,
+    /// Share of their declared processors that long-running tasks are taken to use.
+    pub serving_load: f64,
+    /// Share of its declared processors that must be unclaimed before a best-effort task starts.
+    pub best_effort_floor: f64,
+    /// Factor on a job's objective after which it is served last.
+    pub hopeless_factor: f64,
+}
+
+/// Order of kinds of task; lower goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Kind {
+    Batch,
+    Serving,
+    BestEffort,
+}
+
+impl Kind {
+    fn of(stage: &Stage) -> Self {
+        if stage.is_long_running {
+            Self::Serving
+        } else if stage.is_best_effort {
+            Self::BestEffort
+        } else {
+            Self::Batch
+        }
+    }
+}
+
+/// How far a job is past its objective; lower goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Lateness {
+    InTime,
+    Late,
+    Hopeless,
+}
+
+/// A stage with waiting tasks.
+#[derive(Clone, Debug)]
+struct Candidate {
+    rank: (Kind, Lateness, u32, Instant),
+    stage: TaskKey,
+    waiting: Vec<u32>,
+}
+
+impl Cell {
+    /// Assigns waiting tasks; the starts go out after the next commit.
+    pub fn plan(&mut self, unix_now_ms: u64, now: Instant) {
+        self.needs_plan = false;
+        self.begin_due_occurrences(unix_now_ms);
+        self.leave_draining_workers();
+        let workers = self.open_workers(now);
+        if workers.is_empty() {
+            return;
+        }
+        let mut candidates = self.candidates(now);
+        candidates.sort_by_key(|candidate| candidate.rank);
+        for candidate in candidates {
+            self.place_stage(&candidate, &workers);
+        }
+    }
+
+    fn begin_due_occurrences(&mut self, unix_now_ms: u64) {
+        for key in self.active.clone() {
+            let job = &self.jobs[key];
+            if job.state.is_final() {
+                continue;
+            }
+            let begun = job.occurrences.len() as u64;
+            let due = match job.spec.schedule {
+                None => 1,
+                Some(schedule) if unix_now_ms < schedule.first_unix_ms => 0,
+                Some(schedule) => {
+                    let passed_ms = unix_now_ms - schedule.first_unix_ms;
+                    let due = passed_ms / schedule.interval_ms.max(1) + 1;
+                    due.min(u64::from(schedule.occurrence_count))
+                }
+            };
+            for _ in begun..due {
+                self.begin_occurrence(key);
+            }
+        }
+    }
+
+    fn begin_occurrence(&mut self, key: JobKey) {
+        let job = &mut self.jobs[key];
+        let stages = job
+            .spec
+            .stages
+            .iter()
+            .map(|stage| vec![Task::default(); stage.task_count as usize])
+            .collect();
+        job.occurrences.push(Occurrence { stages });
+    }
+
+    /// Stops tasks that last on workers that are about to leave.
+    fn leave_draining_workers(&mut self) {
+        let leaving: Vec<TaskKey> = self
+            .workers
+            .values()
+            .filter(|worker| worker.status.as_ref().is_some_and(|status| status.is_draining))
+            .flat_map(|worker| worker.tasks.iter().copied())
+            .filter(|task| self.stage(*task).is_long_running)
+            .collect();
+        for task in leaving {
+            self.stop_run(task);
+        }
+    }
+
+    fn open_workers(&self, now: Instant) -> Vec<WorkerKey> {
+        let is_open = |worker: &Worker| {
+            worker.is_confirmed
+                && worker.is_reachable
+                && worker.status.as_ref().is_some_and(|status| !status.is_draining)
+                && now.duration_since(worker.last_heard) < self.settings.agent_silence
+                && worker.refused_until.is_none_or(|until| until <= now)
+        };
+        self.workers.iter().filter(|(_, worker)| is_open(worker)).map(|(key, _)| key).collect()
+    }
+
+    fn candidates(&self, now: Instant) -> Vec<Candidate> {
+        let mut candidates = Vec::new();
+        for &key in &self.active {
+            let Some(job) = self.jobs.get(key).filter(|job| !job.state.is_final()) else {
+                continue;
+            };
+            for (occurrence, state) in job.occurrences.iter().enumerate() {
+                for (number, stage) in job.spec.stages.iter().enumerate() {
+                    let tasks = &state.stages[number];
+                    if !is_ready(state, stage) {
+                        continue;
+                    }
+                    let waiting: Vec<u32> = (0..tasks.len() as u32)
+                        .filter(|index| tasks[*index as usize].is_waiting())
+                        .collect();
+                    if waiting.is_empty() || (stage.is_gang && waiting.len() < tasks.len()) {
+                        continue;
+                    }
+                    let stage_key = TaskKey {
+                        job: key,
+                        occurrence: occurrence as u32,
+                        stage: number as u32,
+                        index: 0,
+                    };
+                    let rank = self.rank(key, stage, now);
+                    candidates.push(Candidate { rank, stage: stage_key, waiting });
+                }
+            }
+        }
+        candidates
+    }
+
+    fn rank(&self, key: JobKey, stage: &Stage, now: Instant) -> (Kind, Lateness, u32, Instant) {
+        let job = &self.jobs[key];
+        let chain_ms = job.queue.stretch.max(1.0) * job.spec.chain_estimate_ms() as f64;
+        let objective = Duration::from_millis(chain_ms as u64 + job.queue.objective_ms);
+        let deadline = job.accepted_at + objective;
+        let hopeless =
+            job.accepted_at + objective.mul_f64(self.settings.planning.hopeless_factor);
+        let lateness = if stage.is_long_running || now <= deadline {
+            Lateness::InTime
+        } else if now <= hopeless {
+            Lateness::Late
+        } else {
+            Lateness::Hopeless
+        };
+        (Kind::of(stage), lateness, job.queue.priority, deadline)
+    }
+
+    fn place_stage(&mut self, candidate: &Candidate, workers: &[WorkerKey]) {
+        let stage = self.stage(candidate.stage).clone();
+        let attempt = self.next_gang_attempt(candidate, &stage);
+        let mut placed = Vec::new();
+        for &index in &candidate.waiting {
+            let key = TaskKey { index, ..candidate.stage };
+            let Some(worker) = self.choose_worker(key, &stage, workers) else { break };
+            self.assign(key, &stage, worker, attempt);
+            placed.push(key);
+        }
+        if stage.is_gang && placed.len() < candidate.waiting.len() {
+            for key in placed {
+                self.withdraw(key);
+            }
+            return;
+        }
+        for key in placed {
+            self.announce(key);
+        }
+    }
+
+    /// One number for all members of a gang; `None` where each task counts for itself.
+    fn next_gang_attempt(&self, candidate: &Candidate, stage: &Stage) -> Option<AttemptNumber> {
+        if !stage.is_gang {
+            return None;
+        }
+        let members = &self.jobs[candidate.stage.job].occurrences
+            [candidate.stage.occurrence as usize]
+            .stages[candidate.stage.stage as usize];
+        let last = members.iter().map(|task| task.progress.attempt).max().unwrap_or(0);
+        Some(self.attempt_after(last))
+    }
+
+    fn attempt_after(&self, last: AttemptNumber) -> AttemptNumber {
+        let base = (self.epoch.saturating_sub(1) as u32).saturating_mul(super::ATTEMPTS_PER_EPOCH);
+        last.max(base) + 1
+    }
+
+    fn choose_worker(
+        &self,
+        key: TaskKey,
+        stage: &Stage,
+        workers: &[WorkerKey],
+    ) -> Option<WorkerKey> {
+        let service = &self.jobs[key.job].queue.service;
+        workers
+            .iter()
+            .filter_map(|&candidate| {
+                let worker = &self.workers[candidate];
+                let score = self.score(worker, service, key, stage)?;
+                Some((candidate, score))
+            })
+            .max_by_key(|(_, score)| *score)
+            .map(|(worker, _)| worker)
+    }
+
+    /// How well a task would go on a worker; `None` if it can't go there.
+    fn score(&self, worker: &Worker, service: &str, key: TaskKey, stage: &Stage) -> Option<i64> {
+        let settings = &self.settings.planning;
+        let status = worker.status.as_ref().filter(|status| status.service == service)?;
+        let room = worker.room();
+        if !room.holds(&held(stage)) {
+            return None;
+        }
+        if stage.required_label.as_ref().is_some_and(|label| !status.labels.contains(label)) {
+            return None;
+        }
+        if stage.max_per_worker.is_some_and(|most| worker.count_of_stage(key) >= most) {
+            return None;
+        }
+        let capacity_milli = status.capacity.cpu_milli as i64;
+        let task_milli = stage.resources.cpu_milli as i64;
+        let left_milli = match Kind::of(stage) {
+            Kind::Batch => room.cpu_milli as i64 - task_milli,
+            Kind::Serving => {
+                let left_milli = room.cpu_milli as i64 - task_milli;
+                let reserve_milli = (capacity_milli as f64 * settings.batch_reserve) as i64;
+                (left_milli >= reserve_milli).then_some(left_milli)?
+            }
+            Kind::BestEffort => {
+                let serving = worker.demand.serving_milli as f64 * settings.serving_load;
+                let spare_milli = capacity_milli
+                    - worker.demand.batch_milli as i64
+                    - serving as i64
+                    - worker.demand.best_effort_milli as i64;
+                let floor_milli = (task_milli as f64 * settings.best_effort_floor) as i64;
+                (spare_milli >= floor_milli).then_some(spare_milli)?
+            }
+        };
+        let is_near = stage.data_rack.as_ref().is_some_and(|rack| status.labels.contains(rack));
+        Some(if is_near { left_milli + capacity_milli } else { left_milli })
+    }
+
+    fn assign(
+        &mut self,
+        key: TaskKey,
+        stage: &Stage,
+        worker: WorkerKey,
+        attempt: Option<AttemptNumber>,
+    ) {
+        let held_by = &mut self.workers[worker];
+        held_by.hold(key, stage);
+        let run = Run::new(worker, held_by.session);
+        let last = self.task(key).map_or(0, |task| task.progress.attempt);
+        let attempt = attempt.unwrap_or_else(|| self.attempt_after(last));
+        if let Some(task) = self.task_mut(key) {
+            task.run = Some(run);
+            task.progress.attempt = attempt;
+        }
+    }
+
+    fn withdraw(&mut self, key: TaskKey) {
+        self.free_run(key);
+    }
+
+    /// Marks an assignment for the next commit.
+    fn announce(&mut self, key: TaskKey) {
+        let Some(name) = self.name_of(key) else { return };
+        let Some(task) = self.task(key) else { return };
+        let attempt = task.progress.attempt;
+        let Some(worker) = task.run.as_ref().map(|run| run.worker) else { return };
+        self.events.push(CellEvent::Assigned {
+            task: name,
+            attempt,
+            worker: self.workers[worker].life.clone(),
+        });
+        let job = &mut self.jobs[key.job];
+        job.held_starts.push((worker, key));
+        job.is_dirty = true;
+        if job.state == JobState::Queued {
+            job.state = JobState::Active;
+        }
+    }
+}
+
+fn is_ready(occurrence: &Occurrence, stage: &Stage) -> bool {
+    let is_done = |earlier: &usize| {
+        occurrence.stages[*earlier].iter().all(|task| task.progress.phase == TaskPhase::Done)
+    };
+    stage.after.iter().all(is_done)
+}
--- a/crates/teaseltrack/src/lib.rs
+++ b/crates/teaseltrack/src/lib.rs
@@ -6,9 +6,11 @@
 //!
 //! - Requests: [`admission`], [`concurrency_limit`], [`routing`], [`retry`], [`quota`], [`outcome`].
 //! - Membership and configuration: [`membership`], [`record`], [`configuration`].
+//! - Jobs of dependent stages: [`cell`].
 //! - Tasks: [`task`], [`shard`], [`placement`], [`lease`], [`journal`].
 
 pub mod admission;
+pub mod cell;
 pub mod clock;
 pub mod concurrency_limit;
 pub mod configuration;
