--- a/crates/teaseltrack-cell/src/entry.rs
+++ b/crates/teaseltrack-cell/src/entry.rs
@@ -99,21 +99,22 @@
             conditions: vec![Condition { key: key.clone(), version: 0 }],
             writes: vec![Write::put(key, &Submission { spec, queue: queue.clone() })],
         };
-        let mut may_be_stored = false;
+        // Unanswered calls, the one under way included.
+        let mut open_calls = 0_u32;
         let storing = async {
             loop {
+                open_calls += 1;
                 match self.store.commit(transaction.clone()).await {
                     Ok(CommitAnswer::Committed { .. } | CommitAnswer::Conflict { .. }) => return,
-                    Err(error) => {
-                        may_be_stored |= !matches!(error, StoreError::Refused { .. });
-                        sleep(RETRY_PAUSE).await;
-                    }
+                    Err(StoreError::Refused { .. }) => open_calls -= 1,
+                    Err(_) => {}
                 }
+                sleep(RETRY_PAUSE).await;
             }
         };
         let outcome = match timeout_at(deadline.into(), storing).await {
             Ok(()) => SubmitOutcome::Accepted,
-            Err(_) if may_be_stored => SubmitOutcome::Unknown,
+            Err(_) if open_calls > 0 => SubmitOutcome::Unknown,
             Err(_) => SubmitOutcome::Refused,
         };
         info!(self.logger, "job submitted"; "request_id" => job, "queue" => &queue.name,
