--- a/crates/teaseltrack-cell/src/agent.rs
+++ b/crates/teaseltrack-cell/src/agent.rs
@@ -407,7 +407,14 @@
         let void = self.voiding.settle(&self.running, &self.ended, sent_at);
         self.needs_report |= !void.is_empty();
         self.refused.extend(void);
-        for change in self.pacer.observe(&self.running, now) {
+        let percent = self.pacer.percent();
+        let changes = self.pacer.observe(&self.running, now);
+        if self.pacer.percent() != percent {
+            info!(self.context.logger, "pace changed"; "worker" => &self.life,
+                "percent" => self.pacer.percent(), "earlier_percent" => percent,
+                "tail_to_target" => self.pacer.pressure(), "tasks" => changes.len());
+        }
+        for change in changes {
             self.send_pace(change);
         }
     }
--- a/crates/teaseltrack-cell/src/constants.rs
+++ b/crates/teaseltrack-cell/src/constants.rs
@@ -76,6 +76,7 @@
 /// Shares of a worker; a serving task uses about half of what it declares.
 const PLANNING: PlanningSettings = PlanningSettings {
     batch_reserve: 0.06,
+    reserve_wait: Duration::from_millis(1_000),
     serving_load: 0.55,
     best_effort_floor: 0.5,
     hopeless_factor: 3.0,
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -92,6 +92,7 @@
 pub struct Task {
     progress: TaskProgress,
     run: Option<Run>,
+    waiting_since: Option<Instant>,
 }
 
 impl Task {
@@ -501,7 +502,7 @@
                         }
                         TaskPhase::Waiting | TaskPhase::Done => None,
                     };
-                    restored_tasks.push(Task { progress, run });
+                    restored_tasks.push(Task { progress, run, waiting_since: None });
                 }
                 restored.stages.push(restored_tasks);
             }
@@ -570,9 +571,6 @@
         if worker.session != 0 && worker.agent_started_unix_ms == agent_started_unix_ms {
             return reported == worker.session;
         }
-        if worker.session != 0 && agent_started_unix_ms < worker.agent_started_unix_ms {
-            return false;
-        }
         self.session_count += 1;
         let session = self.epoch * SESSIONS_PER_EPOCH + self.session_count;
         let worker = &mut self.workers[key];
@@ -810,6 +808,7 @@
         let stage = &job.spec.stages[key.stage as usize];
         let task = &mut job.occurrences[key.occurrence as usize].stages[key.stage as usize]
             [key.index as usize];
+        task.waiting_since = None;
         if let Some(run) = task.run.take()
             && let Some(worker) = self.workers.get_mut(run.worker)
         {
@@ -942,6 +941,7 @@
         }
         let traits = SharingTraits {
             task: name.clone(),
+            image: stage.image.clone(),
             is_best_effort: stage.is_best_effort,
             target_tail_ms: stage.target_tail_ms,
         };
--- a/crates/teaseltrack/src/cell/pacing.rs
+++ b/crates/teaseltrack/src/cell/pacing.rs
@@ -53,6 +53,7 @@
     traits: HashMap<TaskName, SharingTraits>,
     set: HashMap<TaskName, (AttemptNumber, u32)>,
     percent: u32,
+    pressure: f64,
     changed_at: Option<Instant>,
     over_since: Option<Instant>,
 }
@@ -65,6 +66,7 @@
             traits: HashMap::new(),
             set: HashMap::new(),
             percent: FULL_PERCENT,
+            pressure: 0.0,
             changed_at: None,
             over_since: None,
         }
@@ -80,11 +82,16 @@
         self.percent
     }
 
+    /// Tail latency of the worst-off serving task as a share of its target, as last seen.
+    pub fn pressure(&self) -> f64 {
+        self.pressure
+    }
+
     /// Takes in what the worker runs; returns the paces to set.
     pub fn observe(&mut self, running: &[RunningTask], now: Instant) -> Vec<PaceChange> {
         self.forget_ended(running);
-        let pressure = self.highest_pressure(running);
-        self.adapt(pressure, now);
+        self.pressure = self.highest_pressure(running);
+        self.adapt(self.pressure, now);
         let mut changes = Vec::new();
         for run in running {
             if !self.traits.get(&run.task).is_some_and(|traits| traits.is_best_effort) {
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -21,6 +21,8 @@
 pub struct PlanningSettings {
     /// Share of a worker's processors that long-running tasks leave to batch tasks.
     pub batch_reserve: f64,
+    /// Wait after which a long-running task takes the reserve as well.
+    pub reserve_wait: Duration,
     /// Share of their declared processors that long-running tasks are taken to use.
     pub serving_load: f64,
     /// Share of its declared processors that must be unclaimed before a best-effort task starts.
@@ -78,7 +80,7 @@
         let mut candidates = self.candidates(now);
         candidates.sort_by_key(|candidate| candidate.rank);
         for candidate in candidates {
-            self.place_stage(&candidate, &workers);
+            self.place_stage(&candidate, &workers, now);
         }
     }
 
@@ -189,13 +191,15 @@
         (Kind::of(stage), lateness, job.queue.priority, deadline)
     }
 
-    fn place_stage(&mut self, candidate: &Candidate, workers: &[WorkerKey]) {
+    fn place_stage(&mut self, candidate: &Candidate, workers: &[WorkerKey], now: Instant) {
         let stage = self.stage(candidate.stage).clone();
         let attempt = self.next_gang_attempt(candidate, &stage);
         let mut placed = Vec::new();
         for &index in &candidate.waiting {
             let key = TaskKey { index, ..candidate.stage };
-            let Some(worker) = self.choose_worker(key, &stage, workers) else { break };
+            let reserve = self.reserve_before(key, now);
+            let chosen = self.choose_worker(key, &stage, workers, reserve);
+            let Some(worker) = chosen else { continue };
             self.assign(key, &stage, worker, attempt);
             placed.push(key);
         }
@@ -210,6 +214,15 @@
         }
     }
 
+    /// Share of a worker that a task must leave free, by how long it has waited.
+    fn reserve_before(&mut self, key: TaskKey, now: Instant) -> f64 {
+        let settings = self.settings.planning;
+        let Some(task) = self.task_mut(key) else { return settings.batch_reserve };
+        let waiting_since = *task.waiting_since.get_or_insert(now);
+        let has_waited = now.duration_since(waiting_since) >= settings.reserve_wait;
+        if has_waited { 0.0 } else { settings.batch_reserve }
+    }
+
     /// One number for all members of a gang; `None` where each task counts for itself.
     fn next_gang_attempt(&self, candidate: &Candidate, stage: &Stage) -> Option<AttemptNumber> {
         if !stage.is_gang {
@@ -232,13 +245,14 @@
         key: TaskKey,
         stage: &Stage,
         workers: &[WorkerKey],
+        reserve: f64,
     ) -> Option<WorkerKey> {
         let service = &self.jobs[key.job].queue.service;
         workers
             .iter()
             .filter_map(|&candidate| {
                 let worker = &self.workers[candidate];
-                let score = self.score(worker, service, key, stage)?;
+                let score = self.score(worker, service, (key, stage), reserve)?;
                 Some((candidate, score))
             })
             .max_by_key(|(_, score)| *score)
@@ -246,7 +260,13 @@
     }
 
     /// How well a task would go on a worker; `None` if it can't go there.
-    fn score(&self, worker: &Worker, service: &str, key: TaskKey, stage: &Stage) -> Option<i64> {
+    fn score(
+        &self,
+        worker: &Worker,
+        service: &str,
+        (key, stage): (TaskKey, &Stage),
+        reserve: f64,
+    ) -> Option<i64> {
         let settings = &self.settings.planning;
         let status = worker.status.as_ref().filter(|status| status.service == service)?;
         let room = worker.room();
@@ -265,7 +285,7 @@
             Kind::Batch => room.cpu_milli as i64 - task_milli,
             Kind::Serving => {
                 let left_milli = room.cpu_milli as i64 - task_milli;
-                let reserve_milli = (capacity_milli as f64 * settings.batch_reserve) as i64;
+                let reserve_milli = (capacity_milli as f64 * reserve) as i64;
                 (left_milli >= reserve_milli).then_some(left_milli)?
             }
             Kind::BestEffort => {
--- a/crates/teaseltrack/src/cell/protocol.rs
+++ b/crates/teaseltrack/src/cell/protocol.rs
@@ -179,6 +179,8 @@
 pub struct SharingTraits {
     /// The task.
     pub task: TaskName,
+    /// What it runs; tasks of one image behave alike.
+    pub image: Option<String>,
     /// Whether it takes only what others leave.
     pub is_best_effort: bool,
     /// Tail latency below which it must stay.
