Only images known to disturb are paced

Change: the owner fits the logarithm of tails by image over all workers and tells the agents the pairs; an agent slows those, and all images only while a tail stays over its target.

--- a/crates/teaseltrack-cell/src/agent.rs
+++ b/crates/teaseltrack-cell/src/agent.rs
@@ -12,6 +12,7 @@
 use slog::{Logger, info, warn};
 use teaseltrack::{
     cell::{
+        interference::DisturbingPairs,
         pacing::{PaceChange, Pacer},
         progress::WorkerLife,
         protocol::{
@@ -313,6 +314,7 @@
         self.has_listing = false;
         self.refused.clear();
         self.voiding = Voiding::default();
+        self.pacer.learn_pairs(DisturbingPairs::default());
         self.is_holding = false;
         self.hold_number += 1;
         self.hold_at = self.context.clock.now();
@@ -439,6 +441,7 @@
             refused: if is_full { self.refused.clone() } else { Vec::new() },
             taken_order: self.taken_order,
             forgot_until: self.forget_until,
+            pairs_version: self.pacer.pairs_version(),
             wait_ms: if is_full { 0 } else { REPORT_WAIT.as_millis() as u64 },
         }
     }
@@ -486,6 +489,11 @@
         if answer.session != self.session || answer.session == 0 {
             return;
         }
+        if let Some(pairs) = answer.pairs {
+            info!(self.context.logger, "disturbing pairs learned"; "version" => pairs.version,
+                "pairs" => pairs.pairs.len());
+            self.pacer.learn_pairs(pairs);
+        }
         self.lease_until_ms = self.lease_until_ms.max(answer.lease_until_ms);
         if answer.forget_until > self.forget_until {
             self.forget_until = answer.forget_until;
--- a/crates/teaseltrack-cell/src/constants.rs
+++ b/crates/teaseltrack-cell/src/constants.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use teaseltrack::cell::{
-    CellSettings, ownership::OwnershipSettings, pacing::PacingSettings, planning::PlanningSettings,
+    CellSettings, interference::InterferenceSettings, ownership::OwnershipSettings, pacing::PacingSettings, planning::PlanningSettings,
 };
 
 /// Longest lease granted to a worker, unless the platform's own bound is shorter: a takeover and a
@@ -62,7 +62,7 @@
     grant_period: Duration::from_millis(4_000),
 };
 
-/// Answers to tails: act at nine tenths of a target, pause within half of the platform's bound.
+/// Answers to tails: act before the target is passed, pause within half of the platform's bound.
 pub const PACING: PacingSettings = PacingSettings {
     slow_at: 0.85,
     quicken_below: 0.6,
@@ -70,7 +70,7 @@
     quicken_step: 15,
     least_percent: 12,
     settle: Duration::from_millis(600),
-    pause_after: Duration::from_millis(1_800),
+    pause_after: Duration::from_millis(1_300),
 };
 
 /// Shares of a worker; a serving task uses about half of what it declares.
@@ -79,9 +79,20 @@
     reserve_wait: Duration::from_millis(1_000),
     serving_load: 0.55,
     best_effort_floor: 0.5,
+    disturbing_share: 0.35,
     hopeless_factor: 3.0,
 };
 
+/// Disturbance shifts within tens of seconds, and reports of a worker overlap in the half second
+/// that a tail is averaged over.
+const INTERFERENCE: InterferenceSettings = InterferenceSettings {
+    half_life_s: 10.0,
+    ridge: 0.05,
+    least_effect: 1.5,
+    least_significance: 2.5,
+    correlation: 4.0,
+};
+
 /// An owner's settings under the platform's bound on leases.
 pub fn cell_settings(max_lease: Duration) -> CellSettings {
     CellSettings {
@@ -91,5 +102,6 @@
         agent_silence: AGENT_SILENCE,
         refusal_pause: REFUSAL_PAUSE,
         planning: PLANNING,
+        interference: INTERFERENCE,
     }
 }
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -19,6 +19,7 @@
 
 use crate::{
     cell::{
+        interference::{Interference, InterferenceSettings},
         job::{JobId, JobSpec, Queue, QueueConfiguration, Stage},
         progress::{JobProgress, JobState, OccurrenceProgress, TaskPhase, TaskProgress, WorkerLife},
         protocol::{
@@ -30,6 +31,7 @@
     ids::{AttemptNumber, Epoch, InstanceId},
 };
 
+pub mod interference;
 pub mod job;
 pub mod ownership;
 pub mod pacing;
@@ -49,6 +51,8 @@
 const ATTEMPTS_PER_EPOCH: u32 = 1_000;
 /// Sessions that an epoch may number.
 const SESSIONS_PER_EPOCH: u64 = 1 << 20;
+/// Time between two fits of what disturbs what; tails are reported about as often.
+const SETTLE_INTERVAL: Duration = Duration::from_millis(500);
 /// Orders in one answer; keeps an answer within one message.
 const MAX_ORDERS_PER_ANSWER: usize = 64;
 
@@ -67,6 +71,8 @@
     pub refusal_pause: Duration,
     /// How planning shares workers.
     pub planning: planning::PlanningSettings,
+    /// How disturbing images are told from noise.
+    pub interference: InterferenceSettings,
 }
 
 impl CellSettings {
@@ -221,6 +227,8 @@
     needs_plan: bool,
     events: Vec<CellEvent>,
     foreign_leases_end: Instant,
+    interference: Interference,
+    settled_at: Option<Instant>,
 }
 
 impl Cell {
@@ -235,6 +243,8 @@
     ) -> Self {
         Self {
             foreign_leases_end: foreign_grants_end + settings.slowest_lease(),
+            interference: Interference::new(settings.interference),
+            settled_at: None,
             settings,
             epoch,
             session_count: 0,
@@ -369,8 +379,14 @@
             self.take_refusal(key, &refused, now);
         }
         if let Some(listing) = report.listing {
+            if let Some(running) = &listing.running {
+                self.observe_sharing(key, running);
+            }
             self.take_listing(key, listing);
         }
+        if report.pairs_version != self.interference.pairs().version {
+            answer.pairs = Some(self.interference.pairs().clone());
+        }
         self.grant(key, report.worker_clock_ms, may_grant, now, &mut answer);
         let worker = &self.workers[key];
         answer.session = worker.session;
@@ -414,6 +430,32 @@
         for key in lapsed {
             self.end_life(key, "lease ran out");
         }
+        let settled_at = *self.settled_at.get_or_insert(now);
+        if now.duration_since(settled_at) >= SETTLE_INTERVAL {
+            self.interference.settle(now.duration_since(settled_at).as_secs_f64());
+            self.settled_at = Some(now);
+        }
+    }
+
+    /// Learns from the tails of serving tasks beside what best-effort tasks use.
+    fn observe_sharing(&mut self, key: WorkerKey, running: &[RunningTask]) {
+        let Some(status) = self.workers[key].status.as_ref() else { return };
+        let capacity_milli = status.capacity.cpu_milli.max(1) as f64;
+        let mut usage = BTreeMap::new();
+        let mut tails = Vec::new();
+        for run in running {
+            let Some(task) = self.key_of(&run.task) else { continue };
+            let stage = self.stage(task);
+            let image = stage.image.clone().unwrap_or_default();
+            if stage.is_best_effort {
+                *usage.entry(image).or_insert(0.0) += run.gauge as f64 / capacity_milli;
+            } else if let Some(target_ms) = stage.target_tail_ms {
+                tails.push((image, run.gauge as f64 / target_ms.max(1) as f64));
+            }
+        }
+        for (image, tail) in tails {
+            self.interference.observe(&image, tail, &usage);
+        }
     }
 
     /// Progress to commit next, at most `max_rows`; `None` if there is nothing to commit or a
--- a/crates/teaseltrack/src/cell/pacing.rs
+++ b/crates/teaseltrack/src/cell/pacing.rs
@@ -1,7 +1,9 @@
 //! Pacing of best-effort tasks beside tasks that serve.
 //!
-//! An agent sees the tail latency of serving tasks twice a second and slows the best-effort tasks
-//! of its worker before a tail has been over its target for long. It needs nobody's word for that.
+//! An agent sees the tail latency of serving tasks twice a second. It slows those best-effort images
+//! that are known to disturb a serving task near its target, and leaves the others alone. A tail
+//! that stays over its target slows all of them, known or not, so nothing rests on what the owner
+//! has learned.
 
 use std::{
     collections::HashMap,
@@ -9,7 +11,10 @@
 };
 
 use crate::{
-    cell::protocol::{RunningTask, SharingTraits, TaskName},
+    cell::{
+        interference::{DisturbingPairs, ImageName},
+        protocol::{RunningTask, SharingTraits, TaskName},
+    },
     ids::AttemptNumber,
 };
 
@@ -31,7 +36,7 @@
     pub least_percent: u32,
     /// Time between two changes; tails are averages over as long.
     pub settle: Duration,
-    /// Time over the target after which best-effort tasks are paused altogether.
+    /// Time over the target after which all best-effort tasks are paused.
     pub pause_after: Duration,
 }
 
@@ -46,16 +51,30 @@
     pub percent: u32,
 }
 
+/// Pace of one best-effort image on one worker.
+#[derive(Clone, Copy, Debug)]
+struct ImagePace {
+    percent: u32,
+    changed_at: Option<Instant>,
+}
+
+impl Default for ImagePace {
+    fn default() -> Self {
+        Self { percent: FULL_PERCENT, changed_at: None }
+    }
+}
+
 /// Paces the best-effort tasks of one worker.
 #[derive(Debug)]
 pub struct Pacer {
     settings: PacingSettings,
     traits: HashMap<TaskName, SharingTraits>,
     set: HashMap<TaskName, (AttemptNumber, u32)>,
-    percent: u32,
-    pressure: f64,
-    changed_at: Option<Instant>,
+    pairs: DisturbingPairs,
+    paces: HashMap<ImageName, ImagePace>,
+    all: ImagePace,
     over_since: Option<Instant>,
+    pressure: f64,
 }
 
 impl Pacer {
@@ -65,10 +84,11 @@
             settings,
             traits: HashMap::new(),
             set: HashMap::new(),
-            percent: FULL_PERCENT,
-            pressure: 0.0,
-            changed_at: None,
+            pairs: DisturbingPairs::default(),
+            paces: HashMap::new(),
+            all: ImagePace::default(),
             over_since: None,
+            pressure: 0.0,
         }
     }
 
@@ -77,9 +97,19 @@
         self.traits.insert(traits.task.clone(), traits);
     }
 
-    /// The pace in force, in percent.
+    /// Learns which images disturb which.
+    pub fn learn_pairs(&mut self, pairs: DisturbingPairs) {
+        self.pairs = pairs;
+    }
+
+    /// Version of the pairs in use.
+    pub fn pairs_version(&self) -> u64 {
+        self.pairs.version
+    }
+
+    /// Pace that holds for all images, in percent.
     pub fn percent(&self) -> u32 {
-        self.percent
+        self.all.percent
     }
 
     /// Tail latency of the worst-off serving task as a share of its target, as last seen.
@@ -90,20 +120,22 @@
     /// Takes in what the worker runs; returns the paces to set.
     pub fn observe(&mut self, running: &[RunningTask], now: Instant) -> Vec<PaceChange> {
         self.forget_ended(running);
-        self.pressure = self.highest_pressure(running);
-        self.adapt(self.pressure, now);
+        let pressures = self.pressures(running);
+        self.pressure = pressures.values().copied().fold(0.0, f64::max);
+        self.adapt_all(now);
+        self.adapt_images(&pressures, now);
         let mut changes = Vec::new();
         for run in running {
-            if !self.traits.get(&run.task).is_some_and(|traits| traits.is_best_effort) {
+            let Some(traits) = self.traits.get(&run.task).filter(|t| t.is_best_effort) else {
                 continue;
-            }
+            };
+            let image = traits.image.as_deref().unwrap_or_default();
+            let image_percent = self.paces.get(image).map_or(FULL_PERCENT, |pace| pace.percent);
+            let percent = image_percent.min(self.all.percent);
             let known = self.set.get(&run.task).filter(|(attempt, _)| *attempt == run.attempt);
-            if known.map_or(FULL_PERCENT, |(_, percent)| *percent) != self.percent {
-                changes.push(PaceChange {
-                    task: run.task.clone(),
-                    attempt: run.attempt,
-                    percent: self.percent,
-                });
+            if known.map_or(FULL_PERCENT, |(_, percent)| *percent) != percent {
+                let (task, attempt) = (run.task.clone(), run.attempt);
+                changes.push(PaceChange { task, attempt, percent });
             }
         }
         changes
@@ -123,41 +155,77 @@
         }
     }
 
-    /// Highest share of its target that a serving task's tail takes.
-    fn highest_pressure(&self, running: &[RunningTask]) -> f64 {
-        running
-            .iter()
-            .filter_map(|run| {
-                let target_ms = self.traits.get(&run.task)?.target_tail_ms?;
-                Some(run.gauge as f64 / target_ms.max(1) as f64)
-            })
-            .fold(0.0, f64::max)
+    /// Highest share of its target that a tail takes, by serving image.
+    fn pressures(&self, running: &[RunningTask]) -> HashMap<ImageName, f64> {
+        let mut pressures = HashMap::new();
+        for run in running {
+            let Some(traits) = self.traits.get(&run.task) else { continue };
+            let Some(target_ms) = traits.target_tail_ms else { continue };
+            let pressure = run.gauge as f64 / target_ms.max(1) as f64;
+            let image = traits.image.clone().unwrap_or_default();
+            let highest = pressures.entry(image).or_insert(0.0_f64);
+            *highest = highest.max(pressure);
+        }
+        pressures
     }
 
-    fn adapt(&mut self, pressure: f64, now: Instant) {
-        if pressure <= 1.0 {
+    /// Pauses all images while a tail stays over its target.
+    fn adapt_all(&mut self, now: Instant) {
+        if self.pressure <= 1.0 {
             self.over_since = None;
         } else if self.over_since.is_none() {
             self.over_since = Some(now);
         }
         if self.over_since.is_some_and(|since| now - since >= self.settings.pause_after) {
-            self.percent = 0;
-            return;
+            self.all = ImagePace { percent: 0, changed_at: Some(now) };
+        } else if self.pressure < self.settings.slow_at {
+            self.all = self.settings.quickened(self.all, now);
+        }
+    }
+
+    /// Slows images that are known to disturb a serving image near its target.
+    fn adapt_images(&mut self, pressures: &HashMap<ImageName, f64>, now: Instant) {
+        let images: Vec<ImageName> = self
+            .traits
+            .values()
+            .filter(|traits| traits.is_best_effort)
+            .filter_map(|traits| traits.image.clone())
+            .collect();
+        for image in images {
+            let disturbed = pressures
+                .iter()
+                .filter(|(serving, _)| self.pairs.contains(serving, &image))
+                .map(|(_, pressure)| *pressure)
+                .fold(0.0, f64::max);
+            let pace = self.paces.entry(image).or_default();
+            if disturbed >= self.settings.slow_at {
+                *pace = self.settings.slowed(*pace, now);
+            } else if disturbed < self.settings.quicken_below {
+                *pace = self.settings.quickened(*pace, now);
+            }
         }
-        if self.changed_at.is_some_and(|at| now - at < self.settings.settle) {
-            return;
+    }
+}
+
+impl PacingSettings {
+    fn has_settled(&self, pace: ImagePace, now: Instant) -> bool {
+        pace.changed_at.is_none_or(|at| now - at >= self.settle)
+    }
+
+    fn slowed(&self, pace: ImagePace, now: Instant) -> ImagePace {
+        if pace.percent == 0 || !self.has_settled(pace, now) {
+            return pace;
         }
-        let wanted = if pressure >= self.settings.slow_at {
-            let slowed = (f64::from(self.percent) * self.settings.slow_factor) as u32;
-            if slowed < self.settings.least_percent { 0 } else { slowed }
-        } else if pressure < self.settings.quicken_below {
-            (self.percent + self.settings.quicken_step).min(FULL_PERCENT)
-        } else {
-            self.percent
-        };
-        if wanted != self.percent {
-            self.percent = wanted;
-            self.changed_at = Some(now);
+        let slowed = (f64::from(pace.percent) * self.slow_factor) as u32;
+        let percent = if slowed < self.least_percent { 0 } else { slowed };
+        ImagePace { percent, changed_at: Some(now) }
+    }
+
+    fn quickened(&self, pace: ImagePace, now: Instant) -> ImagePace {
+        if pace.percent == FULL_PERCENT || !self.has_settled(pace, now) {
+            return pace;
         }
+        let percent = (pace.percent + self.quicken_step).min(FULL_PERCENT);
+        ImagePace { percent, changed_at: Some(now) }
     }
 }
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -27,6 +27,8 @@
     pub serving_load: f64,
     /// Share of its declared processors that must be unclaimed before a best-effort task starts.
     pub best_effort_floor: f64,
+    /// Share of the unclaimed processors that a best-effort task counts on where it would be paced.
+    pub disturbing_share: f64,
     /// Factor on a job's objective after which it is served last.
     pub hopeless_factor: f64,
 }
@@ -294,6 +296,12 @@
                     - worker.demand.batch_milli as i64
                     - serving as i64
                     - worker.demand.best_effort_milli as i64;
+                let share = if self.disturbs(worker, stage) {
+                    settings.disturbing_share
+                } else {
+                    1.0
+                };
+                let spare_milli = (spare_milli as f64 * share) as i64;
                 let floor_milli = (task_milli as f64 * settings.best_effort_floor) as i64;
                 (spare_milli >= floor_milli).then_some(spare_milli)?
             }
@@ -302,6 +310,15 @@
         Some(if is_near { left_milli + capacity_milli } else { left_milli })
     }
 
+    /// Whether a task of the stage would slow a serving task on the worker.
+    fn disturbs(&self, worker: &Worker, stage: &Stage) -> bool {
+        let pairs = self.interference.pairs();
+        let Some(image) = stage.image.as_deref().filter(|_| !pairs.pairs.is_empty()) else {
+            return false;
+        };
+        worker.serving_images.keys().any(|serving| pairs.contains(serving, image))
+    }
+
     fn assign(
         &mut self,
         key: TaskKey,
--- a/crates/teaseltrack/src/cell/worker.rs
+++ b/crates/teaseltrack/src/cell/worker.rs
@@ -1,13 +1,14 @@
 //! What a cell's owner knows of one life of a worker: its lease, its room and its orders.
 
 use std::{
-    collections::{BTreeSet, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     time::Instant,
 };
 
 use crate::{
     cell::{
         JobKey,
+        interference::ImageName,
         job::Stage,
         progress::WorkerLife,
         protocol::{Order, SessionToken, WorkerStatus},
@@ -69,6 +70,8 @@
     pub reserved: Resources,
     /// Processor time asked for by kind of task.
     pub demand: Demand,
+    /// Serving tasks by image.
+    pub serving_images: BTreeMap<ImageName, u32>,
     /// Tasks assigned to it.
     pub tasks: BTreeSet<TaskKey>,
     /// Orders that weren't taken yet.
@@ -98,6 +101,7 @@
             refused_until: None,
             reserved: Resources::default(),
             demand: Demand::default(),
+            serving_images: BTreeMap::new(),
             tasks: BTreeSet::new(),
             orders: VecDeque::new(),
             first_order: 1,
@@ -132,6 +136,9 @@
         if self.tasks.insert(key) {
             self.reserved = self.reserved.plus(&held(stage));
             *self.demand_of(stage) += stage.resources.cpu_milli;
+            if let Some(image) = serving_image(stage) {
+                *self.serving_images.entry(image.clone()).or_default() += 1;
+            }
         }
     }
 
@@ -141,6 +148,14 @@
             self.reserved = self.reserved.minus(&held(stage));
             let demand = self.demand_of(stage);
             *demand = demand.saturating_sub(stage.resources.cpu_milli);
+            if let Some(image) = serving_image(stage)
+                && let Some(count) = self.serving_images.get_mut(image)
+            {
+                *count -= 1;
+                if *count == 0 {
+                    self.serving_images.remove(image);
+                }
+            }
         }
     }
 
@@ -169,6 +184,11 @@
     }
 }
 
+/// The image of a stage that serves.
+fn serving_image(stage: &Stage) -> Option<&ImageName> {
+    stage.target_tail_ms.and(stage.image.as_ref())
+}
+
 /// What a task of the stage holds on its worker.
 pub fn held(stage: &Stage) -> Resources {
     if stage.is_best_effort {
