Disturbances from differences of tails; paces worked out from their effects

Change: fit of differences; an agent sets the paces at which no disturbed tail passes 0.75 of its target; all are paused only while a tail stays over its target.

--- a/crates/teaseltrack-cell/src/agent.rs
+++ b/crates/teaseltrack-cell/src/agent.rs
@@ -9,10 +9,10 @@
     time::{Duration, Instant},
 };
 
-use slog::{Logger, info, warn};
+use slog::{Logger, debug, info, warn};
 use teaseltrack::{
     cell::{
-        interference::DisturbingPairs,
+        interference::Disturbances,
         pacing::{PaceChange, Pacer},
         progress::WorkerLife,
         protocol::{
@@ -314,7 +314,7 @@
         self.has_listing = false;
         self.refused.clear();
         self.voiding = Voiding::default();
-        self.pacer.learn_pairs(DisturbingPairs::default());
+        self.pacer.learn_disturbances(Disturbances::default());
         self.is_holding = false;
         self.hold_number += 1;
         self.hold_at = self.context.clock.now();
@@ -409,11 +409,12 @@
         let void = self.voiding.settle(&self.running, &self.ended, sent_at);
         self.needs_report |= !void.is_empty();
         self.refused.extend(void);
-        let percent = self.pacer.percent();
-        let changes = self.pacer.observe(&self.running, now);
-        if self.pacer.percent() != percent {
-            info!(self.context.logger, "pace changed"; "worker" => &self.life,
-                "percent" => self.pacer.percent(), "earlier_percent" => percent,
+        let capacity = self.status.as_ref().map_or(0, |status| status.capacity.cpu_milli);
+        let was_paused = self.pacer.is_paused();
+        let changes = self.pacer.observe(&self.running, capacity, now);
+        if self.pacer.is_paused() != was_paused {
+            info!(self.context.logger, "best-effort tasks paused or resumed";
+                "worker" => &self.life, "is_paused" => self.pacer.is_paused(),
                 "tail_to_target" => self.pacer.pressure(), "tasks" => changes.len());
         }
         for change in changes {
@@ -441,7 +442,7 @@
             refused: if is_full { self.refused.clone() } else { Vec::new() },
             taken_order: self.taken_order,
             forgot_until: self.forget_until,
-            pairs_version: self.pacer.pairs_version(),
+            disturbances_version: self.pacer.disturbances_version(),
             wait_ms: if is_full { 0 } else { REPORT_WAIT.as_millis() as u64 },
         }
     }
@@ -489,10 +490,10 @@
         if answer.session != self.session || answer.session == 0 {
             return;
         }
-        if let Some(pairs) = answer.pairs {
-            info!(self.context.logger, "disturbing pairs learned"; "version" => pairs.version,
-                "pairs" => pairs.pairs.len());
-            self.pacer.learn_pairs(pairs);
+        if let Some(known) = answer.disturbances {
+            debug!(self.context.logger, "disturbances learned"; "version" => known.version,
+                "pairs" => known.pairs.len());
+            self.pacer.learn_disturbances(known);
         }
         self.lease_until_ms = self.lease_until_ms.max(answer.lease_until_ms);
         if answer.forget_until > self.forget_until {
--- a/crates/teaseltrack-cell/src/constants.rs
+++ b/crates/teaseltrack-cell/src/constants.rs
@@ -62,15 +62,15 @@
     grant_period: Duration::from_millis(4_000),
 };
 
-/// Answers to tails: act before the target is passed, pause within half of the platform's bound.
+/// Answers to tails. A pause and the time before it end well within the platform's bound on a tail
+/// over its target beside best-effort tasks.
 pub const PACING: PacingSettings = PacingSettings {
-    slow_at: 0.85,
-    quicken_below: 0.6,
-    slow_factor: 0.5,
-    quicken_step: 15,
-    least_percent: 12,
-    settle: Duration::from_millis(600),
-    pause_after: Duration::from_millis(1_300),
+    aim: 0.75,
+    least_change: 8,
+    least_percent: 6,
+    assumed_share: 0.08,
+    pause_after: Duration::from_millis(2_000),
+    pause: Duration::from_millis(1_200),
 };
 
 /// Shares of a worker; a serving task uses about half of what it declares.
@@ -83,14 +83,15 @@
     hopeless_factor: 3.0,
 };
 
-/// Disturbance shifts within tens of seconds, and reports of a worker overlap in the half second
-/// that a tail is averaged over.
+/// Disturbance shifts within tens of seconds. Reports overlap in the half second that a tail is
+/// averaged over.
 const INTERFERENCE: InterferenceSettings = InterferenceSettings {
-    half_life_s: 10.0,
+    half_life_s: 20.0,
+    longest_step: Duration::from_millis(1_500),
     ridge: 0.05,
-    least_effect: 1.5,
-    least_significance: 2.5,
-    correlation: 4.0,
+    least_effect: 1.0,
+    least_significance: 3.0,
+    correlation: 2.0,
 };
 
 /// An owner's settings under the platform's bound on leases.
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     cell::{
-        interference::{Interference, InterferenceSettings},
+        interference::{ImageUsage, Interference, InterferenceSettings},
         job::{JobId, JobSpec, Queue, QueueConfiguration, Stage},
         progress::{JobProgress, JobState, OccurrenceProgress, TaskPhase, TaskProgress, WorkerLife},
         protocol::{
@@ -380,12 +380,12 @@
         }
         if let Some(listing) = report.listing {
             if let Some(running) = &listing.running {
-                self.observe_sharing(key, running);
+                self.observe_sharing(key, running, now);
             }
             self.take_listing(key, listing);
         }
-        if report.pairs_version != self.interference.pairs().version {
-            answer.pairs = Some(self.interference.pairs().clone());
+        if report.disturbances_version != self.interference.known().version {
+            answer.disturbances = Some(self.interference.known().clone());
         }
         self.grant(key, report.worker_clock_ms, may_grant, now, &mut answer);
         let worker = &self.workers[key];
@@ -432,16 +432,16 @@
         }
         let settled_at = *self.settled_at.get_or_insert(now);
         if now.duration_since(settled_at) >= SETTLE_INTERVAL {
-            self.interference.settle(now.duration_since(settled_at).as_secs_f64());
+            self.interference.settle(now.duration_since(settled_at), now);
             self.settled_at = Some(now);
         }
     }
 
     /// Learns from the tails of serving tasks beside what best-effort tasks use.
-    fn observe_sharing(&mut self, key: WorkerKey, running: &[RunningTask]) {
+    fn observe_sharing(&mut self, key: WorkerKey, running: &[RunningTask], now: Instant) {
         let Some(status) = self.workers[key].status.as_ref() else { return };
         let capacity_milli = status.capacity.cpu_milli.max(1) as f64;
-        let mut usage = BTreeMap::new();
+        let mut usage = ImageUsage::new();
         let mut tails = Vec::new();
         for run in running {
             let Some(task) = self.key_of(&run.task) else { continue };
@@ -449,12 +449,13 @@
             let image = stage.image.clone().unwrap_or_default();
             if stage.is_best_effort {
                 *usage.entry(image).or_insert(0.0) += run.gauge as f64 / capacity_milli;
-            } else if let Some(target_ms) = stage.target_tail_ms {
-                tails.push((image, run.gauge as f64 / target_ms.max(1) as f64));
+            } else if stage.target_tail_ms.is_some() && run.gauge > 0 {
+                tails.push((task, image, run.gauge));
             }
         }
-        for (image, tail) in tails {
-            self.interference.observe(&image, tail, &usage);
+        let usage = Arc::new(usage);
+        for (task, image, tail_ms) in tails {
+            self.interference.observe(task, &image, tail_ms, &usage, now);
         }
     }
 
--- a/crates/teaseltrack/src/cell/interference.rs
+++ b/crates/teaseltrack/src/cell/interference.rs
@@ -1,23 +1,34 @@
-//! Which best-effort images slow which serving images.
+//! Which best-effort images slow which serving images, and by how much.
 //!
-//! For each serving image a linear model explains the logarithm of its tail latency by the share of
-//! a worker's processors that each best-effort image uses beside it. Samples of all workers feed
-//! one model, weighted down with age, since the amounts change. A pair counts as disturbing only
-//! when its effect is both large and clear of the noise.
-
-use std::collections::{BTreeMap, HashMap};
+//! A serving task's tail moves slowly with its own load and quickly with what best-effort tasks use
+//! beside it. For each serving image a linear model therefore explains changes of the tail's
+//! logarithm between two reports by changes of the processor share that each best-effort image
+//! uses. Samples of all workers feed one model, weighted down with age. An effect counts when it is
+//! both large and clear of the noise.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use serde::{Deserialize, Serialize};
 
+use crate::cell::worker::TaskKey;
+
 /// Name of an image.
 pub type ImageName = String;
+/// Share of a worker's processors that best-effort images use.
+pub type ImageUsage = BTreeMap<ImageName, f64>;
 
-/// How pairs are told from noise.
+/// How effects are told from noise.
 #[derive(Clone, Copy, Debug)]
 pub struct InterferenceSettings {
     /// Time after which a sample weighs half, in seconds.
     pub half_life_s: f64,
-    /// Weight of the assumption that nothing disturbs, in samples of a whole worker.
+    /// Longest time between two samples whose difference counts.
+    pub longest_step: Duration,
+    /// Weight of the assumption that nothing disturbs, in squared shares of a worker.
     pub ridge: f64,
     /// Least growth of a tail's logarithm by a whole worker of the image.
     pub least_effect: f64,
@@ -28,31 +39,44 @@
 }
 
 /// A best-effort image that slows a serving image.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct DisturbingPair {
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Disturbance {
     /// The image that is slowed.
     pub serving: ImageName,
     /// The image that slows it.
     pub best_effort: ImageName,
+    /// Growth of the tail's logarithm by a whole worker of the image.
+    pub effect: f64,
 }
 
-/// Pairs known to disturb, with a version that goes up with each change.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct DisturbingPairs {
+/// Known disturbances, with a version that goes up with each change.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Disturbances {
     /// The version.
     pub version: u64,
-    /// The pairs, sorted.
-    pub pairs: Vec<DisturbingPair>,
+    /// The disturbances, sorted by images.
+    pub pairs: Vec<Disturbance>,
 }
 
-impl DisturbingPairs {
-    /// Whether the best-effort image slows the serving image.
-    pub fn contains(&self, serving: &str, best_effort: &str) -> bool {
-        self.pairs.iter().any(|pair| pair.serving == serving && pair.best_effort == best_effort)
+impl Disturbances {
+    /// Effect of a best-effort image on a serving image; 0 if none is known.
+    pub fn effect(&self, serving: &str, best_effort: &str) -> f64 {
+        self.pairs
+            .iter()
+            .find(|pair| pair.serving == serving && pair.best_effort == best_effort)
+            .map_or(0.0, |pair| pair.effect)
     }
 }
 
-/// Sums of a weighted least-squares fit; the first column is the constant.
+/// Last sample of a serving task.
+#[derive(Clone, Debug)]
+struct Sample {
+    at: Instant,
+    tail_ln: f64,
+    usage: Arc<ImageUsage>,
+}
+
+/// Sums of a weighted least-squares fit without a constant.
 #[derive(Clone, Debug, Default)]
 struct Fit {
     columns: HashMap<ImageName, usize>,
@@ -62,69 +86,85 @@
     weight: f64,
 }
 
-/// Learns which pairs disturb.
+/// Learns which images disturb which.
 #[derive(Clone, Debug)]
 pub struct Interference {
     settings: InterferenceSettings,
     fits: BTreeMap<ImageName, Fit>,
-    known: DisturbingPairs,
+    last: HashMap<TaskKey, Sample>,
+    known: Disturbances,
 }
 
 impl Interference {
     /// Nothing learned yet.
     pub fn new(settings: InterferenceSettings) -> Self {
-        Self { settings, fits: BTreeMap::new(), known: DisturbingPairs::default() }
+        Self {
+            settings,
+            fits: BTreeMap::new(),
+            last: HashMap::new(),
+            known: Disturbances::default(),
+        }
     }
 
-    /// The pairs known to disturb.
-    pub fn pairs(&self) -> &DisturbingPairs {
+    /// The known disturbances.
+    pub fn known(&self) -> &Disturbances {
         &self.known
     }
 
-    /// Takes in one tail as a share of its target, beside the processor shares of best-effort
-    /// images on the same worker.
+    /// Takes in a serving task's tail, beside what best-effort images use on its worker.
     pub fn observe(
         &mut self,
+        task: TaskKey,
         serving: &str,
-        tail_to_target: f64,
-        usage: &BTreeMap<ImageName, f64>,
+        tail_ms: u64,
+        usage: &Arc<ImageUsage>,
+        now: Instant,
     ) {
-        if tail_to_target <= 0.0 {
+        let tail_ln = (tail_ms.max(1) as f64).ln();
+        let sample = Sample { at: now, tail_ln, usage: usage.clone() };
+        let Some(last) = self.last.insert(task, sample) else { return };
+        if now.duration_since(last.at) > self.settings.longest_step {
             return;
         }
         if !self.fits.contains_key(serving) {
-            self.fits.insert(serving.to_owned(), Fit::new());
+            self.fits.insert(serving.to_owned(), Fit::default());
         }
         if let Some(fit) = self.fits.get_mut(serving) {
-            fit.add(tail_to_target.ln(), usage);
+            fit.add(tail_ln - last.tail_ln, &difference(usage, &last.usage));
         }
     }
 
-    /// Ages the samples by the time since the last call, and works out the pairs anew.
-    pub fn settle(&mut self, elapsed_s: f64) {
-        let factor = 0.5_f64.powf(elapsed_s / self.settings.half_life_s);
+    /// Ages the samples by the time since the last call, and works out the effects anew.
+    pub fn settle(&mut self, elapsed: Duration, now: Instant) {
+        let settings = self.settings;
+        self.last.retain(|_, sample| now.duration_since(sample.at) <= settings.longest_step);
+        let factor = 0.5_f64.powf(elapsed.as_secs_f64() / settings.half_life_s);
         let mut pairs = Vec::new();
         for (serving, fit) in &mut self.fits {
             fit.age(factor);
-            for best_effort in fit.disturbing(&self.settings) {
-                pairs.push(DisturbingPair { serving: serving.clone(), best_effort });
+            for (best_effort, effect) in fit.disturbing(&settings) {
+                pairs.push(Disturbance { serving: serving.clone(), best_effort, effect });
             }
         }
-        pairs.sort();
+        pairs.sort_by(|a, b| (&a.serving, &a.best_effort).cmp(&(&b.serving, &b.best_effort)));
         if pairs != self.known.pairs {
-            self.known = DisturbingPairs { version: self.known.version + 1, pairs };
+            self.known = Disturbances { version: self.known.version + 1, pairs };
         }
     }
 }
 
-impl Fit {
-    fn new() -> Self {
-        Self { products: vec![vec![0.0]], targets: vec![0.0], ..Self::default() }
+fn difference(usage: &ImageUsage, earlier: &ImageUsage) -> ImageUsage {
+    let mut change = usage.clone();
+    for (image, share) in earlier {
+        *change.entry(image.clone()).or_insert(0.0) -= share;
     }
+    change
+}
 
-    fn add(&mut self, target: f64, usage: &BTreeMap<ImageName, f64>) {
-        let mut row = vec![(0, 1.0)];
-        for (image, share) in usage.iter().filter(|(_, share)| **share > 0.0) {
+impl Fit {
+    fn add(&mut self, target: f64, change: &ImageUsage) {
+        let mut row = Vec::with_capacity(change.len());
+        for (image, share) in change.iter().filter(|(_, share)| **share != 0.0) {
             row.push((self.column(image), *share));
         }
         for &(i, left) in &row {
@@ -158,9 +198,9 @@
         self.weight *= factor;
     }
 
-    fn disturbing(&self, settings: &InterferenceSettings) -> Vec<ImageName> {
+    fn disturbing(&self, settings: &InterferenceSettings) -> Vec<(ImageName, f64)> {
         let mut matrix = self.products.clone();
-        for (i, row) in matrix.iter_mut().enumerate().skip(1) {
+        for (i, row) in matrix.iter_mut().enumerate() {
             row[i] += settings.ridge;
         }
         let Some(inverse) = invert(matrix) else { return Vec::new() };
@@ -175,11 +215,16 @@
         let images = self.columns.iter();
         images
             .filter(|(_, column)| is_disturbing(**column))
-            .map(|(image, _)| image.clone())
+            .map(|(image, column)| (image.clone(), round_effect(effects[*column])))
             .collect()
     }
 }
 
+/// Rounds an effect, so that small changes don't count as news.
+fn round_effect(effect: f64) -> f64 {
+    (effect * 2.0).round() / 2.0
+}
+
 fn dot(left: &[f64], right: &[f64]) -> f64 {
     left.iter().zip(right).map(|(a, b)| a * b).sum()
 }
--- a/crates/teaseltrack/src/cell/pacing.rs
+++ b/crates/teaseltrack/src/cell/pacing.rs
@@ -1,18 +1,18 @@
 //! Pacing of best-effort tasks beside tasks that serve.
 //!
 //! An agent sees the tail latency of serving tasks twice a second. It slows those best-effort images
-//! that are known to disturb a serving task near its target, and leaves the others alone. A tail
-//! that stays over its target slows all of them, known or not, so nothing rests on what the owner
-//! has learned.
+//! that are known to disturb a serving task, as far as the task's target asks for, and leaves the
+//! others alone. A tail that stays over its target pauses all of them for a while, known or not, so
+//! that nothing rests on what the owner has learned.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     time::{Duration, Instant},
 };
 
 use crate::{
     cell::{
-        interference::{DisturbingPairs, ImageName},
+        interference::{Disturbances, ImageName},
         protocol::{RunningTask, SharingTraits, TaskName},
     },
     ids::AttemptNumber,
@@ -24,20 +24,18 @@
 /// How pacing answers to tails.
 #[derive(Clone, Copy, Debug)]
 pub struct PacingSettings {
-    /// Share of its target at which a tail slows best-effort tasks.
-    pub slow_at: f64,
-    /// Share of its target below which a tail lets them go faster.
-    pub quicken_below: f64,
-    /// Factor on the pace when a tail is too high.
-    pub slow_factor: f64,
-    /// Percent by which the pace goes up.
-    pub quicken_step: u32,
-    /// Pace below which best-effort tasks are paused altogether.
+    /// Share of its target that a disturbed tail is steered to.
+    pub aim: f64,
+    /// Smallest change of a pace that is worth a call, in percent.
+    pub least_change: u32,
+    /// Pace below which tasks are paused altogether, in percent.
     pub least_percent: u32,
-    /// Time between two changes; tails are averages over as long.
-    pub settle: Duration,
+    /// Share of a worker that a task of an image is taken to use before it was seen at work.
+    pub assumed_share: f64,
     /// Time over the target after which all best-effort tasks are paused.
     pub pause_after: Duration,
+    /// Length of such a pause: a tail that is still over its target then has other causes.
+    pub pause: Duration,
 }
 
 /// A pace to set.
@@ -51,17 +49,12 @@
     pub percent: u32,
 }
 
-/// Pace of one best-effort image on one worker.
-#[derive(Clone, Copy, Debug)]
-struct ImagePace {
-    percent: u32,
-    changed_at: Option<Instant>,
-}
-
-impl Default for ImagePace {
-    fn default() -> Self {
-        Self { percent: FULL_PERCENT, changed_at: None }
-    }
+/// What the tasks of a best-effort image would use at full pace, by the share last seen.
+#[derive(Clone, Copy, Debug, Default)]
+struct ImageDemand {
+    share_of_task: Option<f64>,
+    used_share: f64,
+    full_share: f64,
 }
 
 /// Paces the best-effort tasks of one worker.
@@ -70,10 +63,11 @@
     settings: PacingSettings,
     traits: HashMap<TaskName, SharingTraits>,
     set: HashMap<TaskName, (AttemptNumber, u32)>,
-    pairs: DisturbingPairs,
-    paces: HashMap<ImageName, ImagePace>,
-    all: ImagePace,
+    known: Disturbances,
+    demands: BTreeMap<ImageName, ImageDemand>,
+    percents: BTreeMap<ImageName, u32>,
     over_since: Option<Instant>,
+    paused_until: Option<Instant>,
     pressure: f64,
 }
 
@@ -84,10 +78,11 @@
             settings,
             traits: HashMap::new(),
             set: HashMap::new(),
-            pairs: DisturbingPairs::default(),
-            paces: HashMap::new(),
-            all: ImagePace::default(),
+            known: Disturbances::default(),
+            demands: BTreeMap::new(),
+            percents: BTreeMap::new(),
             over_since: None,
+            paused_until: None,
             pressure: 0.0,
         }
     }
@@ -98,18 +93,18 @@
     }
 
     /// Learns which images disturb which.
-    pub fn learn_pairs(&mut self, pairs: DisturbingPairs) {
-        self.pairs = pairs;
+    pub fn learn_disturbances(&mut self, known: Disturbances) {
+        self.known = known;
     }
 
-    /// Version of the pairs in use.
-    pub fn pairs_version(&self) -> u64 {
-        self.pairs.version
+    /// Version of the disturbances in use.
+    pub fn disturbances_version(&self) -> u64 {
+        self.known.version
     }
 
-    /// Pace that holds for all images, in percent.
-    pub fn percent(&self) -> u32 {
-        self.all.percent
+    /// Whether all best-effort tasks are paused.
+    pub fn is_paused(&self) -> bool {
+        self.paused_until.is_some()
     }
 
     /// Tail latency of the worst-off serving task as a share of its target, as last seen.
@@ -117,28 +112,20 @@
         self.pressure
     }
 
-    /// Takes in what the worker runs; returns the paces to set.
-    pub fn observe(&mut self, running: &[RunningTask], now: Instant) -> Vec<PaceChange> {
+    /// Takes in what runs on a worker of `capacity_milli`; returns the paces to set.
+    pub fn observe(
+        &mut self,
+        running: &[RunningTask],
+        capacity_milli: u64,
+        now: Instant,
+    ) -> Vec<PaceChange> {
         self.forget_ended(running);
         let pressures = self.pressures(running);
         self.pressure = pressures.values().copied().fold(0.0, f64::max);
-        self.adapt_all(now);
-        self.adapt_images(&pressures, now);
-        let mut changes = Vec::new();
-        for run in running {
-            let Some(traits) = self.traits.get(&run.task).filter(|t| t.is_best_effort) else {
-                continue;
-            };
-            let image = traits.image.as_deref().unwrap_or_default();
-            let image_percent = self.paces.get(image).map_or(FULL_PERCENT, |pace| pace.percent);
-            let percent = image_percent.min(self.all.percent);
-            let known = self.set.get(&run.task).filter(|(attempt, _)| *attempt == run.attempt);
-            if known.map_or(FULL_PERCENT, |(_, percent)| *percent) != percent {
-                let (task, attempt) = (run.task.clone(), run.attempt);
-                changes.push(PaceChange { task, attempt, percent });
-            }
-        }
-        changes
+        self.pause_while_over(now);
+        self.measure_demands(running, capacity_milli.max(1) as f64);
+        self.steer(&pressures);
+        running.iter().filter_map(|run| self.change_for(run)).collect()
     }
 
     /// Takes in that a worker took a pace.
@@ -146,6 +133,25 @@
         self.set.insert(change.task.clone(), (change.attempt, change.percent));
     }
 
+    fn change_for(&self, run: &RunningTask) -> Option<PaceChange> {
+        let traits = self.traits.get(&run.task).filter(|traits| traits.is_best_effort)?;
+        let image = traits.image.as_deref().unwrap_or_default();
+        let steered = self.percents.get(image).copied().unwrap_or(FULL_PERCENT);
+        let percent = if self.is_paused() { 0 } else { steered };
+        let current = self.percent_of(run);
+        let is_small = percent.abs_diff(current) < self.settings.least_change;
+        let is_end = percent == 0 || percent == FULL_PERCENT;
+        if percent == current || (is_small && !is_end) {
+            return None;
+        }
+        Some(PaceChange { task: run.task.clone(), attempt: run.attempt, percent })
+    }
+
+    fn percent_of(&self, run: &RunningTask) -> u32 {
+        let set = self.set.get(&run.task).filter(|(attempt, _)| *attempt == run.attempt);
+        set.map_or(FULL_PERCENT, |(_, percent)| *percent)
+    }
+
     fn forget_ended(&mut self, running: &[RunningTask]) {
         if self.set.len() > running.len() {
             self.set.retain(|task, _| running.iter().any(|run| run.task == *task));
@@ -156,8 +162,8 @@
     }
 
     /// Highest share of its target that a tail takes, by serving image.
-    fn pressures(&self, running: &[RunningTask]) -> HashMap<ImageName, f64> {
-        let mut pressures = HashMap::new();
+    fn pressures(&self, running: &[RunningTask]) -> BTreeMap<ImageName, f64> {
+        let mut pressures = BTreeMap::new();
         for run in running {
             let Some(traits) = self.traits.get(&run.task) else { continue };
             let Some(target_ms) = traits.target_tail_ms else { continue };
@@ -169,63 +175,75 @@
         pressures
     }
 
-    /// Pauses all images while a tail stays over its target.
-    fn adapt_all(&mut self, now: Instant) {
+    /// Pauses all images for a while when a tail stays over its target.
+    fn pause_while_over(&mut self, now: Instant) {
+        if let Some(until) = self.paused_until {
+            if self.pressure <= 1.0 || now >= until {
+                self.paused_until = None;
+                self.over_since = None;
+            }
+            return;
+        }
         if self.pressure <= 1.0 {
             self.over_since = None;
-        } else if self.over_since.is_none() {
-            self.over_since = Some(now);
+            return;
         }
-        if self.over_since.is_some_and(|since| now - since >= self.settings.pause_after) {
-            self.all = ImagePace { percent: 0, changed_at: Some(now) };
-        } else if self.pressure < self.settings.slow_at {
-            self.all = self.settings.quickened(self.all, now);
+        let since = *self.over_since.get_or_insert(now);
+        if now.duration_since(since) >= self.settings.pause_after {
+            self.paused_until = Some(now + self.settings.pause);
         }
     }
 
-    /// Slows images that are known to disturb a serving image near its target.
-    fn adapt_images(&mut self, pressures: &HashMap<ImageName, f64>, now: Instant) {
-        let images: Vec<ImageName> = self
-            .traits
-            .values()
-            .filter(|traits| traits.is_best_effort)
-            .filter_map(|traits| traits.image.clone())
-            .collect();
-        for image in images {
-            let disturbed = pressures
-                .iter()
-                .filter(|(serving, _)| self.pairs.contains(serving, &image))
-                .map(|(_, pressure)| *pressure)
-                .fold(0.0, f64::max);
-            let pace = self.paces.entry(image).or_default();
-            if disturbed >= self.settings.slow_at {
-                *pace = self.settings.slowed(*pace, now);
-            } else if disturbed < self.settings.quicken_below {
-                *pace = self.settings.quickened(*pace, now);
+    fn measure_demands(&mut self, running: &[RunningTask], capacity_milli: f64) {
+        for demand in self.demands.values_mut() {
+            (demand.used_share, demand.full_share) = (0.0, 0.0);
+        }
+        for run in running {
+            let Some(traits) = self.traits.get(&run.task).filter(|t| t.is_best_effort) else {
+                continue;
+            };
+            let percent = self.percent_of(run);
+            let used_share = run.gauge as f64 / capacity_milli;
+            let image = traits.image.clone().unwrap_or_default();
+            let demand = self.demands.entry(image).or_default();
+            if percent >= self.settings.least_percent && used_share > 0.0 {
+                demand.share_of_task = Some(used_share * f64::from(FULL_PERCENT) / f64::from(percent));
             }
+            demand.used_share += used_share;
+            demand.full_share += demand.share_of_task.unwrap_or(self.settings.assumed_share);
         }
     }
-}
 
-impl PacingSettings {
-    fn has_settled(&self, pace: ImagePace, now: Instant) -> bool {
-        pace.changed_at.is_none_or(|at| now - at >= self.settle)
-    }
-
-    fn slowed(&self, pace: ImagePace, now: Instant) -> ImagePace {
-        if pace.percent == 0 || !self.has_settled(pace, now) {
-            return pace;
+    /// Chooses for each image the pace at which no disturbed tail is expected beyond its aim.
+    fn steer(&mut self, pressures: &BTreeMap<ImageName, f64>) {
+        let mut shares: BTreeMap<&ImageName, f64> = BTreeMap::new();
+        for (serving, pressure) in pressures {
+            let effects: Vec<(&ImageName, f64, &ImageDemand)> = self
+                .demands
+                .iter()
+                .map(|(image, demand)| (image, self.known.effect(serving, image), demand))
+                .filter(|(_, effect, demand)| *effect > 0.0 && demand.full_share > 0.0)
+                .collect();
+            let now_ln: f64 = effects.iter().map(|(_, effect, d)| effect * d.used_share).sum();
+            let full_ln: f64 = effects.iter().map(|(_, effect, d)| effect * d.full_share).sum();
+            if full_ln <= 0.0 {
+                continue;
+            }
+            let undisturbed_ln = pressure.max(f64::MIN_POSITIVE).ln() - now_ln;
+            let share = ((self.settings.aim.ln() - undisturbed_ln) / full_ln).clamp(0.0, 1.0);
+            for (image, _, _) in effects {
+                let least = shares.entry(image).or_insert(1.0);
+                *least = least.min(share);
+            }
         }
-        let slowed = (f64::from(pace.percent) * self.slow_factor) as u32;
-        let percent = if slowed < self.least_percent { 0 } else { slowed };
-        ImagePace { percent, changed_at: Some(now) }
+        self.percents = shares
+            .into_iter()
+            .map(|(image, share)| (image.clone(), self.percent_for(share)))
+            .collect();
     }
 
-    fn quickened(&self, pace: ImagePace, now: Instant) -> ImagePace {
-        if pace.percent == FULL_PERCENT || !self.has_settled(pace, now) {
-            return pace;
-        }
-        let percent = (pace.percent + self.quicken_step).min(FULL_PERCENT);
-        ImagePace { percent, changed_at: Some(now) }
+    fn percent_for(&self, share: f64) -> u32 {
+        let percent = (share * f64::from(FULL_PERCENT)) as u32;
+        if percent < self.settings.least_percent { 0 } else { percent }
     }
 }
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -312,11 +312,11 @@
 
     /// Whether a task of the stage would slow a serving task on the worker.
     fn disturbs(&self, worker: &Worker, stage: &Stage) -> bool {
-        let pairs = self.interference.pairs();
-        let Some(image) = stage.image.as_deref().filter(|_| !pairs.pairs.is_empty()) else {
+        let known = self.interference.known();
+        let Some(image) = stage.image.as_deref().filter(|_| !known.pairs.is_empty()) else {
             return false;
         };
-        worker.serving_images.keys().any(|serving| pairs.contains(serving, image))
+        worker.serving_images.keys().any(|serving| known.effect(serving, image) > 0.0)
     }
 
     fn assign(
--- a/crates/teaseltrack/src/cell/protocol.rs
+++ b/crates/teaseltrack/src/cell/protocol.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    cell::{interference::DisturbingPairs, job::JobId, progress::WorkerLife},
+    cell::{interference::Disturbances, job::JobId, progress::WorkerLife},
     ids::{AttemptNumber, Epoch, InstanceId, ServiceName, ZoneName},
     placement::Resources,
 };
@@ -157,8 +157,8 @@
     pub taken_order: u64,
     /// Ends that the worker was told to forget, up to this number.
     pub forgot_until: u64,
-    /// Version of the disturbing pairs that it knows.
-    pub pairs_version: u64,
+    /// Version of the disturbances that it knows.
+    pub disturbances_version: u64,
     /// How long to wait for orders, in milliseconds.
     pub wait_ms: u64,
 }
@@ -215,8 +215,8 @@
     pub first_order: u64,
     /// The orders.
     pub orders: Vec<Order>,
-    /// Images that disturb others, if the agent knows another version.
-    pub pairs: Option<DisturbingPairs>,
+    /// Known disturbances, if the agent knows another version.
+    pub disturbances: Option<Disturbances>,
     /// Whether the owner has been without the store for long.
     pub is_store_lost: bool,
     /// Address of the owner that the answering process knows of.
