Best-effort tasks go where no tail is pushed; spare time from what is used

Cause: paced tasks counted with all that they ask for, and tasks of a disturbing image went where they were paced. Change: spare time from reported use, arrivals for a second; a task of a disturbing image needs headroom on its worker; a new owner adopts the agents' knowledge.

--- a/crates/teaseltrack-cell/src/agent.rs
+++ b/crates/teaseltrack-cell/src/agent.rs
@@ -12,7 +12,6 @@
 use slog::{Logger, debug, info, warn};
 use teaseltrack::{
     cell::{
-        interference::Disturbances,
         pacing::{PaceChange, Pacer},
         progress::WorkerLife,
         protocol::{
@@ -154,6 +153,7 @@
     is_reporting: bool,
     is_polling: bool,
     needs_report: bool,
+    has_told_disturbances: bool,
     full_report_at: Instant,
     report_at: Instant,
 }
@@ -211,6 +211,7 @@
             is_reporting: false,
             is_polling: false,
             needs_report: true,
+            has_told_disturbances: false,
             full_report_at: now,
             report_at: now,
         }
@@ -314,7 +315,7 @@
         self.has_listing = false;
         self.refused.clear();
         self.voiding = Voiding::default();
-        self.pacer.learn_disturbances(Disturbances::default());
+        self.has_told_disturbances = false;
         self.is_holding = false;
         self.hold_number += 1;
         self.hold_at = self.context.clock.now();
@@ -430,6 +431,9 @@
         if listing.as_ref().is_some_and(|listing| listing.running.is_some()) {
             self.full_report_at = now + FULL_REPORT_INTERVAL;
         }
+        let disturbances = (listing.is_some() && !self.has_told_disturbances)
+            .then(|| self.pacer.disturbances().clone());
+        self.has_told_disturbances |= listing.is_some();
         Report {
             agent: self.context.instance.clone(),
             started_unix_ms: self.context.started_unix_ms,
@@ -442,7 +446,8 @@
             refused: if is_full { self.refused.clone() } else { Vec::new() },
             taken_order: self.taken_order,
             forgot_until: self.forget_until,
-            disturbances_version: self.pacer.disturbances_version(),
+            disturbances_version: self.pacer.disturbances().version,
+            disturbances,
             wait_ms: if is_full { 0 } else { REPORT_WAIT.as_millis() as u64 },
         }
     }
--- a/crates/teaseltrack-cell/src/constants.rs
+++ b/crates/teaseltrack-cell/src/constants.rs
@@ -65,7 +65,7 @@
 /// Answers to tails. A pause and the time before it end well within the platform's bound on a tail
 /// over its target beside best-effort tasks.
 pub const PACING: PacingSettings = PacingSettings {
-    aim: 0.75,
+    aim: 0.68,
     least_change: 8,
     least_percent: 6,
     assumed_share: 0.08,
@@ -79,7 +79,9 @@
     reserve_wait: Duration::from_millis(1_000),
     serving_load: 0.55,
     best_effort_floor: 0.5,
-    disturbing_share: 0.35,
+    tail_aim: 0.7,
+    least_pace: 0.6,
+    arrival_time: Duration::from_millis(1_000),
     hopeless_factor: 3.0,
 };
 
@@ -89,7 +91,8 @@
     half_life_s: 20.0,
     longest_step: Duration::from_millis(1_500),
     ridge: 0.05,
-    least_effect: 1.0,
+    least_evidence: 0.3,
+    least_effect: 0.7,
     least_significance: 3.0,
     correlation: 2.0,
 };
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -384,6 +384,9 @@
             }
             self.take_listing(key, listing);
         }
+        if let Some(known) = report.disturbances {
+            self.interference.adopt(known);
+        }
         if report.disturbances_version != self.interference.known().version {
             answer.disturbances = Some(self.interference.known().clone());
         }
@@ -443,16 +446,22 @@
         let capacity_milli = status.capacity.cpu_milli.max(1) as f64;
         let mut usage = ImageUsage::new();
         let mut tails = Vec::new();
+        let mut pressures = BTreeMap::new();
         for run in running {
             let Some(task) = self.key_of(&run.task) else { continue };
             let stage = self.stage(task);
             let image = stage.image.clone().unwrap_or_default();
             if stage.is_best_effort {
                 *usage.entry(image).or_insert(0.0) += run.gauge as f64 / capacity_milli;
-            } else if stage.target_tail_ms.is_some() && run.gauge > 0 {
+            } else if let Some(target_ms) = stage.target_tail_ms.filter(|_| run.gauge > 0) {
+                let highest = pressures.entry(image.clone()).or_insert(0.0_f64);
+                *highest = highest.max(run.gauge as f64 / target_ms.max(1) as f64);
                 tails.push((task, image, run.gauge));
             }
         }
+        let worker = &mut self.workers[key];
+        worker.pressures = pressures;
+        worker.best_effort_used_milli = (usage.values().sum::<f64>() * capacity_milli) as u64;
         let usage = Arc::new(usage);
         for (task, image, tail_ms) in tails {
             self.interference.observe(task, &image, tail_ms, &usage, now);
--- a/crates/teaseltrack/src/cell/interference.rs
+++ b/crates/teaseltrack/src/cell/interference.rs
@@ -30,6 +30,8 @@
     pub longest_step: Duration,
     /// Weight of the assumption that nothing disturbs, in squared shares of a worker.
     pub ridge: f64,
+    /// Squared changes of an image's share after which an earlier owner's word no longer holds.
+    pub least_evidence: f64,
     /// Least growth of a tail's logarithm by a whole worker of the image.
     pub least_effect: f64,
     /// Least effect in standard errors.
@@ -92,6 +94,7 @@
     settings: InterferenceSettings,
     fits: BTreeMap<ImageName, Fit>,
     last: HashMap<TaskKey, Sample>,
+    prior: Disturbances,
     known: Disturbances,
 }
 
@@ -102,10 +105,19 @@
             settings,
             fits: BTreeMap::new(),
             last: HashMap::new(),
+            prior: Disturbances::default(),
             known: Disturbances::default(),
         }
     }
 
+    /// Takes over what an earlier owner had learned; holds until samples say otherwise.
+    pub fn adopt(&mut self, known: Disturbances) {
+        if known.version > self.known.version {
+            self.prior = known.clone();
+            self.known = known;
+        }
+    }
+
     /// The known disturbances.
     pub fn known(&self) -> &Disturbances {
         &self.known
@@ -139,10 +151,16 @@
         let settings = self.settings;
         self.last.retain(|_, sample| now.duration_since(sample.at) <= settings.longest_step);
         let factor = 0.5_f64.powf(elapsed.as_secs_f64() / settings.half_life_s);
-        let mut pairs = Vec::new();
+        let fits = &self.fits;
+        let is_open = |pair: &Disturbance| {
+            fits.get(&pair.serving).is_none_or(|fit| !fit.has_judged(&pair.best_effort, &settings))
+        };
+        self.prior.pairs.retain(is_open);
+        let mut pairs = self.prior.pairs.clone();
         for (serving, fit) in &mut self.fits {
             fit.age(factor);
             for (best_effort, effect) in fit.disturbing(&settings) {
+                pairs.retain(|pair| pair.serving != *serving || pair.best_effort != best_effort);
                 pairs.push(Disturbance { serving: serving.clone(), best_effort, effect });
             }
         }
@@ -198,6 +216,12 @@
         self.weight *= factor;
     }
 
+    /// Whether the image was seen to come and go often enough to judge it.
+    fn has_judged(&self, image: &str, settings: &InterferenceSettings) -> bool {
+        let column = self.columns.get(image);
+        column.is_some_and(|column| self.products[*column][*column] >= settings.least_evidence)
+    }
+
     fn disturbing(&self, settings: &InterferenceSettings) -> Vec<(ImageName, f64)> {
         let mut matrix = self.products.clone();
         for (i, row) in matrix.iter_mut().enumerate() {
--- a/crates/teaseltrack/src/cell/pacing.rs
+++ b/crates/teaseltrack/src/cell/pacing.rs
@@ -97,9 +97,9 @@
         self.known = known;
     }
 
-    /// Version of the disturbances in use.
-    pub fn disturbances_version(&self) -> u64 {
-        self.known.version
+    /// The disturbances in use.
+    pub fn disturbances(&self) -> &Disturbances {
+        &self.known
     }
 
     /// Whether all best-effort tasks are paused.
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -11,7 +11,7 @@
         Cell, CellEvent, JobKey, Occurrence, Run, Task, WorkerKey,
         job::Stage,
         progress::{JobState, TaskPhase},
-        worker::{TaskKey, Worker, held},
+        worker::{Arrival, TaskKey, Worker, held},
     },
     ids::AttemptNumber,
 };
@@ -27,8 +27,12 @@
     pub serving_load: f64,
     /// Share of its declared processors that must be unclaimed before a best-effort task starts.
     pub best_effort_floor: f64,
-    /// Share of the unclaimed processors that a best-effort task counts on where it would be paced.
-    pub disturbing_share: f64,
+    /// Share of its target that no tail is to pass when a best-effort task arrives.
+    pub tail_aim: f64,
+    /// Share of full pace that an arriving best-effort task must have.
+    pub least_pace: f64,
+    /// Time after which an assigned best-effort task shows in its worker's reports.
+    pub arrival_time: Duration,
     /// Factor on a job's objective after which it is served last.
     pub hopeless_factor: f64,
 }
@@ -75,6 +79,7 @@
         self.needs_plan = false;
         self.begin_due_occurrences(unix_now_ms);
         self.leave_draining_workers();
+        self.forget_arrivals(now);
         let workers = self.open_workers(now);
         if workers.is_empty() {
             return;
@@ -86,6 +91,21 @@
         }
     }
 
+    fn forget_arrivals(&mut self, now: Instant) {
+        let arrival_time = self.settings.planning.arrival_time;
+        for worker in self.workers.values_mut() {
+            worker.arriving.retain(|arrival| now.duration_since(arrival.at) < arrival_time);
+        }
+    }
+
+    fn note_arrival(&mut self, worker: WorkerKey, stage: &Stage, now: Instant) {
+        if stage.is_best_effort {
+            let image = stage.image.clone().unwrap_or_default();
+            let cpu_milli = stage.resources.cpu_milli;
+            self.workers[worker].arriving.push(Arrival { at: now, image, cpu_milli });
+        }
+    }
+
     fn begin_due_occurrences(&mut self, unix_now_ms: u64) {
         for key in self.active.clone() {
             let job = &self.jobs[key];
@@ -203,6 +223,7 @@
             let chosen = self.choose_worker(key, &stage, workers, reserve);
             let Some(worker) = chosen else { continue };
             self.assign(key, &stage, worker, attempt);
+            self.note_arrival(worker, &stage, now);
             placed.push(key);
         }
         if stage.is_gang && placed.len() < candidate.waiting.len() {
@@ -291,32 +312,50 @@
                 (left_milli >= reserve_milli).then_some(left_milli)?
             }
             Kind::BestEffort => {
-                let serving = worker.demand.serving_milli as f64 * settings.serving_load;
-                let spare_milli = capacity_milli
-                    - worker.demand.batch_milli as i64
-                    - serving as i64
-                    - worker.demand.best_effort_milli as i64;
-                let share = if self.disturbs(worker, stage) {
-                    settings.disturbing_share
-                } else {
-                    1.0
-                };
-                let spare_milli = (spare_milli as f64 * share) as i64;
+                let spare_milli = self.spare_milli(worker);
                 let floor_milli = (task_milli as f64 * settings.best_effort_floor) as i64;
-                (spare_milli >= floor_milli).then_some(spare_milli)?
+                let has_room = spare_milli >= floor_milli && self.is_bearable(worker, stage);
+                has_room.then_some(spare_milli)?
             }
         };
         let is_near = stage.data_rack.as_ref().is_some_and(|rack| status.labels.contains(rack));
         Some(if is_near { left_milli + capacity_milli } else { left_milli })
     }
 
-    /// Whether a task of the stage would slow a serving task on the worker.
-    fn disturbs(&self, worker: &Worker, stage: &Stage) -> bool {
+    /// Processor time that no task uses or is about to use.
+    fn spare_milli(&self, worker: &Worker) -> i64 {
+        let capacity_milli = worker.status.as_ref().map_or(0, |status| status.capacity.cpu_milli);
+        let serving = worker.demand.serving_milli as f64 * self.settings.planning.serving_load;
+        let arriving: u64 = worker.arriving.iter().map(|arrival| arrival.cpu_milli).sum();
+        let taken_milli = worker.demand.batch_milli
+            + serving as u64
+            + worker.best_effort_used_milli.min(worker.demand.best_effort_milli)
+            + arriving;
+        capacity_milli as i64 - taken_milli as i64
+    }
+
+    /// Whether a best-effort task could work at a fair pace without pushing a tail beyond the aim.
+    fn is_bearable(&self, worker: &Worker, stage: &Stage) -> bool {
         let known = self.interference.known();
         let Some(image) = stage.image.as_deref().filter(|_| !known.pairs.is_empty()) else {
-            return false;
+            return true;
         };
-        worker.serving_images.keys().any(|serving| known.effect(serving, image) > 0.0)
+        let capacity_milli = worker.status.as_ref().map_or(0, |status| status.capacity.cpu_milli);
+        let share_of = |cpu_milli: u64| cpu_milli as f64 / capacity_milli.max(1) as f64;
+        worker.pressures.iter().all(|(serving, pressure)| {
+            let effect = known.effect(serving, image);
+            if effect <= 0.0 {
+                return true;
+            }
+            let arriving: f64 = worker
+                .arriving
+                .iter()
+                .map(|arrival| known.effect(serving, &arrival.image) * share_of(arrival.cpu_milli))
+                .sum();
+            let headroom = (self.settings.planning.tail_aim / pressure.max(0.01)).ln() - arriving;
+            let needed = effect * share_of(stage.resources.cpu_milli);
+            headroom >= needed * self.settings.planning.least_pace
+        })
     }
 
     fn assign(
--- a/crates/teaseltrack/src/cell/protocol.rs
+++ b/crates/teaseltrack/src/cell/protocol.rs
@@ -159,6 +159,8 @@
     pub forgot_until: u64,
     /// Version of the disturbances that it knows.
     pub disturbances_version: u64,
+    /// The disturbances themselves, in the first full report of a session.
+    pub disturbances: Option<Disturbances>,
     /// How long to wait for orders, in milliseconds.
     pub wait_ms: u64,
 }
--- a/crates/teaseltrack/src/cell/worker.rs
+++ b/crates/teaseltrack/src/cell/worker.rs
@@ -41,6 +41,17 @@
     pub best_effort_milli: u64,
 }
 
+/// A best-effort task that was assigned lately.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Arrival {
+    /// When it was assigned.
+    pub at: Instant,
+    /// What it runs.
+    pub image: ImageName,
+    /// What it asks for, in thousandths of a core.
+    pub cpu_milli: u64,
+}
+
 /// One life of a worker.
 #[derive(Clone, Debug)]
 pub struct Worker {
@@ -70,8 +81,12 @@
     pub reserved: Resources,
     /// Processor time asked for by kind of task.
     pub demand: Demand,
-    /// Serving tasks by image.
-    pub serving_images: BTreeMap<ImageName, u32>,
+    /// Highest tail as a share of its target, by serving image.
+    pub pressures: BTreeMap<ImageName, f64>,
+    /// Processor time that best-effort tasks were last seen to use, in thousandths of a core.
+    pub best_effort_used_milli: u64,
+    /// Best-effort tasks that were assigned lately and aren't seen at work yet.
+    pub arriving: Vec<Arrival>,
     /// Tasks assigned to it.
     pub tasks: BTreeSet<TaskKey>,
     /// Orders that weren't taken yet.
@@ -101,7 +116,9 @@
             refused_until: None,
             reserved: Resources::default(),
             demand: Demand::default(),
-            serving_images: BTreeMap::new(),
+            pressures: BTreeMap::new(),
+            best_effort_used_milli: 0,
+            arriving: Vec::new(),
             tasks: BTreeSet::new(),
             orders: VecDeque::new(),
             first_order: 1,
@@ -136,9 +153,6 @@
         if self.tasks.insert(key) {
             self.reserved = self.reserved.plus(&held(stage));
             *self.demand_of(stage) += stage.resources.cpu_milli;
-            if let Some(image) = serving_image(stage) {
-                *self.serving_images.entry(image.clone()).or_default() += 1;
-            }
         }
     }
 
@@ -148,14 +162,6 @@
             self.reserved = self.reserved.minus(&held(stage));
             let demand = self.demand_of(stage);
             *demand = demand.saturating_sub(stage.resources.cpu_milli);
-            if let Some(image) = serving_image(stage)
-                && let Some(count) = self.serving_images.get_mut(image)
-            {
-                *count -= 1;
-                if *count == 0 {
-                    self.serving_images.remove(image);
-                }
-            }
         }
     }
 
@@ -184,11 +190,6 @@
     }
 }
 
-/// The image of a stage that serves.
-fn serving_image(stage: &Stage) -> Option<&ImageName> {
-    stage.target_tail_ms.and(stage.image.as_ref())
-}
-
 /// What a task of the stage holds on its worker.
 pub fn held(stage: &Stage) -> Resources {
     if stage.is_best_effort {
