Workers are judged by what they run; small best-effort jobs first

Change: three failures in a row pause a worker, a failed task goes elsewhere, a run that stands still is stopped, slow workers are avoided; best-effort jobs are ordered by wait and size; tails steered to 0.58.

--- a/crates/teaseltrack-cell/src/agent.rs
+++ b/crates/teaseltrack-cell/src/agent.rs
@@ -533,8 +533,7 @@
             return;
         };
         let session = self.session;
-        let call = self
-            .addressed(WorkerCall::Start { order: order.clone(), lease_until_ms });
+        let call = self.addressed(WorkerCall::Start { order: order.clone(), lease_until_ms });
         let (worker, events) = (self.context.worker.clone(), self.events.clone());
         let permits = self.permits.clone();
         tokio::spawn(async move {
--- a/crates/teaseltrack-cell/src/agent/voiding.rs
+++ b/crates/teaseltrack-cell/src/agent/voiding.rs
@@ -40,13 +40,11 @@
     ) -> Vec<RefusedStart> {
         let mut void = Vec::new();
         self.attempts.retain(|(task, attempt), taken_at| {
-            let has_ended =
-                ended.iter().any(|end| end.task == *task && end.attempt == *attempt);
+            let has_ended = ended.iter().any(|end| end.task == *task && end.attempt == *attempt);
             if has_ended {
                 return false;
             }
-            let is_running =
-                running.iter().any(|run| run.task == *task && run.attempt == *attempt);
+            let is_running = running.iter().any(|run| run.task == *task && run.attempt == *attempt);
             let is_certain = taken_at.is_some_and(|taken| asked_at >= taken + VOID_AFTER);
             if is_running || !is_certain {
                 return true;
--- a/crates/teaseltrack-cell/src/candidate.rs
+++ b/crates/teaseltrack-cell/src/candidate.rs
@@ -11,9 +11,7 @@
     cell::ownership::{OwnerRecord, OwnershipWatch, candidate_delay},
     ids::InstanceId,
 };
-use teaseltrack_platform::store::{
-    CommitAnswer, Condition, Row, StoreError, Transaction, Write,
-};
+use teaseltrack_platform::store::{CommitAnswer, Condition, Row, StoreError, Transaction, Write};
 use tokio::{sync::watch, time::sleep};
 use tokio_util::sync::CancellationToken;
 
@@ -105,8 +103,7 @@
                 if is_first { Duration::ZERO } else { self.context.ownership.grant_period };
             return self.take(Some((record, row)), now + earlier_grants).await;
         }
-        let delay =
-            candidate_delay(&self.instance, row.version, CANDIDATE_STEP, CANDIDATE_STEPS);
+        let delay = candidate_delay(&self.instance, row.version, CANDIDATE_STEP, CANDIDATE_STEPS);
         let silence = self.context.ownership.silence + delay;
         let Some(since) = watch.unchanged_since(silence, now) else { return Ok(None) };
         let grants_end = since + self.context.ownership.grant_period;
--- a/crates/teaseltrack-cell/src/constants.rs
+++ b/crates/teaseltrack-cell/src/constants.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use teaseltrack::cell::{
-    CellSettings, interference::InterferenceSettings, ownership::OwnershipSettings, pacing::PacingSettings, planning::PlanningSettings,
+    CellSettings, health::HealthSettings, interference::InterferenceSettings,
+    ownership::OwnershipSettings, pacing::PacingSettings, planning::PlanningSettings,
 };
 
 /// Longest lease granted to a worker, unless the platform's own bound is shorter: a takeover and a
@@ -65,7 +66,7 @@
 /// Answers to tails. A pause and the time before it end well within the platform's bound on a tail
 /// over its target beside best-effort tasks.
 pub const PACING: PacingSettings = PacingSettings {
-    aim: 0.68,
+    aim: 0.58,
     least_change: 8,
     least_percent: 6,
     assumed_share: 0.08,
@@ -79,12 +80,24 @@
     reserve_wait: Duration::from_millis(1_000),
     serving_load: 0.55,
     best_effort_floor: 0.5,
-    tail_aim: 0.7,
+    tail_aim: 0.6,
     least_pace: 0.6,
     arrival_time: Duration::from_millis(1_000),
+    size_handicap: 20.0,
     hopeless_factor: 3.0,
 };
 
+/// Failures by a task's own fault are rare, so three in a row are the worker's. A run reports
+/// progress several times a second.
+const HEALTH: HealthSettings = HealthSettings {
+    failures_in_row: 3,
+    probation: Duration::from_millis(3_000),
+    stall: Duration::from_millis(2_000),
+    slowness_weight: 0.3,
+    slowness_half_life_s: 4.0,
+    avoided_slowness: 2.0,
+};
+
 /// Disturbance shifts within tens of seconds. Reports overlap in the half second that a tail is
 /// averaged over.
 const INTERFERENCE: InterferenceSettings = InterferenceSettings {
@@ -105,6 +118,7 @@
         lease_margin: LEASE_MARGIN,
         agent_silence: AGENT_SILENCE,
         refusal_pause: REFUSAL_PAUSE,
+        health: HEALTH,
         planning: PLANNING,
         interference: INTERFERENCE,
     }
--- a/crates/teaseltrack-cell/src/entry.rs
+++ b/crates/teaseltrack-cell/src/entry.rs
@@ -14,9 +14,7 @@
     },
     clock::SharedClock,
 };
-use teaseltrack_platform::store::{
-    CommitAnswer, Condition, Store, StoreError, Transaction, Write,
-};
+use teaseltrack_platform::store::{CommitAnswer, Condition, Store, StoreError, Transaction, Write};
 use teaseltrack_wire::cell::JobLookup;
 use tokio::{
     sync::watch,
@@ -26,9 +24,7 @@
 use crate::{
     calls::{CellClient, KnownOwner},
     constants::{FEED_WAIT, RETRY_PAUSE},
-    rows::{
-        OWNER_KEY, OWNERS_TABLE, Submission, cancellation_key, progress_key, submission_key,
-    },
+    rows::{OWNER_KEY, OWNERS_TABLE, Submission, cancellation_key, progress_key, submission_key},
 };
 
 /// Outcome of a submission.
--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -135,8 +135,7 @@
     ));
     context.mailbox.send_replace(Some(mailbox));
     let renewed_at = committer.renewed_at;
-    let mut owner =
-        Owner { context, cell, parked: HashMap::new(), renewed_at, is_stopping: false };
+    let mut owner = Owner { context, cell, parked: HashMap::new(), renewed_at, is_stopping: false };
     owner.run(committer, Inboxes { calls, news, configuration }, closing).await;
     owner.context.mailbox.send_replace(None);
     follower.abort();
@@ -290,8 +289,7 @@
 
     /// Sends the next commit, or gives the committer back if there is nothing to commit.
     fn start_commit(&mut self, mut committer: Committer) -> Result<CommitTask, Box<Committer>> {
-        let is_due =
-            self.context.clock.now().duration_since(self.renewed_at) >= RENEWAL_INTERVAL;
+        let is_due = self.context.clock.now().duration_since(self.renewed_at) >= RENEWAL_INTERVAL;
         let rows = match self.cell.next_commit(MAX_COMMIT_ROWS) {
             Some(batch) => batch.rows,
             None if is_due => Vec::new(),
@@ -338,6 +336,10 @@
                     info!(logger, "run ended"; "request_id" => &task.job, "task" => %task,
                         "attempt" => attempt, "worker" => worker, "cause" => ?cause);
                 }
+                CellEvent::Stalled { task, attempt, worker } => {
+                    info!(logger, "run stands still and is stopped"; "request_id" => &task.job,
+                        "task" => %task, "attempt" => attempt, "worker" => worker);
+                }
                 CellEvent::TakenBack { task, attempt, worker, reason } => {
                     info!(logger, "task taken back"; "request_id" => &task.job, "task" => %task,
                         "attempt" => attempt, "worker" => worker, "reason" => reason);
--- a/crates/teaseltrack-cell/src/owner/committer.rs
+++ b/crates/teaseltrack-cell/src/owner/committer.rs
@@ -47,10 +47,7 @@
     /// # Errors
     ///
     /// The cell has another owner.
-    pub async fn commit(
-        &mut self,
-        rows: &[(String, JobProgress)],
-    ) -> Result<(), OwnershipLost> {
+    pub async fn commit(&mut self, rows: &[(String, JobProgress)]) -> Result<(), OwnershipLost> {
         let next = OwnerRecord { sequence: self.record.sequence + 1, ..self.record.clone() };
         let mut writes = vec![Write::put(OWNER_KEY.to_owned(), &next)];
         writes.extend(rows.iter().map(|(job, progress)| Write::put(progress_key(job), progress)));
--- a/crates/teaseltrack-daemon/src/lifecycle.rs
+++ b/crates/teaseltrack-daemon/src/lifecycle.rs
@@ -75,10 +75,9 @@
     }
     let runtime = match worker_threads {
         0 => tokio::runtime::Builder::new_current_thread().enable_all().build(),
-        count => tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(count)
-            .enable_all()
-            .build(),
+        count => {
+            tokio::runtime::Builder::new_multi_thread().worker_threads(count).enable_all().build()
+        }
     };
     let Ok(runtime) = runtime else {
         eprintln!("the runtime can't start");
--- a/crates/teaseltrack-platform/src/store.rs
+++ b/crates/teaseltrack-platform/src/store.rs
@@ -369,11 +369,8 @@
         after: u64,
         wait: Duration,
     ) -> Result<ChangePage, StoreError> {
-        let call = StoreCall::Changes {
-            table: table.to_owned(),
-            after,
-            wait_ms: wait.as_millis() as u64,
-        };
+        let call =
+            StoreCall::Changes { table: table.to_owned(), after, wait_ms: wait.as_millis() as u64 };
         match self.call(call).await? {
             StoreReply::Changes(page) => Ok(page),
             _ => UnavailableSnafu { message: "unexpected answer to a wait for changes" }.fail(),
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -21,7 +21,9 @@
     cell::{
         interference::{ImageUsage, Interference, InterferenceSettings},
         job::{JobId, JobSpec, Queue, QueueConfiguration, Stage},
-        progress::{JobProgress, JobState, OccurrenceProgress, TaskPhase, TaskProgress, WorkerLife},
+        progress::{
+            JobProgress, JobState, OccurrenceProgress, TaskPhase, TaskProgress, WorkerLife,
+        },
         protocol::{
             EndCause, EndedTask, Order, RefusedStart, Report, ReportAnswer, RunningTask,
             SessionToken, SharingTraits, StartOrder, TaskName, WorkerListing, WorkerStatus,
@@ -31,6 +33,7 @@
     ids::{AttemptNumber, Epoch, InstanceId},
 };
 
+pub mod health;
 pub mod interference;
 pub mod job;
 pub mod ownership;
@@ -69,6 +72,8 @@
     pub agent_silence: Duration,
     /// Pause of placement on a worker after it refused a start.
     pub refusal_pause: Duration,
+    /// How workers are judged by what they run.
+    pub health: health::HealthSettings,
     /// How planning shares workers.
     pub planning: planning::PlanningSettings,
     /// How disturbing images are told from noise.
@@ -91,6 +96,8 @@
     is_stopping: bool,
     percent: u32,
     gauge: u64,
+    listed_at: Option<Instant>,
+    moved_at: Option<Instant>,
 }
 
 /// A task.
@@ -99,6 +106,8 @@
     progress: TaskProgress,
     run: Option<Run>,
     waiting_since: Option<Instant>,
+    avoided: Option<WorkerKey>,
+    run_time: Option<Duration>,
 }
 
 impl Task {
@@ -181,6 +190,15 @@
         /// How.
         cause: EndCause,
     },
+    /// A run that makes no progress is stopped.
+    Stalled {
+        /// The task.
+        task: TaskName,
+        /// Its attempt.
+        attempt: AttemptNumber,
+        /// Where.
+        worker: WorkerLife,
+    },
     /// A task was taken back from a worker without an end.
     TakenBack {
         /// The task.
@@ -382,7 +400,7 @@
             if let Some(running) = &listing.running {
                 self.observe_sharing(key, running, now);
             }
-            self.take_listing(key, listing);
+            self.take_listing(key, listing, now);
         }
         if let Some(known) = report.disturbances {
             self.interference.adopt(known);
@@ -436,6 +454,8 @@
         let settled_at = *self.settled_at.get_or_insert(now);
         if now.duration_since(settled_at) >= SETTLE_INTERVAL {
             self.interference.settle(now.duration_since(settled_at), now);
+            self.stop_stalled_runs(now);
+            self.forget_slowness(now.duration_since(settled_at));
             self.settled_at = Some(now);
         }
     }
@@ -554,7 +574,7 @@
                         }
                         TaskPhase::Waiting | TaskPhase::Done => None,
                     };
-                    restored_tasks.push(Task { progress, run, waiting_since: None });
+                    restored_tasks.push(Task { progress, run, ..Task::default() });
                 }
                 restored.stages.push(restored_tasks);
             }
@@ -656,13 +676,13 @@
         }
     }
 
-    fn take_listing(&mut self, key: WorkerKey, listing: WorkerListing) {
+    fn take_listing(&mut self, key: WorkerKey, listing: WorkerListing, now: Instant) {
         for end in listing.ended {
-            self.take_end(key, &end);
+            self.take_end(key, &end, now);
         }
         let Some(running) = listing.running else { return };
         for run in &running {
-            self.take_run(key, run);
+            self.take_run(key, run, now);
         }
         let worker = &mut self.workers[key];
         if worker.is_confirmed {
@@ -684,7 +704,7 @@
         self.needs_plan = true;
     }
 
-    fn take_run(&mut self, key: WorkerKey, listed: &RunningTask) {
+    fn take_run(&mut self, key: WorkerKey, listed: &RunningTask, now: Instant) {
         let session = self.workers[key].session;
         let task_key = self.key_of(&listed.task);
         let wanted = task_key.is_some_and(|task_key| {
@@ -698,8 +718,7 @@
             if !listed.checkpoint.is_empty() {
                 task.progress.checkpoint.clone_from(&listed.checkpoint);
             }
-            run.percent = listed.percent;
-            run.gauge = listed.gauge;
+            run.note_progress(listed, now);
             run.is_listed = true;
             run.session = session;
             !run.is_stopping && !is_final
@@ -723,7 +742,7 @@
         }
     }
 
-    fn take_end(&mut self, key: WorkerKey, end: &EndedTask) {
+    fn take_end(&mut self, key: WorkerKey, end: &EndedTask, now: Instant) {
         let worker = &mut self.workers[key];
         if end.number <= worker.seen_end {
             return;
@@ -742,6 +761,7 @@
                 && task.run.as_ref().is_some_and(|run| run.worker == key)
         });
         if is_current {
+            self.judge_worker(key, task_key, end.cause, now);
             self.free_run(task_key);
         }
         let Some(task) = self.task_mut(task_key) else { return };
@@ -963,10 +983,8 @@
         let session = worker.session;
         let job = &self.jobs[key.job];
         let Some(task) = self.task(key) else { return };
-        let is_current = task
-            .run
-            .as_ref()
-            .is_some_and(|run| run.worker == worker_key && run.session == session);
+        let is_current =
+            task.run.as_ref().is_some_and(|run| run.worker == worker_key && run.session == session);
         if !is_current {
             return;
         }
@@ -1034,12 +1052,8 @@
 
     fn key_of(&self, name: &TaskName) -> Option<TaskKey> {
         let job = *self.by_id.get(&name.job)?;
-        let key = TaskKey {
-            job,
-            occurrence: name.occurrence,
-            stage: name.stage,
-            index: name.index,
-        };
+        let key =
+            TaskKey { job, occurrence: name.occurrence, stage: name.stage, index: name.index };
         self.task(key).map(|_| key)
     }
 
@@ -1055,6 +1069,15 @@
 
 impl Run {
     fn new(worker: WorkerKey, session: SessionToken) -> Self {
-        Self { worker, session, is_listed: false, is_stopping: false, percent: 0, gauge: 0 }
+        Self {
+            worker,
+            session,
+            is_listed: false,
+            is_stopping: false,
+            percent: 0,
+            gauge: 0,
+            listed_at: None,
+            moved_at: None,
+        }
     }
 }
--- a/crates/teaseltrack/src/cell/pacing.rs
+++ b/crates/teaseltrack/src/cell/pacing.rs
@@ -207,7 +207,8 @@
             let image = traits.image.clone().unwrap_or_default();
             let demand = self.demands.entry(image).or_default();
             if percent >= self.settings.least_percent && used_share > 0.0 {
-                demand.share_of_task = Some(used_share * f64::from(FULL_PERCENT) / f64::from(percent));
+                demand.share_of_task =
+                    Some(used_share * f64::from(FULL_PERCENT) / f64::from(percent));
             }
             demand.used_share += used_share;
             demand.full_share += demand.share_of_task.unwrap_or(self.settings.assumed_share);
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -33,6 +33,8 @@
     pub least_pace: f64,
     /// Time after which an assigned best-effort task shows in its worker's reports.
     pub arrival_time: Duration,
+    /// Head start of small best-effort jobs, in times of what the whole fleet needs for a job.
+    pub size_handicap: f64,
     /// Factor on a job's objective after which it is served last.
     pub hopeless_factor: f64,
 }
@@ -201,8 +203,7 @@
         let chain_ms = job.queue.stretch.max(1.0) * job.spec.chain_estimate_ms() as f64;
         let objective = Duration::from_millis(chain_ms as u64 + job.queue.objective_ms);
         let deadline = job.accepted_at + objective;
-        let hopeless =
-            job.accepted_at + objective.mul_f64(self.settings.planning.hopeless_factor);
+        let hopeless = job.accepted_at + objective.mul_f64(self.settings.planning.hopeless_factor);
         let lateness = if stage.is_long_running || now <= deadline {
             Lateness::InTime
         } else if now <= hopeless {
@@ -210,7 +211,30 @@
         } else {
             Lateness::Hopeless
         };
-        (Kind::of(stage), lateness, job.queue.priority, deadline)
+        let order =
+            if stage.is_best_effort { job.accepted_at + self.handicap(key) } else { deadline };
+        (Kind::of(stage), lateness, job.queue.priority, order)
+    }
+
+    /// Wait after which a best-effort job goes before one of no work that has just come: small jobs
+    /// first, but a large one isn't put off for ever.
+    fn handicap(&self, key: JobKey) -> Duration {
+        let stages = &self.jobs[key].spec.stages;
+        let core_ms: u64 = stages
+            .iter()
+            .map(|stage| {
+                u64::from(stage.task_count) * stage.estimate_ms * stage.resources.cpu_milli
+            })
+            .sum::<u64>()
+            / 1_000;
+        let fleet_milli: u64 = self
+            .workers
+            .values()
+            .filter_map(|worker| worker.status.as_ref())
+            .map(|status| status.capacity.cpu_milli)
+            .sum();
+        let fleet_ms = core_ms as f64 * 1_000.0 / fleet_milli.max(1) as f64;
+        Duration::from_millis((fleet_ms * self.settings.planning.size_handicap) as u64)
     }
 
     fn place_stage(&mut self, candidate: &Candidate, workers: &[WorkerKey], now: Instant) {
@@ -319,7 +343,12 @@
             }
         };
         let is_near = stage.data_rack.as_ref().is_some_and(|rack| status.labels.contains(rack));
-        Some(if is_near { left_milli + capacity_milli } else { left_milli })
+        let is_slow = worker.slowness > self.settings.health.avoided_slowness;
+        let is_avoided = self.task(key).and_then(|task| task.avoided).is_some_and(|avoided| {
+            self.workers.get(avoided).is_some_and(|avoided| avoided.life == worker.life)
+        });
+        let bonus = i64::from(is_near) - i64::from(is_slow) - 2 * i64::from(is_avoided);
+        Some(left_milli + bonus * capacity_milli)
     }
 
     /// Processor time that no task uses or is about to use.
--- a/crates/teaseltrack/src/cell/worker.rs
+++ b/crates/teaseltrack/src/cell/worker.rs
@@ -75,8 +75,12 @@
     pub last_heard: Instant,
     /// Whether it answered its agent's last call.
     pub is_reachable: bool,
-    /// When a refused start allows the next.
+    /// When a refused start, or failures in a row, allow the next start.
     pub refused_until: Option<Instant>,
+    /// Runs that failed since the last one that was done.
+    pub failures_in_row: u32,
+    /// Run times against those of the same stage elsewhere; 1 for a worker like the others.
+    pub slowness: f64,
     /// Room held by tasks.
     pub reserved: Resources,
     /// Processor time asked for by kind of task.
@@ -114,6 +118,8 @@
             last_heard: now,
             is_reachable: false,
             refused_until: None,
+            failures_in_row: 0,
+            slowness: 1.0,
             reserved: Resources::default(),
             demand: Demand::default(),
             pressures: BTreeMap::new(),
@@ -167,9 +173,9 @@
 
     /// Room that nothing holds.
     pub fn room(&self) -> Resources {
-        self.status.as_ref().map_or(Resources::default(), |status| {
-            status.capacity.minus(&self.reserved)
-        })
+        self.status
+            .as_ref()
+            .map_or(Resources::default(), |status| status.capacity.minus(&self.reserved))
     }
 
     /// Tasks of one stage that it holds.
