--- /dev/null
+++ b/crates/teaseltrack/tests/cell.rs
@@ -0,0 +1,547 @@
+//! A cell's owner against workers that fail, hang, vanish and come back.
+//!
+//! [`Fleet`] stands for workers and agents: it carries out orders, lists what runs and has ended,
+//! and asserts at each start that the task runs nowhere else, that its stage's turn has come, that
+//! there is room, and that it isn't done.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use teaseltrack::{
+    cell::{
+        Cell, CellSettings, StoredJob,
+        health::HealthSettings,
+        interference::InterferenceSettings,
+        job::{JobSpec, Queue, QueueConfiguration, Stage},
+        planning::PlanningSettings,
+        progress::{JobProgress, JobState},
+        protocol::{
+            EndCause, EndedTask, Order, RefusedStart, Report, RunningTask, StartOrder, TaskName,
+            WorkerListing, WorkerStatus,
+        },
+    },
+    placement::Resources,
+};
+use yare::parameterized;
+
+const LEASE: Duration = Duration::from_millis(5_000);
+const STEP: Duration = Duration::from_millis(50);
+const CAPACITY: Resources =
+    Resources { cpu_milli: 8_000, memory_mib: 16_000, accelerators: 0 };
+
+fn settings() -> CellSettings {
+    CellSettings {
+        lease: LEASE,
+        clock_drift: 0.02,
+        lease_margin: Duration::from_millis(300),
+        agent_silence: Duration::from_millis(1_200),
+        refusal_pause: Duration::from_millis(500),
+        health: HealthSettings {
+            failures_in_row: 3,
+            probation: Duration::from_millis(3_000),
+            stall: Duration::from_millis(2_000),
+            slowness_weight: 0.3,
+            slowness_half_life_s: 4.0,
+            avoided_slowness: 2.0,
+        },
+        planning: PlanningSettings {
+            batch_reserve: 0.06,
+            reserve_wait: Duration::from_millis(1_000),
+            serving_load: 0.55,
+            best_effort_floor: 0.5,
+            tail_aim: 0.6,
+            least_pace: 0.6,
+            arrival_time: Duration::from_millis(1_000),
+            size_handicap: 20.0,
+            hopeless_factor: 3.0,
+        },
+        interference: InterferenceSettings {
+            half_life_s: 20.0,
+            longest_step: Duration::from_millis(1_500),
+            ridge: 0.05,
+            least_evidence: 0.3,
+            least_effect: 0.7,
+            least_significance: 3.0,
+            correlation: 2.0,
+        },
+    }
+}
+
+fn queue() -> Queue {
+    Queue {
+        name: "queue".to_owned(),
+        service: "service".to_owned(),
+        priority: 0,
+        max_attempts: 3,
+        stretch: 1.5,
+        objective_ms: 250,
+    }
+}
+
+fn configuration() -> QueueConfiguration {
+    QueueConfiguration { version: 1, queues: vec![queue()], guarded_services: Vec::new() }
+}
+
+fn stage(task_count: u32) -> Stage {
+    Stage {
+        task_count,
+        resources: Resources { cpu_milli: 2_000, memory_mib: 1_000, accelerators: 0 },
+        estimate_ms: 500,
+        ..Stage::default()
+    }
+}
+
+fn stored(id: &str, stages: Vec<Stage>) -> StoredJob {
+    StoredJob {
+        id: id.to_owned(),
+        spec: JobSpec { queue: "queue".to_owned(), stages, ..JobSpec::default() },
+        queue: queue(),
+        progress: None,
+        is_cancelled: false,
+        age: Duration::ZERO,
+    }
+}
+
+/// A worker with its agent.
+#[derive(Debug, Default)]
+struct Instance {
+    name: String,
+    life: u64,
+    agent_life: u64,
+    session: u64,
+    fence: u64,
+    clock_ms: u64,
+    lease_until_ms: u64,
+    running: BTreeMap<TaskName, (u32, u64)>,
+    ended: Vec<EndedTask>,
+    end_count: u64,
+    taken_order: u64,
+    has_listing: bool,
+    refused: Vec<RefusedStart>,
+    stopped: BTreeSet<(TaskName, u32)>,
+    late_starts: Vec<(u64, u64, StartOrder)>,
+    is_cut: bool,
+}
+
+impl Instance {
+    fn end(&mut self, task: &TaskName, cause: EndCause) {
+        let Some((attempt, _)) = self.running.remove(task) else { return };
+        self.stopped.insert((task.clone(), attempt));
+        self.end_count += 1;
+        self.ended.push(EndedTask {
+            number: self.end_count,
+            task: task.clone(),
+            attempt,
+            cause,
+            checkpoint: String::new(),
+        });
+    }
+
+    fn report(&self) -> Report {
+        let running = self.running.iter().map(|(task, (attempt, _))| RunningTask {
+            task: task.clone(),
+            attempt: *attempt,
+            checkpoint: String::new(),
+            percent: 10,
+            gauge: 0,
+        });
+        Report {
+            agent: self.name.clone(),
+            started_unix_ms: self.agent_life,
+            session: self.session,
+            status: Some(WorkerStatus {
+                worker: self.name.clone(),
+                born_unix_ms: self.life,
+                service: "service".to_owned(),
+                capacity: CAPACITY,
+                ..WorkerStatus::default()
+            }),
+            worker_clock_ms: self.clock_ms,
+            is_worker_reachable: true,
+            listing: self.has_listing.then(|| WorkerListing {
+                running: Some(running.collect()),
+                ended: self.ended.clone(),
+            }),
+            refused: self.refused.clone(),
+            taken_order: self.taken_order,
+            ..Report::default()
+        }
+    }
+}
+
+/// Workers, agents, an owner and what it has committed.
+struct Fleet {
+    rng: ChaCha8Rng,
+    now: Instant,
+    instances: Vec<Instance>,
+    cell: Cell,
+    epoch: u64,
+    jobs: BTreeMap<String, StoredJob>,
+    progress: BTreeMap<String, JobProgress>,
+    noted_done: BTreeSet<TaskName>,
+    done: BTreeSet<TaskName>,
+    start_count: usize,
+}
+
+impl Fleet {
+    fn new(instance_count: usize, seed: u64) -> Self {
+        let now = Instant::now();
+        let instances = (0..instance_count)
+            .map(|index| Instance {
+                name: format!("instance-{index}"),
+                life: 1,
+                agent_life: 1,
+                clock_ms: 1_000,
+                ..Instance::default()
+            })
+            .collect();
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now,
+            instances,
+            cell: Cell::new(settings(), 1, configuration(), now),
+            epoch: 1,
+            jobs: BTreeMap::new(),
+            progress: BTreeMap::new(),
+            noted_done: BTreeSet::new(),
+            done: BTreeSet::new(),
+            start_count: 0,
+        }
+    }
+
+    fn submit(&mut self, job: StoredJob) {
+        self.jobs.insert(job.id.clone(), job.clone());
+        self.cell.admit(job, self.now);
+    }
+
+    fn cancel(&mut self, id: &str) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.is_cancelled = true;
+        }
+        self.cell.cancel(id);
+    }
+
+    /// Replaces the owner by one that knows only what is stored.
+    fn replace_owner(&mut self) {
+        self.epoch += 1;
+        let grants_end = self.now + Duration::from_secs(4);
+        self.cell = Cell::new(settings(), self.epoch, configuration(), grants_end);
+        for job in self.jobs.values() {
+            let progress = self.progress.get(&job.id).cloned();
+            self.cell.admit(StoredJob { progress, ..job.clone() }, self.now);
+        }
+    }
+
+    /// Commits what the owner wants committed, unless its store is lost.
+    fn commit(&mut self) {
+        while let Some(batch) = self.cell.next_commit(50) {
+            self.progress.extend(batch.rows);
+            self.cell.committed();
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        for index in 0..self.instances.len() {
+            self.run_worker(index);
+            if !self.instances[index].is_cut {
+                self.exchange(index);
+            }
+        }
+        self.cell.tick(self.now);
+        self.cell.plan(0, self.now);
+        self.commit();
+    }
+
+    fn run_worker(&mut self, index: usize) {
+        let instance = &mut self.instances[index];
+        instance.clock_ms += STEP.as_millis() as u64;
+        let clock_ms = instance.clock_ms;
+        let (due, later) =
+            instance.late_starts.drain(..).partition(|(due_ms, ..)| *due_ms <= clock_ms);
+        instance.late_starts = later;
+        let due: Vec<(u64, u64, StartOrder)> = due;
+        if clock_ms >= instance.lease_until_ms {
+            let running: Vec<TaskName> = instance.running.keys().cloned().collect();
+            for task in running {
+                self.instances[index].end(&task, EndCause::Lapsed);
+            }
+        }
+        let finished: Vec<TaskName> = self.instances[index]
+            .running
+            .iter()
+            .filter(|(_, (_, end_ms))| *end_ms <= clock_ms)
+            .map(|(task, _)| task.clone())
+            .collect();
+        for task in finished {
+            let has_failed = self.rng.random_range(0..20) == 0;
+            let cause = if has_failed { EndCause::Failed } else { EndCause::Done };
+            self.instances[index].end(&task, cause);
+            if cause == EndCause::Done {
+                self.done.insert(task);
+            }
+        }
+        for (_, fence, start) in due {
+            self.start(index, fence, start);
+        }
+    }
+
+    fn exchange(&mut self, index: usize) {
+        let report = self.instances[index].report();
+        let answer = self.cell.report(report, true, self.now);
+        let instance = &mut self.instances[index];
+        instance.refused.clear();
+        if answer.session > instance.session {
+            instance.session = answer.session;
+            instance.fence = instance.fence.max(answer.session);
+            instance.taken_order = 0;
+            instance.has_listing = true;
+            return;
+        }
+        if answer.session != instance.session {
+            return;
+        }
+        if let Some(until_ms) = answer.lease_until_ms {
+            instance.lease_until_ms = instance.lease_until_ms.max(until_ms);
+        }
+        for end in instance.ended.iter().filter(|end| end.number <= answer.forget_until) {
+            if end.cause == EndCause::Done {
+                self.noted_done.insert(end.task.clone());
+            }
+        }
+        instance.ended.retain(|end| end.number > answer.forget_until);
+        for (number, order) in (answer.first_order..).zip(answer.orders) {
+            if number != self.instances[index].taken_order + 1 {
+                continue;
+            }
+            self.instances[index].taken_order = number;
+            self.carry_out(index, order);
+        }
+    }
+
+    fn carry_out(&mut self, index: usize, order: Order) {
+        match order {
+            Order::Start(start) => {
+                let fence = self.instances[index].session;
+                if self.rng.random_range(0..15) == 0 {
+                    // No answer: carried out late, while the agent makes the attempt void.
+                    let instance = &mut self.instances[index];
+                    let due_ms = instance.clock_ms + 2_000;
+                    instance.stopped.insert((start.task.clone(), start.attempt));
+                    instance.refused.push(RefusedStart {
+                        task: start.task.clone(),
+                        attempt: start.attempt,
+                        reason: "no answer, then stopped".to_owned(),
+                    });
+                    instance.late_starts.push((due_ms, fence, start));
+                } else {
+                    self.start(index, fence, start);
+                }
+            }
+            Order::Stop(task, attempt) => {
+                let instance = &mut self.instances[index];
+                instance.stopped.insert((task.clone(), attempt));
+                if instance.running.get(&task).is_some_and(|(running, _)| *running == attempt) {
+                    instance.end(&task, EndCause::Stopped);
+                }
+            }
+            Order::Traits(_) => {}
+        }
+    }
+
+    fn start(&mut self, index: usize, fence: u64, start: StartOrder) {
+        let instance = &self.instances[index];
+        let is_void = fence < instance.fence
+            || instance.clock_ms >= instance.lease_until_ms
+            || instance
+                .stopped
+                .iter()
+                .any(|(task, attempt)| *task == start.task && *attempt >= start.attempt);
+        if is_void {
+            return;
+        }
+        self.check_start(index, &start);
+        self.start_count += 1;
+        let run_ms = self.rng.random_range(100..1_500);
+        let end_ms = self.instances[index].clock_ms + run_ms;
+        self.instances[index].running.insert(start.task, (start.attempt, end_ms));
+    }
+
+    fn check_start(&self, index: usize, start: &StartOrder) {
+        let job = &self.jobs[&start.task.job];
+        for instance in &self.instances {
+            assert!(!instance.running.contains_key(&start.task), "{} runs twice", start.task);
+        }
+        assert!(!self.noted_done.contains(&start.task), "{} is done", start.task);
+        for &earlier in &job.spec.stages[start.task.stage as usize].after {
+            for place in 0..job.spec.stages[earlier].task_count {
+                let needed =
+                    TaskName { stage: earlier as u32, index: place, ..start.task.clone() };
+                assert!(self.done.contains(&needed), "{} before {needed}", start.task);
+            }
+        }
+        let mut used_milli = 0;
+        for task in self.instances[index].running.keys() {
+            let spec = &self.jobs[&task.job].spec;
+            used_milli += spec.stages[task.stage as usize].resources.cpu_milli;
+        }
+        let stage = &job.spec.stages[start.task.stage as usize];
+        assert!(
+            used_milli + stage.resources.cpu_milli <= CAPACITY.cpu_milli,
+            "{} over the capacity",
+            start.task
+        );
+    }
+
+    fn restart_worker(&mut self, index: usize) {
+        let instance = &mut self.instances[index];
+        instance.life += 1;
+        instance.running.clear();
+        instance.ended.clear();
+        instance.end_count = 0;
+        instance.stopped.clear();
+        instance.late_starts.clear();
+        (instance.session, instance.fence, instance.taken_order) = (0, 0, 0);
+        (instance.clock_ms, instance.lease_until_ms) = (1_000, 0);
+        instance.has_listing = false;
+        instance.refused.clear();
+    }
+
+    fn restart_agent(&mut self, index: usize) {
+        let instance = &mut self.instances[index];
+        instance.agent_life += 1;
+        (instance.session, instance.taken_order) = (0, 0);
+        instance.has_listing = false;
+        instance.refused.clear();
+    }
+
+    fn steps(&mut self, count: usize) {
+        for _ in 0..count {
+            self.step();
+        }
+    }
+}
+
+#[test]
+fn plan_runs_stages_in_order() {
+    let mut fleet = Fleet::new(2, 1);
+    let second = Stage { after: vec![0], ..stage(3) };
+    fleet.submit(stored("0000000000000001", vec![stage(4), second]));
+    fleet.steps(200);
+    assert_eq!(fleet.cell.state("0000000000000001"), Some(JobState::Completed));
+}
+
+#[test]
+fn cancel_stops_what_runs_and_starts_nothing() {
+    let mut fleet = Fleet::new(1, 1);
+    fleet.submit(stored("0000000000000001", vec![stage(12)]));
+    fleet.steps(10);
+    fleet.cancel("0000000000000001");
+    fleet.steps(4);
+    let started = fleet.start_count;
+    assert!(fleet.instances[0].running.is_empty());
+    fleet.steps(40);
+    assert_eq!(fleet.start_count, started);
+    assert_eq!(fleet.cell.state("0000000000000001"), Some(JobState::Cancelled));
+}
+
+#[test]
+fn restore_adopts_what_still_runs() {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.submit(stored("0000000000000001", vec![stage(6)]));
+    fleet.steps(6);
+    let started = fleet.start_count;
+    fleet.replace_owner();
+    fleet.steps(3);
+    assert!(started > 0);
+    assert_eq!(fleet.start_count, started, "nothing that runs is started anew");
+}
+
+#[test]
+fn restore_waits_for_the_lease_of_a_worker_that_is_cut_off() {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.submit(stored("0000000000000001", vec![stage(8)]));
+    fleet.steps(6);
+    fleet.instances[0].is_cut = true;
+    fleet.replace_owner();
+    fleet.steps(400);
+    assert_eq!(fleet.cell.state("0000000000000001"), Some(JobState::Completed));
+}
+
+#[test]
+fn report_of_an_earlier_life_is_ignored() {
+    let mut fleet = Fleet::new(1, 1);
+    fleet.submit(stored("0000000000000001", vec![stage(2)]));
+    fleet.steps(6);
+    let late = fleet.instances[0].report();
+    fleet.restart_worker(0);
+    fleet.steps(3);
+    let answer = fleet.cell.report(late, true, fleet.now);
+    assert_eq!(answer.session, 0);
+    fleet.steps(100);
+    assert_eq!(fleet.cell.state("0000000000000001"), Some(JobState::Completed));
+}
+
+#[test]
+fn plan_keeps_failing_worker_from_failing_a_job() {
+    let mut fleet = Fleet::new(3, 1);
+    fleet.submit(stored("0000000000000001", vec![stage(30)]));
+    for _ in 0..400 {
+        fleet.step();
+        let failing: Vec<TaskName> = fleet.instances[0].running.keys().cloned().collect();
+        for task in failing {
+            fleet.instances[0].end(&task, EndCause::Failed);
+        }
+    }
+    assert_eq!(fleet.cell.state("0000000000000001"), Some(JobState::Completed));
+}
+
+#[parameterized(
+    seed_1 = { 1 },
+    seed_2 = { 2 },
+    seed_3 = { 3 },
+    seed_4 = { 4 },
+    seed_5 = { 5 },
+    seed_6 = { 6 },
+)]
+fn cell_keeps_its_rules_under_random_faults(seed: u64) {
+    let mut fleet = Fleet::new(5, seed);
+    let mut faults = ChaCha8Rng::seed_from_u64(seed + 1_000);
+    let mut cancelled = BTreeSet::new();
+    for round in 0_u64..1_500 {
+        if round % 25 == 0 && round < 1_000 {
+            let second = Stage { after: vec![0], ..stage(faults.random_range(1..5)) };
+            let first = stage(faults.random_range(1..6));
+            fleet.submit(stored(&format!("{round:016x}"), vec![first, second]));
+        }
+        fleet.step();
+        if round > 1_000 {
+            fleet.instances.iter_mut().for_each(|instance| instance.is_cut = false);
+            continue;
+        }
+        let index = faults.random_range(0..5);
+        match faults.random_range(0..120) {
+            0 => fleet.replace_owner(),
+            1 => fleet.restart_worker(index),
+            2 | 3 => fleet.restart_agent(index),
+            4 => fleet.instances[index].is_cut = true,
+            5..=9 => fleet.instances[index].is_cut = false,
+            10 => {
+                let job = format!("{:016x}", (faults.random_range(0..=round) / 25) * 25);
+                fleet.cancel(&job);
+                cancelled.insert(job);
+            }
+            _ => {}
+        }
+    }
+    for id in fleet.jobs.keys() {
+        let state = fleet.cell.state(id);
+        assert!(state.is_some_and(JobState::is_final), "{id}: {state:?}");
+        let is_cancelled = state == Some(JobState::Cancelled);
+        assert!(!is_cancelled || cancelled.contains(id), "{id} cancelled by nobody");
+    }
+}
