--- a/crates/teaseltrack-cell/src/constants.rs
+++ b/crates/teaseltrack-cell/src/constants.rs
@@ -66,7 +66,8 @@
 /// Answers to tails. A pause and the time before it end well within the platform's bound on a tail
 /// over its target beside best-effort tasks.
 pub const PACING: PacingSettings = PacingSettings {
-    aim: 0.58,
+    aim: 0.68,
+    newest_weight: 0.4,
     least_change: 8,
     least_percent: 6,
     assumed_share: 0.08,
--- a/crates/teaseltrack/src/cell/pacing.rs
+++ b/crates/teaseltrack/src/cell/pacing.rs
@@ -26,6 +26,9 @@
 pub struct PacingSettings {
     /// Share of its target that a disturbed tail is steered to.
     pub aim: f64,
+    /// Weight of the newest tail, less its disturbance, in the mean that is steered by: single
+    /// figures are rough.
+    pub newest_weight: f64,
     /// Smallest change of a pace that is worth a call, in percent.
     pub least_change: u32,
     /// Pace below which tasks are paused altogether, in percent.
@@ -66,6 +69,7 @@
     known: Disturbances,
     demands: BTreeMap<ImageName, ImageDemand>,
     percents: BTreeMap<ImageName, u32>,
+    smoothed: HashMap<TaskName, f64>,
     over_since: Option<Instant>,
     paused_until: Option<Instant>,
     pressure: f64,
@@ -81,6 +85,7 @@
             known: Disturbances::default(),
             demands: BTreeMap::new(),
             percents: BTreeMap::new(),
+            smoothed: HashMap::new(),
             over_since: None,
             paused_until: None,
             pressure: 0.0,
@@ -120,11 +125,10 @@
         now: Instant,
     ) -> Vec<PaceChange> {
         self.forget_ended(running);
-        let pressures = self.pressures(running);
-        self.pressure = pressures.values().copied().fold(0.0, f64::max);
+        self.pressure = self.highest_pressure(running);
         self.pause_while_over(now);
         self.measure_demands(running, capacity_milli.max(1) as f64);
-        self.steer(&pressures);
+        self.steer(running);
         running.iter().filter_map(|run| self.change_for(run)).collect()
     }
 
@@ -161,18 +165,15 @@
         }
     }
 
-    /// Highest share of its target that a tail takes, by serving image.
-    fn pressures(&self, running: &[RunningTask]) -> BTreeMap<ImageName, f64> {
-        let mut pressures = BTreeMap::new();
-        for run in running {
-            let Some(traits) = self.traits.get(&run.task) else { continue };
-            let Some(target_ms) = traits.target_tail_ms else { continue };
-            let pressure = run.gauge as f64 / target_ms.max(1) as f64;
-            let image = traits.image.clone().unwrap_or_default();
-            let highest = pressures.entry(image).or_insert(0.0_f64);
-            *highest = highest.max(pressure);
-        }
-        pressures
+    /// Highest share of its target that a tail takes.
+    fn highest_pressure(&self, running: &[RunningTask]) -> f64 {
+        running
+            .iter()
+            .filter_map(|run| {
+                let target_ms = self.traits.get(&run.task)?.target_tail_ms?;
+                Some(run.gauge as f64 / target_ms.max(1) as f64)
+            })
+            .fold(0.0, f64::max)
     }
 
     /// Pauses all images for a while when a tail stays over its target.
@@ -216,31 +217,37 @@
     }
 
     /// Chooses for each image the pace at which no disturbed tail is expected beyond its aim.
-    fn steer(&mut self, pressures: &BTreeMap<ImageName, f64>) {
-        let mut shares: BTreeMap<&ImageName, f64> = BTreeMap::new();
-        for (serving, pressure) in pressures {
+    fn steer(&mut self, running: &[RunningTask]) {
+        let mut shares: BTreeMap<ImageName, f64> = BTreeMap::new();
+        let mut smoothed = HashMap::new();
+        for run in running {
+            let Some(traits) = self.traits.get(&run.task) else { continue };
+            let Some(target_ms) = traits.target_tail_ms.filter(|_| run.gauge > 0) else { continue };
+            let serving = traits.image.as_deref().unwrap_or_default();
             let effects: Vec<(&ImageName, f64, &ImageDemand)> = self
                 .demands
                 .iter()
                 .map(|(image, demand)| (image, self.known.effect(serving, image), demand))
-                .filter(|(_, effect, demand)| *effect > 0.0 && demand.full_share > 0.0)
+                .filter(|(_, effect, _)| *effect > 0.0)
                 .collect();
             let now_ln: f64 = effects.iter().map(|(_, effect, d)| effect * d.used_share).sum();
             let full_ln: f64 = effects.iter().map(|(_, effect, d)| effect * d.full_share).sum();
+            let tail_ln = (run.gauge as f64 / target_ms.max(1) as f64).ln() - now_ln;
+            let earlier = self.smoothed.get(&run.task).copied().unwrap_or(tail_ln);
+            let undisturbed_ln = earlier + self.settings.newest_weight * (tail_ln - earlier);
+            smoothed.insert(run.task.clone(), undisturbed_ln);
             if full_ln <= 0.0 {
                 continue;
             }
-            let undisturbed_ln = pressure.max(f64::MIN_POSITIVE).ln() - now_ln;
             let share = ((self.settings.aim.ln() - undisturbed_ln) / full_ln).clamp(0.0, 1.0);
             for (image, _, _) in effects {
-                let least = shares.entry(image).or_insert(1.0);
+                let least = shares.entry(image.clone()).or_insert(1.0);
                 *least = least.min(share);
             }
         }
-        self.percents = shares
-            .into_iter()
-            .map(|(image, share)| (image.clone(), self.percent_for(share)))
-            .collect();
+        self.smoothed = smoothed;
+        self.percents =
+            shares.into_iter().map(|(image, share)| (image, self.percent_for(share))).collect();
     }
 
     fn percent_for(&self, share: f64) -> u32 {
--- a/crates/teaseltrack/tests/cell.rs
+++ b/crates/teaseltrack/tests/cell.rs
@@ -30,8 +30,7 @@
 
 const LEASE: Duration = Duration::from_millis(5_000);
 const STEP: Duration = Duration::from_millis(50);
-const CAPACITY: Resources =
-    Resources { cpu_milli: 8_000, memory_mib: 16_000, accelerators: 0 };
+const CAPACITY: Resources = Resources { cpu_milli: 8_000, memory_mib: 16_000, accelerators: 0 };
 
 fn settings() -> CellSettings {
     CellSettings {
@@ -379,8 +378,7 @@
         assert!(!self.noted_done.contains(&start.task), "{} is done", start.task);
         for &earlier in &job.spec.stages[start.task.stage as usize].after {
             for place in 0..job.spec.stages[earlier].task_count {
-                let needed =
-                    TaskName { stage: earlier as u32, index: place, ..start.task.clone() };
+                let needed = TaskName { stage: earlier as u32, index: place, ..start.task.clone() };
                 assert!(self.done.contains(&needed), "{} before {needed}", start.task);
             }
         }
--- a/crates/teaseltrack/tests/pacing.rs
+++ b/crates/teaseltrack/tests/pacing.rs
@@ -10,6 +10,7 @@
 
 const SETTINGS: PacingSettings = PacingSettings {
     aim: 0.6,
+    newest_weight: 0.4,
     least_change: 8,
     least_percent: 6,
     assumed_share: 0.1,
