--- a/crates/teaseltrack-platform/src/store.rs
+++ b/crates/teaseltrack-platform/src/store.rs
@@ -9,7 +9,7 @@
         Arc, Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use futures::future::BoxFuture;
@@ -257,9 +257,15 @@
     writes: AtomicU64,
     reads: AtomicU64,
     failures: AtomicU64,
+    last_success: Mutex<Option<Instant>>,
 }
 
 impl StoreUsage {
+    /// When a call last succeeded.
+    pub fn last_success(&self) -> Option<Instant> {
+        *self.last_success.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Writes sent.
     pub fn writes(&self) -> u64 {
         self.writes.load(Ordering::Relaxed)
@@ -415,8 +421,15 @@
         let sent = if call.is_write() { &self.usage.writes } else { &self.usage.reads };
         sent.fetch_add(1, Ordering::Relaxed);
         let reply = (self.adapter)(call).await;
-        if reply.is_err() {
-            self.usage.failures.fetch_add(1, Ordering::Relaxed);
+        match &reply {
+            Ok(_) => {
+                let mut last =
+                    self.usage.last_success.lock().unwrap_or_else(PoisonError::into_inner);
+                *last = Some(self.clock.now());
+            }
+            Err(_) => {
+                self.usage.failures.fetch_add(1, Ordering::Relaxed);
+            }
         }
         reply
     }
