Agents count suspensions when they bound leases

Cause (by reading, no run): an owner that was suspended would take its ownership for younger than it is, since Instant stands still, and could grant leases that a successor doesn't wait for. Change: a clock that adds the lead of CLOCK_BOOTTIME.

--- a/crates/teaseltrack-cell/src/agent.rs
+++ b/crates/teaseltrack-cell/src/agent.rs
@@ -24,7 +24,7 @@
 };
 use tokio::{
     sync::{Semaphore, mpsc, watch},
-    time::{sleep, sleep_until, timeout},
+    time::{sleep, timeout},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -168,7 +168,8 @@
     let now = context.clock.now();
     let mut agent = Agent::new(context, events, now);
     loop {
-        let wake_at = agent.next_wake(agent.context.clock.now());
+        let now = agent.context.clock.now();
+        let pause = agent.next_wake(now).saturating_duration_since(now);
         tokio::select! {
             Some(event) = inbox.recv() => {
                 agent.take(event);
@@ -176,7 +177,7 @@
                     agent.take(event);
                 }
             }
-            () = sleep_until(wake_at.into()) => {}
+            () = sleep(pause) => {}
             () = closing.cancelled() => return,
         }
         agent.act();
--- a/crates/teaseltrack-cell/src/configuration.rs
+++ b/crates/teaseltrack-cell/src/configuration.rs
@@ -8,14 +8,17 @@
 
 use crate::constants::{FEED_WAIT, RETRY_PAUSE};
 
+/// Reads a configuration's text; the error says why it can't be read.
+pub type Decoder<T> = Arc<dyn Fn(&str) -> Result<T, String> + Send + Sync>;
+
 /// Where a configuration lies and how it is read.
 pub struct ConfigurationSource<T> {
     /// Table that is followed.
     pub table: String,
     /// Key of the row.
     pub key: String,
-    /// Reads the row's text; the error says why it can't be read.
-    pub decode: Arc<dyn Fn(&str) -> Result<T, String> + Send + Sync>,
+    /// Reads the row's text.
+    pub decode: Decoder<T>,
     /// Version of a configuration.
     pub version: fn(&T) -> u64,
 }
--- a/crates/teaseltrack-daemon/src/lib.rs
+++ b/crates/teaseltrack-daemon/src/lib.rs
@@ -2,9 +2,10 @@
 //!
 //! [`args`] and [`settings`] read the command line and the settings file, [`logs`], [`metrics`] and
 //! [`spans`] say what the process does, [`http_server`] and [`http_client`] carry HTTP, [`problem`]
-//! writes refusals, [`health`] answers the platform's probes, and [`shutdown`] is the planned stop.
+//! writes refusals, [`boot_clock`] counts suspensions, [`health`] answers the platform's probes, and [`shutdown`] is the planned stop.
 
 pub mod args;
+pub mod boot_clock;
 pub mod byte_count;
 pub mod health;
 pub mod http_client;
