Ends outlive a session and a planned stop; a stopping owner releases the cell

Change: agents keep ends over sessions, tell them before a listing, and don't stop before an owner has committed them; an owner that stops releases its row, and the next takes it without waiting. Test: report_of_ends_counts_before_the_worker_has_listed_what_runs.

--- a/crates/teaseltrack-cell/src/agent.rs
+++ b/crates/teaseltrack-cell/src/agent.rs
@@ -120,8 +120,10 @@
     pub clock: SharedClock,
     /// Who owns the cell.
     pub known_owner: watch::Receiver<KnownOwner>,
-    /// When an owner that can commit was last heard.
+    /// When an owner that can commit was last heard; `None` once it says that it can't.
     pub contact: watch::Sender<Option<Instant>>,
+    /// Whether ends are known that the owner hasn't committed.
+    pub has_open_ends: watch::Sender<bool>,
     /// Where decisions are told.
     pub logger: Logger,
 }
@@ -250,6 +252,10 @@
 
     fn act(&mut self) {
         let now = self.context.clock.now();
+        let has_open_ends = !self.ended.is_empty();
+        self.context
+            .has_open_ends
+            .send_if_modified(|known| std::mem::replace(known, has_open_ends) != has_open_ends);
         if self.session != 0 && !self.is_holding && now >= self.hold_at {
             self.send_hold(now);
         }
@@ -304,6 +310,7 @@
         self.session = 0;
         self.lease_until_ms = None;
         self.forget_until = 0;
+        self.ended.clear();
         self.is_reachable = true;
         self.pacer = Pacer::new(PACING);
         self.drop_session_state();
@@ -312,7 +319,6 @@
     fn drop_session_state(&mut self) {
         self.taken_order = 0;
         self.running.clear();
-        self.ended.clear();
         self.has_listing = false;
         self.refused.clear();
         self.voiding = Voiding::default();
@@ -396,6 +402,8 @@
     }
 
     fn take_listing(&mut self, listing: WorkerListing, sent_at: Instant, now: Instant) {
+        let mut listing = listing;
+        listing.ended.retain(|end| end.number > self.forget_until);
         let last_known = self.ended.last().map_or(self.forget_until, |end| end.number);
         let last_listed = listing.ended.last().map_or(0, |end| end.number);
         if last_listed > last_known || !self.has_listing {
@@ -425,8 +433,10 @@
     }
 
     fn report(&mut self, is_full: bool, now: Instant) -> Report {
-        let listing = (is_full && self.has_listing).then(|| WorkerListing {
-            running: (now >= self.full_report_at).then(|| self.running.clone()),
+        // Ends stay true under a new session, and the worker may be gone before it lists them again.
+        let has_news = self.has_listing || !self.ended.is_empty();
+        let listing = (is_full && has_news).then(|| WorkerListing {
+            running: (self.has_listing && now >= self.full_report_at).then(|| self.running.clone()),
             ended: self.ended.clone(),
         });
         if listing.as_ref().is_some_and(|listing| listing.running.is_some()) {
@@ -481,9 +491,7 @@
             return;
         };
         self.epoch = answer.epoch;
-        if !answer.is_store_lost {
-            self.context.contact.send_replace(Some(now));
-        }
+        self.context.contact.send_replace((!answer.is_store_lost).then_some(now));
         if answer.session > self.session {
             info!(self.context.logger, "session begun"; "worker" => &self.life,
                 "session" => answer.session, "epoch" => answer.epoch);
@@ -504,6 +512,7 @@
         self.lease_until_ms = self.lease_until_ms.max(answer.lease_until_ms);
         if answer.forget_until > self.forget_until {
             self.forget_until = answer.forget_until;
+            self.ended.retain(|end| end.number > answer.forget_until);
             self.hold_at = now;
         }
         for (number, order) in (answer.first_order..).zip(answer.orders) {
--- a/crates/teaseltrack-cell/src/candidate.rs
+++ b/crates/teaseltrack-cell/src/candidate.rs
@@ -1,7 +1,8 @@
 //! Takes the cell when its owner has gone.
 //!
 //! While the agent hears the owner, a candidate does nothing. Otherwise it looks at the owner's
-//! row, and takes the cell once the row has stood unchanged for the owner's silence. A process that
+//! row, and takes the cell once the row has stood unchanged for the owner's silence, or at once if
+//! the owner has released it. A process that
 //! finds its own name there from an earlier life takes the cell at once.
 
 use std::time::{Duration, Instant};
@@ -12,7 +13,10 @@
     ids::InstanceId,
 };
 use teaseltrack_platform::store::{CommitAnswer, Condition, Row, StoreError, Transaction, Write};
-use tokio::{sync::watch, time::sleep};
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -75,11 +79,13 @@
     }
 
     async fn wait_for_suspicion(&self, contact: &OwnerContact) {
+        let mut contact = contact.clone();
         loop {
-            let Some(heard_at) = *contact.borrow() else { return };
+            let Some(heard_at) = *contact.borrow_and_update() else { return };
             let silence = self.context.clock.now().duration_since(heard_at);
             let Some(rest) = OWNER_SUSPECT_AFTER.checked_sub(silence) else { return };
-            sleep(rest.max(Duration::from_millis(1))).await;
+            let lost = contact.wait_for(Option::is_none);
+            drop(timeout(rest.max(Duration::from_millis(1)), lost).await);
         }
     }
 
@@ -90,6 +96,9 @@
         let record: OwnerRecord = row.parse()?;
         self.tell_owner(&record);
         watch.observe(row.version, now);
+        if record.is_released {
+            return self.take(Some((record, row)), now).await;
+        }
         if record.owner == self.instance && record.started_unix_ms == self.started_unix_ms {
             // A takeover whose answer was lost, and which took effect after all. Since when is not
             // known, so no lease is granted before the next commit.
@@ -134,6 +143,7 @@
             address: self.address.clone(),
             started_unix_ms: self.started_unix_ms,
             sequence: 0,
+            is_released: false,
         };
         let transaction = Transaction {
             id: format!("{}-take", record.epoch),
--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -218,6 +218,11 @@
             self.answer_parked();
             self.log_events();
             if self.is_stopping && committing.is_none() {
+                if let Some(mut committer) = idle
+                    && committer.release().await.is_ok()
+                {
+                    info!(self.context.logger, "cell released"; "epoch" => self.cell.epoch());
+                }
                 return;
             }
         }
--- a/crates/teaseltrack-cell/src/owner/committer.rs
+++ b/crates/teaseltrack-cell/src/owner/committer.rs
@@ -72,6 +72,16 @@
         }
     }
 
+    /// Gives the cell up, so that another process takes it without waiting.
+    ///
+    /// # Errors
+    ///
+    /// The cell has another owner.
+    pub async fn release(&mut self) -> Result<(), OwnershipLost> {
+        self.record.is_released = true;
+        self.commit(&[]).await
+    }
+
     /// The row's new version, or `None` if another process owns the cell.
     async fn try_commit(
         &mut self,
--- a/crates/teaseltrack/src/cell/ownership.rs
+++ b/crates/teaseltrack/src/cell/ownership.rs
@@ -24,6 +24,9 @@
     pub started_unix_ms: u64,
     /// Commits of the epoch so far.
     pub sequence: u64,
+    /// Whether the owner has stopped and grants nothing any more.
+    #[serde(default)]
+    pub is_released: bool,
 }
 
 /// Bounds of ownership.
--- a/crates/teaseltrack/tests/cell.rs
+++ b/crates/teaseltrack/tests/cell.rs
@@ -470,6 +470,29 @@
     assert_eq!(fleet.cell.state("0000000000000001"), Some(JobState::Completed));
 }
 
+#[test]
+fn report_of_ends_counts_before_the_worker_has_listed_what_runs() {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.submit(stored("0000000000000001", vec![stage(1)]));
+    fleet.steps(4);
+    let index = usize::from(fleet.instances[0].running.is_empty());
+    let task = fleet.instances[index].running.keys().next().expect("it runs").clone();
+    fleet.instances[index].end(&task, EndCause::Done);
+    // The owner stops, and the worker leaves for good, before anyone has committed the end.
+    fleet.replace_owner();
+    fleet.instances[index].has_listing = false;
+    fleet.exchange(index);
+    let instance = &fleet.instances[index];
+    let listing = WorkerListing { running: None, ended: instance.ended.clone() };
+    let report = Report { listing: Some(listing), ..instance.report() };
+    fleet.cell.report(report, true, fleet.now);
+    fleet.instances[index].is_cut = true;
+    fleet.commit();
+    fleet.steps(300);
+    assert_eq!(fleet.start_count, 1, "a task that is done isn't started again");
+    assert_eq!(fleet.cell.state("0000000000000001"), Some(JobState::Completed));
+}
+
 #[test]
 fn report_of_an_earlier_life_is_ignored() {
     let mut fleet = Fleet::new(1, 1);
