Serving tasks stand together by what disturbs them

Cause: serving tasks of all images stood on every worker, so that a best-effort image that disturbs one of them was paced nearly everywhere. Change: tasks that last go next to tasks of their own image, or of images that the same best-effort images disturb, and are packed; scoring moves to a module of its own.

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -41,6 +41,7 @@
 pub mod planning;
 pub mod progress;
 pub mod protocol;
+pub mod scoring;
 pub mod worker;
 
 new_key_type! {
--- a/crates/teaseltrack/src/cell/interference.rs
+++ b/crates/teaseltrack/src/cell/interference.rs
@@ -68,6 +68,16 @@
             .find(|pair| pair.serving == serving && pair.best_effort == best_effort)
             .map_or(0.0, |pair| pair.effect)
     }
+
+    /// Whether the same best-effort images disturb both serving images, as far as is known.
+    pub fn are_alike(&self, serving: &str, other: &str) -> bool {
+        let disturbing = |image: &str| -> Vec<&ImageName> {
+            let pairs = self.pairs.iter().filter(|pair| pair.serving == image);
+            pairs.map(|pair| &pair.best_effort).collect()
+        };
+        let first = disturbing(serving);
+        !first.is_empty() && first == disturbing(other)
+    }
 }
 
 /// Last sample of a serving task.
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -1,8 +1,10 @@
-//! Which waiting task goes where, and in which order.
+//! Which waiting task goes first.
 //!
 //! Tasks that hold processors come first, by their queue's priority and by the time left until
 //! their job is late; then tasks that last, which leave a reserve free; then best-effort tasks, on
-//! workers whose processors aren't spoken for yet.
+//! workers whose processors aren't spoken for yet. Where each goes is up to [`scoring`].
+//!
+//! [`scoring`]: crate::cell::scoring
 
 use std::time::{Duration, Instant};
 
@@ -11,7 +13,7 @@
         Cell, CellEvent, JobKey, Occurrence, Run, Task, WorkerKey,
         job::Stage,
         progress::{JobState, TaskPhase},
-        worker::{Arrival, TaskKey, Worker, held},
+        worker::{Arrival, TaskKey, Worker},
     },
     ids::AttemptNumber,
 };
@@ -41,14 +43,14 @@
 
 /// Order of kinds of task; lower goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Kind {
+pub(super) enum Kind {
     Batch,
     Serving,
     BestEffort,
 }
 
 impl Kind {
-    fn of(stage: &Stage) -> Self {
+    pub(super) fn of(stage: &Stage) -> Self {
         if stage.is_long_running {
             Self::Serving
         } else if stage.is_best_effort {
@@ -287,106 +289,6 @@
         last.max(base) + 1
     }
 
-    fn choose_worker(
-        &self,
-        key: TaskKey,
-        stage: &Stage,
-        workers: &[WorkerKey],
-        reserve: f64,
-    ) -> Option<WorkerKey> {
-        let service = &self.jobs[key.job].queue.service;
-        workers
-            .iter()
-            .filter_map(|&candidate| {
-                let worker = &self.workers[candidate];
-                let score = self.score(worker, service, (key, stage), reserve)?;
-                Some((candidate, score))
-            })
-            .max_by_key(|(_, score)| *score)
-            .map(|(worker, _)| worker)
-    }
-
-    /// How well a task would go on a worker; `None` if it can't go there.
-    fn score(
-        &self,
-        worker: &Worker,
-        service: &str,
-        (key, stage): (TaskKey, &Stage),
-        reserve: f64,
-    ) -> Option<i64> {
-        let settings = &self.settings.planning;
-        let status = worker.status.as_ref().filter(|status| status.service == service)?;
-        let room = worker.room();
-        if !room.holds(&held(stage)) {
-            return None;
-        }
-        if stage.required_label.as_ref().is_some_and(|label| !status.labels.contains(label)) {
-            return None;
-        }
-        if stage.max_per_worker.is_some_and(|most| worker.count_of_stage(key) >= most) {
-            return None;
-        }
-        let capacity_milli = status.capacity.cpu_milli as i64;
-        let task_milli = stage.resources.cpu_milli as i64;
-        let left_milli = match Kind::of(stage) {
-            Kind::Batch => room.cpu_milli as i64 - task_milli,
-            Kind::Serving => {
-                let left_milli = room.cpu_milli as i64 - task_milli;
-                let reserve_milli = (capacity_milli as f64 * reserve) as i64;
-                (left_milli >= reserve_milli).then_some(left_milli)?
-            }
-            Kind::BestEffort => {
-                let spare_milli = self.spare_milli(worker);
-                let floor_milli = (task_milli as f64 * settings.best_effort_floor) as i64;
-                let has_room = spare_milli >= floor_milli && self.is_bearable(worker, stage);
-                has_room.then_some(spare_milli)?
-            }
-        };
-        let is_near = stage.data_rack.as_ref().is_some_and(|rack| status.labels.contains(rack));
-        let is_slow = worker.slowness > self.settings.health.avoided_slowness;
-        let is_avoided = self.task(key).and_then(|task| task.avoided).is_some_and(|avoided| {
-            self.workers.get(avoided).is_some_and(|avoided| avoided.life == worker.life)
-        });
-        let bonus = i64::from(is_near) - i64::from(is_slow) - 2 * i64::from(is_avoided);
-        Some(left_milli + bonus * capacity_milli)
-    }
-
-    /// Processor time that no task uses or is about to use.
-    fn spare_milli(&self, worker: &Worker) -> i64 {
-        let capacity_milli = worker.status.as_ref().map_or(0, |status| status.capacity.cpu_milli);
-        let serving = worker.demand.serving_milli as f64 * self.settings.planning.serving_load;
-        let arriving: u64 = worker.arriving.iter().map(|arrival| arrival.cpu_milli).sum();
-        let taken_milli = worker.demand.batch_milli
-            + serving as u64
-            + worker.best_effort_used_milli.min(worker.demand.best_effort_milli)
-            + arriving;
-        capacity_milli as i64 - taken_milli as i64
-    }
-
-    /// Whether a best-effort task could work at a fair pace without pushing a tail beyond the aim.
-    fn is_bearable(&self, worker: &Worker, stage: &Stage) -> bool {
-        let known = self.interference.known();
-        let Some(image) = stage.image.as_deref().filter(|_| !known.pairs.is_empty()) else {
-            return true;
-        };
-        let capacity_milli = worker.status.as_ref().map_or(0, |status| status.capacity.cpu_milli);
-        let share_of = |cpu_milli: u64| cpu_milli as f64 / capacity_milli.max(1) as f64;
-        worker.pressures.iter().all(|(serving, pressure)| {
-            let effect = known.effect(serving, image);
-            if effect <= 0.0 {
-                return true;
-            }
-            let arriving: f64 = worker
-                .arriving
-                .iter()
-                .map(|arrival| known.effect(serving, &arrival.image) * share_of(arrival.cpu_milli))
-                .sum();
-            let headroom = (self.settings.planning.tail_aim / pressure.max(0.01)).ln() - arriving;
-            let needed = effect * share_of(stage.resources.cpu_milli);
-            headroom >= needed * self.settings.planning.least_pace
-        })
-    }
-
     fn assign(
         &mut self,
         key: TaskKey,
--- /dev/null
+++ b/crates/teaseltrack/src/cell/scoring.rs
@@ -0,0 +1,156 @@
+//! Which worker suits a task.
+//!
+//! Tasks that last are packed onto few workers, next to others that the same best-effort images
+//! disturb: an image that disturbs some of them then finds workers where it disturbs nobody.
+//! Best-effort tasks go where no tail is pushed beyond its aim.
+
+use crate::cell::{
+    Cell, WorkerKey,
+    interference::ImageName,
+    job::Stage,
+    planning::Kind,
+    worker::{TaskKey, Worker, held},
+};
+
+/// How well a worker suits a task; the highest goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Suitability {
+    /// Data nearby, against slowness and earlier failures there.
+    preference: i64,
+    /// Company that suits the task.
+    company: Company,
+    /// Processor time to compare by, in thousandths of a core.
+    cpu_milli: i64,
+}
+
+/// What runs beside a task that lasts; the last is the best.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Company {
+    /// Tasks of one image that other best-effort images disturb, or of which that isn't known.
+    Other,
+    /// Nothing that lasts.
+    Empty,
+    /// Tasks of several images already.
+    Mixed,
+    /// Tasks that the same best-effort images disturb.
+    Alike,
+}
+
+impl Cell {
+    /// The best worker for a task; `None` if it can go nowhere now.
+    ///
+    /// `reserve` is the share of a worker that a task that lasts must leave free.
+    pub(super) fn choose_worker(
+        &self,
+        key: TaskKey,
+        stage: &Stage,
+        workers: &[WorkerKey],
+        reserve: f64,
+    ) -> Option<WorkerKey> {
+        let service = &self.jobs[key.job].queue.service;
+        workers
+            .iter()
+            .filter_map(|&candidate| {
+                let worker = &self.workers[candidate];
+                let suitability = self.suitability(worker, service, (key, stage), reserve)?;
+                Some((candidate, suitability))
+            })
+            .max_by_key(|(_, suitability)| *suitability)
+            .map(|(worker, _)| worker)
+    }
+
+    /// How well a task would go on a worker; `None` if it can't go there.
+    fn suitability(
+        &self,
+        worker: &Worker,
+        service: &str,
+        (key, stage): (TaskKey, &Stage),
+        reserve: f64,
+    ) -> Option<Suitability> {
+        let status = worker.status.as_ref().filter(|status| status.service == service)?;
+        let room = worker.room();
+        if !room.holds(&held(stage)) {
+            return None;
+        }
+        if stage.required_label.as_ref().is_some_and(|label| !status.labels.contains(label)) {
+            return None;
+        }
+        if stage.max_per_worker.is_some_and(|most| worker.count_of_stage(key) >= most) {
+            return None;
+        }
+        let left_milli = room.cpu_milli as i64 - stage.resources.cpu_milli as i64;
+        let (company, cpu_milli) = match Kind::of(stage) {
+            Kind::Batch => (Company::Empty, left_milli),
+            Kind::Serving => {
+                let reserve_milli = (status.capacity.cpu_milli as f64 * reserve) as i64;
+                let has_room = left_milli >= reserve_milli;
+                has_room.then(|| (self.company(worker, stage), -left_milli))?
+            }
+            Kind::BestEffort => {
+                let spare_milli = self.spare_milli(worker);
+                let floor = self.settings.planning.best_effort_floor;
+                let floor_milli = (stage.resources.cpu_milli as f64 * floor) as i64;
+                let has_room = spare_milli >= floor_milli && self.is_bearable(worker, stage);
+                has_room.then_some((Company::Empty, spare_milli))?
+            }
+        };
+        let is_near = stage.data_rack.as_ref().is_some_and(|rack| status.labels.contains(rack));
+        let is_slow = worker.slowness > self.settings.health.avoided_slowness;
+        let is_avoided = self.task(key).and_then(|task| task.avoided).is_some_and(|avoided| {
+            self.workers.get(avoided).is_some_and(|avoided| avoided.life == worker.life)
+        });
+        let preference = i64::from(is_near) - i64::from(is_slow) - 2 * i64::from(is_avoided);
+        Some(Suitability { preference, company, cpu_milli })
+    }
+
+    /// What a task that lasts would find on a worker.
+    fn company(&self, worker: &Worker, stage: &Stage) -> Company {
+        let image = stage.image.as_deref().unwrap_or_default();
+        let present = &worker.serving_images;
+        let is_alike = |other: &ImageName| {
+            other == image || self.interference.known().are_alike(image, other)
+        };
+        match present.len() {
+            0 => Company::Empty,
+            _ if present.keys().all(is_alike) => Company::Alike,
+            1 => Company::Other,
+            _ => Company::Mixed,
+        }
+    }
+
+    /// Processor time that no task uses or is about to use.
+    fn spare_milli(&self, worker: &Worker) -> i64 {
+        let capacity_milli = worker.status.as_ref().map_or(0, |status| status.capacity.cpu_milli);
+        let serving = worker.demand.serving_milli as f64 * self.settings.planning.serving_load;
+        let arriving: u64 = worker.arriving.iter().map(|arrival| arrival.cpu_milli).sum();
+        let taken_milli = worker.demand.batch_milli
+            + serving as u64
+            + worker.best_effort_used_milli.min(worker.demand.best_effort_milli)
+            + arriving;
+        capacity_milli as i64 - taken_milli as i64
+    }
+
+    /// Whether a best-effort task could work at a fair pace without pushing a tail beyond the aim.
+    fn is_bearable(&self, worker: &Worker, stage: &Stage) -> bool {
+        let known = self.interference.known();
+        let Some(image) = stage.image.as_deref().filter(|_| !known.pairs.is_empty()) else {
+            return true;
+        };
+        let capacity_milli = worker.status.as_ref().map_or(0, |status| status.capacity.cpu_milli);
+        let share_of = |cpu_milli: u64| cpu_milli as f64 / capacity_milli.max(1) as f64;
+        worker.pressures.iter().all(|(serving, pressure)| {
+            let effect = known.effect(serving, image);
+            if effect <= 0.0 {
+                return true;
+            }
+            let arriving: f64 = worker
+                .arriving
+                .iter()
+                .map(|arrival| known.effect(serving, &arrival.image) * share_of(arrival.cpu_milli))
+                .sum();
+            let headroom = (self.settings.planning.tail_aim / pressure.max(0.01)).ln() - arriving;
+            let needed = effect * share_of(stage.resources.cpu_milli);
+            headroom >= needed * self.settings.planning.least_pace
+        })
+    }
+}
--- a/crates/teaseltrack/src/cell/worker.rs
+++ b/crates/teaseltrack/src/cell/worker.rs
@@ -85,6 +85,8 @@
     pub reserved: Resources,
     /// Processor time asked for by kind of task.
     pub demand: Demand,
+    /// Images of the tasks that last, with the number of tasks.
+    pub serving_images: BTreeMap<ImageName, u32>,
     /// Highest tail as a share of its target, by serving image.
     pub pressures: BTreeMap<ImageName, f64>,
     /// Processor time that best-effort tasks were last seen to use, in thousandths of a core.
@@ -122,6 +124,7 @@
             slowness: 1.0,
             reserved: Resources::default(),
             demand: Demand::default(),
+            serving_images: BTreeMap::new(),
             pressures: BTreeMap::new(),
             best_effort_used_milli: 0,
             arriving: Vec::new(),
@@ -159,6 +162,9 @@
         if self.tasks.insert(key) {
             self.reserved = self.reserved.plus(&held(stage));
             *self.demand_of(stage) += stage.resources.cpu_milli;
+            if stage.is_long_running {
+                *self.serving_images.entry(image_of(stage)).or_insert(0) += 1;
+            }
         }
     }
 
@@ -168,6 +174,15 @@
             self.reserved = self.reserved.minus(&held(stage));
             let demand = self.demand_of(stage);
             *demand = demand.saturating_sub(stage.resources.cpu_milli);
+            let image = image_of(stage);
+            if stage.is_long_running
+                && let Some(count) = self.serving_images.get_mut(&image)
+            {
+                *count -= 1;
+                if *count == 0 {
+                    self.serving_images.remove(&image);
+                }
+            }
         }
     }
 
@@ -196,6 +211,10 @@
     }
 }
 
+fn image_of(stage: &Stage) -> ImageName {
+    stage.image.clone().unwrap_or_default()
+}
+
 /// What a task of the stage holds on its worker.
 pub fn held(stage: &Stage) -> Resources {
     if stage.is_best_effort {
