Best-effort work shares workers by a model of queues; serving tasks are regrouped

Change: a queue model of tails, expected effects under a prior of two kinds of pairs, headroom of each serving task in place of a share of its target; paces shared out task by task; lone serving tasks moved to their like; batch beside serving tasks; jobs with little left first.

--- a/crates/teaseltrack-cell/src/constants.rs
+++ b/crates/teaseltrack-cell/src/constants.rs
@@ -66,7 +66,7 @@
 /// Answers to tails. A pause and the time before it end well within the platform's bound on a tail
 /// over its target beside best-effort tasks.
 pub const PACING: PacingSettings = PacingSettings {
-    aim: 0.68,
+    aim: 0.85,
     newest_weight: 0.4,
     least_change: 8,
     least_percent: 6,
@@ -81,8 +81,10 @@
     reserve_wait: Duration::from_millis(1_000),
     serving_load: 0.55,
     best_effort_floor: 0.5,
-    tail_aim: 0.6,
-    least_pace: 0.6,
+    tail_aim: 0.75,
+    tasks_on_trial: 2,
+    regroup_interval: Duration::from_millis(1_000),
+    rest_after_move: Duration::from_secs(20),
     arrival_time: Duration::from_millis(1_000),
     size_handicap: 20.0,
     hopeless_factor: 3.0,
@@ -104,11 +106,9 @@
 const INTERFERENCE: InterferenceSettings = InterferenceSettings {
     half_life_s: 20.0,
     longest_step: Duration::from_millis(1_500),
-    ridge: 0.05,
-    least_evidence: 0.3,
-    least_effect: 0.7,
-    least_significance: 3.0,
-    correlation: 2.0,
+    ridge: 0.5,
+    least_evidence: 10.0,
+    correlation: 1.5,
 };
 
 /// An owner's settings under the platform's bound on leases.
--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -345,6 +345,10 @@
                     info!(logger, "run stands still and is stopped"; "request_id" => &task.job,
                         "task" => %task, "attempt" => attempt, "worker" => worker);
                 }
+                CellEvent::Moved { task, attempt, worker } => {
+                    info!(logger, "serving task is moved"; "request_id" => &task.job,
+                        "task" => %task, "attempt" => attempt, "worker" => worker);
+                }
                 CellEvent::TakenBack { task, attempt, worker, reason } => {
                     info!(logger, "task taken back"; "request_id" => &task.job, "task" => %task,
                         "attempt" => attempt, "worker" => worker, "reason" => reason);
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -28,6 +28,7 @@
             EndCause, EndedTask, Order, RefusedStart, Report, ReportAnswer, RunningTask,
             SessionToken, SharingTraits, StartOrder, TaskName, WorkerListing, WorkerStatus,
         },
+        tail_model::Tail,
         worker::{TaskKey, Worker},
     },
     ids::{AttemptNumber, Epoch, InstanceId},
@@ -41,7 +42,9 @@
 pub mod planning;
 pub mod progress;
 pub mod protocol;
+pub mod regrouping;
 pub mod scoring;
+pub mod tail_model;
 pub mod worker;
 
 new_key_type! {
@@ -108,6 +111,7 @@
     run: Option<Run>,
     waiting_since: Option<Instant>,
     avoided: Option<WorkerKey>,
+    moved_at: Option<Instant>,
     run_time: Option<Duration>,
 }
 
@@ -200,6 +204,15 @@
         /// Where.
         worker: WorkerLife,
     },
+    /// A serving task is stopped to be placed elsewhere.
+    Moved {
+        /// The task.
+        task: TaskName,
+        /// Its attempt.
+        attempt: AttemptNumber,
+        /// From where.
+        worker: WorkerLife,
+    },
     /// A task was taken back from a worker without an end.
     TakenBack {
         /// The task.
@@ -248,6 +261,7 @@
     foreign_leases_end: Instant,
     interference: Interference,
     settled_at: Option<Instant>,
+    regrouped_at: Option<Instant>,
 }
 
 impl Cell {
@@ -264,6 +278,7 @@
             foreign_leases_end: foreign_grants_end + settings.slowest_lease(),
             interference: Interference::new(settings.interference),
             settled_at: None,
+            regrouped_at: None,
             settings,
             epoch,
             session_count: 0,
@@ -467,7 +482,6 @@
         let capacity_milli = status.capacity.cpu_milli.max(1) as f64;
         let mut usage = ImageUsage::new();
         let mut tails = Vec::new();
-        let mut pressures = BTreeMap::new();
         for run in running {
             let Some(task) = self.key_of(&run.task) else { continue };
             let stage = self.stage(task);
@@ -475,16 +489,26 @@
             if stage.is_best_effort {
                 *usage.entry(image).or_insert(0.0) += run.gauge as f64 / capacity_milli;
             } else if let Some(target_ms) = stage.target_tail_ms.filter(|_| run.gauge > 0) {
-                let highest = pressures.entry(image.clone()).or_insert(0.0_f64);
-                *highest = highest.max(run.gauge as f64 / target_ms.max(1) as f64);
-                tails.push((task, image, run.gauge));
+                tails.push((task, image, run.gauge, target_ms));
             }
         }
+        let known = self.interference.known();
+        let aim = self.settings.planning.tail_aim;
+        let mut headrooms = BTreeMap::new();
+        for (_, image, tail_ms, target_ms) in &tails {
+            let tail_ms = *tail_ms as f64;
+            let floor_ms = known.floor_ms(image, tail_ms);
+            let tail = Tail { tail_ms, floor_ms, target_ms: *target_ms as f64 };
+            let undisturbed = tail.utilization() / (1.0 + known.growth(image, &usage));
+            let headroom = tail.utilization_at(aim) / undisturbed - 1.0;
+            let least = headrooms.entry(image.clone()).or_insert(headroom);
+            *least = headroom.min(*least);
+        }
         let worker = &mut self.workers[key];
-        worker.pressures = pressures;
+        worker.headrooms = headrooms;
         worker.best_effort_used_milli = (usage.values().sum::<f64>() * capacity_milli) as u64;
         let usage = Arc::new(usage);
-        for (task, image, tail_ms) in tails {
+        for (task, image, tail_ms, _) in tails {
             self.interference.observe(task, &image, tail_ms, &usage, now);
         }
     }
--- a/crates/teaseltrack/src/cell/interference.rs
+++ b/crates/teaseltrack/src/cell/interference.rs
@@ -1,10 +1,12 @@
 //! Which best-effort images slow which serving images, and by how much.
 //!
 //! A serving task's tail moves slowly with its own load and quickly with what best-effort tasks use
-//! beside it. For each serving image a linear model therefore explains changes of the tail's
-//! logarithm between two reports by changes of the processor share that each best-effort image
-//! uses. Samples of all workers feed one model, weighted down with age. An effect counts when it is
-//! both large and clear of the noise.
+//! beside it. For each serving image a linear model therefore explains changes of the utilization
+//! behind the tail, see [`tail_model`], between two reports by changes of the processor share that
+//! each best-effort image uses. Samples of all workers feed one model, weighted by the noise that
+//! the tails carry, and down with age. What is measured of a pair is weighed against [`PRIOR`].
+//!
+//! [`tail_model`]: crate::cell::tail_model
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -14,13 +16,57 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::cell::worker::TaskKey;
+use crate::cell::{
+    tail_model::{SWAMPED_UTILIZATION, utilization, utilization_noise},
+    worker::TaskKey,
+};
 
 /// Name of an image.
 pub type ImageName = String;
 /// Share of a worker's processors that best-effort images use.
 pub type ImageUsage = BTreeMap<ImageName, f64>;
 
+/// What is taken to hold of a pair before it was seen: an image either disturbs a serving image a
+/// lot or hardly at all.
+const PRIOR: Prior = Prior {
+    disturbing_share: 0.4,
+    disturbing: Normal { mean: 2.5, deviation: 1.0 },
+    harmless: Normal { mean: 0.1, deviation: 0.15 },
+};
+/// Expected effect of a pair that was never seen.
+const UNSEEN_EFFECT: f64 = PRIOR.disturbing_share * PRIOR.disturbing.mean;
+/// Expected effect below which an image counts as harmless. What such images do at a load's peak is
+/// left to the pause of tails that stay over their target: guarding against it would keep them off
+/// most workers most of the time.
+const HARMLESS_EFFECT: f64 = 0.3;
+/// Smallest change of an effect that is news, and of a large one as a share.
+const EFFECT_STEP: f64 = 0.1;
+/// Expected effect from which on an image counts as disturbing.
+const DISTURBING_EFFECT: f64 = 1.5;
+/// Share of a tail's rise that shows in the first report after a change: tails are means over a
+/// little more than the time between two reports.
+const PROMPT_SHARE: f64 = 0.7;
+/// Change of a task's own utilization between two reports.
+const LOAD_DRIFT: f64 = 0.04;
+/// Fall of a floor, as a share, below which it is no news.
+const FLOOR_STEP: f64 = 0.05;
+
+/// A normal distribution.
+#[derive(Clone, Copy, Debug)]
+struct Normal {
+    mean: f64,
+    deviation: f64,
+}
+
+/// Effects before anything was seen.
+#[derive(Clone, Copy, Debug)]
+struct Prior {
+    /// Share of pairs that disturb.
+    disturbing_share: f64,
+    disturbing: Normal,
+    harmless: Normal,
+}
+
 /// How effects are told from noise.
 #[derive(Clone, Copy, Debug)]
 pub struct InterferenceSettings {
@@ -28,52 +74,70 @@
     pub half_life_s: f64,
     /// Longest time between two samples whose difference counts.
     pub longest_step: Duration,
-    /// Weight of the assumption that nothing disturbs, in squared shares of a worker.
+    /// Weight of the assumption that nothing disturbs, in squared shares by noise.
     pub ridge: f64,
-    /// Squared changes of an image's share after which an earlier owner's word no longer holds.
+    /// Squared changes of an image's share, in units of noise, after which an earlier owner's word
+    /// no longer holds.
     pub least_evidence: f64,
-    /// Least growth of a tail's logarithm by a whole worker of the image.
-    pub least_effect: f64,
-    /// Least effect in standard errors.
-    pub least_significance: f64,
     /// Samples that say as much as one independent sample: tails are averages.
     pub correlation: f64,
 }
 
-/// A best-effort image that slows a serving image.
+/// What a best-effort image does to a serving image.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Disturbance {
-    /// The image that is slowed.
+    /// The serving image.
     pub serving: ImageName,
-    /// The image that slows it.
+    /// The best-effort image.
     pub best_effort: ImageName,
-    /// Growth of the tail's logarithm by a whole worker of the image.
+    /// Expected growth of the serving task's utilization by a whole worker of the image, as a share;
+    /// 0 if the image is harmless as far as can be told.
     pub effect: f64,
 }
 
-/// Known disturbances, with a version that goes up with each change.
+/// Pairs of images that were judged, with a version that goes up with each change.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Disturbances {
     /// The version.
     pub version: u64,
-    /// The disturbances, sorted by images.
+    /// The pairs, sorted by images.
     pub pairs: Vec<Disturbance>,
+    /// Tail of an idle task by serving image, in milliseconds.
+    #[serde(default)]
+    pub floors_ms: BTreeMap<ImageName, f64>,
 }
 
 impl Disturbances {
-    /// Effect of a best-effort image on a serving image; 0 if none is known.
+    /// Expected effect of a best-effort image on a serving image.
     pub fn effect(&self, serving: &str, best_effort: &str) -> f64 {
         self.pairs
             .iter()
             .find(|pair| pair.serving == serving && pair.best_effort == best_effort)
-            .map_or(0.0, |pair| pair.effect)
+            .map_or(UNSEEN_EFFECT, |pair| pair.effect)
+    }
+
+    /// Whether it isn't clear yet if the best-effort image disturbs the serving image.
+    pub fn is_open(&self, serving: &str, best_effort: &str) -> bool {
+        let effect = self.effect(serving, best_effort);
+        (HARMLESS_EFFECT..DISTURBING_EFFECT).contains(&effect)
+    }
+
+    /// Tail of an idle task of a serving image; a lone tail is its own floor.
+    pub fn floor_ms(&self, serving: &str, tail_ms: f64) -> f64 {
+        self.floors_ms.get(serving).copied().unwrap_or(tail_ms).min(tail_ms)
+    }
+
+    /// Growth of a serving task's utilization by what best-effort images use, as a share.
+    pub fn growth(&self, serving: &str, usage: &ImageUsage) -> f64 {
+        usage.iter().map(|(image, share)| self.effect(serving, image) * share).sum()
     }
 
     /// Whether the same best-effort images disturb both serving images, as far as is known.
     pub fn are_alike(&self, serving: &str, other: &str) -> bool {
         let disturbing = |image: &str| -> Vec<&ImageName> {
-            let pairs = self.pairs.iter().filter(|pair| pair.serving == image);
-            pairs.map(|pair| &pair.best_effort).collect()
+            let is_disturbing =
+                |pair: &&Disturbance| pair.serving == image && pair.effect >= DISTURBING_EFFECT;
+            self.pairs.iter().filter(is_disturbing).map(|pair| &pair.best_effort).collect()
         };
         let first = disturbing(serving);
         !first.is_empty() && first == disturbing(other)
@@ -84,8 +148,10 @@
 #[derive(Clone, Debug)]
 struct Sample {
     at: Instant,
-    tail_ln: f64,
+    tail_ms: f64,
     usage: Arc<ImageUsage>,
+    /// Usage that the tail answers to.
+    effective_usage: ImageUsage,
 }
 
 /// Sums of a weighted least-squares fit without a constant.
@@ -103,6 +169,7 @@
 pub struct Interference {
     settings: InterferenceSettings,
     fits: BTreeMap<ImageName, Fit>,
+    floors_ms: BTreeMap<ImageName, f64>,
     last: HashMap<TaskKey, Sample>,
     prior: Disturbances,
     known: Disturbances,
@@ -114,6 +181,7 @@
         Self {
             settings,
             fits: BTreeMap::new(),
+            floors_ms: BTreeMap::new(),
             last: HashMap::new(),
             prior: Disturbances::default(),
             known: Disturbances::default(),
@@ -123,6 +191,9 @@
     /// Takes over what an earlier owner had learned; holds until samples say otherwise.
     pub fn adopt(&mut self, known: Disturbances) {
         if known.version > self.known.version {
+            for (image, floor_ms) in &known.floors_ms {
+                self.note_floor(image, *floor_ms);
+            }
             self.prior = known.clone();
             self.known = known;
         }
@@ -142,20 +213,47 @@
         usage: &Arc<ImageUsage>,
         now: Instant,
     ) {
-        let tail_ln = (tail_ms.max(1) as f64).ln();
-        let sample = Sample { at: now, tail_ln, usage: usage.clone() };
+        let tail_ms = tail_ms.max(1) as f64;
+        self.note_floor(serving, tail_ms);
+        let last = self.last.get(&task);
+        // A listing that is reported twice is no second sample.
+        if last.is_some_and(|last| last.tail_ms == tail_ms && last.usage == *usage) {
+            return;
+        }
+        let effective_usage = match last {
+            Some(last) => mixed(usage, &last.usage, PROMPT_SHARE),
+            None => usage.as_ref().clone(),
+        };
+        let sample = Sample { at: now, tail_ms, usage: usage.clone(), effective_usage };
         let Some(last) = self.last.insert(task, sample) else { return };
         if now.duration_since(last.at) > self.settings.longest_step {
             return;
         }
+        let floor_ms = self.floors_ms.get(serving).copied().unwrap_or(tail_ms);
+        let (before, after) = (utilization(floor_ms, last.tail_ms), utilization(floor_ms, tail_ms));
+        let lower = before.min(after);
+        if lower >= SWAMPED_UTILIZATION {
+            return;
+        }
+        let noise_before = utilization_noise(before, last.tail_ms);
+        let noise_after = utilization_noise(after, tail_ms);
+        let noise = noise_before.hypot(noise_after).hypot(LOAD_DRIFT);
+        let Some(sample) = self.last.get(&task) else { return };
+        let mut change = difference(&sample.effective_usage, &last.effective_usage);
+        change.values_mut().for_each(|share| *share *= lower / noise);
         if !self.fits.contains_key(serving) {
             self.fits.insert(serving.to_owned(), Fit::default());
         }
         if let Some(fit) = self.fits.get_mut(serving) {
-            fit.add(tail_ln - last.tail_ln, &difference(usage, &last.usage));
+            fit.add((after - before) / noise, &change);
         }
     }
 
+    fn note_floor(&mut self, serving: &str, tail_ms: f64) {
+        let floor_ms = self.floors_ms.entry(serving.to_owned()).or_insert(tail_ms);
+        *floor_ms = floor_ms.min(tail_ms);
+    }
+
     /// Ages the samples by the time since the last call, and works out the effects anew.
     pub fn settle(&mut self, elapsed: Duration, now: Instant) {
         let settings = self.settings;
@@ -169,16 +267,41 @@
         let mut pairs = self.prior.pairs.clone();
         for (serving, fit) in &mut self.fits {
             fit.age(factor);
-            for (best_effort, effect) in fit.disturbing(&settings) {
+            for (best_effort, effect) in fit.effects(&settings) {
                 pairs.retain(|pair| pair.serving != *serving || pair.best_effort != best_effort);
                 pairs.push(Disturbance { serving: serving.clone(), best_effort, effect });
             }
         }
         pairs.sort_by(|a, b| (&a.serving, &a.best_effort).cmp(&(&b.serving, &b.best_effort)));
-        if pairs != self.known.pairs {
-            self.known = Disturbances { version: self.known.version + 1, pairs };
+        if self.has_changed(&pairs) || self.has_lower_floor() {
+            let floors_ms = self.floors_ms.clone();
+            self.known = Disturbances { version: self.known.version + 1, pairs, floors_ms };
         }
     }
+
+    fn has_changed(&self, pairs: &[Disturbance]) -> bool {
+        pairs.len() != self.known.pairs.len()
+            || pairs.iter().any(|pair| {
+                let told = self.known.effect(&pair.serving, &pair.best_effort);
+                (pair.effect - told).abs() > EFFECT_STEP * told.max(1.0)
+            })
+    }
+
+    fn has_lower_floor(&self) -> bool {
+        self.floors_ms.iter().any(|(image, floor_ms)| {
+            let told_ms = self.known.floors_ms.get(image);
+            told_ms.is_none_or(|told_ms| *floor_ms < told_ms * (1.0 - FLOOR_STEP))
+        })
+    }
+}
+
+fn mixed(usage: &ImageUsage, earlier: &ImageUsage, weight: f64) -> ImageUsage {
+    let mut mixture: ImageUsage =
+        usage.iter().map(|(image, share)| (image.clone(), weight * share)).collect();
+    for (image, share) in earlier {
+        *mixture.entry(image.clone()).or_insert(0.0) += (1.0 - weight) * share;
+    }
+    mixture
 }
 
 fn difference(usage: &ImageUsage, earlier: &ImageUsage) -> ImageUsage {
@@ -232,7 +355,8 @@
         column.is_some_and(|column| self.products[*column][*column] >= settings.least_evidence)
     }
 
-    fn disturbing(&self, settings: &InterferenceSettings) -> Vec<(ImageName, f64)> {
+    /// Expected effects of the images that were seen.
+    fn effects(&self, settings: &InterferenceSettings) -> Vec<(ImageName, f64)> {
         let mut matrix = self.products.clone();
         for (i, row) in matrix.iter_mut().enumerate() {
             row[i] += settings.ridge;
@@ -240,23 +364,39 @@
         let Some(inverse) = invert(matrix) else { return Vec::new() };
         let effects: Vec<f64> = inverse.iter().map(|row| dot(row, &self.targets)).collect();
         let explained = dot(&effects, &self.targets);
-        let variance = ((self.target_square - explained) / self.weight.max(1.0)).max(0.0);
-        let is_disturbing = |column: usize| {
+        // Samples come in units of their expected noise; the model isn't better than that.
+        let variance = ((self.target_square - explained) / self.weight.max(1.0)).max(1.0);
+        let expect = |column: usize| {
             let error = (variance * inverse[column][column] * settings.correlation).sqrt();
-            effects[column] >= settings.least_effect
-                && effects[column] >= settings.least_significance * error
+            let effect = PRIOR.expected_effect(effects[column], error);
+            if effect < HARMLESS_EFFECT { 0.0 } else { effect }
         };
-        let images = self.columns.iter();
-        images
-            .filter(|(_, column)| is_disturbing(**column))
-            .map(|(image, column)| (image.clone(), round_effect(effects[*column])))
-            .collect()
+        self.columns.iter().map(|(image, column)| (image.clone(), expect(*column))).collect()
     }
 }
 
-/// Rounds an effect, so that small changes don't count as news.
-fn round_effect(effect: f64) -> f64 {
-    (effect * 2.0).round() / 2.0
+impl Prior {
+    /// Expected effect after a measured one with its standard error.
+    fn expected_effect(&self, effect: f64, error: f64) -> f64 {
+        let disturbing = self.disturbing_share * self.disturbing.density(effect, error);
+        let harmless = (1.0 - self.disturbing_share) * self.harmless.density(effect, error);
+        let probability = disturbing / (disturbing + harmless).max(f64::MIN_POSITIVE);
+        probability * self.disturbing.mean_after(effect, error).max(0.0)
+    }
+}
+
+impl Normal {
+    /// Mean after a figure was measured with a standard error.
+    fn mean_after(&self, figure: f64, error: f64) -> f64 {
+        let (prior_weight, weight) = (self.deviation.powi(-2), error.max(1e-3).powi(-2));
+        (self.mean * prior_weight + figure * weight) / (prior_weight + weight)
+    }
+
+    /// Density of a figure with a standard error.
+    fn density(&self, figure: f64, error: f64) -> f64 {
+        let deviation = self.deviation.hypot(error);
+        (-0.5 * ((figure - self.mean) / deviation).powi(2)).exp() / deviation
+    }
 }
 
 fn dot(left: &[f64], right: &[f64]) -> f64 {
--- a/crates/teaseltrack/src/cell/pacing.rs
+++ b/crates/teaseltrack/src/cell/pacing.rs
@@ -1,9 +1,10 @@
 //! Pacing of best-effort tasks beside tasks that serve.
 //!
-//! An agent sees the tail latency of serving tasks twice a second. It slows those best-effort images
-//! that are known to disturb a serving task, as far as the task's target asks for, and leaves the
-//! others alone. A tail that stays over its target pauses all of them for a while, known or not, so
-//! that nothing rests on what the owner has learned.
+//! An agent sees the tail latency of serving tasks twice a second. What each of them can bear is
+//! shared out among the best-effort tasks: first to the images that disturb least, then task by
+//! task, the furthest first, since a few tasks at full pace end sooner than many slow ones. A tail
+//! over its target stops the images that may disturb it at once. One that stays over its target
+//! pauses all of them for a while, so that nothing rests on what the owner has learned.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -12,8 +13,9 @@
 
 use crate::{
     cell::{
-        interference::{Disturbances, ImageName},
+        interference::{Disturbances, ImageName, ImageUsage},
         protocol::{RunningTask, SharingTraits, TaskName},
+        tail_model::Tail,
     },
     ids::AttemptNumber,
 };
@@ -52,12 +54,12 @@
     pub percent: u32,
 }
 
-/// What the tasks of a best-effort image would use at full pace, by the share last seen.
-#[derive(Clone, Copy, Debug, Default)]
-struct ImageDemand {
-    share_of_task: Option<f64>,
-    used_share: f64,
+/// A best-effort task to be paced.
+struct Demand<'a> {
+    run: &'a RunningTask,
+    /// Share of the worker that it would use at full pace.
     full_share: f64,
+    is_at_work: bool,
 }
 
 /// Paces the best-effort tasks of one worker.
@@ -67,9 +69,10 @@
     traits: HashMap<TaskName, SharingTraits>,
     set: HashMap<TaskName, (AttemptNumber, u32)>,
     known: Disturbances,
-    demands: BTreeMap<ImageName, ImageDemand>,
-    percents: BTreeMap<ImageName, u32>,
-    smoothed: HashMap<TaskName, f64>,
+    full_shares: HashMap<TaskName, f64>,
+    last_usage: ImageUsage,
+    undisturbed: HashMap<TaskName, f64>,
+    percents: HashMap<TaskName, u32>,
     over_since: Option<Instant>,
     paused_until: Option<Instant>,
     pressure: f64,
@@ -83,9 +86,10 @@
             traits: HashMap::new(),
             set: HashMap::new(),
             known: Disturbances::default(),
-            demands: BTreeMap::new(),
-            percents: BTreeMap::new(),
-            smoothed: HashMap::new(),
+            full_shares: HashMap::new(),
+            last_usage: ImageUsage::new(),
+            undisturbed: HashMap::new(),
+            percents: HashMap::new(),
             over_since: None,
             paused_until: None,
             pressure: 0.0,
@@ -127,8 +131,10 @@
         self.forget_ended(running);
         self.pressure = self.highest_pressure(running);
         self.pause_while_over(now);
-        self.measure_demands(running, capacity_milli.max(1) as f64);
-        self.steer(running);
+        let usage = self.measure_usage(running, capacity_milli.max(1) as f64);
+        let headrooms = self.headrooms(running, &usage);
+        self.last_usage = usage;
+        self.share_out(running, headrooms);
         running.iter().filter_map(|run| self.change_for(run)).collect()
     }
 
@@ -138,9 +144,7 @@
     }
 
     fn change_for(&self, run: &RunningTask) -> Option<PaceChange> {
-        let traits = self.traits.get(&run.task).filter(|traits| traits.is_best_effort)?;
-        let image = traits.image.as_deref().unwrap_or_default();
-        let steered = self.percents.get(image).copied().unwrap_or(FULL_PERCENT);
+        let steered = *self.percents.get(&run.task)?;
         let percent = if self.is_paused() { 0 } else { steered };
         let current = self.percent_of(run);
         let is_small = percent.abs_diff(current) < self.settings.least_change;
@@ -160,6 +164,9 @@
         if self.set.len() > running.len() {
             self.set.retain(|task, _| running.iter().any(|run| run.task == *task));
         }
+        if self.full_shares.len() > running.len() {
+            self.full_shares.retain(|task, _| running.iter().any(|run| run.task == *task));
+        }
         if self.traits.len() > 4 * running.len() + 64 {
             self.traits.retain(|task, _| running.iter().any(|run| run.task == *task));
         }
@@ -195,59 +202,113 @@
         }
     }
 
-    fn measure_demands(&mut self, running: &[RunningTask], capacity_milli: f64) {
-        for demand in self.demands.values_mut() {
-            (demand.used_share, demand.full_share) = (0.0, 0.0);
-        }
+    /// What each best-effort image uses now; learns what their tasks use at full pace.
+    fn measure_usage(&mut self, running: &[RunningTask], capacity_milli: f64) -> ImageUsage {
+        let mut usage = ImageUsage::new();
         for run in running {
-            let Some(traits) = self.traits.get(&run.task).filter(|t| t.is_best_effort) else {
-                continue;
-            };
-            let percent = self.percent_of(run);
+            let Some(image) = self.best_effort_image(run) else { continue };
             let used_share = run.gauge as f64 / capacity_milli;
-            let image = traits.image.clone().unwrap_or_default();
-            let demand = self.demands.entry(image).or_default();
+            *usage.entry(image).or_insert(0.0) += used_share;
+            let percent = self.percent_of(run);
             if percent >= self.settings.least_percent && used_share > 0.0 {
-                demand.share_of_task =
-                    Some(used_share * f64::from(FULL_PERCENT) / f64::from(percent));
+                let full_share = used_share * f64::from(FULL_PERCENT) / f64::from(percent);
+                self.full_shares.insert(run.task.clone(), full_share);
             }
-            demand.used_share += used_share;
-            demand.full_share += demand.share_of_task.unwrap_or(self.settings.assumed_share);
         }
+        usage
     }
 
-    /// Chooses for each image the pace at which no disturbed tail is expected beyond its aim.
-    fn steer(&mut self, running: &[RunningTask]) {
-        let mut shares: BTreeMap<ImageName, f64> = BTreeMap::new();
-        let mut smoothed = HashMap::new();
+    /// Growth of utilization that best-effort tasks may cause together, by serving image.
+    fn headrooms(
+        &mut self,
+        running: &[RunningTask],
+        usage: &ImageUsage,
+    ) -> BTreeMap<ImageName, f64> {
+        // Tails are means over the time in which the usage before still counts.
+        let mut lasting = usage.clone();
+        for (image, share) in &self.last_usage {
+            let bound = lasting.entry(image.clone()).or_insert(*share);
+            *bound = bound.max(*share);
+        }
+        let mut headrooms = BTreeMap::new();
+        let mut undisturbed = HashMap::new();
         for run in running {
-            let Some(traits) = self.traits.get(&run.task) else { continue };
-            let Some(target_ms) = traits.target_tail_ms.filter(|_| run.gauge > 0) else { continue };
-            let serving = traits.image.as_deref().unwrap_or_default();
-            let effects: Vec<(&ImageName, f64, &ImageDemand)> = self
-                .demands
-                .iter()
-                .map(|(image, demand)| (image, self.known.effect(serving, image), demand))
-                .filter(|(_, effect, _)| *effect > 0.0)
-                .collect();
-            let now_ln: f64 = effects.iter().map(|(_, effect, d)| effect * d.used_share).sum();
-            let full_ln: f64 = effects.iter().map(|(_, effect, d)| effect * d.full_share).sum();
-            let tail_ln = (run.gauge as f64 / target_ms.max(1) as f64).ln() - now_ln;
-            let earlier = self.smoothed.get(&run.task).copied().unwrap_or(tail_ln);
-            let undisturbed_ln = earlier + self.settings.newest_weight * (tail_ln - earlier);
-            smoothed.insert(run.task.clone(), undisturbed_ln);
-            if full_ln <= 0.0 {
-                continue;
+            let Some((image, tail)) = self.tail_of(run) else { continue };
+            let newest = tail.utilization() / (1.0 + self.known.growth(&image, &lasting));
+            let earlier = self.undisturbed.get(&run.task).copied().unwrap_or(newest);
+            let smoothed = earlier + self.settings.newest_weight * (newest - earlier);
+            let load = newest.max(smoothed);
+            undisturbed.insert(run.task.clone(), load);
+            let at_aim = tail.utilization_at(self.settings.aim);
+            let headroom = if tail.is_over() { 0.0 } else { (at_aim / load - 1.0).max(0.0) };
+            let least = headrooms.entry(image).or_insert(headroom);
+            *least = headroom.min(*least);
+        }
+        self.undisturbed = undisturbed;
+        headrooms
+    }
+
+    fn tail_of(&self, run: &RunningTask) -> Option<(ImageName, Tail)> {
+        let traits = self.traits.get(&run.task)?;
+        let target_ms = traits.target_tail_ms.filter(|_| run.gauge > 0)? as f64;
+        let image = traits.image.clone().unwrap_or_default();
+        let tail_ms = run.gauge as f64;
+        let floor_ms = self.known.floor_ms(&image, tail_ms);
+        Some((image, Tail { tail_ms, floor_ms, target_ms }))
+    }
+
+    fn best_effort_image(&self, run: &RunningTask) -> Option<ImageName> {
+        let traits = self.traits.get(&run.task).filter(|traits| traits.is_best_effort)?;
+        Some(traits.image.clone().unwrap_or_default())
+    }
+
+    /// Shares out what serving tasks can bear.
+    fn share_out(&mut self, running: &[RunningTask], mut headrooms: BTreeMap<ImageName, f64>) {
+        let mut demands: BTreeMap<ImageName, Vec<Demand<'_>>> = BTreeMap::new();
+        for run in running {
+            let Some(image) = self.best_effort_image(run) else { continue };
+            let full_share = self.full_shares.get(&run.task).copied();
+            demands.entry(image).or_default().push(Demand {
+                run,
+                full_share: full_share.unwrap_or(self.settings.assumed_share),
+                is_at_work: self.percent_of(run) > 0,
+            });
+        }
+        let mut order: Vec<(ImageName, f64)> = demands
+            .keys()
+            .map(|image| (image.clone(), self.allowed_share(image, &headrooms)))
+            .collect();
+        order.sort_by(|(_, left), (_, right)| right.total_cmp(left));
+        self.percents.clear();
+        for (image, _) in order {
+            let Some(mut tasks) = demands.remove(&image) else { continue };
+            tasks.sort_by_key(|demand| {
+                (!demand.is_at_work, FULL_PERCENT.saturating_sub(demand.run.percent))
+            });
+            let allowed = self.allowed_share(&image, &headrooms);
+            let mut left = allowed;
+            for demand in tasks {
+                let pace = (left / demand.full_share.max(1e-6)).clamp(0.0, 1.0);
+                let percent = self.percent_for(pace);
+                left -= demand.full_share * f64::from(percent) / f64::from(FULL_PERCENT);
+                self.percents.insert(demand.run.task.clone(), percent);
             }
-            let share = ((self.settings.aim.ln() - undisturbed_ln) / full_ln).clamp(0.0, 1.0);
-            for (image, _, _) in effects {
-                let least = shares.entry(image.clone()).or_insert(1.0);
-                *least = least.min(share);
+            if allowed.is_finite() {
+                for (serving, headroom) in &mut headrooms {
+                    *headroom -= self.known.effect(serving, &image) * (allowed - left);
+                }
             }
         }
-        self.smoothed = smoothed;
-        self.percents =
-            shares.into_iter().map(|(image, share)| (image, self.percent_for(share))).collect();
+    }
+
+    /// Share of the worker that an image may use; infinite if it disturbs nothing here.
+    fn allowed_share(&self, image: &str, headrooms: &BTreeMap<ImageName, f64>) -> f64 {
+        headrooms
+            .iter()
+            .map(|(serving, headroom)| (self.known.effect(serving, image), headroom))
+            .filter(|(effect, _)| *effect > 0.0)
+            .map(|(effect, headroom)| headroom.max(0.0) / effect)
+            .fold(f64::INFINITY, f64::min)
     }
 
     fn percent_for(&self, share: f64) -> u32 {
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -27,15 +27,20 @@
     pub reserve_wait: Duration,
     /// Share of their declared processors that long-running tasks are taken to use.
     pub serving_load: f64,
-    /// Share of its declared processors that must be unclaimed before a best-effort task starts.
+    /// Share of its declared processors that a best-effort task must find before it starts.
     pub best_effort_floor: f64,
     /// Share of its target that no tail is to pass when a best-effort task arrives.
     pub tail_aim: f64,
-    /// Share of full pace that an arriving best-effort task must have.
-    pub least_pace: f64,
+    /// Tasks on one worker of an image that may disturb what serves there.
+    pub tasks_on_trial: u32,
+    /// Time between two moves of serving tasks.
+    pub regroup_interval: Duration,
+    /// Time before a serving task is moved again.
+    pub rest_after_move: Duration,
     /// Time after which an assigned best-effort task shows in its worker's reports.
     pub arrival_time: Duration,
-    /// Head start of small best-effort jobs, in times of what the whole fleet needs for a job.
+    /// Head start of best-effort jobs with little left, in times of what the whole fleet needs for
+    /// what is left.
     pub size_handicap: f64,
     /// Factor on a job's objective after which it is served last.
     pub hopeless_factor: f64,
@@ -90,9 +95,14 @@
         }
         let mut candidates = self.candidates(now);
         candidates.sort_by_key(|candidate| candidate.rank);
+        let is_serving_waiting =
+            candidates.iter().any(|candidate| candidate.rank.0 == Kind::Serving);
         for candidate in candidates {
             self.place_stage(&candidate, &workers, now);
         }
+        if !is_serving_waiting {
+            self.regroup(&workers, now);
+        }
     }
 
     fn forget_arrivals(&mut self, now: Instant) {
@@ -104,9 +114,8 @@
 
     fn note_arrival(&mut self, worker: WorkerKey, stage: &Stage, now: Instant) {
         if stage.is_best_effort {
-            let image = stage.image.clone().unwrap_or_default();
             let cpu_milli = stage.resources.cpu_milli;
-            self.workers[worker].arriving.push(Arrival { at: now, image, cpu_milli });
+            self.workers[worker].arriving.push(Arrival { at: now, cpu_milli });
         }
     }
 
@@ -218,17 +227,23 @@
         (Kind::of(stage), lateness, job.queue.priority, order)
     }
 
-    /// Wait after which a best-effort job goes before one of no work that has just come: small jobs
-    /// first, but a large one isn't put off for ever.
+    /// Wait after which a best-effort job goes before one of no work that has just come: jobs with
+    /// little left first, but a large one isn't put off for ever.
     fn handicap(&self, key: JobKey) -> Duration {
-        let stages = &self.jobs[key].spec.stages;
-        let core_ms: u64 = stages
-            .iter()
-            .map(|stage| {
-                u64::from(stage.task_count) * stage.estimate_ms * stage.resources.cpu_milli
-            })
-            .sum::<u64>()
-            / 1_000;
+        let job = &self.jobs[key];
+        let left_core_ms = |number: usize, stage: &Stage| {
+            let is_done = |task: &&Task| task.progress.phase == TaskPhase::Done;
+            let done: usize = job
+                .occurrences
+                .iter()
+                .map(|occurrence| occurrence.stages[number].iter().filter(is_done).count())
+                .sum();
+            let begun = job.occurrences.len().max(1) as u64;
+            let left = (begun * u64::from(stage.task_count)).saturating_sub(done as u64);
+            left * stage.estimate_ms * stage.resources.cpu_milli / 1_000
+        };
+        let stages = job.spec.stages.iter().enumerate();
+        let core_ms: u64 = stages.map(|(number, stage)| left_core_ms(number, stage)).sum();
         let fleet_milli: u64 = self
             .workers
             .values()
--- a/crates/teaseltrack/src/cell/scoring.rs
+++ b/crates/teaseltrack/src/cell/scoring.rs
@@ -6,26 +6,29 @@
 
 use crate::cell::{
     Cell, WorkerKey,
-    interference::ImageName,
+    interference::{ImageName, ImageUsage},
     job::Stage,
     planning::Kind,
     worker::{TaskKey, Worker, held},
 };
 
+/// Least effect of an image on a tail; keeps shares finite.
+const LEAST_EFFECT: f64 = 0.01;
+
 /// How well a worker suits a task; the highest goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Suitability {
+pub(super) struct Suitability {
     /// Data nearby, against slowness and earlier failures there.
     preference: i64,
     /// Company that suits the task.
-    company: Company,
+    pub(super) company: Company,
     /// Processor time to compare by, in thousandths of a core.
     cpu_milli: i64,
 }
 
 /// What runs beside a task that lasts; the last is the best.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Company {
+pub(super) enum Company {
     /// Tasks of one image that other best-effort images disturb, or of which that isn't known.
     Other,
     /// Nothing that lasts.
@@ -60,7 +63,7 @@
     }
 
     /// How well a task would go on a worker; `None` if it can't go there.
-    fn suitability(
+    pub(super) fn suitability(
         &self,
         worker: &Worker,
         service: &str,
@@ -80,18 +83,19 @@
         }
         let left_milli = room.cpu_milli as i64 - stage.resources.cpu_milli as i64;
         let (company, cpu_milli) = match Kind::of(stage) {
-            Kind::Batch => (Company::Empty, left_milli),
+            // Workers without serving tasks are left to the images that disturb them.
+            Kind::Batch if worker.headrooms.is_empty() => (Company::Empty, left_milli),
+            Kind::Batch => (Company::Mixed, left_milli),
             Kind::Serving => {
                 let reserve_milli = (status.capacity.cpu_milli as f64 * reserve) as i64;
                 let has_room = left_milli >= reserve_milli;
                 has_room.then(|| (self.company(worker, stage), -left_milli))?
             }
             Kind::BestEffort => {
-                let spare_milli = self.spare_milli(worker);
+                let usable_milli = self.spare_milli(worker).min(self.bearable_milli(worker, stage));
                 let floor = self.settings.planning.best_effort_floor;
                 let floor_milli = (stage.resources.cpu_milli as f64 * floor) as i64;
-                let has_room = spare_milli >= floor_milli && self.is_bearable(worker, stage);
-                has_room.then_some((Company::Empty, spare_milli))?
+                (usable_milli >= floor_milli).then_some((Company::Empty, usable_milli))?
             }
         };
         let is_near = stage.data_rack.as_ref().is_some_and(|rack| status.labels.contains(rack));
@@ -107,9 +111,8 @@
     fn company(&self, worker: &Worker, stage: &Stage) -> Company {
         let image = stage.image.as_deref().unwrap_or_default();
         let present = &worker.serving_images;
-        let is_alike = |other: &ImageName| {
-            other == image || self.interference.known().are_alike(image, other)
-        };
+        let is_alike =
+            |other: &ImageName| other == image || self.interference.known().are_alike(image, other);
         match present.len() {
             0 => Company::Empty,
             _ if present.keys().all(is_alike) => Company::Alike,
@@ -130,27 +133,30 @@
         capacity_milli as i64 - taken_milli as i64
     }
 
-    /// Whether a best-effort task could work at a fair pace without pushing a tail beyond the aim.
-    fn is_bearable(&self, worker: &Worker, stage: &Stage) -> bool {
+    /// Processor time that a best-effort task may use, beside those that are there already, without
+    /// pushing a tail beyond the aim.
+    ///
+    /// Images whose effect isn't clear yet are tried with few tasks.
+    fn bearable_milli(&self, worker: &Worker, stage: &Stage) -> i64 {
         let known = self.interference.known();
-        let Some(image) = stage.image.as_deref().filter(|_| !known.pairs.is_empty()) else {
-            return true;
-        };
+        let image = stage.image.as_deref().unwrap_or_default();
         let capacity_milli = worker.status.as_ref().map_or(0, |status| status.capacity.cpu_milli);
         let share_of = |cpu_milli: u64| cpu_milli as f64 / capacity_milli.max(1) as f64;
-        worker.pressures.iter().all(|(serving, pressure)| {
-            let effect = known.effect(serving, image);
-            if effect <= 0.0 {
-                return true;
-            }
-            let arriving: f64 = worker
-                .arriving
-                .iter()
-                .map(|arrival| known.effect(serving, &arrival.image) * share_of(arrival.cpu_milli))
-                .sum();
-            let headroom = (self.settings.planning.tail_aim / pressure.max(0.01)).ln() - arriving;
-            let needed = effect * share_of(stage.resources.cpu_milli);
-            headroom >= needed * self.settings.planning.least_pace
-        })
+        let present: ImageUsage = worker
+            .best_effort_images
+            .iter()
+            .map(|(image, asked)| (image.clone(), share_of(asked.cpu_milli)))
+            .collect();
+        let task_count = worker.best_effort_images.get(image).map_or(0, |asked| asked.task_count);
+        let is_tried = task_count >= self.settings.planning.tasks_on_trial
+            && worker.headrooms.keys().any(|serving| known.is_open(serving, image));
+        if is_tried {
+            return 0;
+        }
+        let shares = worker.headrooms.iter().map(|(serving, headroom)| {
+            let effect = known.effect(serving, image).max(LEAST_EFFECT);
+            (headroom - known.growth(serving, &present)) / effect
+        });
+        (shares.fold(1.0, f64::min) * capacity_milli as f64) as i64
     }
 }
--- a/crates/teaseltrack/src/cell/worker.rs
+++ b/crates/teaseltrack/src/cell/worker.rs
@@ -41,13 +41,20 @@
     pub best_effort_milli: u64,
 }
 
+/// What the best-effort tasks of an image ask for on a worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ImageDemand {
+    /// Number of tasks.
+    pub task_count: u32,
+    /// Thousandths of a core.
+    pub cpu_milli: u64,
+}
+
 /// A best-effort task that was assigned lately.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Arrival {
     /// When it was assigned.
     pub at: Instant,
-    /// What it runs.
-    pub image: ImageName,
     /// What it asks for, in thousandths of a core.
     pub cpu_milli: u64,
 }
@@ -87,8 +94,10 @@
     pub demand: Demand,
     /// Images of the tasks that last, with the number of tasks.
     pub serving_images: BTreeMap<ImageName, u32>,
-    /// Highest tail as a share of its target, by serving image.
-    pub pressures: BTreeMap<ImageName, f64>,
+    /// Growth of utilization that best-effort tasks may cause together, by serving image.
+    pub headrooms: BTreeMap<ImageName, f64>,
+    /// What best-effort tasks ask for, by image.
+    pub best_effort_images: BTreeMap<ImageName, ImageDemand>,
     /// Processor time that best-effort tasks were last seen to use, in thousandths of a core.
     pub best_effort_used_milli: u64,
     /// Best-effort tasks that were assigned lately and aren't seen at work yet.
@@ -125,7 +134,8 @@
             reserved: Resources::default(),
             demand: Demand::default(),
             serving_images: BTreeMap::new(),
-            pressures: BTreeMap::new(),
+            headrooms: BTreeMap::new(),
+            best_effort_images: BTreeMap::new(),
             best_effort_used_milli: 0,
             arriving: Vec::new(),
             tasks: BTreeSet::new(),
@@ -164,6 +174,10 @@
             *self.demand_of(stage) += stage.resources.cpu_milli;
             if stage.is_long_running {
                 *self.serving_images.entry(image_of(stage)).or_insert(0) += 1;
+            } else if stage.is_best_effort {
+                let asked = self.best_effort_images.entry(image_of(stage)).or_default();
+                asked.task_count += 1;
+                asked.cpu_milli += stage.resources.cpu_milli;
             }
         }
     }
@@ -179,10 +193,14 @@
                 && let Some(count) = self.serving_images.get_mut(&image)
             {
                 *count -= 1;
-                if *count == 0 {
-                    self.serving_images.remove(&image);
-                }
+            } else if stage.is_best_effort
+                && let Some(asked) = self.best_effort_images.get_mut(&image)
+            {
+                asked.task_count -= 1;
+                asked.cpu_milli -= stage.resources.cpu_milli;
             }
+            self.serving_images.retain(|_, count| *count > 0);
+            self.best_effort_images.retain(|_, asked| asked.task_count > 0);
         }
     }
 
