--- a/crates/teaseltrack-cell/src/agent.rs
+++ b/crates/teaseltrack-cell/src/agent.rs
@@ -22,6 +22,7 @@
     clock::SharedClock,
     ids::{AttemptNumber, InstanceId},
 };
+use teaseltrack_daemon::metrics::Metrics;
 use tokio::{
     sync::{Semaphore, mpsc, watch},
     time::{sleep, timeout},
@@ -126,6 +127,8 @@
     pub has_open_ends: watch::Sender<bool>,
     /// Where decisions are told.
     pub logger: Logger,
+    /// What is counted.
+    pub metrics: Metrics,
 }
 
 /// The agent's state.
@@ -359,6 +362,7 @@
         let answer = match result {
             Ok(answer) => answer,
             Err(error) => {
+                self.context.metrics.count("worker_calls_failed");
                 if self.is_reachable {
                     warn!(self.context.logger, "worker lost"; "worker" => &self.life,
                         "error" => %error);
@@ -427,7 +431,11 @@
                 "worker" => &self.life, "is_paused" => self.pacer.is_paused(),
                 "tail_to_target" => self.pacer.pressure(), "tasks" => changes.len());
         }
+        let sharing = &self.context.metrics;
+        sharing.gauge("tail_to_target_percent", (100.0 * self.pacer.pressure()) as u64);
+        sharing.gauge("runs", self.running.len() as u64);
         for change in changes {
+            self.context.metrics.count("paces_set");
             self.send_pace(change);
         }
     }
@@ -585,6 +593,7 @@
     }
 
     fn refuse(&mut self, order: &StartOrder, reason: &str) {
+        self.context.metrics.count("starts_refused");
         info!(self.context.logger, "start refused"; "request_id" => &order.task.job,
             "task" => %order.task, "attempt" => order.attempt, "reason" => reason);
         self.refused.push(RefusedStart {
--- a/crates/teaseltrack-cell/src/entry.rs
+++ b/crates/teaseltrack-cell/src/entry.rs
@@ -14,6 +14,7 @@
     },
     clock::SharedClock,
 };
+use teaseltrack_daemon::metrics::Metrics;
 use teaseltrack_platform::store::{CommitAnswer, Condition, Store, StoreError, Transaction, Write};
 use teaseltrack_wire::cell::JobLookup;
 use tokio::{
@@ -40,6 +41,18 @@
     Unknown,
 }
 
+impl SubmitOutcome {
+    /// Name in metrics.
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Invalid(_) => "invalid",
+            Self::Refused => "refused",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// Outcome of a cancellation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CancelOutcome {
@@ -51,6 +64,17 @@
     Unknown,
 }
 
+impl CancelOutcome {
+    /// Name in metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Cancelled => "cancelled",
+            Self::NoSuchJob => "no_such_job",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// Outcome of a question.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Lookup<T> {
@@ -75,6 +99,8 @@
     pub known_owner: watch::Receiver<KnownOwner>,
     /// Where decisions are told.
     pub logger: Logger,
+    /// What is counted.
+    pub metrics: Metrics,
 }
 
 impl JobDesk {
@@ -113,6 +139,7 @@
             Err(_) if open_calls > 0 => SubmitOutcome::Unknown,
             Err(_) => SubmitOutcome::Refused,
         };
+        self.metrics.count_tagged("submissions", "outcome", outcome.name());
         info!(self.logger, "job submitted"; "request_id" => job, "queue" => &queue.name,
             "outcome" => ?outcome);
         outcome
@@ -134,6 +161,7 @@
         };
         let outcome =
             timeout_at(deadline.into(), cancelling).await.unwrap_or(CancelOutcome::Unknown);
+        self.metrics.count_tagged("cancellations", "outcome", outcome.name());
         info!(self.logger, "job cancelled"; "request_id" => job, "outcome" => ?outcome);
         outcome
     }
--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -21,6 +21,7 @@
     clock::{SharedClock, unix_ms},
     ids::InstanceId,
 };
+use teaseltrack_daemon::metrics::Metrics;
 use teaseltrack_platform::store::Store;
 use teaseltrack_wire::cell::JobLookup;
 use tokio::{
@@ -48,6 +49,9 @@
 /// Batches of submissions that may wait for the owner.
 const NEWS_SIZE: usize = 16;
 
+/// Share of an owner's time that planning may take; reports and commits need the rest.
+const PLAN_SHARE: f64 = 0.4;
+
 /// What an owner needs.
 #[derive(Clone)]
 pub struct OwnerContext {
@@ -67,6 +71,8 @@
     pub mailbox: watch::Sender<Option<mpsc::Sender<InboundCall>>>,
     /// Where decisions are told.
     pub logger: Logger,
+    /// What is counted.
+    pub metrics: Metrics,
 }
 
 /// A report that waits for news.
@@ -94,6 +100,7 @@
     cell: Cell,
     parked: HashMap<InstanceId, ParkedReport>,
     renewed_at: Instant,
+    plan_at: Instant,
     is_stopping: bool,
 }
 
@@ -135,7 +142,9 @@
     ));
     context.mailbox.send_replace(Some(mailbox));
     let renewed_at = committer.renewed_at;
-    let mut owner = Owner { context, cell, parked: HashMap::new(), renewed_at, is_stopping: false };
+    let plan_at = context.clock.now();
+    let parked = HashMap::new();
+    let mut owner = Owner { context, cell, parked, renewed_at, plan_at, is_stopping: false };
     owner.run(committer, Inboxes { calls, news, configuration }, closing).await;
     owner.context.mailbox.send_replace(None);
     follower.abort();
@@ -189,6 +198,8 @@
                         return;
                     };
                     self.renewed_at = committer.renewed_at;
+                    let commit_time = self.context.clock.now().duration_since(self.renewed_at);
+                    self.context.metrics.time("commit", commit_time);
                     self.cell.committed();
                     idle = Some(committer);
                 }
@@ -286,10 +297,16 @@
         }
     }
 
+    /// Plans, unless planning would take more than its share of the time.
     fn plan(&mut self) {
-        if self.cell.needs_plan() {
-            self.cell.plan(unix_ms((self.context.wall_now)()), self.context.clock.now());
+        let started_at = self.context.clock.now();
+        if !self.cell.needs_plan() || started_at < self.plan_at {
+            return;
         }
+        self.cell.plan(unix_ms((self.context.wall_now)()), started_at);
+        let plan_time = self.context.clock.now().duration_since(started_at);
+        self.context.metrics.time("plan", plan_time);
+        self.plan_at = started_at + plan_time.mul_f64(1.0 / PLAN_SHARE);
     }
 
     /// Sends the next commit, or gives the committer back if there is nothing to commit.
@@ -330,8 +347,11 @@
     }
 
     fn log_events(&mut self) {
-        let logger = &self.context.logger;
+        let OwnerContext { logger, metrics, .. } = &self.context;
+        metrics.gauge("jobs_open", self.cell.open_count() as u64);
+        metrics.gauge("configuration_version", self.cell.configuration_version());
         for event in self.cell.take_events() {
+            metrics.count_tagged("cell_events", "kind", event.name());
             match event {
                 CellEvent::Assigned { task, attempt, worker } => {
                     info!(logger, "task assigned"; "request_id" => &task.job,
--- a/crates/teaseltrack-daemon/src/metrics.rs
+++ b/crates/teaseltrack-daemon/src/metrics.rs
@@ -1,8 +1,10 @@
-//! Metrics over UDP in the statsd format; off unless an address is set.
+//! Metrics: pushed over UDP in the statsd format where an address is set, and kept for scrapes in
+//! the OpenMetrics text format, see [`serve_metrics`].
 
 use std::{
+    collections::HashMap,
     net::{SocketAddr, UdpSocket},
-    sync::Arc,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -10,11 +12,38 @@
     BufferedUdpMetricSink, Counted, CountedExt, Gauged, NopMetricSink, QueuingMetricSink,
     StatsdClient, Timed,
 };
+use http::{HeaderValue, Request, Response, StatusCode, header::CONTENT_TYPE};
+use hyper::body::Incoming;
+use prometheus_client::{
+    encoding::text::encode,
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
 use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use crate::http_server::{AnswerBody, full_body, serve};
 
 /// Prefix of all metrics.
 const PREFIX: &str = "teaseltrack";
 
+/// Where a metric is explained; operators read it beside the figure.
+const HELP: &str = "See docs/OPERATIONS.md";
+/// Content type of a scrape's answer.
+const SCRAPE_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+/// Connections of scrapers at once.
+const MAX_SCRAPERS: usize = 8;
+/// Upper bound of the first histogram bucket, in seconds: a call on the same instance.
+const FIRST_BUCKET_S: f64 = 0.001;
+/// Buckets of a histogram, each twice the one before: up to 32 s.
+const BUCKETS: u16 = 16;
+
 /// Settings of the metrics.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -23,10 +52,23 @@
     pub statsd_address: Option<SocketAddr>,
 }
 
+type Labels = Vec<(String, String)>;
+
+/// What a scrape shows.
+#[derive(Debug, Default)]
+struct Exposition {
+    registry: Registry,
+    totals: HashMap<String, Counter>,
+    counters: HashMap<String, Family<Labels, Counter>>,
+    gauges: HashMap<String, Gauge>,
+    histograms: HashMap<String, Histogram>,
+}
+
 /// Sender of metrics, cheap to clone.
 #[derive(Clone, Debug)]
 pub struct Metrics {
     client: Arc<StatsdClient>,
+    exposition: Arc<Mutex<Exposition>>,
 }
 
 impl Metrics {
@@ -40,32 +82,111 @@
         let socket = UdpSocket::bind(("0.0.0.0", 0))?;
         socket.set_nonblocking(true)?;
         let sink = BufferedUdpMetricSink::from(address, socket).map_err(std::io::Error::other)?;
-        let client = StatsdClient::from_sink(PREFIX, QueuingMetricSink::from(sink));
-        Ok(Self { client: Arc::new(client) })
+        Ok(Self::to(StatsdClient::from_sink(PREFIX, QueuingMetricSink::from(sink))))
     }
 
-    /// A sender to nowhere.
+    /// Nothing is pushed.
     pub fn off() -> Self {
-        Self { client: Arc::new(StatsdClient::from_sink(PREFIX, NopMetricSink)) }
+        Self::to(StatsdClient::from_sink(PREFIX, NopMetricSink))
+    }
+
+    fn to(client: StatsdClient) -> Self {
+        Self { client: Arc::new(client), exposition: Arc::default() }
     }
 
     /// Counts an event.
     pub fn count(&self, name: &str) {
         drop(self.client.incr(name));
+        self.kept().total(name).inc();
     }
 
     /// Counts an event with a tag.
     pub fn count_tagged(&self, name: &str, tag: &str, value: &str) {
         self.client.count_with_tags(name, 1_i64).with_tag(tag, value).send();
+        let labels = vec![(tag.to_owned(), value.to_owned())];
+        self.kept().counter(name).get_or_create(&labels).inc();
     }
 
     /// Sets a level.
     pub fn gauge(&self, name: &str, value: u64) {
         drop(self.client.gauge(name, value));
+        self.kept().gauge(name).set(i64::try_from(value).unwrap_or(i64::MAX));
     }
 
-    /// Takes in a duration.
+    /// Takes in a duration; shown in seconds.
     pub fn time(&self, name: &str, duration: Duration) {
         drop(self.client.time(name, duration));
+        self.kept().histogram(name).observe(duration.as_secs_f64());
+    }
+
+    /// All metrics in the OpenMetrics text format.
+    ///
+    /// # Errors
+    ///
+    /// A metric can't be written as text.
+    pub fn text(&self) -> Result<String, std::fmt::Error> {
+        let mut text = String::new();
+        encode(&mut text, &self.kept().registry)?;
+        Ok(text)
+    }
+
+    fn kept(&self) -> MutexGuard<'_, Exposition> {
+        self.exposition.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+impl Exposition {
+    fn total(&mut self, name: &str) -> &Counter {
+        self.totals.entry(name.to_owned()).or_insert_with(|| {
+            let counter = Counter::default();
+            self.registry.register(full_name(name), HELP, counter.clone());
+            counter
+        })
+    }
+
+    fn counter(&mut self, name: &str) -> &Family<Labels, Counter> {
+        self.counters.entry(name.to_owned()).or_insert_with(|| {
+            let family = Family::default();
+            self.registry.register(full_name(name), HELP, family.clone());
+            family
+        })
+    }
+
+    fn gauge(&mut self, name: &str) -> &Gauge {
+        self.gauges.entry(name.to_owned()).or_insert_with(|| {
+            let gauge = Gauge::default();
+            self.registry.register(full_name(name), HELP, gauge.clone());
+            gauge
+        })
+    }
+
+    fn histogram(&mut self, name: &str) -> &Histogram {
+        self.histograms.entry(name.to_owned()).or_insert_with(|| {
+            let histogram = Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS));
+            let shown = format!("{}_seconds", full_name(name));
+            self.registry.register(shown, HELP, histogram.clone());
+            histogram
+        })
+    }
+}
+
+/// Serves all metrics at every path until `closing` is cancelled.
+pub async fn serve_metrics(listener: TcpListener, metrics: Metrics, closing: CancellationToken) {
+    let handler = move |_: Request<Incoming>| std::future::ready(scrape(&metrics));
+    serve(listener, MAX_SCRAPERS, closing, handler).await;
+}
+
+fn scrape(metrics: &Metrics) -> Response<AnswerBody> {
+    let Ok(text) = metrics.text() else {
+        let mut response = Response::new(full_body("a metric can't be written as text"));
+        *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+        return response;
+    };
+    let mut response = Response::new(full_body(text));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(SCRAPE_TYPE));
+    response
+}
+
+fn full_name(name: &str) -> String {
+    format!("{PREFIX}_{name}")
+}
--- a/crates/teaseltrack-lab/src/experiments.rs
+++ b/crates/teaseltrack-lab/src/experiments.rs
@@ -8,6 +8,7 @@
 pub mod overhead;
 pub mod slopes;
 pub mod slow_target;
+pub mod soak;
 pub mod starts;
 
 use crate::{LabError, options::args::RunOptions, report::Report};
@@ -42,3 +43,15 @@
     }
     Ok(())
 }
+
+/// Runs a soak and prints its report.
+///
+/// # Errors
+///
+/// The fleet can't be started, or a promise was broken.
+pub async fn soak(options: soak::SoakOptions) -> Result<(), LabError> {
+    let mut report = Report::new("soak", options.seed);
+    soak::run(options, &mut report).await?;
+    println!("{}", report.text());
+    Ok(())
+}
--- /dev/null
+++ b/crates/teaseltrack-lab/src/experiments/soak.rs
@@ -0,0 +1,386 @@
+//! Random faults in overlapping series on a fleet of real processes, which keeps its promises.
+//!
+//! Each of a few injectors draws a process or a link and strikes it several times in a row, so that
+//! faults overlap and meet processes that are just starting or stopping. What callers, targets and
+//! workers saw is checked while it goes on; the first broken promise ends the run with all that is
+//! known of it.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use nix::sys::signal::Signal;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use teaseltrack_cli::verify::verify_streams;
+use teaseltrack_wire::operators::ExplainedDecision;
+use tokio::{sync::Mutex, time::sleep};
+
+use crate::{
+    LabError,
+    fleet::{FleetPlan, wait_until},
+    ledger::{Ledger, LedgerEvent},
+    load::{Ending, LoadPlan, send_load},
+    operator::{LabJob, Operator},
+    platform::{Faults, Outage},
+    processes::{ProcessFleet, ProcessKey, Role},
+    relay::RelayFaults,
+    report::Report,
+};
+
+/// Agents, each with a target and a worker.
+const AGENTS: usize = 5;
+/// Series of faults at a time.
+const INJECTORS: u64 = 3;
+/// Most faults of one series.
+const MOST_STRIKES: u32 = 4;
+/// Time between two looks at what was promised.
+const CHECK_PERIOD: Duration = Duration::from_millis(500);
+/// Time for everything to end well afterwards.
+const HEAL_TIMEOUT: Duration = Duration::from_secs(90);
+/// Time for a planned stop.
+const STOP_TIMEOUT: Duration = Duration::from_secs(40);
+/// Tasks of each job.
+const JOB_TASKS: u32 = 8;
+/// Time between two jobs.
+const JOB_PERIOD: Duration = Duration::from_millis(1_500);
+/// Share of the store's answers that get lost.
+const LOST_ANSWERS: f64 = 0.4;
+/// Delay of a slow link and of a slow store.
+const SLOW: Duration = Duration::from_millis(250);
+
+/// Options of a soak.
+#[derive(Clone, Copy, Debug)]
+pub struct SoakOptions {
+    /// Seed of all faults.
+    pub seed: u64,
+    /// Time for which faults come.
+    pub duration: Duration,
+}
+
+/// What a series strikes.
+#[derive(Clone, Copy, Debug)]
+enum Victim {
+    Process(ProcessKey),
+    Link(usize),
+    Store,
+}
+
+/// State that injectors share.
+struct Soak {
+    fleet: Mutex<ProcessFleet>,
+    ledger: Ledger,
+    killed_workers: Mutex<Vec<(String, Instant)>>,
+    faults: AtomicU64,
+    overdue_stops: AtomicU64,
+    ends_at: Instant,
+}
+
+/// Runs a soak.
+///
+/// # Errors
+///
+/// The fleet can't be started, or a promise was broken.
+pub async fn run(options: SoakOptions, report: &mut Report) -> Result<(), LabError> {
+    let plan =
+        FleetPlan { agents: AGENTS, has_workers: true, has_relays: true, ..FleetPlan::default() };
+    let fleet = ProcessFleet::start(plan).await?;
+    let operator = Operator::new(fleet.plan.operator_address(0), "lab");
+    operator.submit_service("tickets", 2_000).await?;
+    sleep(Duration::from_secs(3)).await;
+    let load = LoadPlan {
+        addresses: vec![fleet.plan.caller_address(0)],
+        name: "soak".to_owned(),
+        rate_per_s: 60.0,
+        duration: options.duration,
+        seed: options.seed,
+        ..LoadPlan::default()
+    };
+    let loading = tokio::spawn(send_load(load));
+    let soak = Arc::new(Soak {
+        ledger: fleet.ledger.clone(),
+        fleet: Mutex::new(fleet),
+        killed_workers: Mutex::default(),
+        faults: AtomicU64::new(0),
+        overdue_stops: AtomicU64::new(0),
+        ends_at: Instant::now() + options.duration,
+    });
+    let submitting = tokio::spawn(submit_jobs(operator.clone(), soak.ends_at));
+    let injectors: Vec<_> = (0..INJECTORS)
+        .map(|number| {
+            let rng = ChaCha8Rng::seed_from_u64(options.seed * INJECTORS + number);
+            tokio::spawn(soak.clone().inject(rng))
+        })
+        .collect();
+    while Instant::now() < soak.ends_at {
+        sleep(CHECK_PERIOD).await;
+        soak.check(&operator).await?;
+    }
+    for injector in injectors {
+        injector.await??;
+    }
+    soak.heal().await?;
+    let result = loading.await?;
+    let jobs = submitting.await?;
+    let expected = jobs.len() * JOB_TASKS as usize;
+    let killed = soak.killed_workers.lock().await.clone();
+    let is_done =
+        wait_until(HEAL_TIMEOUT, || async { soak.ledger.tasks(&killed).done.len() >= expected })
+            .await;
+    soak.check(&operator).await?;
+    let verdict = result.verdict(&soak.ledger.requests());
+    let verified = verify_streams(&operator.client).await?;
+    report.count("faults", soak.faults.load(Ordering::Relaxed));
+    report.count("stops_overdue", soak.overdue_stops.load(Ordering::Relaxed));
+    report.count("requests", result.requests.len() as u64);
+    report.count("answered", verdict.answered);
+    report.count("not_run", verdict.not_run);
+    report.count("unknown", verdict.unknown);
+    report.count("late", result.count(Ending::Late));
+    report.count("truncated", verdict.truncated);
+    report.count("tasks", expected as u64);
+    report.count("history_entries", verified.iter().map(|stream| stream.entries).sum());
+    let broken = [
+        ("lost", verdict.lost),
+        ("wrong", verdict.wrong),
+        ("false_not_run", verdict.false_not_run),
+        ("tasks_unfinished", u64::from(!is_done)),
+    ];
+    for (name, count) in broken {
+        report.count(name, count);
+    }
+    let names: Vec<&str> =
+        broken.iter().filter(|(_, count)| *count > 0).map(|(name, _)| *name).collect();
+    if names.is_empty() {
+        return Ok(());
+    }
+    if !is_done {
+        explain_unfinished(&operator, &jobs).await;
+    }
+    Err(format!("seed {}: {}\n{}", options.seed, names.join(", "), report.text()).into())
+}
+
+/// Submits jobs of short tasks while faults come; the names of those that were accepted.
+async fn submit_jobs(operator: Operator, ends_at: Instant) -> Vec<String> {
+    let mut jobs = Vec::new();
+    for number in 0_u64.. {
+        if Instant::now() >= ends_at {
+            break;
+        }
+        let name = format!("job-{number}");
+        let run_ms = 300 + 400 * (number % 5);
+        let job = LabJob { tasks: JOB_TASKS, cpu_milli: 500, run_ms, urgency: 6 };
+        // An unknown outcome is settled by looking: the job is there as a whole or not at all.
+        let is_accepted = operator.submit_job(&name, job).await.is_ok()
+            || wait_until(Duration::from_secs(20), || async {
+                let path = format!("/records/job/{name}");
+                operator.client.query::<serde_json::Value>(&path).await.is_ok()
+            })
+            .await;
+        if is_accepted {
+            jobs.push(name);
+        }
+        sleep(JOB_PERIOD).await;
+    }
+    jobs
+}
+
+/// Says which tasks aren't done, and where they are.
+async fn explain_unfinished(operator: &Operator, jobs: &[String]) {
+    for name in jobs {
+        match operator.job(name).await {
+            Ok(view) if view.counts.done == JOB_TASKS => {}
+            Ok(view) => eprintln!("{name}: {:?}", view.tasks),
+            Err(error) => eprintln!("{name}: {error}"),
+        }
+    }
+}
+
+impl Soak {
+    /// Injects series of faults until the time is over.
+    async fn inject(self: Arc<Self>, mut rng: ChaCha8Rng) -> Result<(), LabError> {
+        while Instant::now() < self.ends_at {
+            let victim = draw_victim(&mut rng);
+            for _ in 0..rng.random_range(1..=MOST_STRIKES) {
+                self.faults.fetch_add(1, Ordering::Relaxed);
+                match victim {
+                    Victim::Process(key) => self.strike_process(key, &mut rng).await?,
+                    Victim::Link(index) => self.strike_link(index, &mut rng).await,
+                    Victim::Store => self.strike_store(&mut rng).await,
+                }
+                sleep(millis(&mut rng, 0, 800)).await;
+            }
+            sleep(millis(&mut rng, 300, 2_000)).await;
+        }
+        Ok(())
+    }
+
+    async fn strike_process(&self, key: ProcessKey, rng: &mut ChaCha8Rng) -> Result<(), LabError> {
+        match rng.random_range(0..3) {
+            0 => self.kill(key, millis(rng, 0, 1_500)).await,
+            1 => {
+                self.signal(key, Signal::SIGSTOP).await;
+                sleep(millis(rng, 200, 6_000)).await;
+                self.signal(key, Signal::SIGCONT).await;
+                Ok(())
+            }
+            // Workers and targets have no planned stop of their own.
+            _ if matches!(key.0, Role::Worker | Role::Target) => {
+                self.kill(key, Duration::ZERO).await
+            }
+            _ => self.stop(key).await,
+        }
+    }
+
+    async fn signal(&self, key: ProcessKey, signal: Signal) {
+        self.fleet.lock().await.process(key).signal(signal);
+    }
+
+    async fn kill(&self, key: ProcessKey, down: Duration) -> Result<(), LabError> {
+        self.fleet.lock().await.process(key).kill();
+        if key.0 == Role::Worker {
+            let name = FleetPlan::agent_name(key.1);
+            self.killed_workers.lock().await.push((name, Instant::now()));
+        }
+        sleep(down).await;
+        let mut fleet = self.fleet.lock().await;
+        if fleet.process(key).has_ended() { fleet.respawn(key) } else { Ok(()) }
+    }
+
+    /// Asks for a planned stop, and starts the process again once it has ended.
+    async fn stop(&self, key: ProcessKey) -> Result<(), LabError> {
+        let id = self.fleet.lock().await.process(key).id();
+        self.signal(key, Signal::SIGTERM).await;
+        let deadline = Instant::now() + STOP_TIMEOUT;
+        while Instant::now() < deadline {
+            sleep(Duration::from_millis(50)).await;
+            let mut fleet = self.fleet.lock().await;
+            if fleet.process(key).id() != id {
+                return Ok(());
+            }
+            if fleet.process(key).has_ended() {
+                return fleet.respawn(key);
+            }
+        }
+        self.overdue_stops.fetch_add(1, Ordering::Relaxed);
+        self.kill(key, Duration::ZERO).await
+    }
+
+    async fn strike_link(&self, index: usize, rng: &mut ChaCha8Rng) {
+        let relay = self.fleet.lock().await.relays[index].clone();
+        let faults = match rng.random_range(0..5) {
+            0 => RelayFaults { delay: SLOW, ..RelayFaults::default() },
+            1 => RelayFaults { is_refusing: true, ..RelayFaults::default() },
+            2 => RelayFaults { holds_requests: true, ..RelayFaults::default() },
+            3 => RelayFaults { holds_answers: true, ..RelayFaults::default() },
+            _ => RelayFaults {
+                holds_requests: true,
+                holds_answers: true,
+                is_refusing: true,
+                ..RelayFaults::default()
+            },
+        };
+        relay.set_faults(faults);
+        if rng.random_range(0..2) == 0 {
+            relay.cut_all();
+        }
+        sleep(millis(rng, 200, 4_000)).await;
+        relay.set_faults(RelayFaults::default());
+    }
+
+    async fn strike_store(&self, rng: &mut ChaCha8Rng) {
+        let faults = match rng.random_range(0..4) {
+            0 => Faults { outage: Outage::Silent, ..Faults::default() },
+            1 => Faults { outage: Outage::Cut, ..Faults::default() },
+            2 => Faults { lost_answer_ratio: LOST_ANSWERS, ..Faults::default() },
+            _ => Faults { latency_ms: SLOW.as_millis() as f64, ..Faults::default() },
+        };
+        self.fleet.lock().await.platform.set_faults(faults);
+        sleep(millis(rng, 200, 6_000)).await;
+        self.fleet.lock().await.platform.set_faults(Faults::default());
+    }
+
+    /// Ends all faults.
+    async fn heal(&self) -> Result<(), LabError> {
+        let mut fleet = self.fleet.lock().await;
+        fleet.platform.set_faults(Faults::default());
+        fleet.relays.iter().for_each(|relay| relay.set_faults(RelayFaults::default()));
+        let instances = (0..AGENTS)
+            .flat_map(|index| [(Role::Agent, index), (Role::Target, index), (Role::Worker, index)]);
+        for key in instances.chain([(Role::Entry, 1)]) {
+            fleet.process(key).signal(Signal::SIGCONT);
+            if fleet.process(key).has_ended() {
+                fleet.respawn(key)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Compares what ran with what was promised.
+    async fn check(&self, operator: &Operator) -> Result<(), LabError> {
+        let killed = self.killed_workers.lock().await.clone();
+        let tasks = self.ledger.tasks(&killed);
+        let requests = self.ledger.requests();
+        let broken: Vec<String> = [
+            ("duplicated", requests.duplicated),
+            ("over_capacity", requests.over_capacity),
+            ("tasks_duplicated", tasks.duplicated()),
+            ("tasks_in_two_places", tasks.in_two_places),
+            ("attempts_repeated", tasks.attempts_repeated),
+        ]
+        .iter()
+        .filter(|(_, count)| *count > 0)
+        .map(|(name, count)| format!("{name} {count}"))
+        .collect();
+        if broken.is_empty() {
+            return Ok(());
+        }
+        for (task, _) in tasks.done.iter().filter(|(_, count)| **count > 1) {
+            self.explain_task(task, &killed, operator).await;
+        }
+        Err(format!("promise broken: {}", broken.join(", ")).into())
+    }
+
+    /// Prints all that happened to a task.
+    async fn explain_task(&self, task: &str, killed: &[(String, Instant)], operator: &Operator) {
+        let events = self.ledger.events();
+        let Some((start, _)) = events.first() else { return };
+        let seconds = |at: &Instant| at.saturating_duration_since(*start).as_secs_f64();
+        for (instance, at) in killed {
+            eprintln!("{:8.3} worker of {instance} killed", seconds(at));
+        }
+        let is_about = |event: &LedgerEvent| event.task() == Some(task);
+        for (at, event) in events.iter().filter(|(_, event)| is_about(event)) {
+            eprintln!("{:8.3} {event:?}", seconds(at));
+        }
+        let job = task.split('/').next().unwrap_or_default();
+        let explained: Result<Vec<ExplainedDecision>, _> =
+            operator.client.query(&format!("/explain/{job}")).await;
+        for decision in explained.unwrap_or_default() {
+            if decision.decision.task().is_some_and(|id| id.to_string() == *task) {
+                eprintln!("{} {} {:?}", decision.at_ms, decision.author, decision.decision);
+            }
+        }
+    }
+}
+
+/// The first entry is spared: it takes the load whose answers are checked.
+fn draw_victim(rng: &mut ChaCha8Rng) -> Victim {
+    let index = rng.random_range(0..AGENTS);
+    match rng.random_range(0..10) {
+        0..4 => Victim::Process((Role::Agent, index)),
+        4 | 5 => Victim::Process((Role::Worker, index)),
+        6 => Victim::Process((Role::Target, index)),
+        7 => Victim::Process((Role::Entry, 1)),
+        8 => Victim::Link(index),
+        _ => Victim::Store,
+    }
+}
+
+fn millis(rng: &mut ChaCha8Rng, least: u64, most: u64) -> Duration {
+    Duration::from_millis(rng.random_range(least..=most))
+}
--- a/crates/teaseltrack-lab/src/lib.rs
+++ b/crates/teaseltrack-lab/src/lib.rs
@@ -35,6 +35,7 @@
             Some(("target", sub)) => target::run(args::target(sub)).await,
             Some(("worker", sub)) => worker::run(args::worker(sub)).await,
             Some(("run", sub)) => experiments::run(&args::run(sub)).await,
+            Some(("soak", sub)) => experiments::soak(args::soak(sub)).await,
             Some(("demo", _)) => demo::run().await,
             _ => Err("no such command".into()),
         }
--- a/crates/teaseltrack-lab/src/options/args.rs
+++ b/crates/teaseltrack-lab/src/options/args.rs
@@ -5,7 +5,7 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
 use crate::{
-    experiments::NAMES,
+    experiments::{NAMES, soak::SoakOptions},
     target::{TargetBehaviour, TargetOptions},
     worker::WorkerOptions,
 };
@@ -55,6 +55,12 @@
                         .value_parser(["text", "json"]),
                 ),
         )
+        .subcommand(
+            Command::new("soak")
+                .about("Injects random faults into real processes and checks what they promise")
+                .arg(number("seed", "1", "Seed of all faults"))
+                .arg(number("seconds", "60", "Time for which faults come")),
+        )
         .subcommand(Command::new("demo").about("Runs the whole path in one process"))
 }
 
@@ -165,6 +171,14 @@
     }
 }
 
+/// Options of a soak.
+pub fn soak(matches: &ArgMatches) -> SoakOptions {
+    SoakOptions {
+        seed: get_number(matches, "seed") as u64,
+        duration: Duration::from_secs_f64(get_number(matches, "seconds").max(0.0)),
+    }
+}
+
 /// Options of an experiment.
 pub fn run(matches: &ArgMatches) -> RunOptions {
     RunOptions {
--- a/crates/teaseltrack-lab/src/processes.rs
+++ b/crates/teaseltrack-lab/src/processes.rs
@@ -20,6 +20,7 @@
     fleet::{FleetPlan, wait_until},
     ledger::Ledger,
     platform::Platform,
+    relay::Relay,
 };
 
 /// Clock ticks a second of the kernel's accounting.
@@ -29,6 +30,22 @@
 /// Time for a process to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// What a process of a fleet does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Role {
+    /// An entry.
+    Entry,
+    /// An agent.
+    Agent,
+    /// A target.
+    Target,
+    /// A worker.
+    Worker,
+}
+
+/// A process of a fleet, by its role and number.
+pub type ProcessKey = (Role, usize);
+
 /// A child process; killed when dropped.
 #[derive(Debug)]
 pub struct Process {
@@ -58,6 +75,16 @@
         &self.name
     }
 
+    /// Identifier of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
         kill(Pid::from_raw(self.child.id() as i32), signal).ok();
@@ -74,7 +101,7 @@
         self.signal(Signal::SIGTERM);
         let deadline = Instant::now() + limit;
         while Instant::now() < deadline {
-            if matches!(self.child.try_wait(), Ok(Some(_))) {
+            if self.has_ended() {
                 return true;
             }
             tokio::time::sleep(Duration::from_millis(20)).await;
@@ -148,6 +175,8 @@
     pub targets: Vec<Process>,
     /// Workers by number.
     pub workers: Vec<Process>,
+    /// Relays to targets by number, if the plan has them.
+    pub relays: Vec<Relay>,
     settings: TempDir,
 }
 
@@ -186,6 +215,11 @@
         let ledger = Ledger::default();
         ledger.listen(plan.ledger_address()).await?;
         let settings = TempDir::new()?;
+        let mut relays = Vec::new();
+        for index in 0..if plan.has_relays { plan.agents } else { 0 } {
+            let (address, upstream) = (plan.relay_address(index), plan.target_address(index));
+            relays.push(Relay::start(address, upstream).await?);
+        }
         let mut fleet = Self {
             platform,
             ledger,
@@ -193,6 +227,7 @@
             agents: Vec::new(),
             targets: Vec::new(),
             workers: Vec::new(),
+            relays,
             settings,
             plan,
         };
@@ -227,6 +262,33 @@
         Ok(())
     }
 
+    /// A process of the fleet.
+    pub fn process(&mut self, (role, index): ProcessKey) -> &mut Process {
+        match role {
+            Role::Entry => &mut self.entries[index],
+            Role::Agent => &mut self.agents[index],
+            Role::Target => &mut self.targets[index],
+            Role::Worker => &mut self.workers[index],
+        }
+    }
+
+    /// Starts a process anew in place of one that has ended.
+    ///
+    /// # Errors
+    ///
+    /// The program can't be started.
+    pub fn respawn(&mut self, key: ProcessKey) -> Result<(), LabError> {
+        let (role, index) = key;
+        let process = match role {
+            Role::Entry => self.spawn_entry(index)?,
+            Role::Agent => self.spawn_agent(index)?,
+            Role::Target => self.spawn_target(index)?,
+            Role::Worker => self.spawn_worker(index)?,
+        };
+        *self.process(key) = process;
+        Ok(())
+    }
+
     /// Status of an entry.
     pub async fn entry_status(&self, index: usize) -> Option<Value> {
         status(self.plan.entry_health_address(index)).await
@@ -273,6 +335,8 @@
             format!("--service-time-ms={}", options.behaviour.service_time_ms),
             format!("--ledger={}", self.plan.ledger_address()),
         ];
+        let advertised = options.advertised.map(|address| format!("--advertise={address}"));
+        let args: Vec<String> = args.into_iter().chain(advertised).collect();
         Ok(Process::start("teaseltrack-lab", &format!("target-{index}"), &args)?)
     }
 
--- a/crates/teaseltrack-lab/src/relay.rs
+++ b/crates/teaseltrack-lab/src/relay.rs
@@ -1,4 +1,4 @@
-//! A TCP relay that can cut and delay connections.
+//! A TCP relay that can cut, delay and silence connections.
 
 use std::{
     net::SocketAddr,
@@ -30,8 +30,15 @@
     pub cut_after_answer_bytes: Option<u64>,
     /// Time that each piece is held back.
     pub delay: Duration,
+    /// Whether bytes from the caller's side are held back, also on open connections.
+    pub holds_requests: bool,
+    /// Whether bytes from the other side are held back, also on open connections.
+    pub holds_answers: bool,
 }
 
+/// Time between two looks at whether bytes are still held back.
+const HOLD_PERIOD: Duration = Duration::from_millis(20);
+
 /// A running relay, cheap to clone.
 #[derive(Clone, Debug)]
 pub struct Relay {
@@ -74,12 +81,17 @@
         *connections = CancellationToken::new();
     }
 
+    fn faults(&self) -> RelayFaults {
+        *self.faults.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     async fn accept(self, listener: TcpListener, upstream: SocketAddr) {
         while let Ok((caller, _)) = listener.accept().await {
-            let faults = *self.faults.lock().unwrap_or_else(PoisonError::into_inner);
+            let faults = self.faults();
             if faults.is_refusing {
                 continue;
             }
+            let (to_upstream, to_caller) = (self.clone(), self.clone());
             let cut = self.connections.lock().unwrap_or_else(PoisonError::into_inner).clone();
             tokio::spawn(async move {
                 let Ok(upstream) = TcpStream::connect(upstream).await else { return };
@@ -88,9 +100,14 @@
                 let (caller_read, caller_write) = caller.into_split();
                 let (upstream_read, upstream_write) = upstream.into_split();
                 let (delay, request_limit) = (faults.delay, faults.cut_after_request_bytes);
+                let answer_limit = faults.cut_after_answer_bytes;
                 tokio::select! {
-                    () = copy(caller_read, upstream_write, request_limit, delay) => {}
-                    () = copy(upstream_read, caller_write, faults.cut_after_answer_bytes, delay) => {}
+                    () = copy(caller_read, upstream_write, request_limit, delay, || {
+                        to_upstream.faults().holds_requests
+                    }) => {}
+                    () = copy(upstream_read, caller_write, answer_limit, delay, || {
+                        to_caller.faults().holds_answers
+                    }) => {}
                     () = cut.cancelled() => {}
                 }
             });
@@ -104,6 +121,7 @@
     mut to: OwnedWriteHalf,
     limit_bytes: Option<u64>,
     delay: Duration,
+    is_held: impl Fn() -> bool,
 ) {
     let mut buffer = vec![0; BUFFER_BYTES];
     let mut copied = 0;
@@ -115,6 +133,9 @@
         if !delay.is_zero() {
             sleep(delay).await;
         }
+        while is_held() {
+            sleep(HOLD_PERIOD).await;
+        }
         let left = limit_bytes.map_or(u64::MAX, |limit| limit.saturating_sub(copied));
         let passed = (read as u64).min(left) as usize;
         if to.write_all(&buffer[..passed]).await.is_err() || passed < read {
--- a/crates/teaseltrack-lab/tests/tasks.rs
+++ b/crates/teaseltrack-lab/tests/tasks.rs
@@ -24,6 +24,10 @@
 use tokio::time::sleep;
 use util::{RECOVERY_LIMIT, short_job, start_processes, wait_done};
 
+/// Rounds in which a start must have been taken beside a silent worker: an agent looks at its worker
+/// ten times a second, so that most first rounds do.
+const ROUNDS: usize = 20;
+
 /// Three instances, each with room for eight tasks of a core.
 async fn start() -> (ProcessFleet, Operator) {
     start_with(FleetPlan::default()).await
@@ -202,15 +206,33 @@
     let operator = Operator::new(fleet.plan.operator_address(0), "test");
     operator.submit_job("first", short_job(1, 50)).await.unwrap();
     wait_done(&operator, "first").await;
-
-    // The agent takes the start, its worker doesn't answer, and the agent's process is replaced.
-    fleet.workers[0].signal(Signal::SIGSTOP);
-    operator.submit_job("second", short_job(1, 50)).await.unwrap();
-    wait_running(&operator, "second").await;
+    let mut done = 1;
+
+    // The agent takes the start, its worker doesn't answer, and the agent's process is replaced. An
+    // agent that waits for its silent worker already grants no room: then the worker is woken, and
+    // the next job tries.
+    let mut job = String::new();
+    let mut is_taken = false;
+    for round in 1..=ROUNDS {
+        job = format!("silent-{round}");
+        fleet.workers[0].signal(Signal::SIGSTOP);
+        operator.submit_job(&job, short_job(1, 50)).await.unwrap();
+        is_taken = wait_until(Duration::from_secs(1), || async {
+            operator.job(&job).await.is_ok_and(|view| view.counts.running > 0)
+        })
+        .await;
+        done += 1;
+        if is_taken {
+            break;
+        }
+        fleet.workers[0].signal(Signal::SIGCONT);
+        wait_done(&operator, &job).await;
+    }
+    assert!(is_taken, "no start was taken beside a silent worker in {ROUNDS} rounds");
     sleep(Duration::from_millis(2_500)).await;
     fleet.agents[0].kill();
     fleet.workers[0].signal(Signal::SIGCONT);
     fleet.agents[0] = fleet.spawn_agent(0).unwrap();
-    wait_done(&operator, "second").await;
-    assert_once(&fleet.ledger.tasks(&[]), 2);
+    wait_done(&operator, &job).await;
+    assert_once(&fleet.ledger.tasks(&[]), done);
 }
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -242,6 +242,21 @@
     },
 }
 
+impl CellEvent {
+    /// Name in metrics; the ends of runs by their cause.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Assigned { .. } => "assigned",
+            Self::Ended { cause, .. } => cause.name(),
+            Self::Stalled { .. } => "stalled",
+            Self::Moved { .. } => "moved",
+            Self::TakenBack { .. } => "taken_back",
+            Self::State { state, .. } => state.name(),
+            Self::Session { .. } => "session",
+        }
+    }
+}
+
 /// State of a cell in its owner's memory.
 #[derive(Debug)]
 pub struct Cell {
--- a/crates/teaseltrack/src/cell/interference.rs
+++ b/crates/teaseltrack/src/cell/interference.rs
@@ -40,7 +40,7 @@
 /// most workers most of the time.
 const HARMLESS_EFFECT: f64 = 0.3;
 /// Smallest change of an effect that is news, and of a large one as a share.
-const EFFECT_STEP: f64 = 0.1;
+const EFFECT_STEP: f64 = 0.25;
 /// Expected effect from which on an image counts as disturbing.
 const DISTURBING_EFFECT: f64 = 1.5;
 /// Share of a tail's rise that shows in the first report after a change: tails are means over a
@@ -110,10 +110,10 @@
 impl Disturbances {
     /// Expected effect of a best-effort image on a serving image.
     pub fn effect(&self, serving: &str, best_effort: &str) -> f64 {
-        self.pairs
-            .iter()
-            .find(|pair| pair.serving == serving && pair.best_effort == best_effort)
-            .map_or(UNSEEN_EFFECT, |pair| pair.effect)
+        let found = self.pairs.binary_search_by(|pair| {
+            (pair.serving.as_str(), pair.best_effort.as_str()).cmp(&(serving, best_effort))
+        });
+        found.map_or(UNSEEN_EFFECT, |index| self.pairs[index].effect)
     }
 
     /// Whether it isn't clear yet if the best-effort image disturbs the serving image.
@@ -134,13 +134,15 @@
 
     /// Whether the same best-effort images disturb both serving images, as far as is known.
     pub fn are_alike(&self, serving: &str, other: &str) -> bool {
-        let disturbing = |image: &str| -> Vec<&ImageName> {
-            let is_disturbing =
-                |pair: &&Disturbance| pair.serving == image && pair.effect >= DISTURBING_EFFECT;
-            self.pairs.iter().filter(is_disturbing).map(|pair| &pair.best_effort).collect()
-        };
-        let first = disturbing(serving);
-        !first.is_empty() && first == disturbing(other)
+        self.disturbing(serving).next().is_some()
+            && self.disturbing(serving).eq(self.disturbing(other))
+    }
+
+    /// Best-effort images that disturb a serving image.
+    fn disturbing<'a>(&'a self, serving: &'a str) -> impl Iterator<Item = &'a ImageName> {
+        let start = self.pairs.partition_point(|pair| pair.serving.as_str() < serving);
+        let pairs = self.pairs[start..].iter().take_while(move |pair| pair.serving == serving);
+        pairs.filter(|pair| pair.effect >= DISTURBING_EFFECT).map(|pair| &pair.best_effort)
     }
 }
 
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -6,16 +6,21 @@
 //!
 //! [`scoring`]: crate::cell::scoring
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
 
 use crate::{
     cell::{
         Cell, CellEvent, JobKey, Occurrence, Run, Task, WorkerKey,
+        interference::ImageName,
         job::Stage,
         progress::{JobState, TaskPhase},
         worker::{Arrival, TaskKey, Worker},
     },
-    ids::AttemptNumber,
+    ids::{AttemptNumber, ServiceName},
+    placement::Resources,
 };
 
 /// How planning shares workers.
@@ -82,6 +87,35 @@
     waiting: Vec<u32>,
 }
 
+/// Sizes of tasks that no worker had room for in the present round; larger ones needn't be tried.
+#[derive(Debug, Default)]
+struct RefusedSizes {
+    sizes: HashMap<(ServiceName, Option<ImageName>), Vec<Resources>>,
+}
+
+impl RefusedSizes {
+    fn key(service: &str, stage: &Stage) -> (ServiceName, Option<ImageName>) {
+        let image = stage.is_best_effort.then(|| stage.image.clone().unwrap_or_default());
+        (service.to_owned(), image)
+    }
+
+    fn covers(&self, service: &str, stage: &Stage) -> bool {
+        let sizes = self.sizes.get(&Self::key(service, stage));
+        !stage.is_long_running
+            && sizes.is_some_and(|sizes| sizes.iter().any(|size| stage.resources.holds(size)))
+    }
+
+    /// Takes in a refusal, unless the stage asked for more than room.
+    fn note(&mut self, service: &str, stage: &Stage) {
+        let is_about_room = !stage.is_long_running
+            && stage.required_label.is_none()
+            && stage.max_per_worker.is_none();
+        if is_about_room {
+            self.sizes.entry(Self::key(service, stage)).or_default().push(stage.resources);
+        }
+    }
+}
+
 impl Cell {
     /// Assigns waiting tasks; the starts go out after the next commit.
     pub fn plan(&mut self, unix_now_ms: u64, now: Instant) {
@@ -97,8 +131,12 @@
         candidates.sort_by_key(|candidate| candidate.rank);
         let is_serving_waiting =
             candidates.iter().any(|candidate| candidate.rank.0 == Kind::Serving);
+        for &worker in &workers {
+            self.update_headrooms(worker);
+        }
+        let mut refused = RefusedSizes::default();
         for candidate in candidates {
-            self.place_stage(&candidate, &workers, now);
+            self.place_stage(&candidate, &workers, &mut refused, now);
         }
         if !is_serving_waiting {
             self.regroup(&workers, now);
@@ -254,17 +292,37 @@
         Duration::from_millis((fleet_ms * self.settings.planning.size_handicap) as u64)
     }
 
-    fn place_stage(&mut self, candidate: &Candidate, workers: &[WorkerKey], now: Instant) {
+    fn place_stage(
+        &mut self,
+        candidate: &Candidate,
+        workers: &[WorkerKey],
+        refused: &mut RefusedSizes,
+        now: Instant,
+    ) {
         let stage = self.stage(candidate.stage).clone();
+        let service = self.jobs[candidate.stage.job].queue.service.clone();
+        if refused.covers(&service, &stage) {
+            return;
+        }
         let attempt = self.next_gang_attempt(candidate, &stage);
         let mut placed = Vec::new();
         for &index in &candidate.waiting {
             let key = TaskKey { index, ..candidate.stage };
             let reserve = self.reserve_before(key, now);
             let chosen = self.choose_worker(key, &stage, workers, reserve);
-            let Some(worker) = chosen else { continue };
+            let Some(worker) = chosen else {
+                refused.note(&service, &stage);
+                // Each serving task waits for the reserve by itself; the others are all alike.
+                if stage.is_long_running {
+                    continue;
+                }
+                break;
+            };
             self.assign(key, &stage, worker, attempt);
             self.note_arrival(worker, &stage, now);
+            if stage.is_best_effort {
+                self.update_headrooms(worker);
+            }
             placed.push(key);
         }
         if stage.is_gang && placed.len() < candidate.waiting.len() {
--- a/crates/teaseltrack/src/cell/progress.rs
+++ b/crates/teaseltrack/src/cell/progress.rs
@@ -28,6 +28,17 @@
 }
 
 impl JobState {
+    /// Name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Queued => "job_queued",
+            Self::Active => "job_active",
+            Self::Completed => "job_completed",
+            Self::Failed => "job_failed",
+            Self::Cancelled => "job_cancelled",
+        }
+    }
+
     /// Whether nothing of the job will ever start again.
     pub fn is_final(self) -> bool {
         matches!(self, Self::Completed | Self::Failed | Self::Cancelled)
--- a/crates/teaseltrack/src/cell/protocol.rs
+++ b/crates/teaseltrack/src/cell/protocol.rs
@@ -97,6 +97,20 @@
     Alone,
 }
 
+impl EndCause {
+    /// Name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Done => "run_done",
+            Self::Failed => "run_failed",
+            Self::Stopped => "run_stopped",
+            Self::Lapsed => "run_lapsed",
+            Self::Broken => "run_broken",
+            Self::Alone => "run_alone",
+        }
+    }
+}
+
 /// An end that a worker lists until it is told to forget it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndedTask {
--- a/crates/teaseltrack/src/cell/scoring.rs
+++ b/crates/teaseltrack/src/cell/scoring.rs
@@ -6,7 +6,7 @@
 
 use crate::cell::{
     Cell, WorkerKey,
-    interference::{ImageName, ImageUsage},
+    interference::ImageName,
     job::Stage,
     planning::Kind,
     worker::{TaskKey, Worker, held},
@@ -92,9 +92,11 @@
                 has_room.then(|| (self.company(worker, stage), -left_milli))?
             }
             Kind::BestEffort => {
-                let usable_milli = self.spare_milli(worker).min(self.bearable_milli(worker, stage));
                 let floor = self.settings.planning.best_effort_floor;
                 let floor_milli = (stage.resources.cpu_milli as f64 * floor) as i64;
+                let spare_milli = self.spare_milli(worker);
+                let usable_milli = (spare_milli >= floor_milli)
+                    .then(|| spare_milli.min(self.bearable_milli(worker, stage)))?;
                 (usable_milli >= floor_milli).then_some((Company::Empty, usable_milli))?
             }
         };
@@ -133,6 +135,24 @@
         capacity_milli as i64 - taken_milli as i64
     }
 
+    /// Works out what serving tasks on a worker can bear on top of what is there already.
+    pub(super) fn update_headrooms(&mut self, key: WorkerKey) {
+        let known = self.interference.known();
+        let worker = &self.workers[key];
+        let capacity_milli = worker.status.as_ref().map_or(0, |status| status.capacity.cpu_milli);
+        let growth = |serving: &str| -> f64 {
+            let asked = worker.best_effort_images.iter();
+            let growths = asked.map(|(image, asked)| {
+                let share = asked.cpu_milli as f64 / capacity_milli.max(1) as f64;
+                known.effect(serving, image) * share
+            });
+            growths.sum()
+        };
+        let left = worker.headrooms.iter();
+        let left = left.map(|(serving, headroom)| (serving.clone(), headroom - growth(serving)));
+        self.workers[key].left_headrooms = left.collect();
+    }
+
     /// Processor time that a best-effort task may use, beside those that are there already, without
     /// pushing a tail beyond the aim.
     ///
@@ -141,22 +161,16 @@
         let known = self.interference.known();
         let image = stage.image.as_deref().unwrap_or_default();
         let capacity_milli = worker.status.as_ref().map_or(0, |status| status.capacity.cpu_milli);
-        let share_of = |cpu_milli: u64| cpu_milli as f64 / capacity_milli.max(1) as f64;
-        let present: ImageUsage = worker
-            .best_effort_images
-            .iter()
-            .map(|(image, asked)| (image.clone(), share_of(asked.cpu_milli)))
-            .collect();
         let task_count = worker.best_effort_images.get(image).map_or(0, |asked| asked.task_count);
         let is_tried = task_count >= self.settings.planning.tasks_on_trial
             && worker.headrooms.keys().any(|serving| known.is_open(serving, image));
         if is_tried {
             return 0;
         }
-        let shares = worker.headrooms.iter().map(|(serving, headroom)| {
-            let effect = known.effect(serving, image).max(LEAST_EFFECT);
-            (headroom - known.growth(serving, &present)) / effect
-        });
+        let shares = worker
+            .left_headrooms
+            .iter()
+            .map(|(serving, left)| left / known.effect(serving, image).max(LEAST_EFFECT));
         (shares.fold(1.0, f64::min) * capacity_milli as f64) as i64
     }
 }
--- a/crates/teaseltrack/src/cell/worker.rs
+++ b/crates/teaseltrack/src/cell/worker.rs
@@ -96,6 +96,8 @@
     pub serving_images: BTreeMap<ImageName, u32>,
     /// Growth of utilization that best-effort tasks may cause together, by serving image.
     pub headrooms: BTreeMap<ImageName, f64>,
+    /// What is left of `headrooms` beside the best-effort tasks that are there.
+    pub left_headrooms: Vec<(ImageName, f64)>,
     /// What best-effort tasks ask for, by image.
     pub best_effort_images: BTreeMap<ImageName, ImageDemand>,
     /// Processor time that best-effort tasks were last seen to use, in thousandths of a core.
@@ -135,6 +137,7 @@
             demand: Demand::default(),
             serving_images: BTreeMap::new(),
             headrooms: BTreeMap::new(),
+            left_headrooms: Vec::new(),
             best_effort_images: BTreeMap::new(),
             best_effort_used_milli: 0,
             arriving: Vec::new(),
--- a/crates/teaseltrack/tests/sharing.rs
+++ b/crates/teaseltrack/tests/sharing.rs
@@ -303,6 +303,32 @@
     assert_eq!(beside, 8, "{:?}", fleet.counts("batch"));
 }
 
+/// A flood whose tasks are too large for what is left doesn't hide the small ones behind it.
+#[test]
+fn plan_places_small_tasks_behind_large_ones_without_room() {
+    let mut fleet = Fleet::new(1);
+    let large = Stage {
+        resources: Resources { memory_mib: 200_000, ..best_effort("image", 1).resources },
+        ..best_effort("image", 4)
+    };
+    fleet.submit("large", large);
+    fleet.run(Duration::from_millis(300));
+    fleet.submit("small", best_effort("image", 2));
+    fleet.run(Duration::from_millis(300));
+    assert_eq!((fleet.counts("large"), fleet.counts("small")), (vec![1], vec![2]));
+}
+
+#[test]
+fn plan_lets_every_serving_task_take_the_reserve_after_the_same_wait() {
+    let mut fleet = Fleet::new(1);
+    let large = Resources { cpu_milli: 31_000, memory_mib: 26_000, accelerators: 0 };
+    fleet.submit("serving", Stage { resources: large, ..serving("a", 2) });
+    fleet.run(Duration::from_millis(700));
+    assert_eq!(fleet.counts("serving"), [1]);
+    fleet.run(Duration::from_millis(800));
+    assert_eq!(fleet.counts("serving"), [2]);
+}
+
 /// A worker with one serving task whose like stand elsewhere is freed for best-effort work.
 #[test]
 fn regroup_moves_a_lone_serving_task_to_its_like() {
