--- a/crates/teaseltrack-lab/src/experiments/chaos.rs
+++ b/crates/teaseltrack-lab/src/experiments/chaos.rs
@@ -6,15 +6,14 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use teaseltrack_cli::verify::verify_streams;
-use teaseltrack_wire::operators::ExplainedDecision;
 use tokio::time::sleep;
 
 use crate::{
     LabError,
+    experiments::soak::{JOB_TASKS, explain_duplicated, explain_unfinished, submit_jobs},
     fleet::{FleetPlan, wait_until},
-    ledger::TaskLedger,
     load::{Ending, LoadPlan, send_load},
-    operator::{LabJob, Operator},
+    operator::Operator,
     platform::{Faults, Outage},
     processes::ProcessFleet,
     report::Report,
@@ -28,8 +27,6 @@
 const HEAL_TIMEOUT: Duration = Duration::from_secs(90);
 /// Time for a planned stop.
 const STOP_TIMEOUT: Duration = Duration::from_secs(40);
-/// Tasks of each job.
-const JOB_TASKS: u32 = 8;
 
 /// Faults that are injected, each as likely as the others.
 const FAULTS: [Fault; 8] = [
@@ -82,7 +79,7 @@
         ..LoadPlan::default()
     };
     let loading = tokio::spawn(send_load(load));
-    let submitting = tokio::spawn(submit_jobs(operator.clone()));
+    let submitting = tokio::spawn(submit_jobs(operator.clone(), Instant::now() + CHAOS_TIME));
     let rng = ChaCha8Rng::seed_from_u64(seed);
     let mut chaos = Chaos { fleet, rng, killed_workers: Vec::new(), faults: 0 };
     let started_at = Instant::now();
@@ -125,82 +122,13 @@
     for (name, count) in broken {
         report.count(name, count);
     }
-    trace_duplicated(&fleet, &tasks, &killed_workers, &operator).await;
+    explain_duplicated(&fleet.ledger, &killed_workers, &operator).await;
     if !is_done {
-        explain_unfinished(&operator, &jobs).await;
+        explain_unfinished(&fleet, &operator, &jobs).await;
     }
     Ok(())
 }
 
-/// Submits jobs of short tasks while faults come; the names of those that were accepted.
-async fn submit_jobs(operator: Operator) -> Vec<String> {
-    let started_at = Instant::now();
-    let mut jobs = Vec::new();
-    for number in 0_u64.. {
-        if started_at.elapsed() >= CHAOS_TIME {
-            break;
-        }
-        let name = format!("job-{number}");
-        let run_ms = 300 + 400 * (number % 5);
-        let job = LabJob { tasks: JOB_TASKS, cpu_milli: 500, run_ms, urgency: 6 };
-        // An unknown outcome is settled by looking: the job is there as a whole or not at all.
-        let is_accepted = operator.submit_job(&name, job).await.is_ok()
-            || wait_until(Duration::from_secs(20), || async {
-                operator
-                    .client
-                    .query::<serde_json::Value>(&format!("/records/job/{name}"))
-                    .await
-                    .is_ok()
-            })
-            .await;
-        if is_accepted {
-            jobs.push(name);
-        }
-        sleep(Duration::from_millis(1_500)).await;
-    }
-    jobs
-}
-
-/// Prints all that happened to tasks that finished more than once.
-async fn trace_duplicated(
-    fleet: &ProcessFleet,
-    tasks: &TaskLedger,
-    killed_workers: &[(String, Instant)],
-    operator: &Operator,
-) {
-    let events = fleet.ledger.events();
-    let Some((start, _)) = events.first() else { return };
-    let seconds = |at: &Instant| at.saturating_duration_since(*start).as_secs_f64();
-    for (task, _) in tasks.done.iter().filter(|(_, count)| **count > 1) {
-        for (instance, at) in killed_workers {
-            eprintln!("{:8.3} worker of {instance} killed", seconds(at));
-        }
-        for (at, event) in events.iter().filter(|(_, event)| event.task() == Some(task.as_str())) {
-            eprintln!("{:8.3} {event:?}", seconds(at));
-        }
-        let job = task.split('/').next().unwrap_or_default();
-        let explained: Result<Vec<ExplainedDecision>, _> =
-            operator.client.query(&format!("/explain/{job}")).await;
-        for decision in explained.unwrap_or_default() {
-            let is_about = decision.decision.task().is_some_and(|id| id.to_string() == *task);
-            if is_about {
-                eprintln!("{} {} {:?}", decision.at_ms, decision.author, decision.decision);
-            }
-        }
-    }
-}
-
-/// Says which tasks aren't done, and where they are.
-async fn explain_unfinished(operator: &Operator, jobs: &[String]) {
-    for name in jobs {
-        match operator.job(name).await {
-            Ok(view) if view.counts.done == JOB_TASKS => {}
-            Ok(view) => eprintln!("{name}: {:?}", view.tasks),
-            Err(error) => eprintln!("{name}: {error}"),
-        }
-    }
-}
-
 impl Chaos {
     /// Injects one fault and waits a little.
     async fn inject(&mut self) -> Result<(), LabError> {
--- a/crates/teaseltrack-lab/src/experiments/soak.rs
+++ b/crates/teaseltrack-lab/src/experiments/soak.rs
@@ -16,14 +16,16 @@
 use nix::sys::signal::Signal;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use teaseltrack::shard::{shard_of, stream_of};
 use teaseltrack_cli::verify::verify_streams;
+use teaseltrack_platform::keys;
 use teaseltrack_wire::operators::ExplainedDecision;
 use tokio::{sync::Mutex, time::sleep};
 
 use crate::{
     LabError,
     fleet::{FleetPlan, wait_until},
-    ledger::{Ledger, LedgerEvent},
+    ledger::Ledger,
     load::{Ending, LoadPlan, send_load},
     operator::{LabJob, Operator},
     platform::{Faults, Outage},
@@ -45,7 +47,7 @@
 /// Time for a planned stop.
 const STOP_TIMEOUT: Duration = Duration::from_secs(40);
 /// Tasks of each job.
-const JOB_TASKS: u32 = 8;
+pub(super) const JOB_TASKS: u32 = 8;
 /// Time between two jobs.
 const JOB_PERIOD: Duration = Duration::from_millis(1_500);
 /// Share of the store's answers that get lost.
@@ -159,13 +161,13 @@
         return Ok(());
     }
     if !is_done {
-        explain_unfinished(&operator, &jobs).await;
+        explain_unfinished(&*soak.fleet.lock().await, &operator, &jobs).await;
     }
     Err(format!("seed {}: {}\n{}", options.seed, names.join(", "), report.text()).into())
 }
 
 /// Submits jobs of short tasks while faults come; the names of those that were accepted.
-async fn submit_jobs(operator: Operator, ends_at: Instant) -> Vec<String> {
+pub(super) async fn submit_jobs(operator: Operator, ends_at: Instant) -> Vec<String> {
     let mut jobs = Vec::new();
     for number in 0_u64.. {
         if Instant::now() >= ends_at {
@@ -189,14 +191,47 @@
     jobs
 }
 
-/// Says which tasks aren't done, and where they are.
-async fn explain_unfinished(operator: &Operator, jobs: &[String]) {
+/// Says which tasks aren't done, where they are, and who owns their job's shard.
+pub(super) async fn explain_unfinished(fleet: &ProcessFleet, operator: &Operator, jobs: &[String]) {
     for name in jobs {
+        let head = keys::head(&stream_of(shard_of(name)));
         match operator.job(name).await {
-            Ok(view) if view.counts.done == JOB_TASKS => {}
+            Ok(view) if view.counts.done == JOB_TASKS => continue,
             Ok(view) => eprintln!("{name}: {:?}", view.tasks),
             Err(error) => eprintln!("{name}: {error}"),
         }
+        eprintln!("{head}: {:?}", fleet.platform.peek(&head));
+    }
+    for index in 0..fleet.plan.agents {
+        eprintln!("agent {index}: {:?}", fleet.agent_status(index).await);
+    }
+}
+
+/// Prints all that happened to tasks that finished more than once.
+pub(super) async fn explain_duplicated(
+    ledger: &Ledger,
+    killed_workers: &[(String, Instant)],
+    operator: &Operator,
+) {
+    let events = ledger.events();
+    let Some((start, _)) = events.first() else { return };
+    let seconds = |at: &Instant| at.saturating_duration_since(*start).as_secs_f64();
+    let tasks = ledger.tasks(killed_workers);
+    for (task, _) in tasks.done.iter().filter(|(_, count)| **count > 1) {
+        for (instance, at) in killed_workers {
+            eprintln!("{:8.3} worker of {instance} killed", seconds(at));
+        }
+        for (at, event) in events.iter().filter(|(_, event)| event.task() == Some(task.as_str())) {
+            eprintln!("{:8.3} {event:?}", seconds(at));
+        }
+        let job = task.split('/').next().unwrap_or_default();
+        let explained: Result<Vec<ExplainedDecision>, _> =
+            operator.client.query(&format!("/explain/{job}")).await;
+        for decision in explained.unwrap_or_default() {
+            if decision.decision.task().is_some_and(|id| id.to_string() == *task) {
+                eprintln!("{} {} {:?}", decision.at_ms, decision.author, decision.decision);
+            }
+        }
     }
 }
 
@@ -339,33 +374,9 @@
         if broken.is_empty() {
             return Ok(());
         }
-        for (task, _) in tasks.done.iter().filter(|(_, count)| **count > 1) {
-            self.explain_task(task, &killed, operator).await;
-        }
+        explain_duplicated(&self.ledger, &killed, operator).await;
         Err(format!("promise broken: {}", broken.join(", ")).into())
     }
-
-    /// Prints all that happened to a task.
-    async fn explain_task(&self, task: &str, killed: &[(String, Instant)], operator: &Operator) {
-        let events = self.ledger.events();
-        let Some((start, _)) = events.first() else { return };
-        let seconds = |at: &Instant| at.saturating_duration_since(*start).as_secs_f64();
-        for (instance, at) in killed {
-            eprintln!("{:8.3} worker of {instance} killed", seconds(at));
-        }
-        let is_about = |event: &LedgerEvent| event.task() == Some(task);
-        for (at, event) in events.iter().filter(|(_, event)| is_about(event)) {
-            eprintln!("{:8.3} {event:?}", seconds(at));
-        }
-        let job = task.split('/').next().unwrap_or_default();
-        let explained: Result<Vec<ExplainedDecision>, _> =
-            operator.client.query(&format!("/explain/{job}")).await;
-        for decision in explained.unwrap_or_default() {
-            if decision.decision.task().is_some_and(|id| id.to_string() == *task) {
-                eprintln!("{} {} {:?}", decision.at_ms, decision.author, decision.decision);
-            }
-        }
-    }
 }
 
 /// The first entry is spared: it takes the load whose answers are checked.
