--- a/crates/teaseltrack/src/cell/interference.rs
+++ b/crates/teaseltrack/src/cell/interference.rs
@@ -27,7 +27,7 @@
 pub type ImageUsage = BTreeMap<ImageName, f64>;
 
 /// What is taken to hold of a pair before it was seen: an image either disturbs a serving image a
-/// lot or hardly at all.
+/// lot or hardly at all. Shares and means of the effects on traced days.
 const PRIOR: Prior = Prior {
     disturbing_share: 0.4,
     disturbing: Normal { mean: 2.5, deviation: 1.0 },
@@ -39,14 +39,14 @@
 /// left to the pause of tails that stay over their target: guarding against it would keep them off
 /// most workers most of the time.
 const HARMLESS_EFFECT: f64 = 0.3;
-/// Smallest change of an effect that is news, and of a large one as a share.
+/// Smallest change of an effect that is news, and of a large one as a share: agents are told of each.
 const EFFECT_STEP: f64 = 0.25;
-/// Expected effect from which on an image counts as disturbing.
+/// Expected effect from which on an image counts as disturbing: one deviation below the mean.
 const DISTURBING_EFFECT: f64 = 1.5;
 /// Share of a tail's rise that shows in the first report after a change: tails are means over a
 /// little more than the time between two reports.
 const PROMPT_SHARE: f64 = 0.7;
-/// Change of a task's own utilization between two reports.
+/// Change of a task's own utilization between two reports: a load that swings by half in 10 s.
 const LOAD_DRIFT: f64 = 0.04;
 /// Fall of a floor, as a share, below which it is no news.
 const FLOOR_STEP: f64 = 0.05;
--- a/crates/teaseltrack/src/cell/tail_model.rs
+++ b/crates/teaseltrack/src/cell/tail_model.rs
@@ -14,7 +14,7 @@
 
 /// Utilization from which on a task is swamped: it can't tell by how much.
 pub const SWAMPED_UTILIZATION: f64 = 0.95;
-/// Noise of a tail, as a share; tails are rough figures.
+/// Noise of a tail, as a share, on traced days without best-effort work.
 const TAIL_NOISE: f64 = 0.06;
 /// Tails come in whole milliseconds.
 const TAIL_RESOLUTION_MS: f64 = 0.5;
--- a/crates/teaseltrack/tests/cell.rs
+++ b/crates/teaseltrack/tests/cell.rs
@@ -4,6 +4,8 @@
 //! and asserts at each start that the task runs nowhere else, that its stage's turn has come, that
 //! there is room, and that it isn't done.
 
+mod util;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
@@ -13,11 +15,8 @@
 use rand_chacha::ChaCha8Rng;
 use teaseltrack::{
     cell::{
-        Cell, CellSettings, StoredJob,
-        health::HealthSettings,
-        interference::InterferenceSettings,
+        Cell, StoredJob,
         job::{JobSpec, Queue, QueueConfiguration, Stage},
-        planning::PlanningSettings,
         progress::{JobProgress, JobState},
         protocol::{
             EndCause, EndedTask, Order, RefusedStart, Report, RunningTask, StartOrder, TaskName,
@@ -26,50 +25,12 @@
     },
     placement::Resources,
 };
+use util::CELL_SETTINGS;
 use yare::parameterized;
 
-const LEASE: Duration = Duration::from_millis(5_000);
 const STEP: Duration = Duration::from_millis(50);
 const CAPACITY: Resources = Resources { cpu_milli: 8_000, memory_mib: 16_000, accelerators: 0 };
 
-fn settings() -> CellSettings {
-    CellSettings {
-        lease: LEASE,
-        clock_drift: 0.02,
-        lease_margin: Duration::from_millis(300),
-        agent_silence: Duration::from_millis(1_200),
-        refusal_pause: Duration::from_millis(500),
-        health: HealthSettings {
-            failures_in_row: 3,
-            probation: Duration::from_millis(3_000),
-            stall: Duration::from_millis(2_000),
-            slowness_weight: 0.3,
-            slowness_half_life_s: 4.0,
-            avoided_slowness: 2.0,
-        },
-        planning: PlanningSettings {
-            batch_reserve: 0.06,
-            reserve_wait: Duration::from_millis(1_000),
-            serving_load: 0.55,
-            best_effort_floor: 0.5,
-            tail_aim: 0.75,
-            tasks_on_trial: 2,
-            regroup_interval: Duration::from_millis(1_000),
-            rest_after_move: Duration::from_secs(20),
-            arrival_time: Duration::from_millis(1_000),
-            size_handicap: 20.0,
-            hopeless_factor: 3.0,
-        },
-        interference: InterferenceSettings {
-            half_life_s: 20.0,
-            longest_step: Duration::from_millis(1_500),
-            ridge: 0.5,
-            least_evidence: 10.0,
-            correlation: 1.5,
-        },
-    }
-}
-
 fn queue() -> Queue {
     Queue {
         name: "queue".to_owned(),
@@ -202,7 +163,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             now,
             instances,
-            cell: Cell::new(settings(), 1, configuration(), now),
+            cell: Cell::new(CELL_SETTINGS, 1, configuration(), now),
             epoch: 1,
             jobs: BTreeMap::new(),
             progress: BTreeMap::new(),
@@ -228,7 +189,7 @@
     fn replace_owner(&mut self) {
         self.epoch += 1;
         let grants_end = self.now + Duration::from_secs(4);
-        self.cell = Cell::new(settings(), self.epoch, configuration(), grants_end);
+        self.cell = Cell::new(CELL_SETTINGS, self.epoch, configuration(), grants_end);
         for job in self.jobs.values() {
             let progress = self.progress.get(&job.id).cloned();
             self.cell.admit(StoredJob { progress, ..job.clone() }, self.now);
--- a/crates/teaseltrack/tests/sharing.rs
+++ b/crates/teaseltrack/tests/sharing.rs
@@ -3,6 +3,8 @@
 //! Patterns: watches of two images that come one after the other; a disturbing image in a flood of
 //! best-effort work; a lone serving task on a worker that best-effort work waits for.
 
+mod util;
+
 use std::{
     collections::BTreeMap,
     time::{Duration, Instant},
@@ -12,15 +14,15 @@
     cell::{
         Cell, CellSettings, StoredJob,
         health::HealthSettings,
-        interference::{Disturbance, Disturbances, InterferenceSettings},
+        interference::{Disturbance, Disturbances},
         job::{JobSpec, Queue, QueueConfiguration, Stage},
-        planning::PlanningSettings,
         protocol::{
             EndCause, EndedTask, Order, Report, RunningTask, TaskName, WorkerListing, WorkerStatus,
         },
     },
     placement::Resources,
 };
+use util::CELL_SETTINGS;
 
 const STEP: Duration = Duration::from_millis(100);
 const CAPACITY: Resources = Resources { cpu_milli: 64_000, memory_mib: 256_000, accelerators: 0 };
@@ -28,40 +30,10 @@
 /// Tail of a serving task of average load.
 const TAIL_MS: u64 = 45;
 
+/// Nothing here makes progress, and nothing is to be stopped for that.
 const SETTINGS: CellSettings = CellSettings {
-    lease: Duration::from_millis(5_000),
-    clock_drift: 0.02,
-    lease_margin: Duration::from_millis(300),
-    agent_silence: Duration::from_millis(1_200),
-    refusal_pause: Duration::from_millis(500),
-    health: HealthSettings {
-        failures_in_row: 3,
-        probation: Duration::from_millis(3_000),
-        stall: Duration::from_secs(3_600),
-        slowness_weight: 0.3,
-        slowness_half_life_s: 4.0,
-        avoided_slowness: 2.0,
-    },
-    planning: PlanningSettings {
-        batch_reserve: 0.06,
-        reserve_wait: Duration::from_millis(1_000),
-        serving_load: 0.55,
-        best_effort_floor: 0.5,
-        tail_aim: 0.75,
-        tasks_on_trial: 2,
-        regroup_interval: Duration::from_millis(1_000),
-        rest_after_move: Duration::from_secs(20),
-        arrival_time: Duration::from_millis(1_000),
-        size_handicap: 20.0,
-        hopeless_factor: 3.0,
-    },
-    interference: InterferenceSettings {
-        half_life_s: 20.0,
-        longest_step: Duration::from_millis(1_500),
-        ridge: 0.5,
-        least_evidence: 10.0,
-        correlation: 1.5,
-    },
+    health: HealthSettings { stall: Duration::from_secs(3_600), ..CELL_SETTINGS.health },
+    ..CELL_SETTINGS
 };
 
 #[derive(Clone, Debug, Default)]
