Answers about a worker's earlier life are ignored; a starving best-effort job gets a task

The first ends of the new life were forgotten unread, and the next owner started those tasks again. Change: answers name the life that they are about.

Change: after 1.5 s such a job gets one task where there is most to spare, as long as under six tenths of the processors are held; agents pace it. Test: start_starving_runs_one_task_of_a_disturbing_job_on_a_half_empty_fleet, seen failing without the call.

--- a/crates/teaseltrack-cell/src/agent.rs
+++ b/crates/teaseltrack-cell/src/agent.rs
@@ -75,6 +75,8 @@
     },
     /// A report came back.
     Reported {
+        /// Life of the worker that it was about.
+        life: WorkerLife,
         /// Whether it waited for news.
         is_poll: bool,
         /// Refused starts that it told of.
@@ -238,7 +240,9 @@
         match event {
             AgentEvent::Announced(announcement) => self.take_announcement(announcement),
             AgentEvent::Held { number, sent_at, result } => self.take_hold(number, sent_at, result),
-            AgentEvent::Reported { is_poll, refused_count, answer } => {
+            AgentEvent::Reported { life, is_poll, refused_count, answer } => {
+                // An answer about an earlier life would make ends of this one forgotten unread.
+                let answer = answer.filter(|_| life == self.life);
                 self.take_answer(is_poll, refused_count, answer);
             }
             AgentEvent::Started { session, order, result } => {
@@ -474,9 +478,10 @@
     fn send_report(&self, owner: std::net::SocketAddr, report: Report) {
         let (client, events) = (self.client.clone(), self.events.clone());
         let (is_poll, refused_count) = (report.wait_ms > 0, report.refused.len());
+        let life = self.life.clone();
         tokio::spawn(async move {
             let answer = client.report(owner, report).await.map(Box::new);
-            let event = AgentEvent::Reported { is_poll, refused_count, answer };
+            let event = AgentEvent::Reported { life, is_poll, refused_count, answer };
             drop(events.send(event).await);
         });
     }
--- a/crates/teaseltrack-cell/src/constants.rs
+++ b/crates/teaseltrack-cell/src/constants.rs
@@ -75,7 +75,8 @@
     pause: Duration::from_millis(1_200),
 };
 
-/// Shares of a worker; a serving task uses about half of what it declares.
+/// Shares of a worker; a serving task uses about half of what it declares. A job may have nothing
+/// running for 3 s while half of the fleet is free: starvation ends well within that.
 const PLANNING: PlanningSettings = PlanningSettings {
     batch_reserve: 0.06,
     reserve_wait: Duration::from_millis(1_000),
@@ -83,6 +84,8 @@
     best_effort_floor: 0.5,
     tail_aim: 0.75,
     tasks_on_trial: 2,
+    starvation_wait: Duration::from_millis(1_500),
+    starvation_load: 0.6,
     regroup_interval: Duration::from_millis(1_000),
     rest_after_move: Duration::from_secs(20),
     arrival_time: Duration::from_millis(1_000),
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -38,6 +38,10 @@
     pub tail_aim: f64,
     /// Tasks on one worker of an image that may disturb what serves there.
     pub tasks_on_trial: u32,
+    /// Wait after which a best-effort job with nothing running gets a task in spite of tails.
+    pub starvation_wait: Duration,
+    /// Share of a service's processors held by tasks above which it doesn't.
+    pub starvation_load: f64,
     /// Time between two moves of serving tasks.
     pub regroup_interval: Duration,
     /// Time before a serving task is moved again.
@@ -135,8 +139,11 @@
             self.update_headrooms(worker);
         }
         let mut refused = RefusedSizes::default();
-        for candidate in candidates {
-            self.place_stage(&candidate, &workers, &mut refused, now);
+        for candidate in &candidates {
+            self.place_stage(candidate, &workers, &mut refused, now);
+        }
+        for candidate in &candidates {
+            self.start_starving(candidate, &workers, now);
         }
         if !is_serving_waiting {
             self.regroup(&workers, now);
@@ -336,6 +343,44 @@
         }
     }
 
+    /// Starts one task of a best-effort job that has waited with nothing running, although much of
+    /// the fleet is free: whatever it disturbs, agents pace it.
+    fn start_starving(&mut self, candidate: &Candidate, workers: &[WorkerKey], now: Instant) {
+        let settings = self.settings.planning;
+        let stage = self.stage(candidate.stage).clone();
+        let job = candidate.stage.job;
+        let Some(&index) = candidate.waiting.first() else { return };
+        let key = TaskKey { index, ..candidate.stage };
+        if !stage.is_best_effort || stage.is_gang || self.has_runs(job) {
+            return;
+        }
+        let Some(task) = self.task_mut(key) else { return };
+        let waiting_since = *task.waiting_since.get_or_insert(now);
+        let has_waited = now.duration_since(waiting_since) >= settings.starvation_wait;
+        let service = self.jobs[job].queue.service.clone();
+        if !has_waited || self.reserved_share(&service) >= settings.starvation_load {
+            return;
+        }
+        let Some(worker) = self.roomiest_worker(key, &stage, workers) else { return };
+        self.assign(key, &stage, worker, None);
+        self.note_arrival(worker, &stage, now);
+        self.update_headrooms(worker);
+        self.announce(key);
+    }
+
+    /// Share of a service's processors that tasks hold.
+    fn reserved_share(&self, service: &str) -> f64 {
+        let (mut reserved_milli, mut capacity_milli) = (0, 0);
+        for worker in self.workers.values() {
+            let Some(status) = worker.status.as_ref() else { continue };
+            if status.service == service {
+                reserved_milli += worker.reserved.cpu_milli;
+                capacity_milli += status.capacity.cpu_milli;
+            }
+        }
+        reserved_milli as f64 / capacity_milli.max(1) as f64
+    }
+
     /// Share of a worker that a task must leave free, by how long it has waited.
     fn reserve_before(&mut self, key: TaskKey, now: Instant) -> f64 {
         let settings = self.settings.planning;
--- a/crates/teaseltrack/src/cell/scoring.rs
+++ b/crates/teaseltrack/src/cell/scoring.rs
@@ -62,6 +62,34 @@
             .map(|(worker, _)| worker)
     }
 
+    /// The worker with the most spare processors among those that a best-effort task may go to,
+    /// whatever it disturbs there.
+    pub(super) fn roomiest_worker(
+        &self,
+        key: TaskKey,
+        stage: &Stage,
+        workers: &[WorkerKey],
+    ) -> Option<WorkerKey> {
+        let service = &self.jobs[key.job].queue.service;
+        let allowed = workers
+            .iter()
+            .copied()
+            .filter(|worker| self.may_hold(&self.workers[*worker], service, (key, stage)));
+        allowed.max_by_key(|worker| self.spare_milli(&self.workers[*worker]))
+    }
+
+    /// Whether a worker has room for a task and the task may run there.
+    fn may_hold(&self, worker: &Worker, service: &str, (key, stage): (TaskKey, &Stage)) -> bool {
+        let Some(status) = worker.status.as_ref().filter(|status| status.service == service) else {
+            return false;
+        };
+        let is_labelled =
+            stage.required_label.as_ref().is_none_or(|label| status.labels.contains(label));
+        let is_below_limit =
+            stage.max_per_worker.is_none_or(|most| worker.count_of_stage(key) < most);
+        is_labelled && is_below_limit && worker.room().holds(&held(stage))
+    }
+
     /// How well a task would go on a worker; `None` if it can't go there.
     pub(super) fn suitability(
         &self,
@@ -70,17 +98,11 @@
         (key, stage): (TaskKey, &Stage),
         reserve: f64,
     ) -> Option<Suitability> {
-        let status = worker.status.as_ref().filter(|status| status.service == service)?;
-        let room = worker.room();
-        if !room.holds(&held(stage)) {
-            return None;
-        }
-        if stage.required_label.as_ref().is_some_and(|label| !status.labels.contains(label)) {
-            return None;
-        }
-        if stage.max_per_worker.is_some_and(|most| worker.count_of_stage(key) >= most) {
+        if !self.may_hold(worker, service, (key, stage)) {
             return None;
         }
+        let status = worker.status.as_ref()?;
+        let room = worker.room();
         let left_milli = room.cpu_milli as i64 - stage.resources.cpu_milli as i64;
         let (company, cpu_milli) = match Kind::of(stage) {
             // Workers without serving tasks are left to the images that disturb them.
--- a/crates/teaseltrack/tests/sharing.rs
+++ b/crates/teaseltrack/tests/sharing.rs
@@ -328,3 +328,18 @@
     fleet.run(Duration::from_millis(5_000));
     assert_eq!(fleet.counts("serving"), [1, 1]);
 }
+
+/// Only disturbing work is left, and every worker serves: it is started all the same.
+#[test]
+fn start_starving_runs_one_task_of_a_disturbing_job_on_a_half_empty_fleet() {
+    let mut fleet = Fleet::new(2);
+    let spread = Stage { max_per_worker: Some(1), ..serving("a", 2) };
+    fleet.submit("serving-a", spread);
+    fleet.run(Duration::from_millis(500));
+    fleet.learn(&[("a", "heavy", 50.0)]);
+    fleet.submit("disturbing", best_effort("heavy", 4));
+    fleet.run(Duration::from_millis(1_000));
+    assert_eq!(fleet.counts("disturbing").iter().sum::<usize>(), 0);
+    fleet.run(Duration::from_millis(1_500));
+    assert_eq!(fleet.counts("disturbing").iter().sum::<usize>(), 1);
+}
--- a/crates/teaseltrack/tests/util.rs
+++ b/crates/teaseltrack/tests/util.rs
@@ -45,6 +45,8 @@
         best_effort_floor: 0.5,
         tail_aim: 0.75,
         tasks_on_trial: 2,
+        starvation_wait: Duration::from_millis(1_500),
+        starvation_load: 0.6,
         regroup_interval: Duration::from_millis(1_000),
         rest_after_move: Duration::from_secs(20),
         arrival_time: Duration::from_millis(1_000),
