Place images without interference while serving tails are near their target

The limit for a best-effort task was remaining headroom / max(growth, 0.01). While any serving task of a worker is near its peak, the remaining headroom is negative, so even an image whose growth is estimated as 0 got a negative limit and waited. With five serving tasks of different phases on a worker, one of them nearly always is near its peak. Ruled out: CPU, memory and the starvation rule (waiting tasks of images with growth 0 had workers with 25 cores spare).

Change: only serving images with a growth above 0 limit an image, as in the pacer. Test: plan_places_a_harmless_image_while_tails_are_near_their_target; fails without the change (0 of 8 placed).

--- a/crates/teaseltrack/src/cell/scoring.rs
+++ b/crates/teaseltrack/src/cell/scoring.rs
@@ -13,9 +13,6 @@
     worker::{TaskKey, Worker, reserved_resources},
 };
 
-/// Lower bound on the utilization growth per share of a worker; avoids division by zero.
-const MIN_UTILIZATION_GROWTH: f64 = 0.01;
-
 /// Score of a worker for a task; the highest is chosen. Fields are compared in order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct PlacementScore {
@@ -25,7 +22,7 @@
     pub(super) colocation: Colocation,
     /// In millicores: for a batch task the CPU that remains free, for a serving task the same
     /// negated, so that workers are filled up, and for a best-effort task the CPU that it may use.
-    cpu_milli: i64,
+    pub(super) cpu_milli: i64,
 }
 
 /// Serving tasks that a serving task would be colocated with; the last variant is the best.
@@ -200,9 +197,12 @@
         if is_trial_full {
             return 0;
         }
-        let shares = worker.remaining_headrooms.iter().map(|(serving, remaining)| {
-            remaining / estimates.utilization_growth(serving, image).max(MIN_UTILIZATION_GROWTH)
-        });
+        let shares = worker
+            .remaining_headrooms
+            .iter()
+            .map(|(serving, remaining)| (estimates.utilization_growth(serving, image), remaining))
+            .filter(|(growth, _)| *growth > 0.0)
+            .map(|(growth, remaining)| remaining / growth);
         (shares.fold(1.0, f64::min) * capacity_milli as f64) as i64
     }
 }
--- a/crates/teaseltrack/tests/sharing.rs
+++ b/crates/teaseltrack/tests/sharing.rs
@@ -29,6 +29,8 @@
 const TARGET_MS: u64 = 150;
 /// Tail of a serving task under average load.
 const TAIL_MS: u64 = 45;
+/// Tail of a serving task at peak load, close to its target.
+const PEAK_TAIL_MS: u64 = 140;
 
 /// The simulated tasks make no progress, so stall detection is disabled.
 const SETTINGS: CellSettings = CellSettings {
@@ -45,12 +47,17 @@
     end_count: u64,
 }
 
-/// Simulated workers whose tasks end only when they are stopped.
+/// Simulated workers whose tasks end only when they are stopped. Best-effort tasks use no CPU, as if
+/// their agents had paused them.
 struct Fleet {
     start: Instant,
     now: Instant,
     cell: Cell,
     instances: Vec<Instance>,
+    /// Tail of all serving tasks.
+    tail_ms: u64,
+    /// Completed share of all tasks other than serving tasks, in percent.
+    percent: u32,
 }
 
 impl Fleet {
@@ -61,8 +68,14 @@
         let configuration =
             QueueConfiguration { version: 1, queues: vec![queue], ..QueueConfiguration::default() };
         let instances = vec![Instance::default(); instance_count];
-        let mut fleet =
-            Self { start: now, now, cell: Cell::new(SETTINGS, 1, configuration, now), instances };
+        let mut fleet = Self {
+            start: now,
+            now,
+            cell: Cell::new(SETTINGS, 1, configuration, now),
+            instances,
+            tail_ms: TAIL_MS,
+            percent: 10,
+        };
         fleet.run(Duration::from_millis(300));
         fleet
     }
@@ -114,8 +127,8 @@
             task: task.clone(),
             attempt: *attempt,
             checkpoint: String::new(),
-            percent: if task.job.starts_with("serving") { 100 } else { 10 },
-            gauge: if task.job.starts_with("serving") { TAIL_MS } else { 0 },
+            percent: if task.job.starts_with("serving") { 100 } else { self.percent },
+            gauge: if task.job.starts_with("serving") { self.tail_ms } else { 0 },
         });
         let report = Report {
             agent: format!("agent-{index}"),
@@ -334,6 +347,20 @@
     assert_eq!(fleet.counts("serving"), [1, 1]);
 }
 
+/// Load pattern: a burst of an image that interferes with nothing, while all serving tasks are at
+/// their peak load. Their tails leave no room for interference, which the image doesn't need.
+#[test]
+fn plan_places_a_harmless_image_while_tails_are_near_their_target() {
+    let mut fleet = Fleet::new(2);
+    fleet.tail_ms = PEAK_TAIL_MS;
+    fleet.submit("serving-a", serving("a", 8));
+    fleet.run(Duration::from_millis(2_000));
+    fleet.report_interference(&[("a", "harmless", 0.0)]);
+    fleet.submit("burst", best_effort("harmless", 8));
+    fleet.run(Duration::from_millis(300));
+    assert_eq!(fleet.counts("burst").iter().sum::<usize>(), 8, "{:?}", fleet.counts("burst"));
+}
+
 /// Guards against starvation of a job of an interfering image when every worker runs serving tasks:
 /// one of its tasks is started regardless of interference.
 #[test]
