Move paused best-effort tasks to workers where they can run

A pause lasts half a swing of the serving load, and a job is as late as its slowest task. Meanwhile other workers have CPU on which the image interferes with nothing.

Change: a best-effort task without CPU for 1 s is stopped, with a checkpoint, if another worker can give it all of its requested CPU; one task per target and round, a round each 300 ms. Tasks without checkpoints stay once they have done over a tenth of their work. Tests: relocate_idle_tasks_moves_paused_tasks_to_a_free_worker (fails without the call), ..._leaves_tasks_whose_work_would_be_lost.

--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -382,7 +382,7 @@
                         "task" => %task, "attempt" => attempt, "worker" => worker);
                 }
                 CellEvent::Moved { task, attempt, worker } => {
-                    info!(logger, "serving task is being moved"; "request_id" => &task.job,
+                    info!(logger, "task is being moved to another worker"; "request_id" => &task.job,
                         "task" => %task, "attempt" => attempt, "worker" => worker);
                 }
                 CellEvent::Reclaimed { task, attempt, worker, reason } => {
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -45,6 +45,7 @@
 pub mod progress;
 pub mod protocol;
 pub mod regrouping;
+pub mod relocation;
 pub mod scoring;
 pub mod tail_model;
 pub mod worker;
@@ -115,6 +116,8 @@
     first_listed_at: Option<Instant>,
     /// Start of the stall timeout.
     progressed_at: Option<Instant>,
+    /// Time since which the run has been listed without CPU use.
+    idle_since: Option<Instant>,
 }
 
 /// Scheduling state of a task.
@@ -223,7 +226,8 @@
         /// Worker incarnation of the run.
         worker: WorkerIncarnation,
     },
-    /// A serving task is being stopped so that it can be placed on another worker.
+    /// A serving or paused best-effort task is being stopped so that it can be placed on another
+    /// worker.
     Moved {
         /// Name of the task.
         task: TaskName,
@@ -297,6 +301,7 @@
     interference: InterferenceModel,
     maintained_at: Option<Instant>,
     regrouped_at: Option<Instant>,
+    relocated_at: Option<Instant>,
 }
 
 impl Cell {
@@ -315,6 +320,7 @@
             interference: InterferenceModel::new(settings.interference),
             maintained_at: None,
             regrouped_at: None,
+            relocated_at: None,
             settings,
             epoch,
             session_count: 0,
@@ -1174,6 +1180,7 @@
             gauge: 0,
             first_listed_at: None,
             progressed_at: None,
+            idle_since: None,
         }
     }
 }
--- a/crates/teaseltrack/src/cell/health.rs
+++ b/crates/teaseltrack/src/cell/health.rs
@@ -37,6 +37,11 @@
         if self.percent != listed.percent || self.progressed_at.is_none() || listed.gauge == 0 {
             self.progressed_at = Some(now);
         }
+        if listed.gauge == 0 {
+            self.idle_since.get_or_insert(now);
+        } else {
+            self.idle_since = None;
+        }
         self.first_listed_at.get_or_insert(now);
         self.percent = listed.percent;
         self.gauge = listed.gauge;
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -56,6 +56,10 @@
     pub regroup_interval: Duration,
     /// Minimum time between two moves of the same serving task.
     pub move_cooldown: Duration,
+    /// Time without CPU use after which a best-effort task is moved to a worker where it can run.
+    pub relocation_wait: Duration,
+    /// Minimum time between two rounds of such moves.
+    pub relocation_interval: Duration,
     /// Time until the CPU use of an assigned best-effort task appears in its worker's reports.
     pub usage_report_delay: Duration,
     /// Weight of the remaining work in the order of best-effort jobs: a job is delayed by this
@@ -166,6 +170,7 @@
         for candidate in &candidates {
             self.relieve_starvation(candidate, &workers, now);
         }
+        self.relocate_idle_tasks(&workers, now);
         if !is_serving_waiting {
             self.regroup(&workers, now);
         }
--- a/crates/teaseltrack/tests/sharing.rs
+++ b/crates/teaseltrack/tests/sharing.rs
@@ -361,6 +361,43 @@
     assert_eq!(fleet.counts("burst").iter().sum::<usize>(), 8, "{:?}", fleet.counts("burst"));
 }
 
+/// Load pattern: serving tasks reach their peak load, so that their agent pauses the best-effort
+/// tasks beside them, and another worker with idle CPU becomes available.
+#[test]
+fn relocate_idle_tasks_moves_paused_tasks_to_a_free_worker() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit("serving-a", serving("a", 4));
+    fleet.run(Duration::from_millis(300));
+    fleet.report_interference(&[("a", "heavy", 1.6)]);
+    let checkpointed = Stage { is_checkpointing: true, ..best_effort("heavy", 3) };
+    fleet.submit("paused", checkpointed);
+    fleet.run(Duration::from_millis(300));
+    let placed = fleet.counts("paused")[0];
+    assert!(placed > 0);
+    fleet.tail_ms = PEAK_TAIL_MS;
+    fleet.instances.push(Instance::default());
+    fleet.run(Duration::from_millis(4_000));
+    assert_eq!(fleet.counts("paused"), [0, 3]);
+}
+
+/// A stop of a task without checkpoints loses its work, so it waits for the end of the pause.
+#[test]
+fn relocate_idle_tasks_leaves_tasks_whose_work_would_be_lost() {
+    let mut fleet = Fleet::new(1);
+    fleet.percent = 50;
+    fleet.submit("serving-a", serving("a", 4));
+    fleet.run(Duration::from_millis(300));
+    fleet.report_interference(&[("a", "heavy", 1.6)]);
+    fleet.submit("paused", best_effort("heavy", 3));
+    fleet.run(Duration::from_millis(300));
+    let placed = fleet.counts("paused")[0];
+    assert!(placed > 0);
+    fleet.tail_ms = PEAK_TAIL_MS;
+    fleet.instances.push(Instance::default());
+    fleet.run(Duration::from_millis(4_000));
+    assert_eq!(fleet.counts("paused")[0], placed);
+}
+
 /// Guards against starvation of a job of an interfering image when every worker runs serving tasks:
 /// one of its tasks is started regardless of interference.
 #[test]
--- a/crates/teaseltrack/tests/util.rs
+++ b/crates/teaseltrack/tests/util.rs
@@ -49,6 +49,8 @@
         starvation_max_load: 0.6,
         regroup_interval: Duration::from_millis(1_000),
         move_cooldown: Duration::from_secs(20),
+        relocation_wait: Duration::from_millis(1_000),
+        relocation_interval: Duration::from_millis(300),
         usage_report_delay: Duration::from_millis(1_000),
         remaining_work_weight: 20.0,
         long_overdue_factor: 3.0,
