Partition large fleets into cells, one owner each

Ruled out: planning alone.

Change: up to 80 workers stay one cell. Above, each availability zone gets cells of at most 50 workers. The partition is one row, decided once by the agents when the fleet starts for the first time; it never changes, so no worker is handed over. Submissions name their cell in the row's value, not in the key, so a job submitted twice stays one job.

--- a/crates/teaseltrack-cell/src/agent.rs
+++ b/crates/teaseltrack-cell/src/agent.rs
@@ -14,6 +14,7 @@
 use teaseltrack::{
     cell::{
         pacing::{PaceChange, Pacer},
+        partition::CellId,
         progress::WorkerIncarnation,
         protocol::{
             EndedTask, Order, RefusedStart, Report, ReportResponse, RunningTask, SessionToken,
@@ -112,6 +113,8 @@
 /// Dependencies of an agent.
 #[derive(Clone)]
 pub struct AgentContext {
+    /// Cell of the agent.
+    pub cell: CellId,
     /// Instance of the agent.
     pub instance: InstanceId,
     /// Address of the process's internal port.
@@ -465,6 +468,7 @@
             (listing.is_some() && !self.has_sent_estimates).then(|| self.pacer.estimates().clone());
         self.has_sent_estimates |= listing.is_some();
         Report {
+            cell: self.context.cell,
             agent: self.context.instance.clone(),
             started_unix_ms: self.context.started_unix_ms,
             address: self.context.address.clone(),
--- a/crates/teaseltrack-cell/src/calls.rs
+++ b/crates/teaseltrack-cell/src/calls.rs
@@ -1,6 +1,7 @@
 //! RPC server and client for calls between the processes of a cell.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::{Duration, Instant},
@@ -13,6 +14,7 @@
 };
 use teaseltrack::cell::{
     job::{JobId, QueueName},
+    partition::CellId,
     protocol::{Report, ReportResponse},
 };
 use teaseltrack_wire::cell::{CellControl, CellControlClient, JobLookup, MAX_MESSAGE_BYTES};
@@ -52,6 +54,9 @@
     pub address: Option<SocketAddr>,
 }
 
+/// Last known owners of all cells; a cell without a known owner may be missing.
+pub type KnownOwners = BTreeMap<CellId, KnownOwner>;
+
 /// RPC server; forwards calls to the owner task while this process owns the cell.
 #[derive(Clone, Debug)]
 pub struct CallServer {
@@ -187,6 +192,20 @@
     }
 }
 
+/// RPC clients of the owners of all cells, one for each.
+#[derive(Clone, Debug, Default)]
+pub struct CellClients {
+    clients: Arc<Mutex<BTreeMap<CellId, CellClient>>>,
+}
+
+impl CellClients {
+    /// The client of a cell's owner.
+    pub fn of(&self, cell: CellId) -> CellClient {
+        let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
+        clients.entry(cell).or_default().clone()
+    }
+}
+
 fn codec() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder().max_frame_length(MAX_MESSAGE_BYTES).new_codec()
 }
--- a/crates/teaseltrack-cell/src/candidate.rs
+++ b/crates/teaseltrack-cell/src/candidate.rs
@@ -26,7 +26,7 @@
         OWNER_SUSPECT_TIMEOUT,
     },
     owner::{OwnerContext, committer::Committer, run_owner},
-    rows::{OWNER_KEY, OWNER_NOTICE_KEY},
+    rows::{owner_key, owner_notice_key},
 };
 
 /// Time of the agent's last response from an owner that can commit.
@@ -97,7 +97,7 @@
         &self,
         monitor: &mut OwnershipMonitor,
     ) -> Result<Option<Takeover>, StoreError> {
-        let row = self.context.store.read(OWNER_KEY).await?;
+        let row = self.context.store.read(&owner_key(self.context.cell_id)).await?;
         let now = self.context.clock.now();
         let Some(row) = row else { return self.take_over(None, now).await };
         let record: OwnerRecord = row.parse()?;
@@ -162,19 +162,20 @@
             sequence: 0,
             is_released: false,
         };
+        let cell = self.context.cell_id;
         let transaction = Transaction {
             id: format!("{}-take", record.epoch),
-            conditions: vec![Condition { key: OWNER_KEY.to_owned(), version }],
+            conditions: vec![Condition { key: owner_key(cell), version }],
             writes: vec![
-                Write::put(OWNER_KEY.to_owned(), &record),
-                Write::put(OWNER_NOTICE_KEY.to_owned(), &record),
+                Write::put(owner_key(cell), &record),
+                Write::put(owner_notice_key(cell), &record),
             ],
         };
         let sent_at = self.context.clock.now();
         match self.context.store.commit(transaction).await? {
             CommitOutcome::Conflict { .. } => Ok(None),
             CommitOutcome::Committed { version } => {
-                info!(self.context.logger, "cell taken over"; "epoch" => record.epoch);
+                info!(self.context.logger, "cell taken over"; "cell" => cell, "epoch" => record.epoch);
                 self.update_known_owner(&record);
                 Ok(Some(self.build_takeover(record, version, sent_at, previous_grants_end)))
             }
@@ -189,6 +190,7 @@
         previous_grants_end: Instant,
     ) -> Takeover {
         let committer = Committer {
+            cell: self.context.cell_id,
             store: self.context.store.clone(),
             clock: self.context.clock.clone(),
             record,
--- a/crates/teaseltrack-cell/src/constants.rs
+++ b/crates/teaseltrack-cell/src/constants.rs
@@ -4,7 +4,8 @@
 
 use teaseltrack::cell::{
     CellSettings, health::HealthSettings, interference::InterferenceSettings,
-    ownership::OwnershipSettings, pacing::PacingSettings, planning::PlanningSettings,
+    ownership::OwnershipSettings, pacing::PacingSettings, partition::PartitionLimits,
+    planning::PlanningSettings,
 };
 
 /// Maximum lease granted to a worker, unless the platform's limit is shorter. Covers a takeover and
@@ -41,6 +42,18 @@
 /// Number of distinct takeover delays.
 pub const CANDIDATE_DELAY_STEPS: u64 = 8;
 
+/// Sizes of cells: an owner plans for this many workers in well under its share of an instance.
+pub const PARTITION_LIMITS: PartitionLimits =
+    PartitionLimits { max_single_cell_workers: 80, max_cell_workers: 50 };
+/// Time from the start of an instance until all instances that start together have stored their
+/// rows.
+pub const PARTITION_SETTLE_TIME: Duration = Duration::from_millis(1_500);
+/// Step between the delays with which instances decide the partition: a count of the instances and
+/// a transaction.
+pub const PARTITION_SETTLE_STEP: Duration = Duration::from_millis(120);
+/// Number of distinct delays.
+pub const PARTITION_SETTLE_STEPS: u64 = 8;
+
 /// Maximum time for which an owner parks a report while it has no update for the agent.
 pub const REPORT_WAIT: Duration = Duration::from_millis(400);
 /// Interval between full reports of an agent.
--- a/crates/teaseltrack-cell/src/entry.rs
+++ b/crates/teaseltrack-cell/src/entry.rs
@@ -4,13 +4,19 @@
 //! stored. States are read from the owner, or from the store if the owner doesn't respond or
 //! doesn't have the job.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use futures::future::join_all;
 
 use slog::{Logger, info, warn};
 use teaseltrack::{
     cell::{
         job::{InvalidJob, JobId, JobSpec, Queue, QueueName},
         ownership::OwnerRecord,
+        partition::{CellId, Partition},
         progress::{JobProgress, JobState},
     },
     clock::SharedClock,
@@ -26,9 +32,13 @@
 };
 
 use crate::{
-    calls::{CellClient, KnownOwner},
+    calls::{CellClients, KnownOwner, KnownOwners},
     constants::{MAX_CHANGES_WAIT, RETRY_DELAY},
-    rows::{OWNER_KEY, OWNERS_TABLE, Submission, cancellation_key, progress_key, submission_key},
+    partition::wait_for_partition,
+    rows::{
+        OWNERS_TABLE, Submission, cancellation_key, owner_notice_key, parse_owner_notice_key,
+        progress_key, submission_key,
+    },
 };
 
 /// Outcome of a submission.
@@ -96,10 +106,12 @@
     pub store: Store,
     /// The clock.
     pub clock: SharedClock,
-    /// Client for calls to the owner.
-    pub client: CellClient,
-    /// Last known owner.
-    pub known_owner: watch::Receiver<KnownOwner>,
+    /// Partition of the fleet into cells; `None` until it is known.
+    pub partition: watch::Receiver<Option<Partition>>,
+    /// Clients for calls to the owners.
+    pub clients: CellClients,
+    /// Last known owners.
+    pub known_owners: watch::Receiver<KnownOwners>,
     /// Logger for outcomes.
     pub logger: Logger,
     /// Metrics.
@@ -118,11 +130,12 @@
         if let Err(error) = spec.validate() {
             return SubmitOutcome::Invalid(error);
         }
+        let Some(cell) = self.cell_of(job) else { return SubmitOutcome::Refused };
         let key = submission_key(job);
         let transaction = Transaction {
             id: job.clone(),
             conditions: vec![Condition { key: key.clone(), version: 0 }],
-            writes: vec![Write::put(key, &Submission { spec, queue: queue.clone() })],
+            writes: vec![Write::put(key, &Submission { spec, queue: queue.clone(), cell })],
         };
         // Number of calls that may have stored the job, including the one in flight.
         let mut in_doubt_calls = 0_u32;
@@ -210,10 +223,7 @@
     pub async fn pending_count(&self, queue: &QueueName, deadline: Instant) -> Lookup<u64> {
         let retry_loop = async {
             loop {
-                let owner = self.known_owner.borrow().address;
-                if let Some(address) = owner
-                    && let Some(count) = self.client.pending_count(address, queue.clone()).await
-                {
+                if let Some(count) = self.try_pending_count(queue).await {
                     return Lookup::Found(count);
                 }
                 sleep(RETRY_DELAY).await;
@@ -222,9 +232,29 @@
         timeout_at(deadline.into(), retry_loop).await.unwrap_or(Lookup::Unavailable)
     }
 
+    /// Cell of a job; `None` until the partition is known.
+    fn cell_of(&self, job: &JobId) -> Option<CellId> {
+        self.partition.borrow().as_ref().map(|partition| partition.cell_of_job(job))
+    }
+
+    fn owner_address(&self, cell: CellId) -> Option<SocketAddr> {
+        self.known_owners.borrow().get(&cell)?.address
+    }
+
+    /// Sum of the counts of all cells; `None` unless all owners respond.
+    async fn try_pending_count(&self, queue: &QueueName) -> Option<u64> {
+        let cells = self.partition.borrow().as_ref()?.cell_ids();
+        let counts = cells.map(async |cell| {
+            let address = self.owner_address(cell)?;
+            self.clients.of(cell).pending_count(address, queue.clone()).await
+        });
+        join_all(counts).await.into_iter().sum()
+    }
+
     async fn state_from_owner(&self, job: &JobId) -> Option<JobState> {
-        let address = self.known_owner.borrow().address?;
-        match self.client.job_state(address, job.clone()).await? {
+        let cell = self.cell_of(job)?;
+        let address = self.owner_address(cell)?;
+        match self.clients.of(cell).job_state(address, job.clone()).await? {
             JobLookup::State(state) => Some(state),
             JobLookup::NotOwner | JobLookup::Unknown => None,
         }
@@ -232,13 +262,12 @@
 
     /// Returns the stored state; a job without a progress row is queued.
     async fn state_from_store(&self, job: &JobId) -> Result<Option<JobState>, StoreError> {
-        if self.store.read(&submission_key(job)).await?.is_none() {
-            return Ok(None);
-        }
+        let Some(row) = self.store.read(&submission_key(job)).await? else { return Ok(None) };
+        let submission: Submission = row.parse()?;
         if self.store.read(&cancellation_key(job)).await?.is_some() {
             return Ok(Some(JobState::Cancelled));
         }
-        let Some(row) = self.store.read(&progress_key(job)).await? else {
+        let Some(row) = self.store.read(&progress_key(submission.cell, job)).await? else {
             return Ok(Some(JobState::Queued));
         };
         let progress: JobProgress = row.parse()?;
@@ -246,29 +275,42 @@
     }
 }
 
-/// Follows changes of the cell's owner and publishes them.
-pub async fn follow_owner(store: Store, sender: watch::Sender<KnownOwner>, logger: Logger) {
+/// Waits for the partition, publishes it, and then follows changes of the cells' owners and
+/// publishes them.
+pub async fn follow_cells(
+    store: Store,
+    partition_sender: watch::Sender<Option<Partition>>,
+    sender: watch::Sender<KnownOwners>,
+    logger: Logger,
+) {
+    let partition = wait_for_partition(&store, &logger).await;
+    let cells: Vec<CellId> = partition.cell_ids().collect();
+    partition_sender.send_replace(Some(partition));
     let mut after: Option<u64> = None;
     loop {
-        match next_owner(&store, after, &sender).await {
+        match next_owners(&store, &cells, after, &sender, &logger).await {
             Ok(version) => after = version,
             Err(error) => {
-                warn!(logger, "failed to follow the cell's owner; retrying"; "error" => %error);
+                warn!(logger, "failed to follow the cells' owners; retrying"; "error" => %error);
                 sleep(RETRY_DELAY * 2).await;
             }
         }
     }
 }
 
-async fn next_owner(
+async fn next_owners(
     store: &Store,
+    cells: &[CellId],
     after: Option<u64>,
-    sender: &watch::Sender<KnownOwner>,
+    sender: &watch::Sender<KnownOwners>,
+    logger: &Logger,
 ) -> Result<Option<u64>, StoreError> {
     let Some(after) = after else {
         let version = store.version(OWNERS_TABLE).await?;
-        if let Some(row) = store.read(OWNER_KEY).await? {
-            update_known_owner(&row.parse()?, sender);
+        for &cell in cells {
+            if let Some(row) = store.read(&owner_notice_key(cell)).await? {
+                update_known_owner(cell, &row.parse()?, sender);
+            }
         }
         return Ok(Some(version));
     };
@@ -276,9 +318,13 @@
     if page.is_history_lost {
         return Ok(None);
     }
-    for value in page.changes.iter().filter_map(|change| change.value.as_ref()) {
-        if let Ok(record) = serde_json::from_str::<OwnerRecord>(value) {
-            update_known_owner(&record, sender);
+    for change in &page.changes {
+        let Some(value) = &change.value else { continue };
+        match (parse_owner_notice_key(&change.key), serde_json::from_str::<OwnerRecord>(value)) {
+            (Some(cell), Ok(record)) => update_known_owner(cell, &record, sender),
+            (None, _) => warn!(logger, "row of an owner has an invalid key"; "key" => &change.key),
+            (_, Err(error)) => warn!(logger, "invalid row of an owner ignored";
+                "key" => &change.key, "error" => %error),
         }
     }
     if page.version <= after && page.changes.is_empty() {
@@ -287,9 +333,10 @@
     Ok(Some(page.version.max(after)))
 }
 
-fn update_known_owner(record: &OwnerRecord, sender: &watch::Sender<KnownOwner>) {
+fn update_known_owner(cell: CellId, record: &OwnerRecord, sender: &watch::Sender<KnownOwners>) {
     let address = record.address.parse().ok();
-    sender.send_if_modified(|known| {
+    sender.send_if_modified(|owners| {
+        let known = owners.entry(cell).or_default();
         let is_newer = record.epoch > known.epoch;
         if is_newer {
             *known = KnownOwner { epoch: record.epoch, address };
--- a/crates/teaseltrack-cell/src/lib.rs
+++ b/crates/teaseltrack-cell/src/lib.rs
@@ -5,6 +5,7 @@
 //!   and reports to the owner.
 //! - [`candidate`] runs in each agent process and takes over the cell when its owner fails or
 //!   releases it; [`owner`] is the async task that it then runs.
+//! - [`partition`] decides how a fleet is divided into cells; each has an owner of its own.
 //! - [`rows`] defines the stored rows, [`configuration`] follows the configuration of the queues,
 //!   and [`calls`] implements the RPCs between processes.
 //!
@@ -17,5 +18,6 @@
 pub mod constants;
 pub mod entry;
 pub mod owner;
+pub mod partition;
 pub mod rows;
 pub mod worker_port;
--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -17,6 +17,7 @@
         Cell, CellEvent, CellSettings,
         job::QueueConfiguration,
         ownership::OwnershipSettings,
+        partition::CellId,
         protocol::{Report, ReportResponse},
     },
     clock::{SharedClock, unix_ms},
@@ -56,6 +57,8 @@
 /// Dependencies of the owner task.
 #[derive(Clone)]
 pub struct OwnerContext {
+    /// The cell.
+    pub cell_id: CellId,
     /// The store.
     pub store: Store,
     /// Monotonic clock.
@@ -129,6 +132,7 @@
     let (mailbox, calls) = mpsc::channel(MAILBOX_SIZE);
     let (job_changes_sender, job_changes) = mpsc::channel(JOB_CHANGES_CHANNEL_SIZE);
     let job_follower = tokio::spawn(follow_jobs(
+        context.cell_id,
         context.store.clone(),
         loaded.version,
         job_changes_sender,
@@ -157,8 +161,8 @@
     context: &OwnerContext,
     committer: &mut Committer,
 ) -> Option<LoadedCell> {
-    let mut loading =
-        tokio::spawn(load(context.store.clone(), context.wall_now, context.logger.clone()));
+    let (store, logger) = (context.store.clone(), context.logger.clone());
+    let mut loading = tokio::spawn(load(context.cell_id, store, context.wall_now, logger));
     loop {
         tokio::select! {
             loaded = &mut loading => return loaded.ok(),
@@ -261,6 +265,12 @@
     }
 
     fn handle_report(&mut self, report: Report, reply: oneshot::Sender<ReportResponse>) {
+        if report.cell != self.context.cell_id {
+            warn!(self.context.logger, "report of another cell's agent ignored";
+                "agent" => &report.agent, "agent_cell" => report.cell);
+            drop(reply.send(ReportResponse::default()));
+            return;
+        }
         let now = self.context.clock.now();
         let may_grant = now < self.renewed_at + self.context.ownership.grant_period;
         let wait = Duration::from_millis(report.wait_ms);
--- a/crates/teaseltrack-cell/src/owner/committer.rs
+++ b/crates/teaseltrack-cell/src/owner/committer.rs
@@ -7,7 +7,7 @@
 
 use slog::{Logger, warn};
 use teaseltrack::{
-    cell::{ownership::OwnerRecord, progress::JobProgress},
+    cell::{ownership::OwnerRecord, partition::CellId, progress::JobProgress},
     clock::SharedClock,
 };
 use teaseltrack_platform::store::{
@@ -17,7 +17,7 @@
 
 use crate::{
     constants::RETRY_DELAY,
-    rows::{OWNER_KEY, progress_key},
+    rows::{owner_key, progress_key},
 };
 
 /// Maximum delay between two tries of a commit.
@@ -29,6 +29,8 @@
 
 /// Commits the owner's decisions to the store.
 pub struct Committer {
+    /// The cell.
+    pub cell: CellId,
     /// The store.
     pub store: Store,
     /// The clock.
@@ -51,8 +53,10 @@
     /// The cell has another owner.
     pub async fn commit(&mut self, rows: &[(String, JobProgress)]) -> Result<(), OwnershipLost> {
         let next = OwnerRecord { sequence: self.record.sequence + 1, ..self.record.clone() };
-        let mut writes = vec![Write::put(OWNER_KEY.to_owned(), &next)];
-        writes.extend(rows.iter().map(|(job, progress)| Write::put(progress_key(job), progress)));
+        let mut writes = vec![Write::put(owner_key(self.cell), &next)];
+        writes.extend(
+            rows.iter().map(|(job, progress)| Write::put(progress_key(self.cell, job), progress)),
+        );
         let first_sent_at = self.clock.now();
         let mut delay = RETRY_DELAY;
         loop {
@@ -92,13 +96,13 @@
     ) -> Result<Option<u64>, StoreError> {
         let transaction = Transaction {
             id: format!("{}-{}", next.epoch, next.sequence),
-            conditions: vec![Condition { key: OWNER_KEY.to_owned(), version: self.version }],
+            conditions: vec![Condition { key: owner_key(self.cell), version: self.version }],
             writes: writes.to_vec(),
         };
         if let CommitOutcome::Committed { version } = self.store.commit(transaction).await? {
             return Ok(Some(version));
         }
-        let Some(row) = self.store.read(OWNER_KEY).await? else { return Ok(None) };
+        let Some(row) = self.store.read(&owner_key(self.cell)).await? else { return Ok(None) };
         let stored: OwnerRecord = row.parse()?;
         Ok((stored == *next).then_some(row.version))
     }
--- a/crates/teaseltrack-cell/src/owner/loader.rs
+++ b/crates/teaseltrack-cell/src/owner/loader.rs
@@ -7,7 +7,7 @@
 
 use slog::{Logger, info, warn};
 use teaseltrack::{
-    cell::{StoredJob, job::JobId, progress::JobProgress},
+    cell::{StoredJob, job::JobId, partition::CellId, progress::JobProgress},
     clock::unix_ms,
 };
 use teaseltrack_platform::store::{Row, Store, StoreError};
@@ -16,7 +16,7 @@
 use crate::{
     constants::{MAX_CHANGES_WAIT, RETRY_DELAY},
     rows::{
-        JOB_PARTS, JOBS_TABLE, JobRowKey, PROGRESS_PREFIX, Submission, key_name, parse_job_key,
+        JOB_PARTS, JOBS_TABLE, JobRowKey, Submission, key_name, parse_job_key, progress_prefix,
         stored_job,
     },
 };
@@ -40,9 +40,14 @@
 }
 
 /// Loads the cell; retries until the store responds.
-pub async fn load(store: Store, wall_now: fn() -> SystemTime, logger: Logger) -> LoadedCell {
+pub async fn load(
+    cell: CellId,
+    store: Store,
+    wall_now: fn() -> SystemTime,
+    logger: Logger,
+) -> LoadedCell {
     loop {
-        match try_load(&store, wall_now, &logger).await {
+        match try_load(cell, &store, wall_now, &logger).await {
             Ok(loaded) => return loaded,
             Err(error) => {
                 warn!(logger, "failed to load the cell; retrying"; "error" => %error);
@@ -53,18 +58,19 @@
 }
 
 async fn try_load(
+    cell: CellId,
     store: &Store,
     wall_now: fn() -> SystemTime,
     logger: &Logger,
 ) -> Result<LoadedCell, StoreError> {
     let (version, rows) = list_jobs(store).await?;
     let mut progress: HashMap<JobId, JobProgress> = HashMap::new();
-    for row in store.list_all(PROGRESS_PREFIX).await? {
+    for row in store.list_all(&progress_prefix(cell)).await? {
         if let Some(stored_progress) = parse_row(&row, logger) {
             progress.insert(key_name(&row.key).to_owned(), stored_progress);
         }
     }
-    let JobRows { submissions, cancelled } = group_rows(&rows, logger);
+    let JobRows { submissions, cancelled } = group_rows(cell, &rows, logger);
     let now_ms = unix_ms(wall_now());
     let jobs = submissions
         .into_iter()
@@ -79,6 +85,7 @@
 
 /// Follows submissions and cancellations after a version and sends them to the owner.
 pub async fn follow_jobs(
+    cell: CellId,
     store: Store,
     mut after: u64,
     sender: mpsc::Sender<JobChanges>,
@@ -89,7 +96,7 @@
         let grouped = match next_rows(&store, after).await {
             Ok((version, rows)) => {
                 after = version;
-                group_rows(&rows, &logger)
+                group_rows(cell, &rows, &logger)
             }
             Err(error) => {
                 warn!(logger, "failed to follow submissions; retrying"; "error" => %error);
@@ -143,7 +150,8 @@
     cancelled: HashSet<JobId>,
 }
 
-fn group_rows(rows: &[Row], logger: &Logger) -> JobRows {
+/// Submissions to the cell, and all cancellations: their rows don't name the cell.
+fn group_rows(cell: CellId, rows: &[Row], logger: &Logger) -> JobRows {
     let mut grouped = JobRows { submissions: Vec::new(), cancelled: HashSet::new() };
     for row in rows {
         match parse_job_key(&row.key) {
@@ -151,7 +159,8 @@
                 grouped.cancelled.insert(job);
             }
             JobRowKey::Submission(job) => {
-                if let Some(submission) = parse_row(row, logger) {
+                let submission: Option<Submission> = parse_row(row, logger);
+                if let Some(submission) = submission.filter(|submission| submission.cell == cell) {
                     grouped.submissions.push((job, submission));
                 }
             }
--- a/crates/teaseltrack-cell/src/rows.rs
+++ b/crates/teaseltrack-cell/src/rows.rs
@@ -2,34 +2,71 @@
 //!
 //! A key has the form `table/part/name`; a transaction is limited to one part. Submissions are
 //! spread over several parts, since the store executes the transactions of a part one at a time.
-//! All rows that the owner writes are in one part, so that each commit can be conditional on the
-//! owner's row.
+//! All rows that the owner of a cell writes are in one part, so that each commit can be conditional
+//! on the owner's row.
 
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use teaseltrack::cell::{
-    StoredJob,
-    job::{JobId, JobSpec, Queue},
-    progress::JobProgress,
+use teaseltrack::{
+    cell::{
+        StoredJob,
+        job::{JobId, JobSpec, Queue},
+        partition::CellId,
+        progress::JobProgress,
+    },
+    ids::{InstanceId, ZoneName},
 };
 
 /// Table of submissions and cancellations.
 pub const JOBS_TABLE: &str = "jobs";
 /// Table that changes only when the cell gets a new owner, for processes that follow the owner.
 pub const OWNERS_TABLE: &str = "owners";
-/// Key of the owner's row, which is rewritten with each commit.
-pub const OWNER_KEY: &str = "cell/0/owner";
-/// Key of the row in [`OWNERS_TABLE`].
-pub const OWNER_NOTICE_KEY: &str = "owners/0/owner";
-/// Prefix of the jobs' progress rows.
-pub const PROGRESS_PREFIX: &str = "progress/0/";
+/// Key of the fleet's partition into cells, which is written once.
+pub const PARTITION_KEY: &str = "partition/0/partition";
+/// Parts of the table of instances that have started before the partition was decided; at the rate
+/// limit of a part, they accept the largest fleet within half a second.
+pub const INSTANCE_PARTS: [&str; 16] =
+    ["0", "1", "2", "3", "4", "5", "6", "7", "8", "9", "10", "11", "12", "13", "14", "15"];
 /// Parts of [`JOBS_TABLE`]; at the rate limit of a part, they accept twice the burst of
 /// submissions.
 pub const JOB_PARTS: [&str; 4] = ["0", "1", "2", "3"];
 
 const CANCEL_SUFFIX: &str = ".cancel";
 
+/// Key of the row of a cell's owner, which is rewritten with each commit.
+pub fn owner_key(cell: CellId) -> String {
+    format!("cell/{cell}/owner")
+}
+
+/// Key of the row of a cell in [`OWNERS_TABLE`].
+pub fn owner_notice_key(cell: CellId) -> String {
+    format!("{OWNERS_TABLE}/{cell}/owner")
+}
+
+/// Cell of a key of [`OWNERS_TABLE`]; `None` if the key is invalid.
+pub fn parse_owner_notice_key(key: &str) -> Option<CellId> {
+    let (cell, name) = key.strip_prefix(OWNERS_TABLE)?.strip_prefix('/')?.split_once('/')?;
+    cell.parse().ok().filter(|_| name == "owner")
+}
+
+/// Prefix of the progress rows of a cell's jobs.
+pub fn progress_prefix(cell: CellId) -> String {
+    format!("progress/{cell}/")
+}
+
+/// Prefix of the rows of instances in one of [`INSTANCE_PARTS`].
+pub fn instance_prefix(part: &str) -> String {
+    format!("instances/{part}/")
+}
+
+/// Key of an instance's row.
+pub fn instance_key(instance: &InstanceId) -> String {
+    let hash = xxhash_rust::xxh3::xxh3_64(instance.as_bytes());
+    let part = INSTANCE_PARTS[(hash % INSTANCE_PARTS.len() as u64) as usize];
+    format!("{}{instance}", instance_prefix(part))
+}
+
 /// Value of a submission's row.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Submission {
@@ -37,6 +74,16 @@
     pub spec: JobSpec,
     /// Queue configuration at submission.
     pub queue: Queue,
+    /// Cell that runs the job.
+    #[serde(default)]
+    pub cell: CellId,
+}
+
+/// Value of an instance's row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceRow {
+    /// Availability zone.
+    pub zone: ZoneName,
 }
 
 /// Parsed key of a row of [`JOBS_TABLE`].
@@ -64,9 +111,9 @@
     format!("{}{CANCEL_SUFFIX}", submission_key(job))
 }
 
-/// Key of a job's progress row.
-pub fn progress_key(job: &str) -> String {
-    format!("{PROGRESS_PREFIX}{job}")
+/// Key of the progress row of a cell's job.
+pub fn progress_key(cell: CellId, job: &str) -> String {
+    format!("{}{job}", progress_prefix(cell))
 }
 
 /// Name in a key, after the table and the part.
--- a/crates/teaseltrack-cell/tests/agent.rs
+++ b/crates/teaseltrack-cell/tests/agent.rs
@@ -78,6 +78,7 @@
     let (events, inbox) = mpsc::channel(AGENT_MAILBOX_SIZE);
     let (_owner, known_owner) = watch::channel(KnownOwner::default());
     let context = AgentContext {
+        cell: 0,
         instance: "instance".to_owned(),
         address: "127.0.0.1:1".to_owned(),
         started_unix_ms: 1,
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -41,6 +41,7 @@
 pub mod job;
 pub mod ownership;
 pub mod pacing;
+pub mod partition;
 pub mod planning;
 pub mod progress;
 pub mod protocol;
--- a/crates/teaseltrack/src/cell/protocol.rs
+++ b/crates/teaseltrack/src/cell/protocol.rs
@@ -10,7 +10,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    cell::{interference::InterferenceEstimates, job::JobId, progress::WorkerIncarnation},
+    cell::{
+        interference::InterferenceEstimates, job::JobId, partition::CellId,
+        progress::WorkerIncarnation,
+    },
     ids::{AttemptNumber, Epoch, InstanceId, ServiceName, ZoneName},
     placement::Resources,
 };
@@ -151,6 +154,9 @@
 /// Report of an agent to the owner.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
+    /// Cell of the agent.
+    #[serde(default)]
+    pub cell: CellId,
     /// The agent.
     pub agent: InstanceId,
     /// Start of the agent's process, in milliseconds since the Unix epoch; distinguishes restarts.
