Choose a job's cell by quotes of the owners; ignore reports of other cells

Change: an entry asks the owners of two cells, by the job's hash, how many long-running tasks have no room, how much is reserved and how long the backlog is; for a long-running job without room in both, all others. Without a response in 150 ms the hash decides. An owner ignores the report of another cell's agent, in case an address is used again. Tests: quote_counts_serving_tasks_without_room, quote_grows_with_the_accepted_work, report_of_another_cells_agent_is_ignored (fails without the check).

--- a/crates/teaseltrack-cell/src/calls.rs
+++ b/crates/teaseltrack-cell/src/calls.rs
@@ -12,10 +12,14 @@
     client, context,
     server::{BaseChannel, Channel},
 };
-use teaseltrack::cell::{
-    job::{JobId, QueueName},
-    partition::CellId,
-    protocol::{Report, ReportResponse},
+use teaseltrack::{
+    cell::{
+        job::{JobId, QueueName, Stage},
+        partition::CellId,
+        protocol::{Report, ReportResponse},
+        quote::Quote,
+    },
+    ids::ServiceName,
 };
 use teaseltrack_wire::cell::{CellControl, CellControlClient, JobLookup, MAX_MESSAGE_BYTES};
 use tokio::{
@@ -29,7 +33,7 @@
     sync::CancellationToken,
 };
 
-use crate::constants::{CALL_TIMEOUT, CONNECT_TIMEOUT};
+use crate::constants::{CALL_TIMEOUT, CONNECT_TIMEOUT, QUOTE_TIMEOUT};
 
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
@@ -41,6 +45,8 @@
     Report(Box<Report>, oneshot::Sender<ReportResponse>),
     /// A query for a job's state.
     JobState(JobId, oneshot::Sender<JobLookup>),
+    /// A request for a quote for a job of a service, to the owner of the given cell.
+    Quote(CellId, ServiceName, Vec<Stage>, oneshot::Sender<Option<Quote>>),
     /// A query for the number of pending jobs of a queue.
     PendingCount(QueueName, oneshot::Sender<Option<u64>>),
 }
@@ -94,6 +100,16 @@
             .unwrap_or(JobLookup::NotOwner)
     }
 
+    async fn quote(
+        self,
+        _: context::Context,
+        cell: CellId,
+        service: ServiceName,
+        stages: Vec<Stage>,
+    ) -> Option<Quote> {
+        self.call_owner(|reply| InboundCall::Quote(cell, service, stages, reply)).await.flatten()
+    }
+
     async fn pending_count(self, _: context::Context, queue: QueueName) -> Option<u64> {
         self.call_owner(|reply| InboundCall::PendingCount(queue, reply)).await.flatten()
     }
@@ -150,6 +166,19 @@
         self.response_or_reset(address, timeout(CALL_TIMEOUT, call).await)
     }
 
+    /// Quote of a cell's owner for a job; `None` without a response from the owner in time.
+    pub async fn quote(
+        &self,
+        address: SocketAddr,
+        cell: CellId,
+        service: ServiceName,
+        stages: Vec<Stage>,
+    ) -> Option<Quote> {
+        let client = self.client(address).await?;
+        let call = client.quote(context_with_timeout(QUOTE_TIMEOUT), cell, service, stages);
+        self.response_or_reset(address, timeout(QUOTE_TIMEOUT, call).await).flatten()
+    }
+
     /// Number of pending jobs of a queue; `None` without a response from the owner in time.
     pub async fn pending_count(&self, address: SocketAddr, queue: QueueName) -> Option<u64> {
         let client = self.client(address).await?;
--- a/crates/teaseltrack-cell/src/constants.rs
+++ b/crates/teaseltrack-cell/src/constants.rs
@@ -60,6 +60,9 @@
 pub const FULL_REPORT_INTERVAL: Duration = Duration::from_millis(400);
 /// Timeout of a call between processes, in addition to its requested wait.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Timeout of a request for a quote, without which a job goes to a cell by its hash: short compared
+/// with a caller's timeout, long compared with the response time of an owner.
+pub const QUOTE_TIMEOUT: Duration = Duration::from_millis(150);
 /// Timeout for connecting to another process.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum time for which a worker delays its response to a sync call until a run ends.
--- a/crates/teaseltrack-cell/src/entry.rs
+++ b/crates/teaseltrack-cell/src/entry.rs
@@ -18,6 +18,7 @@
         ownership::OwnerRecord,
         partition::{CellId, Partition},
         progress::{JobProgress, JobState},
+        quote::Quote,
     },
     clock::SharedClock,
 };
@@ -130,7 +131,10 @@
         if let Err(error) = spec.validate() {
             return SubmitOutcome::Invalid(error);
         }
-        let Some(cell) = self.cell_of(job) else { return SubmitOutcome::Refused };
+        let Some(cell) = self.choose_cell(job, &spec, queue).await else {
+            warn!(self.logger, "fleet not partitioned yet; job refused"; "request_id" => job);
+            return SubmitOutcome::Refused;
+        };
         let key = submission_key(job);
         let transaction = Transaction {
             id: job.clone(),
@@ -157,7 +161,7 @@
         };
         self.metrics.count_tagged("submissions", "outcome", outcome.name());
         info!(self.logger, "job submitted"; "request_id" => job, "queue" => &queue.name,
-            "outcome" => ?outcome);
+            "cell" => cell, "outcome" => ?outcome);
         outcome
     }
 
@@ -232,9 +236,38 @@
         timeout_at(deadline.into(), retry_loop).await.unwrap_or(Lookup::Unavailable)
     }
 
-    /// Cell of a job; `None` until the partition is known.
-    fn cell_of(&self, job: &JobId) -> Option<CellId> {
-        self.partition.borrow().as_ref().map(|partition| partition.cell_of_job(job))
+    /// Cell with the best quote for a job; `None` until the partition is known. It is one of two
+    /// cells by the job's hash, where the job's state is then found without a search and where
+    /// entries that choose at the same time rarely meet. A long-running job goes to any other cell
+    /// if neither has room for all of its tasks.
+    async fn choose_cell(&self, job: &JobId, spec: &JobSpec, queue: &Queue) -> Option<CellId> {
+        let partition = self.partition.borrow().clone()?;
+        let choices = partition.cells_of_job(job);
+        if partition.cells.len() == 1 {
+            return Some(choices[0]);
+        }
+        let mut best = self.best_quote(choices.to_vec(), spec, queue).await;
+        if best.is_none_or(|(quote, _)| quote.unplaceable_count > 0) && spec.is_long_running() {
+            let others = partition.cell_ids().filter(|cell| !choices.contains(cell)).collect();
+            let other = self.best_quote(others, spec, queue).await;
+            best = best.into_iter().chain(other).min();
+        }
+        Some(best.map_or(choices[0], |(_, cell)| cell))
+    }
+
+    async fn best_quote(
+        &self,
+        cells: Vec<CellId>,
+        spec: &JobSpec,
+        queue: &Queue,
+    ) -> Option<(Quote, CellId)> {
+        let quotes = cells.into_iter().map(async |cell| {
+            let address = self.owner_address(cell)?;
+            let (service, stages) = (queue.service.clone(), spec.stages.clone());
+            let quote = self.clients.of(cell).quote(address, cell, service, stages).await?;
+            Some((quote, cell))
+        });
+        join_all(quotes).await.into_iter().flatten().min()
     }
 
     fn owner_address(&self, cell: CellId) -> Option<SocketAddr> {
@@ -252,7 +285,15 @@
     }
 
     async fn state_from_owner(&self, job: &JobId) -> Option<JobState> {
-        let cell = self.cell_of(job)?;
+        let [first, second] = self.partition.borrow().as_ref()?.cells_of_job(job);
+        let state = self.state_from_cell(first, job).await;
+        if state.is_some() || first == second {
+            return state;
+        }
+        self.state_from_cell(second, job).await
+    }
+
+    async fn state_from_cell(&self, cell: CellId, job: &JobId) -> Option<JobState> {
         let address = self.owner_address(cell)?;
         match self.clients.of(cell).job_state(address, job.clone()).await? {
             JobLookup::State(state) => Some(state),
--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -120,14 +120,19 @@
 ) {
     let Some(loaded) = load_while_renewing(&context, &mut committer).await else { return };
     let epoch = committer.record.epoch;
-    let mut cell =
-        Cell::new(context.cell, epoch, QueueConfiguration::default(), previous_grants_end);
+    let mut cell = Cell::new(
+        context.cell_id,
+        context.cell,
+        epoch,
+        QueueConfiguration::default(),
+        previous_grants_end,
+    );
     let now = context.clock.now();
     let job_count = loaded.jobs.len();
     for job in loaded.jobs {
         cell.admit(job, now);
     }
-    info!(context.logger, "cell loaded"; "epoch" => epoch, "jobs" => job_count,
+    info!(context.logger, "cell loaded"; "cell" => context.cell_id, "epoch" => epoch, "jobs" => job_count,
         "open_jobs" => cell.open_count());
     let (mailbox, calls) = mpsc::channel(MAILBOX_SIZE);
     let (job_changes_sender, job_changes) = mpsc::channel(JOB_CHANGES_CHANNEL_SIZE);
@@ -258,6 +263,10 @@
                 let lookup = self.cell.state(&job).map_or(JobLookup::Unknown, JobLookup::State);
                 reply.send(lookup).ok();
             }
+            InboundCall::Quote(cell, service, stages, reply) => {
+                let is_owned = cell == self.context.cell_id;
+                reply.send(is_owned.then(|| self.cell.quote(&stages, &service))).ok();
+            }
             InboundCall::PendingCount(queue, reply) => {
                 reply.send(Some(self.cell.pending_count(&queue) as u64)).ok();
             }
@@ -265,12 +274,6 @@
     }
 
     fn handle_report(&mut self, report: Report, reply: oneshot::Sender<ReportResponse>) {
-        if report.cell != self.context.cell_id {
-            warn!(self.context.logger, "report of another cell's agent ignored";
-                "agent" => &report.agent, "agent_cell" => report.cell);
-            drop(reply.send(ReportResponse::default()));
-            return;
-        }
         let now = self.context.clock.now();
         let may_grant = now < self.renewed_at + self.context.ownership.grant_period;
         let wait = Duration::from_millis(report.wait_ms);
@@ -402,6 +405,10 @@
                 CellEvent::State { job, state } => {
                     info!(logger, "job ended"; "request_id" => job, "state" => ?state);
                 }
+                CellEvent::ForeignReport { agent, cell } => {
+                    warn!(logger, "report of another cell's agent ignored"; "agent" => agent,
+                        "agent_cell" => cell);
+                }
                 CellEvent::Session { worker, agent, session } => {
                     info!(logger, "session started"; "worker" => worker, "agent" => agent,
                         "session" => session);
--- a/crates/teaseltrack-wire/src/cell.rs
+++ b/crates/teaseltrack-wire/src/cell.rs
@@ -1,9 +1,14 @@
 //! RPC interface between the processes of a cell.
 
-use teaseltrack::cell::{
-    job::{JobId, QueueName},
-    progress::JobState,
-    protocol::{Report, ReportResponse},
+use teaseltrack::{
+    cell::{
+        job::{JobId, QueueName, Stage},
+        partition::CellId,
+        progress::JobState,
+        protocol::{Report, ReportResponse},
+        quote::Quote,
+    },
+    ids::ServiceName,
 };
 
 /// Maximum size of a message, in bytes.
@@ -27,6 +32,9 @@
     async fn report(report: Report) -> ReportResponse;
     /// Returns the state of a job.
     async fn job_state(job: JobId) -> JobLookup;
+    /// Returns a quote for a job with the given stages, submitted to a queue of the service; `None`
+    /// from a process that isn't the owner of the cell.
+    async fn quote(cell: CellId, service: ServiceName, stages: Vec<Stage>) -> Option<Quote>;
     /// Returns the number of jobs of a queue without a started task; `None` from a process that
     /// isn't the owner.
     async fn pending_count(queue: QueueName) -> Option<u64>;
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -23,6 +23,7 @@
     cell::{
         interference::{ImageUsage, InterferenceModel, InterferenceSettings},
         job::{JobId, JobSpec, Queue, QueueConfiguration, Stage},
+        partition::CellId,
         progress::{
             JobProgress, JobState, OccurrenceProgress, TaskPhase, TaskProgress, WorkerIncarnation,
         },
@@ -45,6 +46,7 @@
 pub mod planning;
 pub mod progress;
 pub mod protocol;
+pub mod quote;
 pub mod regrouping;
 pub mod relocation;
 pub mod scoring;
@@ -255,6 +257,13 @@
         /// State that it reached.
         state: JobState,
     },
+    /// The report of another cell's agent was ignored.
+    ForeignReport {
+        /// Agent that sent the report.
+        agent: InstanceId,
+        /// Cell of the agent.
+        cell: CellId,
+    },
     /// A worker incarnation started a session.
     Session {
         /// Worker incarnation.
@@ -276,6 +285,7 @@
             Self::Moved { .. } => "moved",
             Self::Reclaimed { .. } => "taken_back",
             Self::State { state, .. } => state.name(),
+            Self::ForeignReport { .. } => "foreign_report",
             Self::Session { .. } => "session",
         }
     }
@@ -284,6 +294,7 @@
 /// In-memory state of a cell, held by its owner.
 #[derive(Debug)]
 pub struct Cell {
+    id: CellId,
     settings: CellSettings,
     epoch: Epoch,
     session_count: u64,
@@ -311,12 +322,14 @@
     /// `previous_grants_end` is the latest time at which the previous owner may have granted a
     /// lease.
     pub fn new(
+        id: CellId,
         settings: CellSettings,
         epoch: Epoch,
         configuration: QueueConfiguration,
         previous_grants_end: Instant,
     ) -> Self {
         Self {
+            id,
             previous_leases_end: previous_grants_end + settings.worst_case_lease(),
             interference: InterferenceModel::new(settings.interference),
             maintained_at: None,
@@ -434,7 +447,8 @@
         self.open_jobs.len()
     }
 
-    /// Processes an agent's report and returns the response.
+    /// Processes an agent's report and returns the response. The report of another cell's agent,
+    /// whose worker has another owner, is ignored.
     ///
     /// `may_grant` states whether the owner has renewed its ownership recently enough to grant
     /// leases.
@@ -444,6 +458,10 @@
         may_grant: bool,
         now: Instant,
     ) -> ReportResponse {
+        if report.cell != self.id {
+            self.events.push(CellEvent::ForeignReport { agent: report.agent, cell: report.cell });
+            return ReportResponse::default();
+        }
         let mut response = ReportResponse { epoch: self.epoch, ..ReportResponse::default() };
         let Some(status) = report.status else { return response };
         let Some(key) = self.attach_agent(&report.agent, status, now) else { return response };
--- a/crates/teaseltrack/src/cell/partition.rs
+++ b/crates/teaseltrack/src/cell/partition.rs
@@ -1,15 +1,16 @@
 //! Partition of a fleet into cells.
 //!
 //! One owner can plan for a limited number of workers. A fleet with more is partitioned by
-//! availability zone, and a zone with too many workers further by a hash of the instance. Jobs are
-//! spread over the cells in proportion to their workers, by a hash of the job. The partition is
-//! decided once, when the fleet starts for the first time, and never changes: an instance and a job
-//! therefore belong to the same cell in every process, and no worker ever has two owners.
+//! availability zone, and a zone with too many workers further by a hash of the instance. Two
+//! cells for each job follow from its hash, in proportion to their workers. The partition is
+//! decided once, when the fleet starts for the first time, and never changes: an instance
+//! therefore belongs to the same cell in every process, and no worker ever has two owners.
 
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
     cell::job::JobId,
@@ -105,14 +106,19 @@
         if candidates.is_empty() {
             candidates.extend(self.cell_ids());
         }
-        let hash = xxhash_rust::xxh3::xxh3_64(instance.as_bytes());
+        let hash = xxh3_64(instance.as_bytes());
         candidates[(hash % candidates.len() as u64) as usize]
     }
 
-    /// Cell of a job.
-    pub fn cell_of_job(&self, job: &JobId) -> CellId {
+    /// The two cells from which a job's cell is chosen; the same one twice if they coincide.
+    pub fn cells_of_job(&self, job: &JobId) -> [CellId; 2] {
+        [0, 1].map(|seed| self.weighted_cell(xxh3_64_with_seed(job.as_bytes(), seed)))
+    }
+
+    /// Cell of a hash; each cell gets a share in proportion to its workers.
+    fn weighted_cell(&self, hash: u64) -> CellId {
         let total: u64 = self.cells.iter().map(|cell| u64::from(cell.worker_count)).sum();
-        let mut remaining = xxhash_rust::xxh3::xxh3_64(job.as_bytes()) % total.max(1);
+        let mut remaining = hash % total.max(1);
         for (cell, entry) in self.cell_ids().zip(&self.cells) {
             let worker_count = u64::from(entry.worker_count);
             if remaining < worker_count {
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -406,7 +406,7 @@
     }
 
     /// Share of a service's CPU that is reserved by tasks.
-    fn reserved_share(&self, service: &str) -> f64 {
+    pub(super) fn reserved_share(&self, service: &str) -> f64 {
         let (mut reserved_milli, mut capacity_milli) = (0, 0);
         for worker in self.workers.values() {
             let Some(status) = worker.status.as_ref() else { continue };
--- /dev/null
+++ b/crates/teaseltrack/src/cell/quote.rs
@@ -0,0 +1,122 @@
+//! Quotes: how soon a cell could run a job, for the choice of a cell.
+//!
+//! A long-running job needs room for all of its tasks at once, for as long as it runs. All other
+//! jobs wait for the work that is ahead of them.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    cell::{
+        Cell, JobKey,
+        job::Stage,
+        planning::TaskKind,
+        progress::TaskPhase,
+        worker::{Worker, reserved_resources},
+    },
+    placement::Resources,
+};
+
+/// How soon a cell could run a job; the lowest quote is the best.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Quote {
+    /// Number of long-running tasks of the job for which the cell has no room.
+    pub unplaceable_count: u32,
+    /// Share of the cell's CPU that is reserved, in permille, if the job has long-running tasks;
+    /// otherwise 0.
+    pub reserved_permille: u32,
+    /// Time that the cell needs for all accepted work, if nothing interferes, in milliseconds.
+    pub backlog_ms: u64,
+}
+
+impl Cell {
+    /// Quote for a job with the given stages. Serving tasks that already wait for room count as
+    /// placed first.
+    pub fn quote(&self, stages: &[Stage], service: &str) -> Quote {
+        let workers: Vec<&Worker> =
+            self.workers.values().filter(|worker| worker.is_available_to(service)).collect();
+        let waiting_count = self.waiting_serving_count(service);
+        let unplaceable_count = stages
+            .iter()
+            .filter(|stage| TaskKind::of(stage) == TaskKind::Serving)
+            .map(|stage| {
+                let room: u32 = workers.iter().map(|worker| worker.room_for(stage)).sum();
+                stage.task_count.saturating_sub(room.saturating_sub(waiting_count))
+            })
+            .sum();
+        let is_serving = stages.iter().any(|stage| TaskKind::of(stage) == TaskKind::Serving);
+        let reserved_permille =
+            if is_serving { (1_000.0 * self.reserved_share(service)) as u32 } else { 0 };
+        let backlog_ms = self.backlog(&workers).as_millis() as u64;
+        Quote { unplaceable_count, reserved_permille, backlog_ms }
+    }
+
+    fn waiting_serving_count(&self, service: &str) -> u32 {
+        let jobs = self.unfinished_jobs().filter(|key| self.jobs[*key].queue.service == service);
+        let waiting = jobs
+            .flat_map(|key| self.tasks_of(key))
+            .filter(|(stage, task)| TaskKind::of(stage) == TaskKind::Serving && task.is_waiting());
+        waiting.count() as u32
+    }
+
+    /// Time in which the workers would finish all accepted work with the CPU that serving tasks
+    /// leave.
+    fn backlog(&self, workers: &[&Worker]) -> Duration {
+        let remaining_core_ms: u64 = self
+            .unfinished_jobs()
+            .flat_map(|key| self.tasks_of(key))
+            .filter(|(stage, task)| {
+                !stage.is_long_running && task.progress.phase != TaskPhase::Done
+            })
+            .map(|(stage, _)| stage.estimate_ms * stage.resources.cpu_milli / 1_000)
+            .sum();
+        let utilization = self.settings.planning.serving_utilization;
+        let spare_milli: f64 = workers
+            .iter()
+            .map(|worker| {
+                let capacity = worker.status.as_ref().map_or(0, |status| status.capacity.cpu_milli);
+                capacity as f64 - worker.demand.serving_milli as f64 * utilization
+            })
+            .sum();
+        // A cell without workers can't tell when its work will be done.
+        let backlog_s = remaining_core_ms as f64 / spare_milli.max(1.0);
+        Duration::try_from_secs_f64(backlog_s).unwrap_or(Duration::MAX)
+    }
+
+    fn unfinished_jobs(&self) -> impl Iterator<Item = JobKey> + '_ {
+        let is_unfinished =
+            |key: &JobKey| self.jobs.get(*key).is_some_and(|job| !job.state.is_final());
+        self.open_jobs.iter().copied().filter(is_unfinished)
+    }
+
+    fn tasks_of(&self, key: JobKey) -> impl Iterator<Item = (&Stage, &super::Task)> + '_ {
+        let job = &self.jobs[key];
+        job.occurrences.iter().flat_map(|occurrence| {
+            let stages = job.spec.stages.iter().zip(&occurrence.stages);
+            stages.flat_map(|(stage, tasks)| tasks.iter().map(move |task| (stage, task)))
+        })
+    }
+}
+
+impl Worker {
+    fn is_available_to(&self, service: &str) -> bool {
+        self.is_reachable
+            && self
+                .status
+                .as_ref()
+                .is_some_and(|status| status.service == service && !status.is_draining)
+    }
+
+    /// Number of tasks of a stage that fit into the free capacity.
+    fn room_for(&self, stage: &Stage) -> u32 {
+        let Resources { cpu_milli, memory_mib, accelerators } = self.available();
+        let required = reserved_resources(stage);
+        let fits = |free: u64, each: u64| free.checked_div(each).unwrap_or(u64::MAX);
+        let room = fits(cpu_milli, required.cpu_milli)
+            .min(fits(memory_mib, required.memory_mib))
+            .min(fits(accelerators, required.accelerators));
+        room.min(u64::from(stage.max_per_worker.unwrap_or(u32::MAX))) as u32
+    }
+}
--- a/crates/teaseltrack/tests/cell.rs
+++ b/crates/teaseltrack/tests/cell.rs
@@ -15,12 +15,12 @@
 use rand_chacha::ChaCha8Rng;
 use teaseltrack::{
     cell::{
-        Cell, StoredJob,
+        Cell, CellEvent, StoredJob,
         job::{JobSpec, Queue, QueueConfiguration, Stage},
         progress::{JobProgress, JobState},
         protocol::{
-            EndCause, EndedTask, Order, RefusedStart, Report, RunningTask, StartOrder, TaskName,
-            WorkerListing, WorkerStatus,
+            EndCause, EndedTask, Order, RefusedStart, Report, ReportResponse, RunningTask,
+            StartOrder, TaskName, WorkerListing, WorkerStatus,
         },
     },
     placement::Resources,
@@ -163,7 +163,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             now,
             instances,
-            cell: Cell::new(CELL_SETTINGS, 1, configuration(), now),
+            cell: Cell::new(0, CELL_SETTINGS, 1, configuration(), now),
             epoch: 1,
             jobs: BTreeMap::new(),
             progress: BTreeMap::new(),
@@ -189,7 +189,7 @@
     fn replace_owner(&mut self) {
         self.epoch += 1;
         let grants_end = self.now + Duration::from_secs(4);
-        self.cell = Cell::new(CELL_SETTINGS, self.epoch, configuration(), grants_end);
+        self.cell = Cell::new(0, CELL_SETTINGS, self.epoch, configuration(), grants_end);
         for job in self.jobs.values() {
             let progress = self.progress.get(&job.id).cloned();
             self.cell.admit(StoredJob { progress, ..job.clone() }, self.now);
@@ -468,6 +468,28 @@
     assert_eq!(fleet.cell.state("0000000000000001"), Some(JobState::Completed));
 }
 
+/// The address of an owner may be used again by an instance of another cell.
+#[test]
+fn report_of_another_cells_agent_is_ignored() {
+    let mut fleet = Fleet::new(1, 1);
+    fleet.run_steps(3);
+    fleet.submit(stored_job("0000000000000001", vec![stage(2)]));
+    let mut foreign =
+        Report { cell: 1, agent: "foreign".to_owned(), ..fleet.instances[0].report() };
+    if let Some(status) = foreign.status.as_mut() {
+        status.worker = "foreign".to_owned();
+    }
+    for _ in 0..10 {
+        let response = fleet.cell.handle_report(foreign.clone(), true, fleet.now);
+        assert_eq!(response, ReportResponse::default());
+        fleet.step();
+    }
+    assert_eq!(fleet.instances[0].running.len(), 2, "all tasks run in the cell");
+    let events = fleet.cell.take_events();
+    let is_foreign = |event: &CellEvent| matches!(event, CellEvent::ForeignReport { cell: 1, .. });
+    assert_eq!(events.iter().filter(|event| is_foreign(event)).count(), 10);
+}
+
 #[test]
 fn report_of_an_earlier_incarnation_is_ignored() {
     let mut fleet = Fleet::new(1, 1);
--- a/crates/teaseltrack/tests/partition.rs
+++ b/crates/teaseltrack/tests/partition.rs
@@ -57,13 +57,16 @@
 }
 
 #[test]
-fn cell_of_job_follows_the_number_of_workers() {
+fn cells_of_job_follow_the_number_of_workers() {
     let cells = [("a", 30), ("b", 10)]
         .map(|(zone, worker_count)| CellEntry { zone: Some(zone.to_owned()), worker_count });
     let partition = Partition { cells: cells.to_vec() };
-    let in_first =
-        (0..4_000).filter(|number| partition.cell_of_job(&format!("{number:016x}")) == 0).count();
-    assert!((2_800..3_200).contains(&in_first), "{in_first} of 4000 jobs in a cell of 30 of 40");
+    for choice in 0..2 {
+        let in_first = (0..4_000)
+            .filter(|number| partition.cells_of_job(&format!("{number:016x}"))[choice] == 0)
+            .count();
+        assert!((2_800..3_200).contains(&in_first), "{in_first} of 4000 jobs in 30 of 40 workers");
+    }
 }
 
 #[parameterized(
--- a/crates/teaseltrack/tests/sharing.rs
+++ b/crates/teaseltrack/tests/sharing.rs
@@ -71,7 +71,7 @@
         let mut fleet = Self {
             start: now,
             now,
-            cell: Cell::new(SETTINGS, 1, configuration, now),
+            cell: Cell::new(0, SETTINGS, 1, configuration, now),
             instances,
             tail_ms: TAIL_MS,
             percent: 10,
@@ -398,6 +398,37 @@
     assert_eq!(fleet.counts("paused")[0], placed);
 }
 
+/// Load pattern: a cell filled with serving tasks beside an empty one. The quote shows that the full
+/// one has no room for all tasks of another serving job, although some would fit.
+#[test]
+fn quote_counts_serving_tasks_without_room() {
+    let mut fleet = Fleet::new(2);
+    let stages = [serving("b", 4)];
+    assert_eq!(fleet.cell.quote(&stages, "service").unplaceable_count, 0);
+    fleet.submit("serving-a", serving("a", 8));
+    fleet.run(Duration::from_millis(2_000));
+    // Two workers of 64 cores hold five tasks of 12 cores each.
+    assert_eq!(fleet.cell.quote(&stages, "service").unplaceable_count, 2);
+    let apart = [Stage { max_per_worker: Some(1), ..serving("b", 4) }];
+    assert_eq!(fleet.cell.quote(&apart, "service").unplaceable_count, 3);
+    assert_eq!(fleet.cell.quote(&stages, "other").unplaceable_count, 4);
+}
+
+/// Load pattern: a burst of batch jobs at one cell. Its quote grows with the accepted work, so that
+/// the next jobs go elsewhere.
+#[test]
+fn quote_grows_with_the_accepted_work() {
+    let mut fleet = Fleet::new(2);
+    let stages = [best_effort("image", 1)];
+    let idle = fleet.cell.quote(&stages, "service");
+    fleet.submit("burst", best_effort("image", 100));
+    fleet.run(Duration::from_millis(200));
+    let busy = fleet.cell.quote(&stages, "service");
+    // 100 tasks of 7 cores and 1.7 s on 128 cores.
+    assert_eq!((idle.backlog_ms, busy.backlog_ms), (0, 9_296));
+    assert!(idle < busy);
+}
+
 /// Guards against starvation of a job of an interfering image when every worker runs serving tasks:
 /// one of its tasks is started regardless of interference.
 #[test]
