Delegate long-running tasks that wait for room to another cell

Its job can't move, because its other tasks run. Change: after 1.3 s the owner asks other owners for quotes, commits that the task belongs to one of their cells, and then stores a row from which that owner learns of it. Never taken back or passed on. A new owner stores the rows of all its delegations again. The receiver looks for a cancellation first. Weighed: moving the whole job (all of its tasks down for seconds), handing over workers (needs a protocol for running tasks).

--- a/crates/teaseltrack-cell/src/constants.rs
+++ b/crates/teaseltrack-cell/src/constants.rs
@@ -63,6 +63,9 @@
 /// Timeout of a request for a quote, without which a job goes to a cell by its hash: short compared
 /// with a caller's timeout, long compared with the response time of an owner.
 pub const QUOTE_TIMEOUT: Duration = Duration::from_millis(150);
+/// Waiting time after which an owner looks for another cell with room for a long-running task: its
+/// own cell's reserve for batch tasks is available by then.
+pub const DELEGATION_WAIT: Duration = Duration::from_millis(1_300);
 /// Timeout for connecting to another process.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum time for which a worker delays its response to a sync call until a run ends.
--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -18,7 +18,7 @@
         job::QueueConfiguration,
         ownership::OwnershipSettings,
         partition::CellId,
-        protocol::{Report, ReportResponse},
+        protocol::{Report, ReportResponse, TaskName},
     },
     clock::{SharedClock, unix_ms},
     ids::InstanceId,
@@ -34,16 +34,20 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    calls::InboundCall,
+    calls::{CellClients, InboundCall},
     configuration::{ConfigurationSource, follow_configuration},
-    constants::{MAX_COMMIT_ROWS, OWNER_TICK_INTERVAL, RENEWAL_INTERVAL, STORE_LOST_TIMEOUT},
+    constants::{
+        DELEGATION_WAIT, MAX_COMMIT_ROWS, OWNER_TICK_INTERVAL, RENEWAL_INTERVAL, STORE_LOST_TIMEOUT,
+    },
     owner::{
         committer::{Committer, OwnershipLost},
+        delegator::{find_cells, store_delegations},
         loader::{JobChanges, LoadedCell, follow_jobs, load},
     },
 };
 
 pub mod committer;
+pub mod delegator;
 pub mod loader;
 
 /// Capacity of the owner's mailbox, the channel for inbound calls, in calls.
@@ -59,6 +63,8 @@
 pub struct OwnerContext {
     /// The cell.
     pub cell_id: CellId,
+    /// Number of cells of the fleet.
+    pub cell_count: CellId,
     /// The store.
     pub store: Store,
     /// Monotonic clock.
@@ -91,6 +97,8 @@
 
 /// Commit in flight; returns the committer with the result.
 type CommitTask = JoinHandle<(Committer, Result<(), OwnershipLost>)>;
+/// Search for cells with room for waiting tasks in progress.
+type SearchTask = JoinHandle<Vec<(TaskName, CellId)>>;
 
 /// Receiving ends of the owner's channels.
 struct Receivers {
@@ -106,6 +114,8 @@
     /// Time at which the last successful commit, which also renewed the ownership, was first sent.
     renewed_at: Instant,
     next_plan_at: Instant,
+    clients: CellClients,
+    searching: Option<SearchTask>,
     is_stopping: bool,
 }
 
@@ -132,6 +142,9 @@
     for job in loaded.jobs {
         cell.admit(job, now);
     }
+    for delegation in loaded.delegations {
+        cell.admit_delegation(delegation, now);
+    }
     info!(context.logger, "cell loaded"; "cell" => context.cell_id, "epoch" => epoch, "jobs" => job_count,
         "open_jobs" => cell.open_count());
     let (mailbox, calls) = mpsc::channel(MAILBOX_SIZE);
@@ -155,7 +168,16 @@
     let renewed_at = committer.renewed_at;
     let next_plan_at = context.clock.now();
     let parked = HashMap::new();
-    let mut owner = Owner { context, cell, parked, renewed_at, next_plan_at, is_stopping: false };
+    let mut owner = Owner {
+        context,
+        cell,
+        parked,
+        renewed_at,
+        next_plan_at,
+        clients: CellClients::default(),
+        searching: None,
+        is_stopping: false,
+    };
     owner.run(committer, Receivers { calls, job_changes, configuration }, closing).await;
     owner.context.mailbox.send_replace(None);
     job_follower.abort();
@@ -201,7 +223,7 @@
                     }
                 }
                 Some(changes) = receivers.job_changes.recv() => self.handle_job_changes(changes),
-                done = commit_result(&mut committing) => {
+                done = task_result(&mut committing) => {
                     committing = None;
                     let Some((committer, Ok(()))) = done else {
                         info!(self.context.logger,
@@ -214,9 +236,19 @@
                     let commit_time = self.context.clock.now().duration_since(self.renewed_at);
                     self.context.metrics.time("commit", commit_time);
                     self.cell.commit_succeeded();
+                    self.store_delegations();
                     idle_committer = Some(committer);
                 }
-                _ = ticks.tick() => self.cell.tick(self.context.clock.now()),
+                _ = ticks.tick() => {
+                    self.cell.tick(self.context.clock.now());
+                    self.search_cells();
+                }
+                found = task_result(&mut self.searching) => {
+                    self.searching = None;
+                    for (task, cell) in found.unwrap_or_default() {
+                        self.cell.delegate(&task, cell);
+                    }
+                }
                 Ok(()) = receivers.configuration.changed() => {
                     let active = receivers.configuration.borrow_and_update().as_deref().cloned();
                     if let Some(active) = active {
@@ -306,6 +338,32 @@
         self.is_stopping || now.duration_since(self.renewed_at) > STORE_LOST_TIMEOUT
     }
 
+    /// Looks for other cells with room for long-running tasks that have none here.
+    fn search_cells(&mut self) {
+        if self.context.cell_count < 2 || self.searching.is_some() || self.is_stopping {
+            return;
+        }
+        let unplaced = self.cell.unplaced_tasks(DELEGATION_WAIT, self.context.clock.now());
+        if unplaced.is_empty() {
+            return;
+        }
+        let own = self.context.cell_id;
+        let count = self.context.cell_count;
+        // Each cell starts with another one, so that they don't all choose the same.
+        let others: Vec<CellId> = (1..count).map(|step| (own + step) % count).collect();
+        let (store, logger) = (self.context.store.clone(), self.context.logger.clone());
+        let search = find_cells(others, unplaced, store, self.clients.clone(), logger);
+        self.searching = Some(tokio::spawn(search));
+    }
+
+    fn store_delegations(&mut self) {
+        let delegations = self.cell.take_delegations();
+        if !delegations.is_empty() {
+            let (store, logger) = (self.context.store.clone(), self.context.logger.clone());
+            tokio::spawn(store_delegations(delegations, store, logger));
+        }
+    }
+
     fn handle_job_changes(&mut self, changes: JobChanges) {
         let now = self.context.clock.now();
         for job in changes.jobs {
@@ -313,6 +371,11 @@
                 "queue" => &job.spec.queue, "stages" => job.spec.stages.len());
             self.cell.admit(job, now);
         }
+        for delegation in changes.delegations {
+            info!(self.context.logger, "delegated task received"; "task" => %delegation.task,
+                "request_id" => &delegation.task.job);
+            self.cell.admit_delegation(delegation, now);
+        }
         for job in changes.cancelled {
             let is_known = self.cell.cancel(&job);
             debug!(self.context.logger, "cancellation received from the store";
@@ -418,10 +481,9 @@
     }
 }
 
-async fn commit_result(
-    committing: &mut Option<CommitTask>,
-) -> Option<(Committer, Result<(), OwnershipLost>)> {
-    match committing {
+/// Result of a task; `None` if it failed. Never completes without a task.
+async fn task_result<T>(running: &mut Option<JoinHandle<T>>) -> Option<T> {
+    match running {
         Some(task) => task.await.ok(),
         None => pending().await,
     }
--- a/crates/teaseltrack-cell/src/owner/loader.rs
+++ b/crates/teaseltrack-cell/src/owner/loader.rs
@@ -1,13 +1,15 @@
 //! Loads the stored state of a cell for a new owner, then follows submissions and cancellations.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeMap, HashMap, HashSet},
     time::SystemTime,
 };
 
 use slog::{Logger, info, warn};
 use teaseltrack::{
-    cell::{StoredJob, job::JobId, partition::CellId, progress::JobProgress},
+    cell::{
+        StoredJob, delegation::Delegation, job::JobId, partition::CellId, progress::JobProgress,
+    },
     clock::unix_ms,
 };
 use teaseltrack_platform::store::{Row, Store, StoreError};
@@ -16,8 +18,8 @@
 use crate::{
     constants::{MAX_CHANGES_WAIT, RETRY_DELAY},
     rows::{
-        JOB_PARTS, JOBS_TABLE, JobRowKey, Submission, key_name, parse_job_key, progress_prefix,
-        stored_job,
+        JOB_PARTS, JOBS_TABLE, JobRowKey, Submission, cancellation_key, key_name, parse_job_key,
+        progress_prefix, stored_job,
     },
 };
 
@@ -28,13 +30,17 @@
     pub jobs: Vec<StoredJob>,
     /// Cancelled jobs.
     pub cancelled: Vec<JobId>,
+    /// Tasks of other cells' jobs that have been delegated to this cell.
+    pub delegations: Vec<Delegation>,
 }
 
 /// Stored state of a cell.
 #[derive(Clone, Debug)]
 pub struct LoadedCell {
-    /// All stored jobs.
+    /// All stored jobs, and those of which tasks have been delegated to this cell.
     pub jobs: Vec<StoredJob>,
+    /// Tasks that have been delegated to this cell.
+    pub delegations: Vec<Delegation>,
     /// Version of the jobs table from which changes are followed.
     pub version: u64,
 }
@@ -70,17 +76,22 @@
             progress.insert(key_name(&row.key).to_owned(), stored_progress);
         }
     }
-    let JobRows { submissions, cancelled } = group_rows(cell, &rows, logger);
+    let JobRows { submissions, cancelled, delegations } = group_rows(cell, &rows, logger);
     let now_ms = unix_ms(wall_now());
-    let jobs = submissions
-        .into_iter()
-        .map(|(id, submission)| {
-            let stored_progress = progress.remove(&id);
-            let is_cancelled = cancelled.contains(&id);
-            stored_job(id, submission, stored_progress, is_cancelled, now_ms)
-        })
-        .collect();
-    Ok(LoadedCell { jobs, version })
+    let mut restore = |id: JobId, submission| {
+        let stored_progress = progress.remove(&id);
+        let is_cancelled = cancelled.contains(&id);
+        stored_job(id, submission, stored_progress, is_cancelled, now_ms)
+    };
+    let mut jobs: Vec<StoredJob> =
+        submissions.into_iter().map(|(id, submission)| restore(id, submission)).collect();
+    let partial: BTreeMap<&JobId, &Delegation> =
+        delegations.iter().map(|delegation| (&delegation.task.job, delegation)).collect();
+    jobs.extend(partial.into_iter().map(|(id, Delegation { spec, queue, .. })| {
+        let submission = Submission { spec: spec.clone(), queue: queue.clone(), cell };
+        StoredJob { is_partial: true, ..restore(id.clone(), submission) }
+    }));
+    Ok(LoadedCell { jobs, delegations, version })
 }
 
 /// Follows submissions and cancellations after a version and sends them to the owner.
@@ -104,19 +115,49 @@
                 continue;
             }
         };
+        let delegations = without_cancelled(grouped.delegations, &store, &logger).await;
         let now_ms = unix_ms(wall_now());
         let jobs = grouped
             .submissions
             .into_iter()
             .map(|(id, submission)| stored_job(id, submission, None, false, now_ms))
             .collect();
-        let changes = JobChanges { jobs, cancelled: grouped.cancelled.into_iter().collect() };
+        let cancelled = grouped.cancelled.into_iter().collect();
+        let changes = JobChanges { jobs, cancelled, delegations };
         if sender.send(changes).await.is_err() {
             return;
         }
     }
 }
 
+/// Drops delegations of jobs that were cancelled before: the owner has ignored the cancellation of a
+/// job that it didn't know. Later cancellations follow the delegation.
+async fn without_cancelled(
+    delegations: Vec<Delegation>,
+    store: &Store,
+    logger: &Logger,
+) -> Vec<Delegation> {
+    let mut open = Vec::new();
+    for delegation in delegations {
+        let key = cancellation_key(&delegation.task.job);
+        loop {
+            match store.read(&key).await {
+                Ok(Some(_)) => break,
+                Ok(None) => {
+                    open.push(delegation);
+                    break;
+                }
+                Err(error) => {
+                    warn!(logger, "failed to check a delegated job for its cancellation; retrying";
+                        "request_id" => &delegation.task.job, "error" => %error);
+                    sleep(RETRY_DELAY).await;
+                }
+            }
+        }
+    }
+    open
+}
+
 async fn next_rows(store: &Store, after: u64) -> Result<(u64, Vec<Row>), StoreError> {
     let page = store.changes(JOBS_TABLE, after, MAX_CHANGES_WAIT).await?;
     if page.is_history_lost {
@@ -148,16 +189,22 @@
 struct JobRows {
     submissions: Vec<(JobId, Submission)>,
     cancelled: HashSet<JobId>,
+    delegations: Vec<Delegation>,
 }
 
-/// Submissions to the cell, and all cancellations: their rows don't name the cell.
+/// Submissions and delegations to the cell, and all cancellations: their rows don't name the cell.
 fn group_rows(cell: CellId, rows: &[Row], logger: &Logger) -> JobRows {
-    let mut grouped = JobRows { submissions: Vec::new(), cancelled: HashSet::new() };
+    let mut grouped =
+        JobRows { submissions: Vec::new(), cancelled: HashSet::new(), delegations: Vec::new() };
     for row in rows {
         match parse_job_key(&row.key) {
             JobRowKey::Cancellation(job) => {
                 grouped.cancelled.insert(job);
             }
+            JobRowKey::Delegation => {
+                let delegation: Option<Delegation> = parse_row(row, logger);
+                grouped.delegations.extend(delegation.filter(|found| found.cell == cell));
+            }
             JobRowKey::Submission(job) => {
                 let submission: Option<Submission> = parse_row(row, logger);
                 if let Some(submission) = submission.filter(|submission| submission.cell == cell) {
--- a/crates/teaseltrack-cell/src/rows.rs
+++ b/crates/teaseltrack-cell/src/rows.rs
@@ -14,6 +14,7 @@
         job::{JobId, JobSpec, Queue},
         partition::CellId,
         progress::JobProgress,
+        protocol::TaskName,
     },
     ids::{InstanceId, ZoneName},
 };
@@ -33,6 +34,7 @@
 pub const JOB_PARTS: [&str; 4] = ["0", "1", "2", "3"];
 
 const CANCEL_SUFFIX: &str = ".cancel";
+const DELEGATION_INFIX: &str = ".delegated.";
 
 /// Key of the row of a cell's owner, which is rewritten with each commit.
 pub fn owner_key(cell: CellId) -> String {
@@ -93,6 +95,8 @@
     Submission(JobId),
     /// Row of a cancellation.
     Cancellation(JobId),
+    /// Row of a task's delegation to another cell.
+    Delegation,
 }
 
 /// Part that contains a job's rows in [`JOBS_TABLE`].
@@ -111,6 +115,13 @@
     format!("{}{CANCEL_SUFFIX}", submission_key(job))
 }
 
+/// Key of the row of a task's delegation to another cell, in [`JOBS_TABLE`]. A task is delegated at
+/// most once.
+pub fn delegation_key(task: &TaskName) -> String {
+    let TaskName { job, occurrence, stage, index } = task;
+    format!("{}{DELEGATION_INFIX}{occurrence}.{stage}.{index}", submission_key(job))
+}
+
 /// Key of the progress row of a cell's job.
 pub fn progress_key(cell: CellId, job: &str) -> String {
     format!("{}{job}", progress_prefix(cell))
@@ -124,6 +135,9 @@
 /// Parses a key of [`JOBS_TABLE`].
 pub fn parse_job_key(key: &str) -> JobRowKey {
     let name = key_name(key);
+    if name.contains(DELEGATION_INFIX) {
+        return JobRowKey::Delegation;
+    }
     match name.strip_suffix(CANCEL_SUFFIX) {
         Some(job) => JobRowKey::Cancellation(job.to_owned()),
         None => JobRowKey::Submission(name.to_owned()),
@@ -145,6 +159,7 @@
         spec: submission.spec,
         progress,
         is_cancelled,
+        is_partial: false,
         age: Duration::from_millis(age_ms),
     }
 }
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     cell::{
+        delegation::Delegation,
         interference::{ImageUsage, InterferenceModel, InterferenceSettings},
         job::{JobId, JobSpec, Queue, QueueConfiguration, Stage},
         partition::CellId,
@@ -37,6 +38,7 @@
     ids::{AttemptNumber, Epoch, InstanceId},
 };
 
+pub mod delegation;
 pub mod health;
 pub mod interference;
 pub mod job;
@@ -142,7 +144,9 @@
 
 impl Task {
     fn is_waiting(&self) -> bool {
-        self.run.is_none() && self.progress.phase != TaskPhase::Done
+        let is_startable =
+            matches!(self.progress.phase, TaskPhase::Waiting | TaskPhase::Assigned(_));
+        self.run.is_none() && is_startable
     }
 }
 
@@ -162,7 +166,10 @@
     committed_state: JobState,
     occurrences: Vec<Occurrence>,
     is_dirty: bool,
+    /// Whether only tasks that another cell has delegated belong to this one.
+    is_partial: bool,
     uncommitted_starts: Vec<(WorkerKey, TaskKey)>,
+    uncommitted_delegations: Vec<TaskKey>,
 }
 
 /// Job progress to commit in one transaction.
@@ -176,6 +183,7 @@
 #[derive(Clone, Debug, Default)]
 struct PendingEffects {
     starts: Vec<(WorkerKey, TaskKey)>,
+    delegations: Vec<TaskKey>,
     states: Vec<(JobKey, JobState)>,
     ends: Vec<(WorkerKey, u64)>,
 }
@@ -193,6 +201,8 @@
     pub progress: Option<JobProgress>,
     /// Whether the caller cancelled the job.
     pub is_cancelled: bool,
+    /// Whether the job belongs to another cell, which has delegated tasks of it to this one.
+    pub is_partial: bool,
     /// Time since the job was accepted.
     pub age: Duration,
 }
@@ -307,6 +317,7 @@
     by_incarnation: HashMap<WorkerIncarnation, WorkerKey>,
     by_agent: BTreeMap<InstanceId, WorkerKey>,
     pending_effects: Option<PendingEffects>,
+    committed_delegations: Vec<Delegation>,
     needs_plan: bool,
     events: Vec<CellEvent>,
     previous_leases_end: Instant,
@@ -346,6 +357,7 @@
             by_incarnation: HashMap::new(),
             by_agent: BTreeMap::new(),
             pending_effects: None,
+            committed_delegations: Vec::new(),
             needs_plan: true,
             events: Vec::new(),
         }
@@ -400,10 +412,13 @@
             committed_state: progress.state,
             occurrences: Vec::new(),
             is_dirty: false,
+            is_partial: stored.is_partial,
             uncommitted_starts: Vec::new(),
+            uncommitted_delegations: Vec::new(),
         });
         self.by_id.insert(stored.id, key);
         self.restore_occurrences(key, progress.occurrences, now);
+        self.restore_delegations(key);
         if !self.jobs[key].state.is_final() || self.has_runs(key) {
             self.open_jobs.push(key);
         }
@@ -422,8 +437,13 @@
 
     /// State of a job as shown to its caller. `Completed` and `Failed` are shown only once they are
     /// committed; a cancellation is stored before the owner applies it, and is shown at once.
+    ///
+    /// `None` for an unknown job, or one of which only delegated tasks belong to the cell.
     pub fn state(&self, id: &str) -> Option<JobState> {
         let job = &self.jobs[*self.by_id.get(id)?];
+        if job.is_partial {
+            return None;
+        }
         let is_visible = !job.state.is_final() || job.committed_state == job.state;
         Some(match job.state {
             JobState::Cancelled => JobState::Cancelled,
@@ -437,7 +457,9 @@
         self.open_jobs
             .iter()
             .filter_map(|key| self.jobs.get(*key))
-            .filter(|job| job.state == JobState::Queued && job.spec.queue == queue)
+            .filter(|job| {
+                job.state == JobState::Queued && job.spec.queue == queue && !job.is_partial
+            })
             .count()
     }
 
@@ -618,6 +640,7 @@
             let job = &mut self.jobs[key];
             job.is_dirty = false;
             effects.starts.append(&mut job.uncommitted_starts);
+            effects.delegations.append(&mut job.uncommitted_delegations);
             effects.states.push((key, job.state));
             batch.rows.push((job.id.clone(), progress));
         }
@@ -639,6 +662,7 @@
         for (worker, task) in effects.starts {
             self.enqueue_start(worker, task);
         }
+        self.commit_delegations(effects.delegations);
         self.open_jobs.retain(|key| {
             let job = &self.jobs[*key];
             !(job.committed_state.is_final() && !job.is_dirty && job.occurrences.is_empty())
@@ -675,7 +699,7 @@
                             self.workers[worker].reserve(task, &spec.stages[stage]);
                             Some(Run::new(worker, 0))
                         }
-                        TaskPhase::Waiting | TaskPhase::Done => None,
+                        TaskPhase::Waiting | TaskPhase::Done | TaskPhase::Delegated(_) => None,
                     };
                     restored_tasks.push(Task { progress, run, ..Task::default() });
                 }
@@ -685,6 +709,24 @@
         }
     }
 
+    /// Inserts a job of another cell, of which no task belongs to this one yet.
+    fn insert_partial_job(&mut self, delegation: &Delegation, now: Instant) -> JobKey {
+        let id = delegation.task.job.clone();
+        self.admit(
+            StoredJob {
+                id: id.clone(),
+                spec: delegation.spec.clone(),
+                queue: delegation.queue.clone(),
+                progress: None,
+                is_cancelled: false,
+                is_partial: true,
+                age: Duration::ZERO,
+            },
+            now,
+        );
+        self.by_id[&id]
+    }
+
     fn get_or_insert_worker(
         &mut self,
         incarnation: &str,
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -198,6 +198,9 @@
             if job.state.is_final() {
                 continue;
             }
+            if job.is_partial {
+                continue;
+            }
             let started_count = job.occurrences.len() as u64;
             let due = match job.spec.schedule {
                 None => 1,
--- a/crates/teaseltrack/src/cell/progress.rs
+++ b/crates/teaseltrack/src/cell/progress.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::AttemptNumber;
+use crate::{cell::partition::CellId, ids::AttemptNumber};
 
 /// Identifier of a worker's incarnation; changes whenever the worker has lost its list of runs.
 pub type WorkerIncarnation = String;
@@ -59,6 +59,10 @@
     /// Completed.
     #[serde(rename = "d")]
     Done,
+    /// Delegated to another cell, which alone may start it; in the progress of that cell, a task
+    /// that belongs to yet another one.
+    #[serde(rename = "g")]
+    Delegated(CellId),
 }
 
 /// Committed state of a task.
--- a/crates/teaseltrack/src/cell/regrouping.rs
+++ b/crates/teaseltrack/src/cell/regrouping.rs
@@ -10,6 +10,7 @@
 use crate::cell::{
     Cell, CellEvent, Run, WorkerKey,
     interference::ImageName,
+    progress::TaskPhase,
     scoring::Colocation,
     worker::{TaskKey, Worker},
 };
@@ -92,7 +93,10 @@
             &self.jobs[key.job].occurrences[key.occurrence as usize].stages[key.stage as usize];
         task.moved_at.is_none_or(|at| now.duration_since(at) >= cooldown)
             && self.stage(key).max_unavailable != Some(0)
-            && tasks.iter().all(|task| task.run.as_ref().is_some_and(is_serving))
+            && tasks.iter().all(|task| {
+                matches!(task.progress.phase, TaskPhase::Delegated(_))
+                    || task.run.as_ref().is_some_and(is_serving)
+            })
     }
 
     /// Whether another worker with similar and at least as many serving tasks can run the task.
--- a/crates/teaseltrack/tests/cell.rs
+++ b/crates/teaseltrack/tests/cell.rs
@@ -62,6 +62,7 @@
         queue: queue(),
         progress: None,
         is_cancelled: false,
+        is_partial: false,
         age: Duration::ZERO,
     }
 }
--- a/crates/teaseltrack/tests/sharing.rs
+++ b/crates/teaseltrack/tests/sharing.rs
@@ -88,6 +88,7 @@
             queue: Queue::default(),
             progress: None,
             is_cancelled: false,
+            is_partial: false,
             age: Duration::ZERO,
         };
         self.cell.admit(job, self.now);
