--- /dev/null
+++ b/crates/teaseltrack-cell/tests/util.rs
@@ -0,0 +1,105 @@
+//! Simulated store for the tests of this crate.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use teaseltrack::clock::SystemClock;
+use teaseltrack_platform::store::{
+    ChangePage, CommitOutcome, Row, RowChange, Store, StoreBudget, StoreCall, StoreError,
+    StoreReply, Transaction,
+};
+use tokio::time::sleep;
+
+/// Rows of a simulated store, and its history.
+#[derive(Debug, Default)]
+pub struct Rows {
+    values: BTreeMap<String, Row>,
+    history: Vec<RowChange>,
+    /// Number of responses to commits still to lose.
+    pub lost_responses: u32,
+}
+
+impl Rows {
+    /// Writes a row as another process would.
+    pub fn put(&mut self, key: &str, value: &str) {
+        let (key, value, version) = (key.to_owned(), value.to_owned(), self.version() + 1);
+        let row = Row { key: key.clone(), version, value: value.clone() };
+        self.values.insert(key.clone(), row);
+        self.history.push(RowChange { key, version, value: Some(value) });
+    }
+
+    /// Number of writes of a row.
+    #[allow(dead_code, reason = "not all test programs use it")]
+    pub fn write_count(&self, key: &str) -> usize {
+        self.history.iter().filter(|change| change.key == key).count()
+    }
+
+    fn version(&self) -> u64 {
+        self.history.len() as u64
+    }
+
+    fn commit(&mut self, transaction: Transaction) -> Result<StoreReply, StoreError> {
+        for condition in transaction.conditions {
+            let version = self.values.get(&condition.key).map_or(0, |row| row.version);
+            if version != condition.version {
+                return Ok(StoreReply::Commit(CommitOutcome::Conflict { key: condition.key }));
+            }
+        }
+        for write in transaction.writes {
+            self.put(&write.key, &write.value.expect("no test deletes rows"));
+        }
+        if self.lost_responses > 0 {
+            self.lost_responses -= 1;
+            return Err(StoreError::Unavailable { message: "response lost".to_owned() });
+        }
+        Ok(StoreReply::Commit(CommitOutcome::Committed { version: self.version() }))
+    }
+
+    fn rows(&self, is_included: impl Fn(&str) -> bool) -> StoreReply {
+        StoreReply::Rows(
+            self.values.values().filter(|row| is_included(&row.key)).cloned().collect(),
+        )
+    }
+
+    fn changes(&self, table: &str, after: u64) -> StoreReply {
+        let is_included = |change: &&RowChange| {
+            change.version > after && change.key.split('/').next() == Some(table)
+        };
+        StoreReply::Changes(ChangePage {
+            changes: self.history.iter().filter(is_included).cloned().collect(),
+            version: self.version(),
+            is_history_lost: false,
+        })
+    }
+
+    fn call(&mut self, call: StoreCall) -> Result<StoreReply, StoreError> {
+        match call {
+            StoreCall::Read { key } => Ok(self.rows(|other| other == key)),
+            StoreCall::List { prefix, after, .. } => {
+                Ok(self.rows(|key| key.starts_with(&prefix) && *key > *after))
+            }
+            StoreCall::Version { .. } => Ok(StoreReply::Version(self.version())),
+            StoreCall::Changes { table, after, .. } => Ok(self.changes(&table, after)),
+            StoreCall::Commit(transaction) => self.commit(transaction),
+            other => panic!("unexpected call: {other:?}"),
+        }
+    }
+}
+
+/// Client of a simulated store with a response time of 4 ms.
+pub fn store(rows: &Arc<Mutex<Rows>>) -> Store {
+    let rows = rows.clone();
+    let adapter = Arc::new(move |call| {
+        let rows = rows.clone();
+        let responding: futures::future::BoxFuture<'static, _> = Box::pin(async move {
+            sleep(Duration::from_millis(4)).await;
+            rows.lock().unwrap().call(call)
+        });
+        responding
+    });
+    let budget = StoreBudget { writes_per_s: 1e6, reads_per_s: 1e6 };
+    Store::new(adapter, budget, Arc::new(SystemClock))
+}
