Quotes: leave out serving tasks that have waited in vain

Cause: a quote subtracted all waiting long-running tasks from the room, although those that have waited for over a second don't fit into it. On a full fleet each cell has some, so no cell was found to have room. Change: only tasks that have just begun to wait count. Test: quote_ignores_serving_tasks_that_wait_in_vain.

--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -297,7 +297,12 @@
             }
             InboundCall::Quote(cell, service, stages, reply) => {
                 let is_owned = cell == self.context.cell_id;
-                reply.send(is_owned.then(|| self.cell.quote(&stages, &service))).ok();
+                reply
+                    .send(
+                        is_owned
+                            .then(|| self.cell.quote(&stages, &service, self.context.clock.now())),
+                    )
+                    .ok();
             }
             InboundCall::PendingCount(queue, reply) => {
                 reply.send(Some(self.cell.pending_count(&queue) as u64)).ok();
--- a/crates/teaseltrack/src/cell/quote.rs
+++ b/crates/teaseltrack/src/cell/quote.rs
@@ -3,13 +3,13 @@
 //! A long-running job needs room for all of its tasks at once, for as long as it runs. All other
 //! jobs wait for the work that is ahead of them.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
     cell::{
-        Cell, JobKey,
+        Cell, JobKey, Task,
         job::Stage,
         planning::TaskKind,
         progress::TaskPhase,
@@ -32,12 +32,12 @@
 }
 
 impl Cell {
-    /// Quote for a job with the given stages. Serving tasks that already wait for room count as
-    /// placed first.
-    pub fn quote(&self, stages: &[Stage], service: &str) -> Quote {
+    /// Quote for a job with the given stages. Serving tasks that have just begun to wait count as
+    /// placed first; those that have waited for longer don't fit into the free capacity.
+    pub fn quote(&self, stages: &[Stage], service: &str, now: Instant) -> Quote {
         let workers: Vec<&Worker> =
             self.workers.values().filter(|worker| worker.is_available_to(service)).collect();
-        let waiting_count = self.waiting_serving_count(service);
+        let waiting_count = self.new_serving_count(service, now);
         let unplaceable_count = stages
             .iter()
             .filter(|stage| TaskKind::of(stage) == TaskKind::Serving)
@@ -53,11 +53,17 @@
         Quote { unplaceable_count, reserved_permille, backlog_ms }
     }
 
-    fn waiting_serving_count(&self, service: &str) -> u32 {
+    /// Number of serving tasks that have waited for less than `reserve_wait`.
+    fn new_serving_count(&self, service: &str, now: Instant) -> u32 {
+        let reserve_wait = self.settings.planning.reserve_wait;
+        let is_new = |task: &Task| {
+            let since = task.waiting_since;
+            since.is_none_or(|since| now.duration_since(since) < reserve_wait)
+        };
         let jobs = self.unfinished_jobs().filter(|key| self.jobs[*key].queue.service == service);
-        let waiting = jobs
-            .flat_map(|key| self.tasks_of(key))
-            .filter(|(stage, task)| TaskKind::of(stage) == TaskKind::Serving && task.is_waiting());
+        let waiting = jobs.flat_map(|key| self.tasks_of(key)).filter(|(stage, task)| {
+            TaskKind::of(stage) == TaskKind::Serving && task.is_waiting() && is_new(task)
+        });
         waiting.count() as u32
     }
 
@@ -91,7 +97,7 @@
         self.open_jobs.iter().copied().filter(is_unfinished)
     }
 
-    fn tasks_of(&self, key: JobKey) -> impl Iterator<Item = (&Stage, &super::Task)> + '_ {
+    fn tasks_of(&self, key: JobKey) -> impl Iterator<Item = (&Stage, &Task)> + '_ {
         let job = &self.jobs[key];
         job.occurrences.iter().flat_map(|occurrence| {
             let stages = job.spec.stages.iter().zip(&occurrence.stages);
--- a/crates/teaseltrack/tests/sharing.rs
+++ b/crates/teaseltrack/tests/sharing.rs
@@ -405,14 +405,30 @@
 fn quote_counts_serving_tasks_without_room() {
     let mut fleet = Fleet::new(2);
     let stages = [serving("b", 4)];
-    assert_eq!(fleet.cell.quote(&stages, "service").unplaceable_count, 0);
+    assert_eq!(fleet.cell.quote(&stages, "service", fleet.now).unplaceable_count, 0);
     fleet.submit("serving-a", serving("a", 8));
     fleet.run(Duration::from_millis(2_000));
     // Two workers of 64 cores hold five tasks of 12 cores each.
-    assert_eq!(fleet.cell.quote(&stages, "service").unplaceable_count, 2);
+    assert_eq!(fleet.cell.quote(&stages, "service", fleet.now).unplaceable_count, 2);
     let apart = [Stage { max_per_worker: Some(1), ..serving("b", 4) }];
-    assert_eq!(fleet.cell.quote(&apart, "service").unplaceable_count, 3);
-    assert_eq!(fleet.cell.quote(&stages, "other").unplaceable_count, 4);
+    assert_eq!(fleet.cell.quote(&apart, "service", fleet.now).unplaceable_count, 3);
+    assert_eq!(fleet.cell.quote(&stages, "other", fleet.now).unplaceable_count, 4);
+}
+
+/// Load pattern: a large serving task that fits nowhere in a cell. It doesn't take the room of the
+/// smaller tasks that the cell is asked for.
+#[test]
+fn quote_ignores_serving_tasks_that_wait_in_vain() {
+    let mut fleet = Fleet::new(1);
+    let large = Resources { cpu_milli: 60_000, memory_mib: 26_000, accelerators: 0 };
+    fleet.submit("serving-a", serving("a", 2));
+    fleet.run(Duration::from_millis(300));
+    fleet.submit("serving-large", Stage { resources: large, ..serving("a", 3) });
+    let stages = [serving("b", 2)];
+    fleet.run(Duration::from_millis(200));
+    assert_eq!(fleet.cell.quote(&stages, "service", fleet.now).unplaceable_count, 2);
+    fleet.run(Duration::from_millis(2_000));
+    assert_eq!(fleet.cell.quote(&stages, "service", fleet.now).unplaceable_count, 0);
 }
 
 /// Load pattern: a burst of batch jobs at one cell. Its quote grows with the accepted work, so that
@@ -421,10 +437,10 @@
 fn quote_grows_with_the_accepted_work() {
     let mut fleet = Fleet::new(2);
     let stages = [best_effort("image", 1)];
-    let idle = fleet.cell.quote(&stages, "service");
+    let idle = fleet.cell.quote(&stages, "service", fleet.now);
     fleet.submit("burst", best_effort("image", 100));
     fleet.run(Duration::from_millis(200));
-    let busy = fleet.cell.quote(&stages, "service");
+    let busy = fleet.cell.quote(&stages, "service", fleet.now);
     // 100 tasks of 7 cores and 1.7 s on 128 cores.
     assert_eq!((idle.backlog_ms, busy.backlog_ms), (0, 9_296));
     assert!(idle < busy);
