Skip invalid delegations; no overflow in quotes

A row with a huge occurrence would have made the owner allocate that many, and a stage without requirements overflowed the sum of rooms in a debug build. Both are checked; load_restores_delegated_tasks_of_the_cell has such a row.

--- a/crates/teaseltrack-cell/src/owner/loader.rs
+++ b/crates/teaseltrack-cell/src/owner/loader.rs
@@ -203,7 +203,12 @@
             }
             JobRowKey::Delegation => {
                 let delegation: Option<Delegation> = parse_row(row, logger);
-                grouped.delegations.extend(delegation.filter(|found| found.cell == cell));
+                let delegation = delegation.filter(|found| found.cell == cell);
+                if delegation.as_ref().is_some_and(|found| !found.is_valid()) {
+                    warn!(logger, "invalid delegation skipped"; "key" => &row.key);
+                    continue;
+                }
+                grouped.delegations.extend(delegation);
             }
             JobRowKey::Submission(job) => {
                 let submission: Option<Submission> = parse_row(row, logger);
--- a/crates/teaseltrack-cell/tests/delegation.rs
+++ b/crates/teaseltrack-cell/tests/delegation.rs
@@ -61,6 +61,9 @@
     let rows = submitted();
     store_delegations(vec![delegation(2)], store(&rows), silent()).await;
     rows.lock().unwrap().put(&delegation_key(&delegation(3).task), "not JSON");
+    let mut huge = delegation(1);
+    huge.task.occurrence = u32::MAX;
+    store_delegations(vec![huge], store(&rows), silent()).await;
     let loaded = load(1, store(&rows), SystemTime::now, silent()).await;
     assert_eq!(loaded.delegations, [delegation(2)]);
     assert_eq!(loaded.jobs.iter().filter(|job| job.is_partial).count(), 1);
--- a/crates/teaseltrack/src/cell/delegation.rs
+++ b/crates/teaseltrack/src/cell/delegation.rs
@@ -40,6 +40,17 @@
     pub queue: Queue,
 }
 
+impl Delegation {
+    /// Whether the job's specification is valid and has the task.
+    pub fn is_valid(&self) -> bool {
+        let occurrence_count = self.spec.schedule.map_or(1, |schedule| schedule.occurrence_count);
+        let stage = self.spec.stages.get(self.task.stage as usize);
+        self.spec.validate().is_ok()
+            && self.task.occurrence < occurrence_count
+            && stage.is_some_and(|stage| self.task.index < stage.task_count)
+    }
+}
+
 /// Long-running tasks of a stage that wait for room.
 #[derive(Clone, Debug, PartialEq)]
 pub struct UnplacedTasks {
--- a/crates/teaseltrack/src/cell/quote.rs
+++ b/crates/teaseltrack/src/cell/quote.rs
@@ -42,7 +42,8 @@
             .iter()
             .filter(|stage| TaskKind::of(stage) == TaskKind::Serving)
             .map(|stage| {
-                let room: u32 = workers.iter().map(|worker| worker.room_for(stage)).sum();
+                let rooms = workers.iter().map(|worker| worker.room_for(stage));
+                let room = rooms.fold(0, u32::saturating_add);
                 stage.task_count.saturating_sub(room.saturating_sub(waiting_count))
             })
             .sum();
