--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -41,7 +41,7 @@
     },
     owner::{
         committer::{Committer, OwnershipLost},
-        delegator::{find_cells, store_delegations},
+        delegator::{find_cells, next_stages, store_delegations},
         loader::{JobChanges, LoadedCell, follow_jobs, load},
     },
 };
@@ -116,6 +116,7 @@
     next_plan_at: Instant,
     clients: CellClients,
     searching: Option<SearchTask>,
+    search_count: usize,
     is_stopping: bool,
 }
 
@@ -176,6 +177,7 @@
         next_plan_at,
         clients: CellClients::default(),
         searching: None,
+        search_count: 0,
         is_stopping: false,
     };
     owner.run(committer, Receivers { calls, job_changes, configuration }, closing).await;
@@ -296,13 +298,10 @@
                 reply.send(lookup).ok();
             }
             InboundCall::Quote(cell, service, stages, reply) => {
+                let now = self.context.clock.now();
                 let is_owned = cell == self.context.cell_id;
-                reply
-                    .send(
-                        is_owned
-                            .then(|| self.cell.quote(&stages, &service, self.context.clock.now())),
-                    )
-                    .ok();
+                let quote = is_owned.then(|| self.cell.quote(&stages, &service, now));
+                reply.send(quote).ok();
             }
             InboundCall::PendingCount(queue, reply) => {
                 reply.send(Some(self.cell.pending_count(&queue) as u64)).ok();
@@ -352,6 +351,8 @@
         if unplaced.is_empty() {
             return;
         }
+        let unplaced = next_stages(unplaced, self.search_count);
+        self.search_count += 1;
         let own = self.context.cell_id;
         let count = self.context.cell_count;
         // Each cell starts with another one, so that they don't all choose the same.
--- a/crates/teaseltrack-cell/src/owner/delegator.rs
+++ b/crates/teaseltrack-cell/src/owner/delegator.rs
@@ -21,10 +21,21 @@
 };
 
 /// Maximum number of stages for which cells are searched at a time.
-const MAX_SEARCHED_STAGES: usize = 4;
+pub const MAX_SEARCHED_STAGES: usize = 4;
 /// Maximum delay between two tries to store a delegation.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Stages for the next search, in turn: those for which the last searches found no room must not
+/// keep the others waiting.
+pub fn next_stages(mut unplaced: Vec<UnplacedTasks>, search_number: usize) -> Vec<UnplacedTasks> {
+    if !unplaced.is_empty() {
+        let first = search_number.wrapping_mul(MAX_SEARCHED_STAGES) % unplaced.len();
+        unplaced.rotate_left(first);
+    }
+    unplaced.truncate(MAX_SEARCHED_STAGES);
+    unplaced
+}
+
 /// Finds cells for waiting tasks among `cells`; tasks without room anywhere are left out.
 pub async fn find_cells(
     cells: Vec<CellId>,
@@ -34,9 +45,7 @@
     logger: Logger,
 ) -> Vec<(TaskName, CellId)> {
     let mut found = Vec::new();
-    for UnplacedTasks { service, stage, mut tasks } in
-        unplaced.into_iter().take(MAX_SEARCHED_STAGES)
-    {
+    for UnplacedTasks { service, stage, mut tasks } in unplaced {
         for &cell in &cells {
             if tasks.is_empty() {
                 break;
--- a/crates/teaseltrack-cell/tests/delegation.rs
+++ b/crates/teaseltrack-cell/tests/delegation.rs
@@ -3,18 +3,19 @@
 mod util;
 
 use std::{
+    collections::BTreeSet,
     sync::{Arc, Mutex},
     time::{Duration, SystemTime},
 };
 
 use teaseltrack::cell::{
-    delegation::Delegation,
+    delegation::{Delegation, UnplacedTasks},
     job::{JobSpec, Queue, Stage},
     protocol::TaskName,
 };
 use teaseltrack_cell::{
     owner::{
-        delegator::store_delegations,
+        delegator::{MAX_SEARCHED_STAGES, next_stages, store_delegations},
         loader::{follow_jobs, load},
     },
     rows::{Submission, cancellation_key, delegation_key, submission_key},
@@ -44,6 +45,25 @@
     Arc::new(Mutex::new(rows))
 }
 
+/// Load pattern: more stages without room in any cell than one search covers.
+#[test]
+fn next_stages_reaches_all_stages_in_turn() {
+    let unplaced: Vec<UnplacedTasks> = (0..11)
+        .map(|index| UnplacedTasks {
+            service: "service".to_owned(),
+            stage: Stage::default(),
+            tasks: vec![delegation(index).task],
+        })
+        .collect();
+    let searched: BTreeSet<u32> = (0..3)
+        .flat_map(|number| next_stages(unplaced.clone(), number))
+        .map(|stage| stage.tasks[0].index)
+        .collect();
+    assert_eq!(searched.len(), 11);
+    assert!(next_stages(unplaced, 0).len() <= MAX_SEARCHED_STAGES);
+    assert_eq!(next_stages(Vec::new(), 5), []);
+}
+
 #[tokio::test(start_paused = true)]
 async fn store_delegations_stores_each_once_with_lost_responses() {
     let rows = submitted();
