Send quotes in a form that the calls' format can carry

Cause: quotes never arrived. A request carried whole stages, whose empty fields are left out when serialized, and MessagePack writes structs without field names, so the owner failed to decode every request. Change: requests carry StageDemand, a type without optional fields. Test: quote_reaches_the_owner_with_all_fields, over a real connection.

--- a/crates/teaseltrack-cell/src/calls.rs
+++ b/crates/teaseltrack-cell/src/calls.rs
@@ -14,10 +14,10 @@
 };
 use teaseltrack::{
     cell::{
-        job::{JobId, QueueName, Stage},
+        job::{JobId, QueueName},
         partition::CellId,
         protocol::{Report, ReportResponse},
-        quote::Quote,
+        quote::{Quote, StageDemand},
     },
     ids::ServiceName,
 };
@@ -46,7 +46,7 @@
     /// A query for a job's state.
     JobState(JobId, oneshot::Sender<JobLookup>),
     /// A request for a quote for a job of a service, to the owner of the given cell.
-    Quote(CellId, ServiceName, Vec<Stage>, oneshot::Sender<Option<Quote>>),
+    Quote(CellId, ServiceName, Vec<StageDemand>, oneshot::Sender<Option<Quote>>),
     /// A query for the number of pending jobs of a queue.
     PendingCount(QueueName, oneshot::Sender<Option<u64>>),
 }
@@ -105,7 +105,7 @@
         _: context::Context,
         cell: CellId,
         service: ServiceName,
-        stages: Vec<Stage>,
+        stages: Vec<StageDemand>,
     ) -> Option<Quote> {
         self.call_owner(|reply| InboundCall::Quote(cell, service, stages, reply)).await.flatten()
     }
@@ -172,7 +172,7 @@
         address: SocketAddr,
         cell: CellId,
         service: ServiceName,
-        stages: Vec<Stage>,
+        stages: Vec<StageDemand>,
     ) -> Option<Quote> {
         let client = self.client(address).await?;
         let call = client.quote(context_with_timeout(QUOTE_TIMEOUT), cell, service, stages);
--- a/crates/teaseltrack-cell/src/entry.rs
+++ b/crates/teaseltrack-cell/src/entry.rs
@@ -18,7 +18,7 @@
         ownership::OwnerRecord,
         partition::{CellId, Partition},
         progress::{JobProgress, JobState},
-        quote::Quote,
+        quote::{Quote, StageDemand},
     },
     clock::SharedClock,
 };
@@ -263,7 +263,8 @@
     ) -> Option<(Quote, CellId)> {
         let quotes = cells.into_iter().map(async |cell| {
             let address = self.owner_address(cell)?;
-            let (service, stages) = (queue.service.clone(), spec.stages.clone());
+            let service = queue.service.clone();
+            let stages = spec.stages.iter().map(StageDemand::of).collect();
             let quote = self.clients.of(cell).quote(address, cell, service, stages).await?;
             Some((quote, cell))
         });
--- a/crates/teaseltrack-cell/src/owner/delegator.rs
+++ b/crates/teaseltrack-cell/src/owner/delegator.rs
@@ -5,11 +5,10 @@
 use slog::{Logger, info, warn};
 use teaseltrack::cell::{
     delegation::{Delegation, UnplacedTasks},
-    job::Stage,
     ownership::OwnerRecord,
     partition::CellId,
     protocol::TaskName,
-    quote::Quote,
+    quote::{Quote, StageDemand},
 };
 use teaseltrack_platform::store::{Condition, Store, StoreError, Transaction, Write};
 use tokio::time::sleep;
@@ -50,7 +49,7 @@
             if tasks.is_empty() {
                 break;
             }
-            let stage = Stage { task_count: tasks.len() as u32, ..stage.clone() };
+            let stage = StageDemand { task_count: tasks.len() as u32, ..StageDemand::of(&stage) };
             match quote_of(cell, &service, stage, &store, &clients).await {
                 Ok(Some(quote)) => {
                     let placeable =
@@ -69,7 +68,7 @@
 async fn quote_of(
     cell: CellId,
     service: &str,
-    stage: Stage,
+    stage: StageDemand,
     store: &Store,
     clients: &CellClients,
 ) -> Result<Option<Quote>, StoreError> {
--- /dev/null
+++ b/crates/teaseltrack-cell/tests/calls.rs
@@ -0,0 +1,49 @@
+//! Calls between processes over a real connection.
+
+use std::time::Duration;
+
+use teaseltrack::{
+    cell::{
+        job::Stage,
+        quote::{Quote, StageDemand},
+    },
+    placement::Resources,
+};
+use teaseltrack_cell::calls::{CallServer, CellClient, InboundCall, KnownOwner, serve_calls};
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, watch},
+};
+use tokio_util::sync::CancellationToken;
+
+#[tokio::test]
+async fn quote_reaches_the_owner_with_all_fields() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (mailbox, mut calls) = mpsc::channel(1);
+    let (_owner, owner) = watch::channel(Some(mailbox));
+    let (_known, known_owner) = watch::channel(KnownOwner::default());
+    let closing = CancellationToken::new();
+    tokio::spawn(serve_calls(listener, CallServer { owner, known_owner }, closing.clone()));
+    let resources = Resources { cpu_milli: 7_000, memory_mib: 13_000, accelerators: 0 };
+    let stages = [
+        Stage { task_count: 24, resources, is_long_running: true, ..Stage::default() },
+        Stage { task_count: 3, max_per_worker: Some(2), resources, ..Stage::default() },
+    ];
+    let demands: Vec<StageDemand> = stages.iter().map(StageDemand::of).collect();
+    let expected = demands.clone();
+    let quote = Quote { unplaceable_count: 2, reserved_permille: 900, backlog_ms: 1_500 };
+    tokio::spawn(async move {
+        let Some(InboundCall::Quote(cell, service, received, reply)) = calls.recv().await else {
+            panic!("not a request for a quote");
+        };
+        assert_eq!((cell, service.as_str()), (3, "service"));
+        assert_eq!(received, expected);
+        reply.send(Some(quote)).unwrap();
+        // Keeps the mailbox open until the response has been read.
+        tokio::time::sleep(Duration::from_secs(5)).await;
+    });
+    let client = CellClient::default();
+    assert_eq!(client.quote(address, 3, "service".to_owned(), demands).await, Some(quote));
+    closing.cancel();
+}
--- a/crates/teaseltrack-wire/src/cell.rs
+++ b/crates/teaseltrack-wire/src/cell.rs
@@ -2,11 +2,11 @@
 
 use teaseltrack::{
     cell::{
-        job::{JobId, QueueName, Stage},
+        job::{JobId, QueueName},
         partition::CellId,
         progress::JobState,
         protocol::{Report, ReportResponse},
-        quote::Quote,
+        quote::{Quote, StageDemand},
     },
     ids::ServiceName,
 };
@@ -34,7 +34,7 @@
     async fn job_state(job: JobId) -> JobLookup;
     /// Returns a quote for a job with the given stages, submitted to a queue of the service; `None`
     /// from a process that isn't the owner of the cell.
-    async fn quote(cell: CellId, service: ServiceName, stages: Vec<Stage>) -> Option<Quote>;
+    async fn quote(cell: CellId, service: ServiceName, stages: Vec<StageDemand>) -> Option<Quote>;
     /// Returns the number of jobs of a queue without a started task; `None` from a process that
     /// isn't the owner.
     async fn pending_count(queue: QueueName) -> Option<u64>;
--- a/crates/teaseltrack/src/cell/quote.rs
+++ b/crates/teaseltrack/src/cell/quote.rs
@@ -18,6 +18,32 @@
     placement::Resources,
 };
 
+/// What a stage requires, for a quote. Unlike [`Stage`], it leaves out no field when serialized, as
+/// formats without field names need.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StageDemand {
+    /// Number of tasks.
+    pub task_count: u32,
+    /// Resources that each task reserves.
+    pub reserved: Resources,
+    /// Whether tasks run until the job is cancelled.
+    pub is_long_running: bool,
+    /// Maximum number of tasks on one worker.
+    pub max_per_worker: Option<u32>,
+}
+
+impl StageDemand {
+    /// Demand of a stage.
+    pub fn of(stage: &Stage) -> Self {
+        Self {
+            task_count: stage.task_count,
+            reserved: reserved_resources(stage),
+            is_long_running: stage.is_long_running,
+            max_per_worker: stage.max_per_worker,
+        }
+    }
+}
+
 /// How soon a cell could run a job; the lowest quote is the best.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(default)]
@@ -34,20 +60,20 @@
 impl Cell {
     /// Quote for a job with the given stages. Serving tasks that have just begun to wait count as
     /// placed first; those that have waited for longer don't fit into the free capacity.
-    pub fn quote(&self, stages: &[Stage], service: &str, now: Instant) -> Quote {
+    pub fn quote(&self, stages: &[StageDemand], service: &str, now: Instant) -> Quote {
         let workers: Vec<&Worker> =
             self.workers.values().filter(|worker| worker.is_available_to(service)).collect();
         let waiting_count = self.new_serving_count(service, now);
         let unplaceable_count = stages
             .iter()
-            .filter(|stage| TaskKind::of(stage) == TaskKind::Serving)
+            .filter(|stage| stage.is_long_running)
             .map(|stage| {
                 let rooms = workers.iter().map(|worker| worker.room_for(stage));
                 let room = rooms.fold(0, u32::saturating_add);
                 stage.task_count.saturating_sub(room.saturating_sub(waiting_count))
             })
             .sum();
-        let is_serving = stages.iter().any(|stage| TaskKind::of(stage) == TaskKind::Serving);
+        let is_serving = stages.iter().any(|stage| stage.is_long_running);
         let reserved_permille =
             if is_serving { (1_000.0 * self.reserved_share(service)) as u32 } else { 0 };
         let backlog_ms = self.backlog(&workers).as_millis() as u64;
@@ -117,9 +143,9 @@
     }
 
     /// Number of tasks of a stage that fit into the free capacity.
-    fn room_for(&self, stage: &Stage) -> u32 {
+    fn room_for(&self, stage: &StageDemand) -> u32 {
         let Resources { cpu_milli, memory_mib, accelerators } = self.available();
-        let required = reserved_resources(stage);
+        let required = stage.reserved;
         let fits = |free: u64, each: u64| free.checked_div(each).unwrap_or(u64::MAX);
         let room = fits(cpu_milli, required.cpu_milli)
             .min(fits(memory_mib, required.memory_mib))
--- a/crates/teaseltrack/tests/sharing.rs
+++ b/crates/teaseltrack/tests/sharing.rs
@@ -19,6 +19,7 @@
         protocol::{
             EndCause, EndedTask, Order, Report, RunningTask, TaskName, WorkerListing, WorkerStatus,
         },
+        quote::StageDemand,
     },
     placement::Resources,
 };
@@ -216,6 +217,10 @@
     }
 }
 
+fn demands(stages: &[Stage]) -> Vec<StageDemand> {
+    stages.iter().map(StageDemand::of).collect()
+}
+
 #[test]
 fn plan_keeps_serving_images_apart() {
     let mut fleet = Fleet::new(4);
@@ -405,14 +410,14 @@
 fn quote_counts_serving_tasks_without_room() {
     let mut fleet = Fleet::new(2);
     let stages = [serving("b", 4)];
-    assert_eq!(fleet.cell.quote(&stages, "service", fleet.now).unplaceable_count, 0);
+    assert_eq!(fleet.cell.quote(&demands(&stages), "service", fleet.now).unplaceable_count, 0);
     fleet.submit("serving-a", serving("a", 8));
     fleet.run(Duration::from_millis(2_000));
     // Two workers of 64 cores hold five tasks of 12 cores each.
-    assert_eq!(fleet.cell.quote(&stages, "service", fleet.now).unplaceable_count, 2);
+    assert_eq!(fleet.cell.quote(&demands(&stages), "service", fleet.now).unplaceable_count, 2);
     let apart = [Stage { max_per_worker: Some(1), ..serving("b", 4) }];
-    assert_eq!(fleet.cell.quote(&apart, "service", fleet.now).unplaceable_count, 3);
-    assert_eq!(fleet.cell.quote(&stages, "other", fleet.now).unplaceable_count, 4);
+    assert_eq!(fleet.cell.quote(&demands(&apart), "service", fleet.now).unplaceable_count, 3);
+    assert_eq!(fleet.cell.quote(&demands(&stages), "other", fleet.now).unplaceable_count, 4);
 }
 
 /// Load pattern: a large serving task that fits nowhere in a cell. It doesn't take the room of the
@@ -426,9 +431,9 @@
     fleet.submit("serving-large", Stage { resources: large, ..serving("a", 3) });
     let stages = [serving("b", 2)];
     fleet.run(Duration::from_millis(200));
-    assert_eq!(fleet.cell.quote(&stages, "service", fleet.now).unplaceable_count, 2);
+    assert_eq!(fleet.cell.quote(&demands(&stages), "service", fleet.now).unplaceable_count, 2);
     fleet.run(Duration::from_millis(2_000));
-    assert_eq!(fleet.cell.quote(&stages, "service", fleet.now).unplaceable_count, 0);
+    assert_eq!(fleet.cell.quote(&demands(&stages), "service", fleet.now).unplaceable_count, 0);
 }
 
 /// Load pattern: a burst of batch jobs at one cell. Its quote grows with the accepted work, so that
@@ -437,10 +442,10 @@
 fn quote_grows_with_the_accepted_work() {
     let mut fleet = Fleet::new(2);
     let stages = [best_effort("image", 1)];
-    let idle = fleet.cell.quote(&stages, "service", fleet.now);
+    let idle = fleet.cell.quote(&demands(&stages), "service", fleet.now);
     fleet.submit("burst", best_effort("image", 100));
     fleet.run(Duration::from_millis(200));
-    let busy = fleet.cell.quote(&stages, "service", fleet.now);
+    let busy = fleet.cell.quote(&demands(&stages), "service", fleet.now);
     // 100 tasks of 7 cores and 1.7 s on 128 cores.
     assert_eq!((idle.backlog_ms, busy.backlog_ms), (0, 9_296));
     assert!(idle < busy);
