Log workers that an owner waits for, with the rest of their leases

Callers saw: a long-running task that doesn't run for up to 19 s after its worker was lost. The logs didn't say for which workers an owner waits, nor until when. An owner now logs a worker with tasks whose lease hasn't been extended for 1.2 s, and counts such tasks in a gauge.

--- a/crates/teaseltrack-cell/src/constants.rs
+++ b/crates/teaseltrack-cell/src/constants.rs
@@ -20,6 +20,8 @@
 /// Time without a report from an agent after which its worker gets no new tasks: two missed
 /// reports.
 const AGENT_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Time without an extension of its lease after which a worker counts as silent: two missed reports.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Time without new assignments to a worker after it refused a start.
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(500);
 
@@ -149,6 +151,7 @@
         clock_drift: CLOCK_DRIFT,
         lease_margin: LEASE_MARGIN,
         agent_timeout: AGENT_TIMEOUT,
+        silence_timeout: SILENCE_TIMEOUT,
         refusal_backoff: REFUSAL_BACKOFF,
         health: HEALTH,
         planning: PLANNING,
--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -447,6 +447,7 @@
     fn record_events(&mut self) {
         let OwnerContext { logger, metrics, .. } = &self.context;
         metrics.gauge("jobs_open", self.cell.open_count() as u64);
+        metrics.gauge("tasks_on_silent_workers", self.cell.silent_task_count() as u64);
         metrics.gauge("configuration_version", self.cell.configuration_version());
         for event in self.cell.take_events() {
             metrics.count_tagged("cell_events", "kind", event.name());
@@ -471,6 +472,11 @@
                     info!(logger, "task reclaimed"; "request_id" => &task.job, "task" => %task,
                         "attempt" => attempt, "worker" => worker, "reason" => reason);
                 }
+                CellEvent::Silent { worker, task_count, lease_remaining } => {
+                    warn!(logger, "worker stopped reporting; waiting for its lease to expire";
+                        "worker" => worker, "tasks" => task_count,
+                        "lease_remaining_ms" => lease_remaining.as_millis() as u64);
+                }
                 CellEvent::State { job, state } => {
                     info!(logger, "job ended"; "request_id" => job, "state" => ?state);
                 }
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -52,6 +52,7 @@
 pub mod regrouping;
 pub mod relocation;
 pub mod scoring;
+pub mod silence;
 pub mod tail_model;
 pub mod worker;
 
@@ -85,6 +86,8 @@
     pub lease_margin: Duration,
     /// Time without a report from the agent after which its worker gets no new tasks.
     pub agent_timeout: Duration,
+    /// Time without an extension of its lease after which a worker counts as silent.
+    pub silence_timeout: Duration,
     /// Time without new assignments to a worker after it refused a start.
     pub refusal_backoff: Duration,
     /// Detection of failing and slow workers and of stalled runs.
@@ -260,6 +263,15 @@
         /// Reason, as logged.
         reason: String,
     },
+    /// A worker with tasks has stopped reporting; its tasks are reclaimed once its lease has expired.
+    Silent {
+        /// Worker incarnation.
+        worker: WorkerIncarnation,
+        /// Number of its tasks.
+        task_count: usize,
+        /// Time until its lease has expired for certain.
+        lease_remaining: Duration,
+    },
     /// A job reached a final state.
     State {
         /// Identifier of the job.
@@ -294,6 +306,7 @@
             Self::Stalled { .. } => "stalled",
             Self::Moved { .. } => "moved",
             Self::Reclaimed { .. } => "taken_back",
+            Self::Silent { .. } => "worker_silent",
             Self::State { state, .. } => state.name(),
             Self::ForeignReport { .. } => "foreign_report",
             Self::Session { .. } => "session",
@@ -562,6 +575,7 @@
         for key in expired_workers {
             self.invalidate_worker(key, "lease expired");
         }
+        self.detect_silent_workers(now);
         let maintained_at = *self.maintained_at.get_or_insert(now);
         if now.duration_since(maintained_at) >= MAINTENANCE_INTERVAL {
             self.interference.update_estimates(now.duration_since(maintained_at), now);
@@ -825,6 +839,8 @@
         // granted.
         if worker_clock_ms > worker.clock_ms {
             worker.clock_ms = worker_clock_ms;
+            worker.lease_extended_at = now;
+            worker.is_silent = false;
             let end = now + worst_case_lease;
             worker.lease_end = Some(worker.lease_end.map_or(end, |current| current.max(end)));
         }
--- a/crates/teaseltrack/src/cell/worker.rs
+++ b/crates/teaseltrack/src/cell/worker.rs
@@ -78,6 +78,10 @@
     /// Time by which the lease has expired on the worker, so that nothing runs there any more;
     /// `None` if no lease was granted.
     pub lease_end: Option<Instant>,
+    /// Time at which the lease was last extended, or at which this owner learned of the worker.
+    pub lease_extended_at: Instant,
+    /// Whether the lease hasn't been extended for `silence_timeout`.
+    pub is_silent: bool,
     /// Highest reported reading of the worker's clock, in milliseconds.
     pub clock_ms: u64,
     /// Time of the last report from its agent.
@@ -131,6 +135,8 @@
             agent_started_unix_ms: 0,
             is_reconciled: false,
             lease_end: None,
+            lease_extended_at: now,
+            is_silent: false,
             clock_ms: 0,
             last_report_at: now,
             is_reachable: false,
--- a/crates/teaseltrack/tests/util.rs
+++ b/crates/teaseltrack/tests/util.rs
@@ -29,6 +29,7 @@
     clock_drift: 0.02,
     lease_margin: Duration::from_millis(300),
     agent_timeout: Duration::from_millis(1_200),
+    silence_timeout: Duration::from_millis(1_200),
     refusal_backoff: Duration::from_millis(500),
     health: HealthSettings {
         failure_threshold: 3,
