Record silent workers, so that a new owner doesn't wait for their leases anew

Cause: a new owner doesn't know when the previous one last granted a lease to a worker that it hasn't heard of.

Ruled out: a lack of capacity (the tasks start as soon as they are reclaimed), a missing planning round (the same).

It grants a recorded worker no lease until a commit has removed it. A new owner adopts the record.

Evidence: restore_does_not_extend_the_wait_for_a_lost_worker fails without the adoption (state Active after five owners), grant_lease_of_a_silent_worker_follows_its_removal_from_the_record without the check in grant_lease.

Left: 10 s is the wait of one change of the owner, and a change within 1.2 s of another still starts it anew.

--- a/crates/teaseltrack-cell/src/candidate.rs
+++ b/crates/teaseltrack-cell/src/candidate.rs
@@ -9,7 +9,10 @@
 
 use slog::{info, warn};
 use teaseltrack::{
-    cell::ownership::{OwnerRecord, OwnershipMonitor, candidate_delay},
+    cell::{
+        ownership::{OwnerRecord, OwnershipMonitor, SilentWorkerRecord, candidate_delay},
+        silence::SilentWorker,
+    },
     ids::InstanceId,
 };
 use teaseltrack_platform::store::{CommitOutcome, Condition, Row, StoreError, Transaction, Write};
@@ -99,30 +102,27 @@
     ) -> Result<Option<Takeover>, StoreError> {
         let row = self.context.store.read(&owner_key(self.context.cell_id)).await?;
         let now = self.context.clock.now();
-        let Some(row) = row else { return self.take_over(None, now).await };
+        let Some(row) = row else { return self.take_over(None, now, now).await };
         let record: OwnerRecord = row.parse()?;
         self.update_known_owner(&record);
         monitor.observe(row.version, now);
         if record.is_released {
-            return self.take_over(Some((record, row)), now).await;
+            return self.take_over(Some((record, row)), now, now).await;
         }
         if record.owner == self.instance && record.started_unix_ms == self.started_unix_ms {
             // An earlier takeover by this process succeeded, but its response was lost. The time of
             // the takeover is unknown, so no lease is granted before the next commit.
             let grant_period = self.context.ownership.grant_period;
             let renewed_at = now.checked_sub(grant_period).unwrap_or(now);
-            return Ok(Some(self.build_takeover(
-                record,
-                row.version,
-                renewed_at,
-                now + grant_period,
-            )));
+            let silent_workers = restore_silent_workers(&record, now);
+            let committer = self.committer(record, row.version, renewed_at, silent_workers);
+            return Ok(Some(Takeover { committer, previous_grants_end: now + grant_period }));
         }
         if record.owner == self.instance && record.address == self.address {
             let is_first = record.epoch == 1;
             let earlier_grant_period =
                 if is_first { Duration::ZERO } else { self.context.ownership.grant_period };
-            return self.take_over(Some((record, row)), now + earlier_grant_period).await;
+            return self.take_over(Some((record, row)), now, now + earlier_grant_period).await;
         }
         let delay = candidate_delay(
             &self.instance,
@@ -133,7 +133,7 @@
         let takeover_timeout = self.context.ownership.takeover_timeout + delay;
         let Some(since) = monitor.unchanged_since(takeover_timeout, now) else { return Ok(None) };
         let grants_end = since + self.context.ownership.grant_period;
-        self.take_over(Some((record, row)), grants_end).await
+        self.take_over(Some((record, row)), since, grants_end).await
     }
 
     fn update_known_owner(&self, record: &OwnerRecord) {
@@ -148,19 +148,29 @@
         });
     }
 
+    /// Takes over the cell from the owner of the stored record, which was committed at
+    /// `committed_by` or earlier.
     async fn take_over(
         &self,
         stored: Option<(OwnerRecord, Row)>,
+        committed_by: Instant,
         previous_grants_end: Instant,
     ) -> Result<Option<Takeover>, StoreError> {
-        let (epoch, version) = stored.map_or((0, 0), |(record, row)| (record.epoch, row.version));
+        let (stored, version) =
+            stored.map_or_else(Default::default, |(record, row)| (record, row.version));
+        let silent_workers = restore_silent_workers(&stored, committed_by);
+        let sent_at = self.context.clock.now();
         let record = OwnerRecord {
-            epoch: epoch + 1,
+            epoch: stored.epoch + 1,
             owner: self.instance.clone(),
             address: self.address.clone(),
             started_unix_ms: self.started_unix_ms,
             sequence: 0,
             is_released: false,
+            silent_workers: silent_workers
+                .iter()
+                .map(|silent| SilentWorkerRecord::new(silent, sent_at))
+                .collect(),
         };
         let cell = self.context.cell_id;
         let transaction = Transaction {
@@ -171,33 +181,39 @@
                 Write::put(owner_notice_key(cell), &record),
             ],
         };
-        let sent_at = self.context.clock.now();
         match self.context.store.commit(transaction).await? {
             CommitOutcome::Conflict { .. } => Ok(None),
             CommitOutcome::Committed { version } => {
                 info!(self.context.logger, "cell taken over"; "cell" => cell, "epoch" => record.epoch);
                 self.update_known_owner(&record);
-                Ok(Some(self.build_takeover(record, version, sent_at, previous_grants_end)))
+                let committer = self.committer(record, version, sent_at, silent_workers);
+                Ok(Some(Takeover { committer, previous_grants_end }))
             }
         }
     }
 
-    fn build_takeover(
+    fn committer(
         &self,
         record: OwnerRecord,
         version: u64,
         renewed_at: Instant,
-        previous_grants_end: Instant,
-    ) -> Takeover {
-        let committer = Committer {
+        silent_workers: Vec<SilentWorker>,
+    ) -> Committer {
+        Committer {
             cell: self.context.cell_id,
             store: self.context.store.clone(),
             clock: self.context.clock.clone(),
             record,
             version,
             renewed_at,
+            silent_workers,
             logger: self.context.logger.clone(),
-        };
-        Takeover { committer, previous_grants_end }
+        }
     }
 }
+
+/// Silent workers of a record that was committed at `committed_by` or earlier.
+fn restore_silent_workers(record: &OwnerRecord, committed_by: Instant) -> Vec<SilentWorker> {
+    let records = record.silent_workers.iter().cloned();
+    records.map(|silent| silent.restore(committed_by)).collect()
+}
--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -138,6 +138,7 @@
         QueueConfiguration::default(),
         previous_grants_end,
     );
+    cell.adopt_silent_workers(committer.silent_workers.clone());
     let now = context.clock.now();
     let job_count = loaded.jobs.len();
     for job in loaded.jobs {
@@ -406,13 +407,15 @@
     fn start_commit(&mut self, mut committer: Committer) -> Result<CommitTask, Box<Committer>> {
         let is_renewal_due =
             self.context.clock.now().duration_since(self.renewed_at) >= RENEWAL_INTERVAL;
-        let rows = match self.cell.next_commit(MAX_COMMIT_ROWS) {
-            Some(batch) => batch.rows,
-            None if is_renewal_due => Vec::new(),
-            None => return Err(Box::new(committer)),
+        let batch = if is_renewal_due {
+            self.cell.renewal(MAX_COMMIT_ROWS)
+        } else {
+            self.cell.next_commit(MAX_COMMIT_ROWS)
         };
+        let Some(batch) = batch else { return Err(Box::new(committer)) };
+        committer.silent_workers = batch.silent_workers;
         Ok(tokio::spawn(async move {
-            let result = committer.commit(&rows).await;
+            let result = committer.commit(&batch.rows).await;
             (committer, result)
         }))
     }
--- a/crates/teaseltrack-cell/src/owner/committer.rs
+++ b/crates/teaseltrack-cell/src/owner/committer.rs
@@ -7,7 +7,12 @@
 
 use slog::{Logger, warn};
 use teaseltrack::{
-    cell::{ownership::OwnerRecord, partition::CellId, progress::JobProgress},
+    cell::{
+        ownership::{OwnerRecord, SilentWorkerRecord},
+        partition::CellId,
+        progress::JobProgress,
+        silence::SilentWorker,
+    },
     clock::SharedClock,
 };
 use teaseltrack_platform::store::{
@@ -41,6 +46,8 @@
     pub version: u64,
     /// Time at which the last successful commit was first sent.
     pub renewed_at: Instant,
+    /// Silent workers to record with each commit.
+    pub silent_workers: Vec<SilentWorker>,
     /// Logger for failed tries.
     pub logger: Logger,
 }
@@ -52,12 +59,19 @@
     ///
     /// The cell has another owner.
     pub async fn commit(&mut self, rows: &[(String, JobProgress)]) -> Result<(), OwnershipLost> {
-        let next = OwnerRecord { sequence: self.record.sequence + 1, ..self.record.clone() };
+        let first_sent_at = self.clock.now();
+        let silent_workers = self.silent_workers.iter();
+        let next = OwnerRecord {
+            sequence: self.record.sequence + 1,
+            silent_workers: silent_workers
+                .map(|silent| SilentWorkerRecord::new(silent, first_sent_at))
+                .collect(),
+            ..self.record.clone()
+        };
         let mut writes = vec![Write::put(owner_key(self.cell), &next)];
         writes.extend(
             rows.iter().map(|(job, progress)| Write::put(progress_key(self.cell, job), progress)),
         );
-        let first_sent_at = self.clock.now();
         let mut delay = RETRY_DELAY;
         loop {
             match self.try_commit(&next, &writes).await {
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -32,6 +32,7 @@
             EndCause, EndedTask, Order, RefusedStart, Report, ReportResponse, RunningTask,
             SessionToken, SharingTraits, StartOrder, TaskName, WorkerListing, WorkerStatus,
         },
+        silence::SilentWorker,
         tail_model::Tail,
         worker::{TaskKey, Worker},
     },
@@ -175,11 +176,13 @@
     uncommitted_delegations: Vec<TaskKey>,
 }
 
-/// Job progress to commit in one transaction.
+/// State to commit in one transaction.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct CommitBatch {
     /// Progress rows to write, by job.
     pub rows: Vec<(JobId, JobProgress)>,
+    /// Silent workers, to be recorded in the owner's row.
+    pub silent_workers: Vec<SilentWorker>,
 }
 
 /// State changes and orders deferred until the in-flight commit succeeds.
@@ -189,6 +192,8 @@
     delegations: Vec<TaskKey>,
     states: Vec<(JobKey, JobState)>,
     ends: Vec<(WorkerKey, u64)>,
+    /// Workers that the owner's row has listed as silent and that the batch doesn't list.
+    returned: Vec<WorkerKey>,
 }
 
 /// Job as read from the store.
@@ -334,6 +339,8 @@
     needs_plan: bool,
     events: Vec<CellEvent>,
     previous_leases_end: Instant,
+    /// Ends of the leases of workers that were silent for the previous owner.
+    silent_leases_end: HashMap<WorkerIncarnation, Instant>,
     interference: InterferenceModel,
     maintained_at: Option<Instant>,
     regrouped_at: Option<Instant>,
@@ -355,6 +362,7 @@
         Self {
             id,
             previous_leases_end: previous_grants_end + settings.worst_case_lease(),
+            silent_leases_end: HashMap::new(),
             interference: InterferenceModel::new(settings.interference),
             maintained_at: None,
             regrouped_at: None,
@@ -627,22 +635,25 @@
     /// Returns the next batch to commit, of at most `max_rows` rows; `None` if there is nothing to
     /// commit or a commit is in flight.
     pub fn next_commit(&mut self, max_rows: usize) -> Option<CommitBatch> {
-        if self.pending_effects.is_some() {
-            return None;
-        }
-        let dirty: Vec<JobKey> = self
-            .open_jobs
-            .iter()
-            .copied()
-            .filter(|key| self.jobs.get(*key).is_some_and(|job| job.is_dirty))
-            .collect();
+        let has_dirty = self.dirty_jobs().next().is_some();
         let has_ends =
             self.workers.values().any(|worker| worker.processed_end > worker.committed_end);
-        if dirty.is_empty() && !has_ends {
+        if !has_dirty && !has_ends && !self.has_silence_changes() {
+            return None;
+        }
+        self.renewal(max_rows)
+    }
+
+    /// Returns the next batch to commit, which may be empty; `None` if a commit is in flight.
+    pub fn renewal(&mut self, max_rows: usize) -> Option<CommitBatch> {
+        if self.pending_effects.is_some() {
             return None;
         }
-        let mut batch = CommitBatch::default();
-        let mut effects = PendingEffects::default();
+        let dirty: Vec<JobKey> = self.dirty_jobs().collect();
+        let mut effects =
+            PendingEffects { returned: self.returned_workers(), ..Default::default() };
+        let mut batch =
+            CommitBatch { silent_workers: self.list_silent_workers(), ..Default::default() };
         // A worker discards the record of an ended run once the end is committed, so ends are
         // confirmed only by a batch that contains the progress of all dirty jobs.
         if dirty.len() <= max_rows {
@@ -662,6 +673,11 @@
         Some(batch)
     }
 
+    fn dirty_jobs(&self) -> impl Iterator<Item = JobKey> {
+        let is_dirty = |key: &JobKey| self.jobs.get(*key).is_some_and(|job| job.is_dirty);
+        self.open_jobs.iter().copied().filter(is_dirty)
+    }
+
     /// Applies the effects deferred until the in-flight commit, which has succeeded.
     pub fn commit_succeeded(&mut self) {
         let Some(effects) = self.pending_effects.take() else { return };
@@ -673,6 +689,11 @@
                 worker.committed_end = worker.committed_end.max(end.min(worker.processed_end));
             }
         }
+        for worker in effects.returned {
+            if let Some(worker) = self.workers.get_mut(worker) {
+                worker.is_recorded_silent = false;
+            }
+        }
         for (worker, task) in effects.starts {
             self.enqueue_start(worker, task);
         }
@@ -752,6 +773,11 @@
         }
         let mut worker = Worker::new(incarnation.to_owned(), now);
         worker.lease_end = Some(lease_end);
+        if let Some(&silent_lease_end) = self.silent_leases_end.get(incarnation) {
+            worker.lease_end = Some(lease_end.min(silent_lease_end));
+            worker.is_silent = true;
+            worker.is_recorded_silent = true;
+        }
         let key = self.workers.insert(worker);
         self.by_incarnation.insert(incarnation.to_owned(), key);
         key
@@ -831,7 +857,11 @@
     ) {
         let worst_case_lease = self.settings.worst_case_lease();
         let worker = &mut self.workers[key];
-        if !may_grant || worker_clock_ms == 0 {
+        if worker_clock_ms > worker.clock_ms && worker.is_silent {
+            worker.is_silent = false;
+            worker.lease_extended_at = now;
+        }
+        if !may_grant || worker_clock_ms == 0 || worker.is_silent || worker.is_recorded_silent {
             return;
         }
         response.lease_until_ms = Some(worker_clock_ms + self.settings.lease.as_millis() as u64);
@@ -840,7 +870,6 @@
         if worker_clock_ms > worker.clock_ms {
             worker.clock_ms = worker_clock_ms;
             worker.lease_extended_at = now;
-            worker.is_silent = false;
             let end = now + worst_case_lease;
             worker.lease_end = Some(worker.lease_end.map_or(end, |current| current.max(end)));
         }
--- a/crates/teaseltrack/src/cell/ownership.rs
+++ b/crates/teaseltrack/src/cell/ownership.rs
@@ -9,7 +9,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{Epoch, InstanceId};
+use crate::{
+    cell::{progress::WorkerIncarnation, silence::SilentWorker},
+    ids::{Epoch, InstanceId},
+};
 
 /// The row that names a cell's owner.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -27,6 +30,35 @@
     /// Whether the owner has shut down and grants no more leases.
     #[serde(default)]
     pub is_released: bool,
+    /// Workers that get no lease from any owner until they are removed from this list.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub silent_workers: Vec<SilentWorkerRecord>,
+}
+
+/// Silent worker as recorded in the owner's row.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SilentWorkerRecord {
+    /// The worker incarnation.
+    pub incarnation: WorkerIncarnation,
+    /// Time from the commit of the record until the worker's lease has expired for certain.
+    pub lease_remaining_ms: u64,
+}
+
+impl SilentWorkerRecord {
+    /// Record that is committed at `now` or later.
+    pub fn new(silent: &SilentWorker, now: Instant) -> Self {
+        let remaining = silent.lease_end.saturating_duration_since(now);
+        Self {
+            incarnation: silent.incarnation.clone(),
+            lease_remaining_ms: remaining.as_millis() as u64 + 1,
+        }
+    }
+
+    /// The silent worker, if the record was committed at `committed_by` or earlier.
+    pub fn restore(self, committed_by: Instant) -> SilentWorker {
+        let remaining = Duration::from_millis(self.lease_remaining_ms);
+        SilentWorker { incarnation: self.incarnation, lease_end: committed_by + remaining }
+    }
 }
 
 /// Timing of ownership.
--- a/crates/teaseltrack/src/cell/silence.rs
+++ b/crates/teaseltrack/src/cell/silence.rs
@@ -1,12 +1,33 @@
 //! Workers whose lease is no longer extended, because they or their agents have stopped reporting.
 //!
-//! Such a worker keeps its tasks until its lease has expired.
+//! Such a worker keeps its tasks until its lease has expired. A new owner doesn't know when the
+//! previous one last granted a lease, and has to assume the latest possible time. If each owner
+//! waited for that long anew, a series of owners would never start the tasks again. An owner
+//! therefore records silent workers in its row, with the ends of their leases, and grants a recorded
+//! worker no lease until a commit has removed it from the row.
 
 use std::time::Instant;
 
-use crate::cell::{Cell, CellEvent, WorkerKey};
+use crate::cell::{Cell, CellEvent, WorkerKey, progress::WorkerIncarnation, worker::Worker};
+
+/// Worker that no owner grants a lease to until it is removed from the owner's row.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SilentWorker {
+    /// The worker incarnation.
+    pub incarnation: WorkerIncarnation,
+    /// Time by which its lease has expired for certain.
+    pub lease_end: Instant,
+}
 
 impl Cell {
+    /// Adopts the silent workers that the previous owner has recorded; must precede
+    /// [`Cell::admit`].
+    pub fn adopt_silent_workers(&mut self, silent_workers: Vec<SilentWorker>) {
+        self.silent_leases_end.extend(
+            silent_workers.into_iter().map(|silent| (silent.incarnation, silent.lease_end)),
+        );
+    }
+
     /// Number of tasks that are assigned to silent workers.
     pub fn silent_task_count(&self) -> usize {
         let silent = self.workers.values().filter(|worker| worker.is_silent);
@@ -37,4 +58,36 @@
             });
         }
     }
+
+    /// Whether the list in the owner's row is outdated.
+    pub(super) fn has_silence_changes(&self) -> bool {
+        self.workers.values().any(|worker| worker.is_recorded_silent != is_listed(worker))
+    }
+
+    /// Silent workers for the owner's row. From now on they count as recorded, since the commit may
+    /// take effect at any time.
+    pub(super) fn list_silent_workers(&mut self) -> Vec<SilentWorker> {
+        let mut silent_workers = Vec::new();
+        for worker in self.workers.values_mut().filter(|worker| is_listed(worker)) {
+            worker.is_recorded_silent = true;
+            silent_workers.extend(worker.lease_end.map(|lease_end| SilentWorker {
+                incarnation: worker.incarnation.clone(),
+                lease_end,
+            }));
+        }
+        silent_workers
+    }
+
+    /// Workers that the owner's row may list as silent, and that needn't be listed any more.
+    pub(super) fn returned_workers(&self) -> Vec<WorkerKey> {
+        let returned = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.is_recorded_silent && !is_listed(worker));
+        returned.map(|(key, _)| key).collect()
+    }
+}
+
+fn is_listed(worker: &Worker) -> bool {
+    worker.is_silent && worker.lease_end.is_some() && !worker.tasks.is_empty()
 }
--- a/crates/teaseltrack/src/cell/worker.rs
+++ b/crates/teaseltrack/src/cell/worker.rs
@@ -82,6 +82,9 @@
     pub lease_extended_at: Instant,
     /// Whether the lease hasn't been extended for `silence_timeout`.
     pub is_silent: bool,
+    /// Whether the owner's row may list the worker as silent; it gets no lease until a commit has
+    /// removed it from the row.
+    pub is_recorded_silent: bool,
     /// Highest reported reading of the worker's clock, in milliseconds.
     pub clock_ms: u64,
     /// Time of the last report from its agent.
@@ -137,6 +140,7 @@
             lease_end: None,
             lease_extended_at: now,
             is_silent: false,
+            is_recorded_silent: false,
             clock_ms: 0,
             last_report_at: now,
             is_reachable: false,
--- a/crates/teaseltrack/tests/cell.rs
+++ b/crates/teaseltrack/tests/cell.rs
@@ -22,6 +22,7 @@
             EndCause, EndedTask, Order, RefusedStart, Report, ReportResponse, RunningTask,
             StartOrder, TaskName, WorkerListing, WorkerStatus,
         },
+        silence::SilentWorker,
     },
     placement::Resources,
 };
@@ -143,6 +144,7 @@
     epoch: u64,
     jobs: BTreeMap<String, StoredJob>,
     progress: BTreeMap<String, JobProgress>,
+    silent_workers: Vec<SilentWorker>,
     committed_done: BTreeSet<TaskName>,
     done: BTreeSet<TaskName>,
     start_count: usize,
@@ -168,6 +170,7 @@
             epoch: 1,
             jobs: BTreeMap::new(),
             progress: BTreeMap::new(),
+            silent_workers: Vec::new(),
             committed_done: BTreeSet::new(),
             done: BTreeSet::new(),
             start_count: 0,
@@ -186,11 +189,12 @@
         self.cell.cancel(id);
     }
 
-    /// Replaces the owner by one that has only the stored jobs and progress.
+    /// Replaces the owner by one that has only what is stored.
     fn replace_owner(&mut self) {
         self.epoch += 1;
         let grants_end = self.now + Duration::from_secs(4);
         self.cell = Cell::new(0, CELL_SETTINGS, self.epoch, configuration(), grants_end);
+        self.cell.adopt_silent_workers(self.silent_workers.clone());
         for job in self.jobs.values() {
             let progress = self.progress.get(&job.id).cloned();
             self.cell.admit(StoredJob { progress, ..job.clone() }, self.now);
@@ -201,6 +205,7 @@
     fn commit(&mut self) {
         while let Some(batch) = self.cell.next_commit(50) {
             self.progress.extend(batch.rows);
+            self.silent_workers = batch.silent_workers;
             self.cell.commit_succeeded();
         }
     }
@@ -445,6 +450,40 @@
     assert_eq!(fleet.cell.state("0000000000000001"), Some(JobState::Completed));
 }
 
+/// Guards against tasks of a lost worker that wait for its lease anew after each change of the owner.
+#[test]
+fn restore_does_not_extend_the_wait_for_a_lost_worker() {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.submit(stored_job("0000000000000001", vec![stage(8)]));
+    fleet.run_steps(6);
+    assert!(!fleet.instances[0].running.is_empty());
+    fleet.instances[0].is_disconnected = true;
+    // The longest wait for one change of the owner is 9.4 s.
+    for _ in 0..5 {
+        fleet.replace_owner();
+        fleet.run_steps(50);
+    }
+    assert_eq!(fleet.cell.state("0000000000000001"), Some(JobState::Completed));
+}
+
+/// Guards against a lease that a recorded worker gets while the next owner takes it for expired.
+#[test]
+fn grant_lease_of_a_silent_worker_follows_its_removal_from_the_record() {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.submit(stored_job("0000000000000001", vec![stage(8)]));
+    fleet.run_steps(6);
+    fleet.instances[0].is_disconnected = true;
+    fleet.run_steps(40);
+    assert_eq!(fleet.silent_workers.len(), 1);
+    let report = fleet.instances[0].report();
+    let response = fleet.cell.handle_report(report.clone(), true, fleet.now);
+    assert_eq!(response.lease_until_ms, None, "the row still lists the worker");
+    fleet.commit();
+    assert_eq!(fleet.silent_workers, Vec::new());
+    let response = fleet.cell.handle_report(report, true, fleet.now);
+    assert!(response.lease_until_ms.is_some());
+}
+
 #[test]
 fn report_of_ends_is_processed_before_the_first_listing_of_runs() {
     let mut fleet = Fleet::new(2, 1);
