Store each agent's worker, so that a new owner learns of restarts

Callers saw: after a loss of power of the owner's machine, with its worker, the worker's tasks waited for 10 s for a lease, although the machine was back after 3.5 s with a new worker.

Cause: an owner reclaims the tasks of a worker at once when the same agent reports a later incarnation, but the assignment of workers to agents was only in its memory. A new owner couldn't connect the two.

Change: the first commit of an assignment to a worker also stores the worker as that of its agent. A new owner that gets a report of a later incarnation reclaims the tasks of the stored one.

Evidence: restore_reclaims_tasks_of_a_worker_that_restarted_meanwhile fails without the adoption.

Cost: a row of some 60 bytes for each incarnation of a worker.

--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -139,6 +139,7 @@
         previous_grants_end,
     );
     cell.adopt_silent_workers(committer.silent_workers.clone());
+    cell.adopt_workers(loaded.workers);
     let now = context.clock.now();
     let job_count = loaded.jobs.len();
     for job in loaded.jobs {
@@ -198,7 +199,7 @@
             loaded = &mut loading => return loaded.ok(),
             () = sleep(RENEWAL_INTERVAL) => {}
         }
-        if committer.commit(&[]).await.is_err() {
+        if committer.renew().await.is_err() {
             loading.abort();
             warn!(context.logger, "ownership lost while loading the cell; returning to candidate");
             return None;
@@ -413,9 +414,8 @@
             self.cell.next_commit(MAX_COMMIT_ROWS)
         };
         let Some(batch) = batch else { return Err(Box::new(committer)) };
-        committer.silent_workers = batch.silent_workers;
         Ok(tokio::spawn(async move {
-            let result = committer.commit(&batch.rows).await;
+            let result = committer.commit(batch).await;
             (committer, result)
         }))
     }
--- a/crates/teaseltrack-cell/src/owner/committer.rs
+++ b/crates/teaseltrack-cell/src/owner/committer.rs
@@ -8,9 +8,9 @@
 use slog::{Logger, warn};
 use teaseltrack::{
     cell::{
+        CommitBatch,
         ownership::{OwnerRecord, SilentWorkerRecord},
         partition::CellId,
-        progress::JobProgress,
         silence::SilentWorker,
     },
     clock::SharedClock,
@@ -22,7 +22,7 @@
 
 use crate::{
     constants::RETRY_DELAY,
-    rows::{owner_key, progress_key},
+    rows::{owner_key, progress_key, worker_key},
 };
 
 /// Maximum delay between two tries of a commit.
@@ -53,12 +53,33 @@
 }
 
 impl Committer {
-    /// Commits progress rows and renews the ownership; retries until the outcome is known.
+    /// Commits a batch and renews the ownership; retries until the outcome is known.
     ///
     /// # Errors
     ///
     /// The cell has another owner.
-    pub async fn commit(&mut self, rows: &[(String, JobProgress)]) -> Result<(), OwnershipLost> {
+    pub async fn commit(&mut self, batch: CommitBatch) -> Result<(), OwnershipLost> {
+        self.silent_workers = batch.silent_workers;
+        let mut writes = Vec::new();
+        for (job, progress) in &batch.rows {
+            writes.push(Write::put(progress_key(self.cell, job), progress));
+        }
+        for (agent, worker) in &batch.workers {
+            writes.push(Write::put(worker_key(self.cell, agent), worker));
+        }
+        self.commit_writes(writes).await
+    }
+
+    /// Renews the ownership without further changes.
+    ///
+    /// # Errors
+    ///
+    /// The cell has another owner.
+    pub async fn renew(&mut self) -> Result<(), OwnershipLost> {
+        self.commit_writes(Vec::new()).await
+    }
+
+    async fn commit_writes(&mut self, mut writes: Vec<Write>) -> Result<(), OwnershipLost> {
         let first_sent_at = self.clock.now();
         let silent_workers = self.silent_workers.iter();
         let next = OwnerRecord {
@@ -68,10 +89,7 @@
                 .collect(),
             ..self.record.clone()
         };
-        let mut writes = vec![Write::put(owner_key(self.cell), &next)];
-        writes.extend(
-            rows.iter().map(|(job, progress)| Write::put(progress_key(self.cell, job), progress)),
-        );
+        writes.insert(0, Write::put(owner_key(self.cell), &next));
         let mut delay = RETRY_DELAY;
         loop {
             match self.try_commit(&next, &writes).await {
@@ -84,7 +102,7 @@
                 Ok(None) => return Err(OwnershipLost),
                 Err(error) => {
                     warn!(self.logger, "commit failed; retrying";
-                        "sequence" => next.sequence, "rows" => rows.len(), "error" => %error);
+                        "sequence" => next.sequence, "rows" => writes.len(), "error" => %error);
                     sleep(delay).await;
                     delay = (delay * 2).min(MAX_RETRY_DELAY);
                 }
@@ -99,7 +117,7 @@
     /// The cell has another owner.
     pub async fn release(&mut self) -> Result<(), OwnershipLost> {
         self.record.is_released = true;
-        self.commit(&[]).await
+        self.renew().await
     }
 
     /// Returns the row's new version, or `None` if another process owns the cell.
--- a/crates/teaseltrack-cell/src/owner/loader.rs
+++ b/crates/teaseltrack-cell/src/owner/loader.rs
@@ -8,9 +8,14 @@
 use slog::{Logger, info, warn};
 use teaseltrack::{
     cell::{
-        StoredJob, delegation::Delegation, job::JobId, partition::CellId, progress::JobProgress,
+        StoredJob,
+        delegation::Delegation,
+        job::JobId,
+        partition::CellId,
+        progress::{JobProgress, WorkerRecord},
     },
     clock::unix_ms,
+    ids::InstanceId,
 };
 use teaseltrack_platform::store::{Row, Store, StoreError};
 use tokio::{sync::mpsc, time::sleep};
@@ -19,7 +24,7 @@
     constants::{MAX_CHANGES_WAIT, RETRY_DELAY},
     rows::{
         JOB_PARTS, JOBS_TABLE, JobRowKey, Submission, cancellation_key, key_name, parse_job_key,
-        progress_prefix, stored_job,
+        progress_prefix, stored_job, worker_prefix,
     },
 };
 
@@ -41,6 +46,8 @@
     pub jobs: Vec<StoredJob>,
     /// Tasks that have been delegated to this cell.
     pub delegations: Vec<Delegation>,
+    /// Workers of the cell's agents.
+    pub workers: Vec<(InstanceId, WorkerRecord)>,
     /// Version of the jobs table from which changes are followed.
     pub version: u64,
 }
@@ -76,6 +83,11 @@
             progress.insert(key_name(&row.key).to_owned(), stored_progress);
         }
     }
+    let mut workers = Vec::new();
+    for row in store.list_all(&worker_prefix(cell)).await? {
+        workers
+            .extend(parse_row(&row, logger).map(|worker| (key_name(&row.key).to_owned(), worker)));
+    }
     let JobRows { submissions, cancelled, delegations } = group_rows(cell, &rows, logger);
     let now_ms = unix_ms(wall_now());
     let mut restore = |id: JobId, submission| {
@@ -91,7 +103,7 @@
         let submission = Submission { spec: spec.clone(), queue: queue.clone(), cell };
         StoredJob { is_partial: true, ..restore(id.clone(), submission) }
     }));
-    Ok(LoadedCell { jobs, delegations, version })
+    Ok(LoadedCell { jobs, delegations, workers, version })
 }
 
 /// Follows submissions and cancellations after a version and sends them to the owner.
--- a/crates/teaseltrack-cell/src/rows.rs
+++ b/crates/teaseltrack-cell/src/rows.rs
@@ -57,6 +57,16 @@
     format!("progress/{cell}/")
 }
 
+/// Prefix of the rows of the workers of a cell's agents.
+pub fn worker_prefix(cell: CellId) -> String {
+    format!("workers/{cell}/")
+}
+
+/// Key of the row of an agent's worker.
+pub fn worker_key(cell: CellId, agent: &InstanceId) -> String {
+    format!("{}{agent}", worker_prefix(cell))
+}
+
 /// Prefix of the rows of instances in one of [`INSTANCE_PARTS`].
 pub fn instance_prefix(part: &str) -> String {
     format!("instances/{part}/")
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -27,6 +27,7 @@
         partition::CellId,
         progress::{
             JobProgress, JobState, OccurrenceProgress, TaskPhase, TaskProgress, WorkerIncarnation,
+            WorkerRecord,
         },
         protocol::{
             EndCause, EndedTask, Order, RefusedStart, Report, ReportResponse, RunningTask,
@@ -181,6 +182,8 @@
 pub struct CommitBatch {
     /// Progress rows to write, by job.
     pub rows: Vec<(JobId, JobProgress)>,
+    /// Worker rows to write, by agent.
+    pub workers: Vec<(InstanceId, WorkerRecord)>,
     /// Silent workers, to be recorded in the owner's row.
     pub silent_workers: Vec<SilentWorker>,
 }
@@ -334,6 +337,8 @@
     workers: SlotMap<WorkerKey, Worker>,
     by_incarnation: HashMap<WorkerIncarnation, WorkerKey>,
     by_agent: BTreeMap<InstanceId, WorkerKey>,
+    /// Stored workers of agents that haven't reported to this owner.
+    stored_workers: HashMap<InstanceId, WorkerRecord>,
     pending_effects: Option<PendingEffects>,
     committed_delegations: Vec<Delegation>,
     needs_plan: bool,
@@ -377,6 +382,7 @@
             workers: SlotMap::with_key(),
             by_incarnation: HashMap::new(),
             by_agent: BTreeMap::new(),
+            stored_workers: HashMap::new(),
             pending_effects: None,
             committed_delegations: Vec::new(),
             needs_plan: true,
@@ -449,6 +455,11 @@
         self.needs_plan = true;
     }
 
+    /// Adopts the stored workers of agents.
+    pub fn adopt_workers(&mut self, workers: Vec<(InstanceId, WorkerRecord)>) {
+        self.stored_workers.extend(workers);
+    }
+
     /// Cancels a job whose cancellation is stored; returns `false` if the job is not loaded.
     pub fn cancel(&mut self, id: &str) -> bool {
         let Some(&key) = self.by_id.get(id) else { return false };
@@ -649,11 +660,13 @@
         if self.pending_effects.is_some() {
             return None;
         }
+        let workers = self.list_unrecorded_workers(max_rows);
+        let max_rows = max_rows - workers.len();
         let dirty: Vec<JobKey> = self.dirty_jobs().collect();
         let mut effects =
             PendingEffects { returned: self.returned_workers(), ..Default::default() };
-        let mut batch =
-            CommitBatch { silent_workers: self.list_silent_workers(), ..Default::default() };
+        let silent_workers = self.list_silent_workers();
+        let mut batch = CommitBatch { workers, silent_workers, ..Default::default() };
         // A worker discards the record of an ended run once the end is committed, so ends are
         // confirmed only by a batch that contains the progress of all dirty jobs.
         if dirty.len() <= max_rows {
@@ -673,6 +686,21 @@
         Some(batch)
     }
 
+    /// Workers with tasks whose row isn't stored, at most half of the rows of a batch.
+    fn list_unrecorded_workers(&mut self, max_rows: usize) -> Vec<(InstanceId, WorkerRecord)> {
+        let unrecorded = self.workers.values_mut().filter_map(|worker| {
+            let started_unix_ms = worker.status.as_ref()?.started_unix_ms;
+            let agent = worker.agent.clone()?;
+            let is_due = !worker.is_recorded && !worker.tasks.is_empty();
+            is_due.then(|| {
+                worker.is_recorded = true;
+                let incarnation = worker.incarnation.clone();
+                (agent, WorkerRecord { incarnation, started_unix_ms })
+            })
+        });
+        unrecorded.take(max_rows / 2).collect()
+    }
+
     fn dirty_jobs(&self) -> impl Iterator<Item = JobKey> {
         let is_dirty = |key: &JobKey| self.jobs.get(*key).is_some_and(|job| job.is_dirty);
         self.open_jobs.iter().copied().filter(is_dirty)
@@ -803,6 +831,7 @@
                 self.remove_worker(current);
             }
         }
+        let is_recorded = self.adopt_stored_worker(agent, &status);
         let key = match self.by_incarnation.get(&incarnation) {
             Some(&key) => key,
             None => {
@@ -814,6 +843,7 @@
         self.by_agent.insert(agent.clone(), key);
         let worker = &mut self.workers[key];
         worker.agent = Some(agent.clone());
+        worker.is_recorded |= is_recorded;
         worker.last_report_at = now;
         if worker.status.as_ref() != Some(&status) {
             worker.status = Some(status);
@@ -822,6 +852,22 @@
         Some(key)
     }
 
+    /// Ends the agent's stored worker if the reported one is a later incarnation. Returns whether the
+    /// reported worker is the stored one.
+    fn adopt_stored_worker(&mut self, agent: &InstanceId, status: &WorkerStatus) -> bool {
+        let Some(stored) = self.stored_workers.remove(agent) else { return false };
+        if stored.incarnation == status.incarnation() {
+            return true;
+        }
+        if stored.started_unix_ms < status.started_unix_ms
+            && let Some(&ended) = self.by_incarnation.get(&stored.incarnation)
+        {
+            self.invalidate_worker(ended, "worker restarted");
+            self.remove_worker(ended);
+        }
+        false
+    }
+
     /// Starts a session if the worker has none or its agent has restarted. Returns whether the
     /// report belongs to the active session; a report never belongs to a session that it started.
     fn ensure_session(
--- a/crates/teaseltrack/src/cell/progress.rs
+++ b/crates/teaseltrack/src/cell/progress.rs
@@ -11,6 +11,16 @@
 /// Identifier of a worker's incarnation; changes whenever the worker has lost its list of runs.
 pub type WorkerIncarnation = String;
 
+/// The latest incarnation of an agent's worker that tasks were assigned to. Tells a new owner that
+/// an earlier incarnation has ended, once the agent reports a later one.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerRecord {
+    /// The incarnation.
+    pub incarnation: WorkerIncarnation,
+    /// Its start, in milliseconds since the Unix epoch.
+    pub started_unix_ms: u64,
+}
+
 /// State of a job as shown to its caller.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/teaseltrack/src/cell/worker.rs
+++ b/crates/teaseltrack/src/cell/worker.rs
@@ -66,6 +66,8 @@
     pub incarnation: WorkerIncarnation,
     /// Agent of the worker; `None` until one reports the worker to this owner.
     pub agent: Option<InstanceId>,
+    /// Whether the worker is stored as that of its agent.
+    pub is_recorded: bool,
     /// Last reported status; `None` until an agent reports the worker to this owner.
     pub status: Option<WorkerStatus>,
     /// Token of the active session; 0 for none.
@@ -133,6 +135,7 @@
         Self {
             incarnation,
             agent: None,
+            is_recorded: false,
             status: None,
             session: 0,
             agent_started_unix_ms: 0,
--- a/crates/teaseltrack/tests/cell.rs
+++ b/crates/teaseltrack/tests/cell.rs
@@ -17,7 +17,7 @@
     cell::{
         Cell, CellEvent, StoredJob,
         job::{JobSpec, Queue, QueueConfiguration, Stage},
-        progress::{JobProgress, JobState},
+        progress::{JobProgress, JobState, WorkerRecord},
         protocol::{
             EndCause, EndedTask, Order, RefusedStart, Report, ReportResponse, RunningTask,
             StartOrder, TaskName, WorkerListing, WorkerStatus,
@@ -144,6 +144,7 @@
     epoch: u64,
     jobs: BTreeMap<String, StoredJob>,
     progress: BTreeMap<String, JobProgress>,
+    workers: BTreeMap<String, WorkerRecord>,
     silent_workers: Vec<SilentWorker>,
     committed_done: BTreeSet<TaskName>,
     done: BTreeSet<TaskName>,
@@ -170,6 +171,7 @@
             epoch: 1,
             jobs: BTreeMap::new(),
             progress: BTreeMap::new(),
+            workers: BTreeMap::new(),
             silent_workers: Vec::new(),
             committed_done: BTreeSet::new(),
             done: BTreeSet::new(),
@@ -195,6 +197,7 @@
         let grants_end = self.now + Duration::from_secs(4);
         self.cell = Cell::new(0, CELL_SETTINGS, self.epoch, configuration(), grants_end);
         self.cell.adopt_silent_workers(self.silent_workers.clone());
+        self.cell.adopt_workers(self.workers.clone().into_iter().collect());
         for job in self.jobs.values() {
             let progress = self.progress.get(&job.id).cloned();
             self.cell.admit(StoredJob { progress, ..job.clone() }, self.now);
@@ -205,6 +208,7 @@
     fn commit(&mut self) {
         while let Some(batch) = self.cell.next_commit(50) {
             self.progress.extend(batch.rows);
+            self.workers.extend(batch.workers);
             self.silent_workers = batch.silent_workers;
             self.cell.commit_succeeded();
         }
@@ -466,6 +470,21 @@
     assert_eq!(fleet.cell.state("0000000000000001"), Some(JobState::Completed));
 }
 
+/// Guards against a new owner that waits for the lease of a worker whose agent reports a later one.
+#[test]
+fn restore_reclaims_tasks_of_a_worker_that_restarted_meanwhile() {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.submit(stored_job("0000000000000001", vec![stage(8)]));
+    fleet.run_steps(6);
+    let lost = fleet.instances[0].running.len();
+    let started = fleet.start_count;
+    assert!(lost > 0);
+    fleet.restart_worker(0);
+    fleet.replace_owner();
+    fleet.run_steps(10);
+    assert!(fleet.start_count >= started + lost, "lost tasks run again within half a second");
+}
+
 /// Guards against a lease that a recorded worker gets while the next owner takes it for expired.
 #[test]
 fn grant_lease_of_a_silent_worker_follows_its_removal_from_the_record() {
