Don't wait for the grants of an owner's earlier process

Cause: the successor took it for possible that the earlier process still grants leases for the grant period of 4 s. A process that holds the same address can only start once the earlier one has ended.

Evidence: take_over_after_a_restart_does_not_wait_for_the_grant_period fails without the change (the task isn't reclaimed within 20 s with a grant period of 60 s). The simulated store of the crate's tests gave each row of a transaction a version of its own, unlike the store's contract, so that an owner's second commit conflicted; it now gives all rows the same one.

--- a/crates/teaseltrack-cell/src/candidate.rs
+++ b/crates/teaseltrack-cell/src/candidate.rs
@@ -119,10 +119,8 @@
             return Ok(Some(Takeover { committer, previous_grants_end: now + grant_period }));
         }
         if record.owner == self.instance && record.address == self.address {
-            let is_first = record.epoch == 1;
-            let earlier_grant_period =
-                if is_first { Duration::ZERO } else { self.context.ownership.grant_period };
-            return self.take_over(Some((record, row)), now, now + earlier_grant_period).await;
+            // The earlier process has ended, and so have its grants.
+            return self.take_over(Some((record, row)), now, now).await;
         }
         let delay = candidate_delay(
             &self.instance,
--- /dev/null
+++ b/crates/teaseltrack-cell/tests/candidate.rs
@@ -0,0 +1,109 @@
+//! Takeovers by a candidate, with a simulated store.
+
+mod util;
+
+use std::{
+    sync::{Arc, Mutex},
+    time::{Duration, SystemTime},
+};
+
+use teaseltrack::{
+    cell::{
+        job::{JobSpec, QueueConfiguration, Stage},
+        ownership::{OwnerRecord, OwnershipSettings},
+        progress::{JobProgress, JobState, TaskPhase, TaskProgress},
+    },
+    clock::SystemClock,
+};
+use teaseltrack_cell::{
+    calls::KnownOwner,
+    candidate::Candidate,
+    configuration::ConfigurationSource,
+    constants::cell_settings,
+    owner::OwnerContext,
+    rows::{Submission, owner_key, progress_key, submission_key},
+};
+use teaseltrack_daemon::{logs::silent, metrics::Metrics};
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
+use tokio_util::sync::CancellationToken;
+use util::{Rows, store};
+
+const JOB: &str = "00000000000000aa";
+const OWNER: &str = "instance-1";
+const LEASE: Duration = Duration::from_millis(100);
+
+/// Rows of a cell with a task on a worker that no longer exists.
+fn rows_of_a_lost_worker(owner: &OwnerRecord) -> Arc<Mutex<Rows>> {
+    let stage = Stage { task_count: 1, ..Stage::default() };
+    let spec = JobSpec { stages: vec![stage], ..JobSpec::default() };
+    let task = TaskProgress {
+        phase: TaskPhase::Assigned("lost@1".to_owned()),
+        attempt: 1,
+        ..TaskProgress::default()
+    };
+    let progress = JobProgress { state: JobState::Active, occurrences: vec![vec![vec![task]]] };
+    let submission = Submission { spec, ..Submission::default() };
+    let mut rows = Rows::default();
+    rows.put(&owner_key(0), &serde_json::to_string(owner).unwrap());
+    rows.put(&submission_key(JOB), &serde_json::to_string(&submission).unwrap());
+    rows.put(&progress_key(0, JOB), &serde_json::to_string(&progress).unwrap());
+    Arc::new(Mutex::new(rows))
+}
+
+fn candidate(rows: &Arc<Mutex<Rows>>) -> Candidate {
+    Candidate {
+        instance: OWNER.to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        started_unix_ms: 2,
+        context: OwnerContext {
+            cell_id: 0,
+            cell_count: 1,
+            store: store(rows),
+            clock: Arc::new(SystemClock),
+            wall_now: SystemTime::now,
+            cell: cell_settings(LEASE),
+            ownership: OwnershipSettings {
+                takeover_timeout: Duration::from_millis(300),
+                grant_period: Duration::from_secs(60),
+            },
+            configuration: ConfigurationSource {
+                table: "configuration".to_owned(),
+                key: "configuration/0/active".to_owned(),
+                decode: Arc::new(|_| Ok(QueueConfiguration::default())),
+                version: |configuration| configuration.version,
+            },
+            mailbox: watch::channel(None).0,
+            logger: silent(),
+            metrics: Metrics::scrape_only(),
+        },
+        known_owner: watch::channel(KnownOwner::default()).0,
+    }
+}
+
+/// Guards against a restarted owner that waits for leases which its earlier process can't have
+/// granted any more.
+#[tokio::test]
+async fn take_over_after_a_restart_does_not_wait_for_the_grant_period() {
+    let owner = OwnerRecord {
+        epoch: 3,
+        owner: OWNER.to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        started_unix_ms: 1,
+        ..OwnerRecord::default()
+    };
+    let rows = rows_of_a_lost_worker(&owner);
+    let closing = CancellationToken::new();
+    let (_contact, contact) = watch::channel(None);
+    tokio::spawn(candidate(&rows).run(contact, closing.clone()));
+    let is_reclaimed = async {
+        while rows.lock().unwrap().write_count(&progress_key(0, JOB)) < 2 {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let reclaimed = timeout(Duration::from_secs(20), is_reclaimed).await;
+    closing.cancel();
+    assert!(reclaimed.is_ok(), "the task still waits for the lease of its lost worker");
+}
--- a/crates/teaseltrack-cell/tests/util.rs
+++ b/crates/teaseltrack-cell/tests/util.rs
@@ -18,6 +18,7 @@
 pub struct Rows {
     values: BTreeMap<String, Row>,
     history: Vec<RowChange>,
+    version: u64,
     /// Number of responses to commits still to lose.
     pub lost_responses: u32,
 }
@@ -25,7 +26,12 @@
 impl Rows {
     /// Writes a row as another process would.
     pub fn put(&mut self, key: &str, value: &str) {
-        let (key, value, version) = (key.to_owned(), value.to_owned(), self.version() + 1);
+        self.version += 1;
+        self.put_at(key, value, self.version);
+    }
+
+    fn put_at(&mut self, key: &str, value: &str, version: u64) {
+        let (key, value) = (key.to_owned(), value.to_owned());
         let row = Row { key: key.clone(), version, value: value.clone() };
         self.values.insert(key.clone(), row);
         self.history.push(RowChange { key, version, value: Some(value) });
@@ -37,10 +43,6 @@
         self.history.iter().filter(|change| change.key == key).count()
     }
 
-    fn version(&self) -> u64 {
-        self.history.len() as u64
-    }
-
     fn commit(&mut self, transaction: Transaction) -> Result<StoreReply, StoreError> {
         for condition in transaction.conditions {
             let version = self.values.get(&condition.key).map_or(0, |row| row.version);
@@ -48,14 +50,15 @@
                 return Ok(StoreReply::Commit(CommitOutcome::Conflict { key: condition.key }));
             }
         }
+        self.version += 1;
         for write in transaction.writes {
-            self.put(&write.key, &write.value.expect("no test deletes rows"));
+            self.put_at(&write.key, &write.value.expect("no test deletes rows"), self.version);
         }
         if self.lost_responses > 0 {
             self.lost_responses -= 1;
             return Err(StoreError::Unavailable { message: "response lost".to_owned() });
         }
-        Ok(StoreReply::Commit(CommitOutcome::Committed { version: self.version() }))
+        Ok(StoreReply::Commit(CommitOutcome::Committed { version: self.version }))
     }
 
     fn rows(&self, is_included: impl Fn(&str) -> bool) -> StoreReply {
@@ -70,7 +73,7 @@
         };
         StoreReply::Changes(ChangePage {
             changes: self.history.iter().filter(is_included).cloned().collect(),
-            version: self.version(),
+            version: self.version,
             is_history_lost: false,
         })
     }
@@ -81,7 +84,7 @@
             StoreCall::List { prefix, after, .. } => {
                 Ok(self.rows(|key| key.starts_with(&prefix) && *key > *after))
             }
-            StoreCall::Version { .. } => Ok(StoreReply::Version(self.version())),
+            StoreCall::Version { .. } => Ok(StoreReply::Version(self.version)),
             StoreCall::Changes { table, after, .. } => Ok(self.changes(&table, after)),
             StoreCall::Commit(transaction) => self.commit(transaction),
             other => panic!("unexpected call: {other:?}"),
