Reclaim tasks of a lost worker that never got a lease

Callers would see: a task that never runs again, as long as the cell keeps its owner.

Cause: while an owner may not grant leases, it can assign tasks to a worker without one. If the worker is lost then, no lease ever expires, and its tasks stay assigned.

Change: such a worker counts as expired once it is silent. Nothing can run there, since its agent starts nothing without a lease.

Evidence: tick_reclaims_tasks_of_a_lost_worker_without_a_lease fails without the change (0 of 2 tasks reclaimed).

--- a/crates/teaseltrack/src/cell/silence.rs
+++ b/crates/teaseltrack/src/cell/silence.rs
@@ -50,7 +50,8 @@
         for key in silent {
             let worker = &mut self.workers[key];
             worker.is_silent = true;
-            let lease_end = worker.lease_end.unwrap_or(now);
+            // Nothing can run on a worker that never got a lease.
+            let lease_end = *worker.lease_end.get_or_insert(now);
             self.events.push(CellEvent::Silent {
                 worker: worker.incarnation.clone(),
                 task_count: worker.tasks.len(),
--- a/crates/teaseltrack/tests/cell.rs
+++ b/crates/teaseltrack/tests/cell.rs
@@ -146,6 +146,7 @@
     progress: BTreeMap<String, JobProgress>,
     workers: BTreeMap<String, WorkerRecord>,
     silent_workers: Vec<SilentWorker>,
+    may_grant: bool,
     committed_done: BTreeSet<TaskName>,
     done: BTreeSet<TaskName>,
     start_count: usize,
@@ -173,6 +174,7 @@
             progress: BTreeMap::new(),
             workers: BTreeMap::new(),
             silent_workers: Vec::new(),
+            may_grant: true,
             committed_done: BTreeSet::new(),
             done: BTreeSet::new(),
             start_count: 0,
@@ -262,7 +264,7 @@
 
     fn exchange_report(&mut self, index: usize) {
         let report = self.instances[index].report();
-        let response = self.cell.handle_report(report, true, self.now);
+        let response = self.cell.handle_report(report, self.may_grant, self.now);
         let instance = &mut self.instances[index];
         instance.refused.clear();
         if response.session > instance.session {
@@ -485,6 +487,23 @@
     assert!(fleet.start_count >= started + lost, "lost tasks run again within half a second");
 }
 
+/// Guards against tasks that are never reclaimed from a worker that is lost before its first lease.
+#[test]
+fn tick_reclaims_tasks_of_a_lost_worker_without_a_lease() {
+    let mut fleet = Fleet::new(1, 1);
+    fleet.may_grant = false;
+    fleet.run_steps(4);
+    fleet.submit(stored_job("0000000000000001", vec![stage(2)]));
+    fleet.run_steps(2);
+    fleet.instances[0].is_disconnected = true;
+    fleet.may_grant = true;
+    fleet.cell.take_events();
+    fleet.run_steps(40);
+    let events = fleet.cell.take_events();
+    let is_reclaimed = |event: &&CellEvent| matches!(event, CellEvent::Reclaimed { .. });
+    assert_eq!(events.iter().filter(is_reclaimed).count(), 2);
+}
+
 /// Guards against a lease that a recorded worker gets while the next owner takes it for expired.
 #[test]
 fn grant_lease_of_a_silent_worker_follows_its_removal_from_the_record() {
