Plan again once time has passed for waiting tasks and due occurrences

Callers would see: LOST in a quiet cell: a long-running task that may use the reserve for batch tasks after 1 s, or a task that waits for the end of a back-off, isn't placed until something else happens. A due occurrence doesn't begin.

Cause: a planning round was only requested by changes of state, and several limits of planning depend on time alone. Found independently by a simulated fleet that plans only when the owner would.

Change: a round that leaves tasks waiting requests another one after 250 ms, and future occurrences request one for their time.

Evidence: tick_requests_a_plan_once_a_waiting_task_may_use_the_reserve and tick_requests_a_plan_for_a_due_occurrence fail without the change; the simulated fleet of these tests now plans only when a round is due.

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -342,6 +342,8 @@
     pending_effects: Option<PendingEffects>,
     committed_delegations: Vec<Delegation>,
     needs_plan: bool,
+    /// Time of the next planning round if no event requires an earlier one.
+    next_plan_at: Option<Instant>,
     events: Vec<CellEvent>,
     previous_leases_end: Instant,
     /// Ends of the leases of workers that were silent for the previous owner.
@@ -386,6 +388,7 @@
             pending_effects: None,
             committed_delegations: Vec::new(),
             needs_plan: true,
+            next_plan_at: None,
             events: Vec::new(),
         }
     }
@@ -582,8 +585,8 @@
         response
     }
 
-    /// Reclaims the tasks of workers whose lease has expired, and periodically updates the
-    /// interference estimates, stops stalled runs and decays slowdowns.
+    /// Reclaims the tasks of workers whose lease has expired, requests planning rounds that are due,
+    /// and periodically updates the interference estimates, stops stalled runs and decays slowdowns.
     pub fn tick(&mut self, now: Instant) {
         let expired_workers: Vec<WorkerKey> = self
             .workers
@@ -595,6 +598,7 @@
             self.invalidate_worker(key, "lease expired");
         }
         self.detect_silent_workers(now);
+        self.needs_plan |= self.next_plan_at.is_some_and(|at| at <= now);
         let maintained_at = *self.maintained_at.get_or_insert(now);
         if now.duration_since(maintained_at) >= MAINTENANCE_INTERVAL {
             self.interference.update_estimates(now.duration_since(maintained_at), now);
@@ -732,7 +736,7 @@
         });
     }
 
-    /// Whether state has changed since the last planning round.
+    /// Whether a planning round is due.
     pub fn needs_plan(&self) -> bool {
         self.needs_plan
     }
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -29,6 +29,12 @@
     placement::Resources,
 };
 
+/// Time until the next planning round while tasks are waiting.
+const PLAN_RETRY_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Maximum time until the next planning round while occurrences are due later.
+const MAX_PLAN_INTERVAL: Duration = Duration::from_secs(60);
+
 /// Settings of planning.
 #[derive(Clone, Copy, Debug)]
 pub struct PlanningSettings {
@@ -147,9 +153,15 @@
     /// Runs a planning round: begins due occurrences, stops serving tasks on draining workers,
     /// assigns waiting tasks, gives a task to each starved best-effort job, and, unless serving
     /// tasks were waiting, regroups them. Start orders are sent after the next commit.
+    ///
+    /// Tasks that remain waiting, and future occurrences, schedule another round: a task may become
+    /// placeable merely because time has passed.
     pub fn plan(&mut self, unix_now_ms: u64, now: Instant) {
         self.needs_plan = false;
-        self.begin_due_occurrences(unix_now_ms);
+        let next_due = self.begin_due_occurrences(unix_now_ms);
+        let next_due_at = next_due.map(|wait| now + wait);
+        let retry_at = now + PLAN_RETRY_INTERVAL;
+        self.next_plan_at = Some(next_due_at.map_or(retry_at, |due_at| due_at.min(retry_at)));
         self.evacuate_draining_workers();
         self.expire_recent_assignments(now);
         let workers = self.eligible_workers(now);
@@ -157,6 +169,9 @@
             return;
         }
         let mut candidates = self.candidates(now);
+        if candidates.is_empty() {
+            self.next_plan_at = next_due_at;
+        }
         candidates.sort_by_key(|candidate| candidate.rank);
         let is_serving_waiting =
             candidates.iter().any(|candidate| candidate.rank.0 == TaskKind::Serving);
@@ -192,7 +207,9 @@
         }
     }
 
-    fn begin_due_occurrences(&mut self, unix_now_ms: u64) {
+    /// Begins due occurrences; returns the time until the next one is due.
+    fn begin_due_occurrences(&mut self, unix_now_ms: u64) -> Option<Duration> {
+        let mut next_due: Option<Duration> = None;
         for key in self.open_jobs.clone() {
             let job = &self.jobs[key];
             if job.state.is_final() {
@@ -211,10 +228,21 @@
                     due.min(u64::from(schedule.occurrence_count))
                 }
             };
+            if let Some(schedule) = job.spec.schedule
+                && due < u64::from(schedule.occurrence_count)
+            {
+                let elapsed_ms = due.saturating_mul(schedule.interval_ms.max(1));
+                let due_unix_ms = schedule.first_unix_ms.saturating_add(elapsed_ms);
+                let wait = Duration::from_millis(due_unix_ms.saturating_sub(unix_now_ms));
+                // Callers choose the times; the limit also avoids an overflow.
+                let wait = wait.min(MAX_PLAN_INTERVAL);
+                next_due = Some(next_due.map_or(wait, |earlier| earlier.min(wait)));
+            }
             for _ in started_count..due {
                 self.begin_occurrence(key);
             }
         }
+        next_due
     }
 
     fn begin_occurrence(&mut self, key: JobKey) {
--- a/crates/teaseltrack/tests/cell.rs
+++ b/crates/teaseltrack/tests/cell.rs
@@ -16,7 +16,7 @@
 use teaseltrack::{
     cell::{
         Cell, CellEvent, StoredJob,
-        job::{JobSpec, Queue, QueueConfiguration, Stage},
+        job::{JobSpec, Queue, QueueConfiguration, Schedule, Stage},
         progress::{JobProgress, JobState, WorkerRecord},
         protocol::{
             EndCause, EndedTask, Order, RefusedStart, Report, ReportResponse, RunningTask,
@@ -139,6 +139,7 @@
 struct Fleet {
     rng: ChaCha8Rng,
     now: Instant,
+    unix_now_ms: u64,
     instances: Vec<Instance>,
     cell: Cell,
     epoch: u64,
@@ -167,6 +168,7 @@
         Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
             now,
+            unix_now_ms: 0,
             instances,
             cell: Cell::new(0, CELL_SETTINGS, 1, configuration(), now),
             epoch: 1,
@@ -218,6 +220,7 @@
 
     fn step(&mut self) {
         self.now += STEP;
+        self.unix_now_ms += STEP.as_millis() as u64;
         for index in 0..self.instances.len() {
             self.run_worker(index);
             if !self.instances[index].is_disconnected {
@@ -225,7 +228,9 @@
             }
         }
         self.cell.tick(self.now);
-        self.cell.plan(0, self.now);
+        if self.cell.needs_plan() {
+            self.cell.plan(self.unix_now_ms, self.now);
+        }
         self.commit();
     }
 
@@ -419,6 +424,40 @@
     assert_eq!(fleet.cell.state("0000000000000001"), Some(JobState::Completed));
 }
 
+/// Guards against a task that could start once some time has passed, in a cell without other events.
+#[test]
+fn tick_requests_a_plan_once_a_waiting_task_may_use_the_reserve() {
+    let mut fleet = Fleet::new(1, 1);
+    fleet.run_steps(4);
+    // Leaves less than the reserve for batch tasks.
+    let resources = Resources { cpu_milli: 7_800, ..CAPACITY };
+    fleet.submit(stored_job(
+        "0000000000000001",
+        vec![Stage { is_long_running: true, resources, ..stage(1) }],
+    ));
+    fleet.run_steps(60);
+    assert!(fleet.start_count > 0);
+}
+
+/// Guards against an occurrence that doesn't begin at its time, in a cell without other events.
+#[test]
+fn tick_requests_a_plan_for_a_due_occurrence() {
+    let mut fleet = Fleet::new(1, 1);
+    let mut job = stored_job("0000000000000001", vec![stage(1)]);
+    job.spec.schedule =
+        Some(Schedule { first_unix_ms: 1_000, interval_ms: 1_000, occurrence_count: 2 });
+    fleet.submit(job);
+    let mut never = stored_job("0000000000000002", vec![stage(1)]);
+    never.spec.schedule = Some(Schedule {
+        first_unix_ms: u64::MAX,
+        interval_ms: u64::MAX,
+        occurrence_count: u32::MAX,
+    });
+    fleet.submit(never);
+    fleet.run_steps(100);
+    assert_eq!(fleet.cell.state("0000000000000001"), Some(JobState::Completed));
+}
+
 #[test]
 fn cancel_stops_running_tasks_and_starts_none() {
     let mut fleet = Fleet::new(1, 1);
