Start nothing on a worker that is over its capacity

Callers would see a best-effort task start on a worker whose running tasks reserve more CPU than it has since its capacity shrank; on a worker that doesn't guard its capacity, that start is over it. Cause: the planner compared a task with the free capacity, which saturates at zero. A dimension of which the task reserves nothing, such as the CPU of best-effort tasks, always fitted. Change: a task fits if the reserved resources and its own are within the capacity. Runs that are over it continue; nothing starts until enough of them have ended, also in quotes. Evidence: plan_starts_nothing_on_a_worker_over_its_capacity failed before ("exceeds the worker's capacity: cpu_milli: 6000 of 5000").

--- a/crates/teaseltrack/src/cell/quote.rs
+++ b/crates/teaseltrack/src/cell/quote.rs
@@ -146,6 +146,9 @@
     fn room_for(&self, stage: &StageDemand) -> u32 {
         let Resources { cpu_milli, memory_mib, accelerators } = self.available();
         let required = stage.reserved;
+        if !self.can_fit(&required) {
+            return 0;
+        }
         let fits = |free: u64, each: u64| free.checked_div(each).unwrap_or(u64::MAX);
         let room = fits(cpu_milli, required.cpu_milli)
             .min(fits(memory_mib, required.memory_mib))
--- a/crates/teaseltrack/src/cell/scoring.rs
+++ b/crates/teaseltrack/src/cell/scoring.rs
@@ -87,7 +87,7 @@
             stage.required_label.as_ref().is_none_or(|label| status.labels.contains(label));
         let is_below_limit =
             stage.max_per_worker.is_none_or(|max| worker.stage_task_count(key) < max);
-        has_label && is_below_limit && worker.available().can_fit(&reserved_resources(stage))
+        has_label && is_below_limit && worker.can_fit(&reserved_resources(stage))
     }
 
     /// Scores a worker for a task; `None` if the task can't be placed there.
--- a/crates/teaseltrack/src/cell/worker.rs
+++ b/crates/teaseltrack/src/cell/worker.rs
@@ -218,6 +218,13 @@
             .map_or(Resources::default(), |status| status.capacity.minus(&self.reserved))
     }
 
+    /// Whether a task that reserves `required` would leave the worker within its capacity. While the
+    /// worker is over it, because the capacity shrank, no task fits, whatever it requires.
+    pub fn can_fit(&self, required: &Resources) -> bool {
+        let reserved = self.reserved.plus(required);
+        self.status.as_ref().is_some_and(|status| status.capacity.can_fit(&reserved))
+    }
+
     /// Number of tasks on the worker of the same stage as `key`.
     pub fn stage_task_count(&self, key: TaskKey) -> u32 {
         let first = TaskKey { index: 0, ..key };
