Ignore the status in a report that a newer one has overtaken

Callers would see a start over the capacity of a worker whose capacity shrank, or one on a worker that drains. Cause: an agent has two reports in flight, and a report may arrive late after a reconnect. The owner took the status of whichever came last, so a report built before a heartbeat brought the earlier capacity back until the next report. Change: the owner keeps the worker's clock of the report that set the status, and ignores the status of one with an earlier clock. The clock only increases in an incarnation. Two reports with the same reading still count in their order of arrival; the agent's next report corrects the status.

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -486,7 +486,10 @@
         }
         let mut response = ReportResponse { epoch: self.epoch, ..ReportResponse::default() };
         let Some(status) = report.status else { return response };
-        let Some(key) = self.attach_agent(&report.agent, status, now) else { return response };
+        let Some(key) = self.attach_agent(&report.agent, status, report.worker_clock_ms, now)
+        else {
+            return response;
+        };
         if !self.ensure_session(key, report.session, report.started_unix_ms, &report.agent) {
             // Carries no orders: the agent gets those of the session, which are numbered from 1,
             // once it reports under it.
@@ -749,6 +752,7 @@
         &mut self,
         agent: &InstanceId,
         status: WorkerStatus,
+        worker_clock_ms: u64,
         now: Instant,
     ) -> Option<WorkerKey> {
         let incarnation = status.incarnation();
@@ -775,6 +779,11 @@
         let worker = &mut self.workers[key];
         worker.agent = Some(agent.clone());
         worker.last_report_at = now;
+        // An agent's reports may overtake each other.
+        if worker_clock_ms < worker.status_clock_ms {
+            return Some(key);
+        }
+        worker.status_clock_ms = worker_clock_ms;
         if worker.status.as_ref() != Some(&status) {
             worker.status = Some(status);
             self.needs_plan = true;
--- a/crates/teaseltrack/src/cell/worker.rs
+++ b/crates/teaseltrack/src/cell/worker.rs
@@ -68,6 +68,8 @@
     pub agent: Option<InstanceId>,
     /// Last reported status; `None` until an agent reports the worker to this owner.
     pub status: Option<WorkerStatus>,
+    /// Reading of the worker's clock in the report with `status`, in milliseconds.
+    pub status_clock_ms: u64,
     /// Token of the active session; 0 for none.
     pub session: SessionToken,
     /// Start time of the agent process that the session belongs to, in milliseconds since the Unix
@@ -127,6 +129,7 @@
             incarnation,
             agent: None,
             status: None,
+            status_clock_ms: 0,
             session: 0,
             agent_started_unix_ms: 0,
             is_reconciled: false,
--- a/crates/teaseltrack/tests/cell.rs
+++ b/crates/teaseltrack/tests/cell.rs
@@ -618,6 +618,23 @@
     assert_eq!(fleet.start_count, 5, "capacity that is back is used");
 }
 
+/// Guards against a larger capacity that a late report brings back: two reports of an agent may
+/// overtake each other.
+#[test]
+fn report_older_than_the_last_changes_no_status() {
+    let mut fleet = Fleet::new(1, 1);
+    fleet.run_steps(3);
+    let late = fleet.instances[0].report();
+    fleet.instances[0].settle_capacity(SMALL_CAPACITY);
+    fleet.run_steps(2);
+    fleet.cell.handle_report(late, true, fleet.now);
+    fleet.submit(stored_job("0000000000000001", vec![long_running(4)]));
+    fleet.cell.plan(0, fleet.now);
+    let assigned = fleet.cell.take_events().into_iter();
+    let assigned = assigned.filter(|event| matches!(event, CellEvent::Assigned { .. }));
+    assert_eq!(assigned.count(), 2);
+}
+
 #[parameterized(
     seed_1 = { 1 },
     seed_2 = { 2 },
