Withdraw starts when the capacity shrinks before their commit

Callers would see a start over the capacity of a worker, seconds after the capacity shrank, when the store was slow. Cause: tasks are assigned before a commit and their starts are sent after it. The owner learned of the smaller capacity in between and sent the starts nevertheless; commits may take longer than a shrink may go unnoticed. Change: before a start is sent, the reserved resources, which include those of the start, are compared with the present capacity. A start that doesn't fit is reclaimed, like one that was stopped before its commit, and the task waits again.

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -36,6 +36,7 @@
         worker::{TaskKey, Worker},
     },
     ids::{AttemptNumber, Epoch, InstanceId},
+    placement::Resources,
 };
 
 pub mod delegation;
@@ -1163,6 +1164,10 @@
         if task.run.as_ref().is_some_and(|run| run.is_stopping) {
             return self.reclaim_task(key, "stopped before its start order was sent");
         }
+        // The capacity may have shrunk since the assignment.
+        if !worker.can_fit(&Resources::default()) {
+            return self.reclaim_task(key, "worker is over its capacity");
+        }
         let start = StartOrder {
             task: name.clone(),
             attempt: task.progress.attempt,
--- a/crates/teaseltrack/tests/cell.rs
+++ b/crates/teaseltrack/tests/cell.rs
@@ -635,6 +635,24 @@
     assert_eq!(assigned.count(), 2);
 }
 
+/// Guards against starts that were planned before the capacity shrank and committed after it.
+#[test]
+fn commit_succeeded_sends_no_start_beyond_a_smaller_capacity() {
+    let mut fleet = Fleet::new(1, 1);
+    fleet.run_steps(3);
+    fleet.commit_time = Duration::from_secs(5);
+    fleet.submit(stored_job("0000000000000001", vec![long_running(3)]));
+    fleet.run_steps(1);
+    fleet.instances[0].settle_capacity(SMALL_CAPACITY);
+    fleet.run_steps(120);
+    fleet.commit_time = Duration::ZERO;
+    fleet.run_steps(120);
+    assert_eq!(fleet.instances[0].running.len(), 2, "the tasks that fit run");
+    fleet.instances[0].settle_capacity(CAPACITY);
+    fleet.run_steps(3);
+    assert_eq!(fleet.instances[0].running.len(), 3);
+}
+
 #[parameterized(
     seed_1 = { 1 },
     seed_2 = { 2 },
