Send a start only with the commit of its own attempt

Callers would see a task run twice: its owner fails, and the next one doesn't know the attempt that runs. Cause: the starts to send after a commit named the worker and the task, not the attempt. If an assignment was reclaimed while its commit was in flight, for instance by a new session, and the task was assigned to the same worker again, that commit also sent the start of the second attempt, whose own commit was still to come; and the second commit sent it again. Change: a start names its attempt and is sent only if that is still the current one. Evidence: commit_succeeded_sends_no_start_of_a_later_attempt failed before ("attempt 2 started before its commit"). Each simulated start now asserts that its attempt is committed.

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -169,7 +169,7 @@
     is_dirty: bool,
     /// Whether only tasks that another cell has delegated belong to this one.
     is_partial: bool,
-    uncommitted_starts: Vec<(WorkerKey, TaskKey)>,
+    uncommitted_starts: Vec<(WorkerKey, TaskKey, AttemptNumber)>,
     uncommitted_delegations: Vec<TaskKey>,
 }
 
@@ -183,7 +183,7 @@
 /// State changes and orders deferred until the in-flight commit succeeds.
 #[derive(Clone, Debug, Default)]
 struct PendingEffects {
-    starts: Vec<(WorkerKey, TaskKey)>,
+    starts: Vec<(WorkerKey, TaskKey, AttemptNumber)>,
     delegations: Vec<TaskKey>,
     states: Vec<(JobKey, JobState)>,
     ends: Vec<(WorkerKey, u64)>,
@@ -663,8 +663,8 @@
                 worker.committed_end = worker.committed_end.max(end.min(worker.processed_end));
             }
         }
-        for (worker, task) in effects.starts {
-            self.enqueue_start(worker, task);
+        for (worker, task, attempt) in effects.starts {
+            self.enqueue_start(worker, task, attempt);
         }
         self.commit_delegations(effects.delegations);
         self.open_jobs.retain(|key| {
@@ -1150,14 +1150,18 @@
         progress
     }
 
-    fn enqueue_start(&mut self, worker_key: WorkerKey, key: TaskKey) {
+    /// Sends the start of a committed attempt, unless the task was reclaimed since its assignment.
+    fn enqueue_start(&mut self, worker_key: WorkerKey, key: TaskKey, attempt: AttemptNumber) {
         let Some(name) = self.name_of(key) else { return };
         let Some(worker) = self.workers.get(worker_key) else { return };
         let session = worker.session;
         let job = &self.jobs[key.job];
         let Some(task) = self.task(key) else { return };
-        let is_current =
-            task.run.as_ref().is_some_and(|run| run.worker == worker_key && run.session == session);
+        let is_current = task.progress.attempt == attempt
+            && task
+                .run
+                .as_ref()
+                .is_some_and(|run| run.worker == worker_key && run.session == session);
         if !is_current {
             return;
         }
@@ -1170,7 +1174,7 @@
         }
         let start = StartOrder {
             task: name.clone(),
-            attempt: task.progress.attempt,
+            attempt,
             payload: job.spec.payload.clone(),
             checkpoint: task.progress.checkpoint.clone(),
         };
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -485,7 +485,7 @@
             worker: self.workers[worker].incarnation.clone(),
         });
         let job = &mut self.jobs[key.job];
-        job.uncommitted_starts.push((worker, key));
+        job.uncommitted_starts.push((worker, key, attempt));
         job.is_dirty = true;
         if job.state == JobState::Queued {
             job.state = JobState::Active;
--- a/crates/teaseltrack/tests/cell.rs
+++ b/crates/teaseltrack/tests/cell.rs
@@ -1,9 +1,9 @@
 //! Tests of a cell's owner under failing, unresponsive, disconnected and restarted workers.
 //!
 //! [`Fleet`] simulates workers and agents: it executes orders and lists running and ended tasks. At
-//! each start it asserts that the task runs nowhere else, that the stages it depends on are done,
-//! that the worker has enough free capacity, and that the task isn't done. Workers' capacities may
-//! change; their agents learn of a change with the next heartbeat.
+//! each start it asserts that the attempt is committed, that the task runs nowhere else, that the
+//! stages it depends on are done, that the worker has enough free capacity, and that the task isn't
+//! done. Workers' capacities may change; their agents learn of a change with the next heartbeat.
 
 mod util;
 
@@ -411,6 +411,14 @@
             );
         }
         assert!(!self.committed_done.contains(&start.task), "{} is already done", start.task);
+        let committed = &self.progress[&start.task.job].occurrences[start.task.occurrence as usize]
+            [start.task.stage as usize][start.task.index as usize];
+        assert!(
+            committed.attempt >= start.attempt,
+            "attempt {} of {} started before its commit",
+            start.attempt,
+            start.task
+        );
         for &dependency_stage in &job.spec.stages[start.task.stage as usize].after {
             for task_index in 0..job.spec.stages[dependency_stage].task_count {
                 let dependency = TaskName {
@@ -653,6 +661,24 @@
     assert_eq!(fleet.instances[0].running.len(), 3);
 }
 
+/// Guards against a start that is sent with the commit of an earlier attempt: after a failure of the
+/// owner, its successor doesn't know the run and starts the task a second time.
+#[test]
+fn commit_succeeded_sends_no_start_of_a_later_attempt() {
+    let mut fleet = Fleet::new(1, 1);
+    fleet.run_steps(3);
+    fleet.commit_time = Duration::from_secs(1);
+    fleet.submit(stored_job("0000000000000001", vec![long_running(1)]));
+    fleet.run_steps(5);
+    // The new session shows that the first attempt wasn't started, and the task is assigned again
+    // while the commit of the first attempt is in flight.
+    fleet.restart_agent(0);
+    fleet.run_steps(20);
+    assert_eq!(fleet.start_count, 0);
+    fleet.run_steps(20);
+    assert_eq!(fleet.start_count, 1);
+}
+
 #[parameterized(
     seed_1 = { 1 },
     seed_2 = { 2 },
