Refuse starts planned against a larger capacity

Callers would see a start over the capacity of a worker whose agent already knew of the smaller one: the order was sent before the owner did, or waited in the agent behind other calls. Cause: an agent passed every start on. It doesn't know what tasks reserve, so it can't add up what runs. Change: a start order carries the capacity in which the owner found room. The owner counts all that runs, is about to run or is being stopped against that; an agent whose worker has announced less in any dimension refuses the start, right before the call. Its report of the smaller capacity is on its way, and the owner plans again after the back-off of a refusal. Weighed: orders that carry the task's resources, summed by the agent. Runs adopted from an earlier session or process have no order, so the sum would be too low after a restart, when it matters; and two ledgers would have to agree. The price of the simpler rule is a refusal of starts that would still have fitted. Workers that guard their capacity are treated alike.

--- a/crates/teaseltrack-cell/src/agent.rs
+++ b/crates/teaseltrack-cell/src/agent.rs
@@ -23,6 +23,7 @@
     },
     clock::SharedClock,
     ids::{AttemptNumber, InstanceId},
+    placement::Resources,
 };
 use teaseltrack_daemon::metrics::Metrics;
 use tokio::{
@@ -49,6 +50,8 @@
 const WORKER_RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Maximum number of concurrent start, stop and pace calls; each uses a connection.
 const MAX_WORKER_CALLS: usize = 6;
+/// Reason for the refusal of a start that was planned against a larger capacity.
+const CAPACITY_SHRANK: &str = "the worker's capacity shrank";
 /// Maximum number of tries of a stop call; the owner repeats the order while the run is listed.
 const MAX_STOP_TRIES: u32 = 20;
 
@@ -145,6 +148,8 @@
     events: mpsc::Sender<AgentEvent>,
     permits: Arc<Semaphore>,
     status: Option<WorkerStatus>,
+    /// Capacity in `status`, for start calls that wait for a permit.
+    capacity: watch::Sender<Resources>,
     incarnation: WorkerIncarnation,
     clock_ms: u64,
     epoch: u64,
@@ -204,6 +209,7 @@
             events,
             permits: Arc::new(Semaphore::new(MAX_WORKER_CALLS)),
             status: None,
+            capacity: watch::channel(Resources::default()).0,
             incarnation: WorkerIncarnation::new(),
             clock_ms: 0,
             epoch: 0,
@@ -315,6 +321,7 @@
                     "remaining_ms" => status.remaining_ms);
             }
             self.needs_report = true;
+            self.capacity.send_replace(status.capacity);
             self.status = Some(status);
         }
     }
@@ -569,10 +576,17 @@
         let session = self.session;
         let call = self.addressed(WorkerCall::Start { order: order.clone(), lease_until_ms });
         let (worker, events) = (self.context.worker.clone(), self.events.clone());
-        let permits = self.permits.clone();
+        let (permits, capacity) = (self.permits.clone(), self.capacity.subscribe());
         tokio::spawn(async move {
             let permit = permits.acquire().await;
-            let result = with_timeout(WORKER_CALL_TIMEOUT, worker(call)).await;
+            // The owner has counted all that runs or is about to run against `planned_capacity`, so
+            // the start is safe as long as the worker has at least that.
+            let has_capacity = capacity.borrow().can_fit(&order.planned_capacity);
+            let result = if has_capacity {
+                with_timeout(WORKER_CALL_TIMEOUT, worker(call)).await
+            } else {
+                Err(WorkerError::Refused { reason: CAPACITY_SHRANK.to_owned() })
+            };
             drop(permit);
             let event = AgentEvent::Started { session, order: Box::new(order), result };
             drop(events.send(event).await);
--- a/crates/teaseltrack-cell/tests/agent.rs
+++ b/crates/teaseltrack-cell/tests/agent.rs
@@ -1,39 +1,68 @@
-//! Tests of the agent's async task with a worker that restarts while responses are in flight.
+//! Tests of the agent's async task with a worker that restarts while responses are in flight, or
+//! whose capacity changes.
 
 use std::{
+    future::pending,
     sync::{Arc, Mutex},
     time::Duration,
 };
 
+use futures::future::BoxFuture;
 use teaseltrack::{
-    cell::protocol::{ReportResponse, WorkerListing, WorkerStatus},
+    cell::protocol::{
+        Order, Report, ReportResponse, StartOrder, TaskName, WorkerListing, WorkerStatus,
+    },
     clock::SystemClock,
+    placement::Resources,
 };
 use teaseltrack_cell::{
     agent::{AGENT_MAILBOX_SIZE, AgentContext, AgentEvent, Heartbeat, run_agent},
-    calls::KnownOwner,
-    worker_port::{AddressedCall, WorkerCall, WorkerResponse},
+    calls::{CallServer, InboundCall, KnownOwner, serve_calls},
+    worker_port::{AddressedCall, WorkerAdapter, WorkerCall, WorkerError, WorkerResponse},
 };
 use teaseltrack_daemon::{logs::silent, metrics::Metrics};
 use tokio::{
+    net::TcpListener,
     sync::{mpsc, watch},
-    time::timeout,
+    time::{sleep, timeout},
 };
 use tokio_util::sync::CancellationToken;
 
 /// Far longer than the agent needs to handle an event, so that the test passes on a loaded machine.
 const TIMEOUT: Duration = Duration::from_secs(20);
+const CAPACITY: Resources = Resources { cpu_milli: 8_000, memory_mib: 16_000, accelerators: 0 };
+const SMALL_CAPACITY: Resources = Resources { cpu_milli: 4_000, ..CAPACITY };
 
 fn status(started_unix_ms: u64) -> WorkerStatus {
-    WorkerStatus { worker: "worker".to_owned(), started_unix_ms, ..WorkerStatus::default() }
+    WorkerStatus {
+        worker: "worker".to_owned(),
+        started_unix_ms,
+        capacity: CAPACITY,
+        ..WorkerStatus::default()
+    }
 }
 
 fn heartbeat(started_unix_ms: u64) -> AgentEvent {
     AgentEvent::Heartbeat(Heartbeat { status: status(started_unix_ms), clock_ms: Some(1_000) })
 }
 
-fn reported(started_unix_ms: u64, session: u64, forget_until: u64) -> AgentEvent {
-    let response = ReportResponse { epoch: 1, session, forget_until, ..ReportResponse::default() };
+fn heartbeat_with_capacity(capacity: Resources) -> AgentEvent {
+    let status = WorkerStatus { capacity, ..status(1) };
+    AgentEvent::Heartbeat(Heartbeat { status, clock_ms: Some(1_000) })
+}
+
+fn start(index: u32, planned_capacity: Resources) -> Order {
+    let task = TaskName { job: "job".to_owned(), occurrence: 0, stage: 0, index };
+    Order::Start(StartOrder {
+        task,
+        attempt: 1,
+        payload: String::new(),
+        checkpoint: String::new(),
+        planned_capacity,
+    })
+}
+
+fn reported(started_unix_ms: u64, response: ReportResponse) -> AgentEvent {
     AgentEvent::Reported {
         incarnation: status(started_unix_ms).incarnation(),
         is_poll: false,
@@ -42,6 +71,135 @@
     }
 }
 
+fn response(session: u64, forget_until: u64) -> ReportResponse {
+    ReportResponse { epoch: 1, session, forget_until, ..ReportResponse::default() }
+}
+
+/// Response with orders under session 5.
+fn orders(orders: Vec<Order>) -> ReportResponse {
+    let lease_until_ms = Some(100_000);
+    ReportResponse { lease_until_ms, first_order: 1, orders, ..response(5, 0) }
+}
+
+/// Agent under test.
+struct TestAgent {
+    events: mpsc::Sender<AgentEvent>,
+    closing: CancellationToken,
+}
+
+impl TestAgent {
+    fn start(
+        known_owner: watch::Receiver<KnownOwner>,
+        worker: impl FnOnce(mpsc::Sender<AgentEvent>) -> WorkerAdapter,
+    ) -> Self {
+        let (events, inbox) = mpsc::channel(AGENT_MAILBOX_SIZE);
+        let context = AgentContext {
+            cell: 0,
+            instance: "instance".to_owned(),
+            address: "127.0.0.1:1".to_owned(),
+            started_unix_ms: 1,
+            worker: worker(events.clone()),
+            clock: Arc::new(SystemClock),
+            known_owner,
+            owner_contact: watch::channel(None).0,
+            has_uncommitted_ends: watch::channel(false).0,
+            logger: silent(),
+            metrics: Metrics::scrape_only(),
+        };
+        let closing = CancellationToken::new();
+        tokio::spawn(run_agent(context, events.clone(), inbox, closing.clone()));
+        Self { events, closing }
+    }
+
+    async fn send(&self, event: AgentEvent) {
+        self.events.send(event).await.unwrap();
+    }
+}
+
+impl Drop for TestAgent {
+    fn drop(&mut self) {
+        self.closing.cancel();
+    }
+}
+
+/// Owner that gives the same response to all reports.
+struct TestOwner {
+    known_owner: watch::Receiver<KnownOwner>,
+    reports: mpsc::UnboundedReceiver<Report>,
+    closing: CancellationToken,
+    _mailbox: watch::Sender<Option<mpsc::Sender<InboundCall>>>,
+}
+
+impl TestOwner {
+    async fn start(response: ReportResponse) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = Some(listener.local_addr().unwrap());
+        let (_, known_owner) = watch::channel(KnownOwner { epoch: 1, address });
+        let (mailbox, mut calls) = mpsc::channel(16);
+        let (mailbox, owner) = watch::channel(Some(mailbox));
+        let server = CallServer { owner, known_owner: known_owner.clone() };
+        let closing = CancellationToken::new();
+        tokio::spawn(serve_calls(listener, server, closing.clone()));
+        let (sender, reports) = mpsc::unbounded_channel();
+        tokio::spawn(async move {
+            while let Some(InboundCall::Report(report, reply)) = calls.recv().await {
+                let (response, wait) = (response.clone(), Duration::from_millis(report.wait_ms));
+                sender.send(*report).ok();
+                tokio::spawn(async move {
+                    sleep(wait).await;
+                    reply.send(response).ok();
+                });
+            }
+        });
+        Self { known_owner, reports, closing, _mailbox: mailbox }
+    }
+
+    /// Waits for a report that meets the condition.
+    async fn report(&mut self, is_expected: impl Fn(&Report) -> bool) -> Report {
+        let report = async {
+            loop {
+                let report = self.reports.recv().await.expect("owner ended");
+                if is_expected(&report) {
+                    return report;
+                }
+            }
+        };
+        timeout(TIMEOUT, report).await.expect("no such report")
+    }
+}
+
+impl Drop for TestOwner {
+    fn drop(&mut self) {
+        self.closing.cancel();
+    }
+}
+
+fn reported_capacity(report: &Report) -> Option<Resources> {
+    report.status.as_ref().map(|status| status.capacity)
+}
+
+fn worker_response(started_unix_ms: u64) -> WorkerResponse {
+    WorkerResponse {
+        clock_ms: Some(1_000),
+        started_unix_ms: Some(started_unix_ms),
+        listing: Some(WorkerListing::default()),
+    }
+}
+
+/// Worker that executes all calls and publishes those that aren't sync calls.
+fn worker(calls: mpsc::UnboundedSender<WorkerCall>) -> WorkerAdapter {
+    Arc::new(move |call: AddressedCall| {
+        if !matches!(call.call, WorkerCall::Sync { .. }) {
+            calls.send(call.call).ok();
+        }
+        let responding: BoxFuture<'static, _> = Box::pin(async move {
+            sleep(Duration::from_millis(20)).await;
+            Ok(worker_response(1))
+        });
+        responding
+    })
+}
+
 /// Waits for a sync call under a session; returns the number up to which ends may be discarded.
 async fn next_sync(syncs: &mut mpsc::UnboundedReceiver<(u64, u64)>, session: u64) -> u64 {
     let sync = async {
@@ -64,44 +222,87 @@
         if let WorkerCall::Sync { forget_until, .. } = call.call {
             sync_sender.send((call.session, forget_until)).ok();
         }
-        let response = WorkerResponse {
-            clock_ms: Some(1_000),
-            started_unix_ms: Some(*worker_start.lock().unwrap()),
-            listing: Some(WorkerListing::default()),
-        };
-        let responding: futures::future::BoxFuture<'static, _> = Box::pin(async move {
-            tokio::time::sleep(Duration::from_millis(20)).await;
+        let response = worker_response(*worker_start.lock().unwrap());
+        let responding: BoxFuture<'static, _> = Box::pin(async move {
+            sleep(Duration::from_millis(20)).await;
             Ok(response)
         });
         responding
     });
-    let (events, inbox) = mpsc::channel(AGENT_MAILBOX_SIZE);
     let (_owner, known_owner) = watch::channel(KnownOwner::default());
-    let context = AgentContext {
-        cell: 0,
-        instance: "instance".to_owned(),
-        address: "127.0.0.1:1".to_owned(),
-        started_unix_ms: 1,
-        worker,
-        clock: Arc::new(SystemClock),
-        known_owner,
-        owner_contact: watch::channel(None).0,
-        has_uncommitted_ends: watch::channel(false).0,
-        logger: silent(),
-        metrics: Metrics::scrape_only(),
-    };
-    let closing = CancellationToken::new();
-    tokio::spawn(run_agent(context, events.clone(), inbox, closing.clone()));
+    let agent = TestAgent::start(known_owner, |_| worker);
 
-    events.send(heartbeat(1)).await.unwrap();
-    events.send(reported(1, 5, 2)).await.unwrap();
+    agent.send(heartbeat(1)).await;
+    agent.send(reported(1, response(5, 2))).await;
     assert_eq!(next_sync(&mut syncs, 5).await, 2);
 
     // The worker crashes and restarts; the response to an earlier report arrives only now.
     *started_unix_ms.lock().unwrap() = 2;
-    events.send(heartbeat(2)).await.unwrap();
-    events.send(reported(1, 5, 2)).await.unwrap();
-    events.send(reported(2, 6, 0)).await.unwrap();
+    agent.send(heartbeat(2)).await;
+    agent.send(reported(1, response(5, 2))).await;
+    agent.send(reported(2, response(6, 0))).await;
     assert_eq!(next_sync(&mut syncs, 6).await, 0);
-    closing.cancel();
+}
+
+/// Guards against a changed capacity that the owner learns of only with another change.
+#[tokio::test]
+async fn handle_heartbeat_reports_a_changed_capacity() {
+    let mut owner = TestOwner::start(response(5, 0)).await;
+    let (calls, _) = mpsc::unbounded_channel();
+    let agent = TestAgent::start(owner.known_owner.clone(), |_| worker(calls));
+    for capacity in [CAPACITY, SMALL_CAPACITY, CAPACITY] {
+        agent.send(heartbeat_with_capacity(capacity)).await;
+        owner.report(|report| reported_capacity(report) == Some(capacity)).await;
+    }
+}
+
+/// Guards against a start over the capacity by an order that was sent before the owner learned of a
+/// smaller one.
+#[tokio::test]
+async fn send_start_refuses_an_order_planned_against_a_larger_capacity() {
+    let mut owner =
+        TestOwner::start(orders(vec![start(0, CAPACITY), start(1, SMALL_CAPACITY)])).await;
+    let (calls, mut worker_calls) = mpsc::unbounded_channel();
+    let agent = TestAgent::start(owner.known_owner.clone(), |_| worker(calls));
+    agent.send(heartbeat_with_capacity(SMALL_CAPACITY)).await;
+    let report = owner.report(|report| !report.refused.is_empty()).await;
+    assert_eq!(report.refused[0].task.index, 0);
+    let call = timeout(TIMEOUT, worker_calls.recv()).await.expect("no call to the worker");
+    let Some(WorkerCall::Start { order, .. }) = call else { panic!("not a start: {call:?}") };
+    assert_eq!(order.task.index, 1);
+}
+
+/// Guards against starts that wait in the agent for other calls while the capacity shrinks.
+#[tokio::test]
+async fn send_start_refuses_a_waiting_order_after_the_capacity_has_shrunk() {
+    let (calls, mut worker_calls) = mpsc::unbounded_channel();
+    let worker = move |events: mpsc::Sender<AgentEvent>| -> WorkerAdapter {
+        Arc::new(move |call: AddressedCall| {
+            match &call.call {
+                WorkerCall::Start { .. } => {
+                    events.try_send(heartbeat_with_capacity(SMALL_CAPACITY)).unwrap();
+                    calls.send(call.call).ok();
+                }
+                WorkerCall::Stop { .. } => drop(calls.send(call.call)),
+                WorkerCall::Sync { .. } | WorkerCall::Pace { .. } => {}
+            }
+            let no_response: BoxFuture<'static, Result<_, WorkerError>> = Box::pin(pending());
+            no_response
+        })
+    };
+    let (_owner, known_owner) = watch::channel(KnownOwner::default());
+    let agent = TestAgent::start(known_owner, worker);
+    agent.send(heartbeat(1)).await;
+    let starts = (0..20).map(|index| start(index, CAPACITY)).collect();
+    agent.send(reported(1, orders(starts))).await;
+    let mut start_count = 0;
+    // Starts without a response time out and are stopped; stops wait behind all starts.
+    loop {
+        let call = timeout(TIMEOUT, worker_calls.recv()).await.expect("no call to the worker");
+        match call {
+            Some(WorkerCall::Start { .. }) => start_count += 1,
+            _ => break,
+        }
+    }
+    assert!((1..20).contains(&start_count), "{start_count} starts");
 }
--- a/crates/teaseltrack-cell/tests/calls.rs
+++ b/crates/teaseltrack-cell/tests/calls.rs
@@ -1,10 +1,12 @@
 //! Calls between processes over a real connection.
 
-use std::time::Duration;
+use std::{pin::pin, time::Duration};
 
+use serde::{Deserialize, Serialize};
 use teaseltrack::{
     cell::{
         job::Stage,
+        protocol::{StartOrder, TaskName},
         quote::{Quote, StageDemand},
     },
     placement::Resources,
@@ -14,7 +16,11 @@
     net::TcpListener,
     sync::{mpsc, watch},
 };
-use tokio_util::sync::CancellationToken;
+use tokio_serde::{Deserializer, Serializer, formats::MessagePack};
+use tokio_util::{
+    bytes::{Bytes, BytesMut},
+    sync::CancellationToken,
+};
 
 #[tokio::test]
 async fn quote_reaches_the_owner_with_all_fields() {
@@ -47,3 +53,34 @@
     assert_eq!(client.quote(address, 3, "service".to_owned(), demands).await, Some(quote));
     closing.cancel();
 }
+
+/// Start order without the planned capacity.
+#[derive(Serialize)]
+struct EarlierStartOrder {
+    task: TaskName,
+    attempt: u32,
+    payload: String,
+    checkpoint: String,
+}
+
+fn encode<T: Serialize>(message: &T) -> Bytes {
+    pin!(MessagePack::<(), T>::default()).serialize(message).expect("message is encoded")
+}
+
+fn decode<T: for<'a> Deserialize<'a>>(message: &Bytes) -> std::io::Result<T> {
+    pin!(MessagePack::<T, ()>::default()).deserialize(&BytesMut::from(&message[..]))
+}
+
+/// Guards against the loss of an earlier owner's orders during an upgrade.
+#[test]
+fn start_order_of_an_earlier_owner_is_read() {
+    let task = TaskName { job: "job".to_owned(), occurrence: 0, stage: 1, index: 2 };
+    let earlier = EarlierStartOrder {
+        task,
+        attempt: 3,
+        payload: "payload".to_owned(),
+        checkpoint: "checkpoint".to_owned(),
+    };
+    let order: StartOrder = decode(&encode(&earlier)).expect("earlier order is read");
+    assert_eq!((order.attempt, order.planned_capacity), (3, Resources::default()));
+}
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -1154,6 +1154,7 @@
     fn enqueue_start(&mut self, worker_key: WorkerKey, key: TaskKey, attempt: AttemptNumber) {
         let Some(name) = self.name_of(key) else { return };
         let Some(worker) = self.workers.get(worker_key) else { return };
+        let Some(status) = worker.status.as_ref() else { return };
         let session = worker.session;
         let job = &self.jobs[key.job];
         let Some(task) = self.task(key) else { return };
@@ -1177,6 +1178,7 @@
             attempt,
             payload: job.spec.payload.clone(),
             checkpoint: task.progress.checkpoint.clone(),
+            planned_capacity: status.capacity,
         };
         self.enqueue_traits(worker_key, &name, Some(key));
         if let Some(worker) = self.workers.get_mut(worker_key) {
--- a/crates/teaseltrack/src/cell/protocol.rs
+++ b/crates/teaseltrack/src/cell/protocol.rs
@@ -201,6 +201,10 @@
     pub payload: String,
     /// Checkpoint to resume from; empty for none.
     pub checkpoint: String,
+    /// Capacity of the worker in which the owner found room for the task. The agent refuses the
+    /// start once the worker has announced less.
+    #[serde(default)]
+    pub planned_capacity: Resources,
 }
 
 /// Properties of a task that the agent needs for pacing.
--- a/crates/teaseltrack/tests/cell.rs
+++ b/crates/teaseltrack/tests/cell.rs
@@ -9,6 +9,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    mem::replace,
     time::{Duration, Instant},
 };
 
@@ -123,6 +124,12 @@
         });
     }
 
+    /// Changes the capacity; the agent learns of it with the next heartbeat.
+    fn change_capacity(&mut self, capacity: Resources) {
+        let earlier = replace(&mut self.capacity, capacity);
+        self.earlier_capacities.push((self.clock_ms, earlier));
+    }
+
     /// Changes the capacity as if all heartbeats since then had been sent and all grace was over.
     fn settle_capacity(&mut self, capacity: Resources) {
         (self.capacity, self.announced_capacity) = (capacity, capacity);
@@ -348,7 +355,16 @@
     fn execute(&mut self, index: usize, order: Order) {
         match order {
             Order::Start(start) => {
-                let fence = self.instances[index].session;
+                let instance = &mut self.instances[index];
+                let fence = instance.session;
+                if !instance.announced_capacity.can_fit(&start.planned_capacity) {
+                    instance.refused.push(RefusedStart {
+                        task: start.task,
+                        attempt: start.attempt,
+                        reason: "planned against a larger capacity".to_owned(),
+                    });
+                    return;
+                }
                 if self.rng.random_range(0..15) == 0 {
                     // The call times out: the agent invalidates the attempt, and the worker gets
                     // the start late.
@@ -477,6 +493,25 @@
         instance.refused.clear();
     }
 
+    /// Changes the capacity of a worker, or the time of a commit, at random.
+    fn change_conditions(&mut self, changes: &mut ChaCha8Rng) {
+        let index = changes.random_range(0..self.instances.len());
+        match changes.random_range(0..60) {
+            0..=5 => {
+                let eighths = changes.random_range(1..=8);
+                let capacity = Resources {
+                    cpu_milli: CAPACITY.cpu_milli * eighths / 8,
+                    memory_mib: CAPACITY.memory_mib * changes.random_range(1..=8) / 8,
+                    accelerators: 0,
+                };
+                self.instances[index].change_capacity(capacity);
+            }
+            6 => self.commit_time = Duration::from_millis(changes.random_range(100..6_000)),
+            7..=9 => self.commit_time = Duration::ZERO,
+            _ => {}
+        }
+    }
+
     fn run_steps(&mut self, count: usize) {
         for _ in 0..count {
             self.step();
@@ -617,7 +652,10 @@
     fleet.submit(stored_job("0000000000000002", vec![stage(1)]));
     let best_effort = Stage { is_best_effort: true, ..stage(1) };
     fleet.submit(stored_job("0000000000000003", vec![best_effort]));
+    fleet.cell.take_events();
     fleet.run_steps(60);
+    let is_assigned = |event: &CellEvent| matches!(event, CellEvent::Assigned { .. });
+    assert!(!fleet.cell.take_events().iter().any(is_assigned));
     let running: Vec<&str> =
         fleet.instances[0].running.keys().map(|task| task.job.as_str()).collect();
     assert_eq!(running, ["0000000000000001"; 3], "the runs continue, and nothing starts");
@@ -679,6 +717,22 @@
     assert_eq!(fleet.start_count, 1);
 }
 
+/// Guards against start orders that reach the agent after it has learned of a smaller capacity.
+#[test]
+fn start_order_planned_against_a_larger_capacity_is_refused() {
+    let mut fleet = Fleet::new(1, 1);
+    fleet.run_steps(3);
+    fleet.submit(stored_job("0000000000000001", vec![long_running(3)]));
+    fleet.cell.plan(0, fleet.now);
+    fleet.commit();
+    fleet.instances[0].settle_capacity(SMALL_CAPACITY);
+    fleet.run_steps(60);
+    assert_eq!(fleet.instances[0].running.len(), 2, "the tasks that fit run");
+    fleet.instances[0].settle_capacity(CAPACITY);
+    fleet.run_steps(3);
+    assert_eq!(fleet.instances[0].running.len(), 3, "capacity that is back is used");
+}
+
 #[parameterized(
     seed_1 = { 1 },
     seed_2 = { 2 },
@@ -688,20 +742,53 @@
     seed_6 = { 6 },
 )]
 fn cell_upholds_invariants_under_random_faults(seed: u64) {
+    run_random_faults(seed, false);
+}
+
+#[parameterized(
+    seed_1 = { 1 },
+    seed_2 = { 2 },
+    seed_3 = { 3 },
+    seed_4 = { 4 },
+    seed_5 = { 5 },
+    seed_6 = { 6 },
+    seed_7 = { 7 },
+    seed_8 = { 8 },
+)]
+fn cell_upholds_invariants_while_capacities_change(seed: u64) {
+    run_random_faults(seed, true);
+}
+
+fn run_random_faults(seed: u64, do_capacities_change: bool) {
     let mut fleet = Fleet::new(5, seed);
     let mut faults = ChaCha8Rng::seed_from_u64(seed + 1_000);
+    let mut changes = ChaCha8Rng::seed_from_u64(seed + 2_000);
     let mut cancelled = BTreeSet::new();
+    if do_capacities_change {
+        fleet.max_stop_ms = 1_000;
+    }
     for round in 0_u64..1_500 {
         if round % 25 == 0 && round < 1_000 {
             let second = Stage { after: vec![0], ..stage(faults.random_range(1..5)) };
             let first = stage(faults.random_range(1..6));
-            fleet.submit(stored_job(&format!("{round:016x}"), vec![first, second]));
+            let mut stages = vec![first, second];
+            if do_capacities_change {
+                stages.push(Stage { is_best_effort: true, ..stage(changes.random_range(1..4)) });
+            }
+            fleet.submit(stored_job(&format!("{round:016x}"), stages));
         }
         fleet.step();
         if round > 1_000 {
-            fleet.instances.iter_mut().for_each(|instance| instance.is_disconnected = false);
+            for instance in &mut fleet.instances {
+                instance.is_disconnected = false;
+                instance.settle_capacity(CAPACITY);
+            }
+            fleet.commit_time = Duration::ZERO;
             continue;
         }
+        if do_capacities_change {
+            fleet.change_conditions(&mut changes);
+        }
         let index = faults.random_range(0..5);
         match faults.random_range(0..120) {
             0 => fleet.replace_owner(),
