Ignore heartbeats that a newer one has overtaken

Callers would see a start over the capacity of a worker, or on one that drains, after a heartbeat was delayed. Cause: the agent ignored heartbeats of earlier incarnations only. Change: the agent keeps the number of the last heartbeat of the incarnation and ignores lower ones.

--- a/crates/teaseltrack-cell/src/agent.rs
+++ b/crates/teaseltrack-cell/src/agent.rs
@@ -58,6 +58,8 @@
 /// Heartbeat of a worker.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Heartbeat {
+    /// Sequence number within the worker's incarnation.
+    pub number: u64,
     /// Status of the worker.
     pub status: WorkerStatus,
     /// Reading of the worker's clock, in milliseconds, if included.
@@ -151,6 +153,8 @@
     /// Capacity in `status`, for start calls that wait for a permit.
     capacity: watch::Sender<Resources>,
     incarnation: WorkerIncarnation,
+    /// Number of the last heartbeat of the incarnation.
+    heartbeat_number: Option<u64>,
     clock_ms: u64,
     epoch: u64,
     session: SessionToken,
@@ -211,6 +215,7 @@
             status: None,
             capacity: watch::channel(Resources::default()).0,
             incarnation: WorkerIncarnation::new(),
+            heartbeat_number: None,
             clock_ms: 0,
             epoch: 0,
             session: 0,
@@ -301,7 +306,7 @@
     }
 
     fn handle_heartbeat(&mut self, heartbeat: Heartbeat) {
-        let Heartbeat { status, clock_ms } = heartbeat;
+        let Heartbeat { number, status, clock_ms } = heartbeat;
         let known_started_unix_ms = self.status.as_ref().map_or(0, |status| status.started_unix_ms);
         if status.started_unix_ms < known_started_unix_ms {
             return;
@@ -312,6 +317,11 @@
                 "earlier_life" => &self.incarnation);
             self.start_incarnation(incarnation);
         }
+        // Heartbeats may overtake each other.
+        if self.heartbeat_number.is_some_and(|last| number < last) {
+            return;
+        }
+        self.heartbeat_number = Some(number);
         if let Some(clock_ms) = clock_ms {
             self.clock_ms = self.clock_ms.max(clock_ms);
         }
@@ -328,6 +338,7 @@
 
     fn start_incarnation(&mut self, incarnation: WorkerIncarnation) {
         self.incarnation = incarnation;
+        self.heartbeat_number = None;
         self.clock_ms = 0;
         self.session = 0;
         self.lease_until_ms = None;
--- a/crates/teaseltrack-cell/tests/agent.rs
+++ b/crates/teaseltrack-cell/tests/agent.rs
@@ -43,12 +43,15 @@
 }
 
 fn heartbeat(started_unix_ms: u64) -> AgentEvent {
-    AgentEvent::Heartbeat(Heartbeat { status: status(started_unix_ms), clock_ms: Some(1_000) })
+    numbered_heartbeat(1, status(started_unix_ms))
 }
 
-fn heartbeat_with_capacity(capacity: Resources) -> AgentEvent {
-    let status = WorkerStatus { capacity, ..status(1) };
-    AgentEvent::Heartbeat(Heartbeat { status, clock_ms: Some(1_000) })
+fn numbered_heartbeat(number: u64, status: WorkerStatus) -> AgentEvent {
+    AgentEvent::Heartbeat(Heartbeat { number, status, clock_ms: Some(1_000) })
+}
+
+fn heartbeat_with_capacity(number: u64, capacity: Resources) -> AgentEvent {
+    numbered_heartbeat(number, WorkerStatus { capacity, ..status(1) })
 }
 
 fn start(index: u32, planned_capacity: Resources) -> Order {
@@ -250,12 +253,30 @@
     let mut owner = TestOwner::start(response(5, 0)).await;
     let (calls, _) = mpsc::unbounded_channel();
     let agent = TestAgent::start(owner.known_owner.clone(), |_| worker(calls));
-    for capacity in [CAPACITY, SMALL_CAPACITY, CAPACITY] {
-        agent.send(heartbeat_with_capacity(capacity)).await;
+    for (number, capacity) in (1..).zip([CAPACITY, SMALL_CAPACITY, CAPACITY]) {
+        agent.send(heartbeat_with_capacity(number, capacity)).await;
         owner.report(|report| reported_capacity(report) == Some(capacity)).await;
     }
 }
 
+/// Guards against a larger capacity, or an ended drain, that a late heartbeat brings back.
+#[tokio::test]
+async fn handle_heartbeat_ignores_one_older_than_the_last() {
+    let mut owner = TestOwner::start(response(5, 0)).await;
+    let (calls, _) = mpsc::unbounded_channel();
+    let agent = TestAgent::start(owner.known_owner.clone(), |_| worker(calls));
+    agent.send(heartbeat_with_capacity(4, SMALL_CAPACITY)).await;
+    owner.report(|report| reported_capacity(report) == Some(SMALL_CAPACITY)).await;
+    agent.send(heartbeat_with_capacity(3, CAPACITY)).await;
+    for _ in 0..6 {
+        let report = owner.report(|_| true).await;
+        assert_eq!(reported_capacity(&report), Some(SMALL_CAPACITY));
+    }
+    // A new incarnation numbers its heartbeats anew.
+    agent.send(heartbeat(2)).await;
+    owner.report(|report| reported_capacity(report) == Some(CAPACITY)).await;
+}
+
 /// Guards against a start over the capacity by an order that was sent before the owner learned of a
 /// smaller one.
 #[tokio::test]
@@ -264,7 +285,7 @@
         TestOwner::start(orders(vec![start(0, CAPACITY), start(1, SMALL_CAPACITY)])).await;
     let (calls, mut worker_calls) = mpsc::unbounded_channel();
     let agent = TestAgent::start(owner.known_owner.clone(), |_| worker(calls));
-    agent.send(heartbeat_with_capacity(SMALL_CAPACITY)).await;
+    agent.send(heartbeat_with_capacity(1, SMALL_CAPACITY)).await;
     let report = owner.report(|report| !report.refused.is_empty()).await;
     assert_eq!(report.refused[0].task.index, 0);
     let call = timeout(TIMEOUT, worker_calls.recv()).await.expect("no call to the worker");
@@ -280,7 +301,7 @@
         Arc::new(move |call: AddressedCall| {
             match &call.call {
                 WorkerCall::Start { .. } => {
-                    events.try_send(heartbeat_with_capacity(SMALL_CAPACITY)).unwrap();
+                    events.try_send(heartbeat_with_capacity(2, SMALL_CAPACITY)).unwrap();
                     calls.send(call.call).ok();
                 }
                 WorkerCall::Stop { .. } => drop(calls.send(call.call)),
