Report no capacity of a restarted worker before its heartbeat

Callers would see a start over the capacity of a worker that came back with less than before. Cause: an agent learns of a restart from a sync call before the new incarnation's first heartbeat. It kept the previous incarnation's status with the new start time, so the owner planned against the earlier capacity. Change: the capacity is zero until the heartbeat; the session, which needs no capacity, begins at once as before.

--- a/crates/teaseltrack-cell/src/agent.rs
+++ b/crates/teaseltrack-cell/src/agent.rs
@@ -429,6 +429,9 @@
             return;
         }
         status.started_unix_ms = started_unix_ms;
+        // The new incarnation may have another capacity; its first heartbeat tells.
+        status.capacity = Resources::default();
+        self.capacity.send_replace(status.capacity);
         let incarnation = status.incarnation();
         info!(self.context.logger, "worker restarted"; "worker" => &incarnation);
         self.start_incarnation(incarnation);
--- a/crates/teaseltrack-cell/tests/agent.rs
+++ b/crates/teaseltrack-cell/tests/agent.rs
@@ -277,6 +277,27 @@
     owner.report(|report| reported_capacity(report) == Some(CAPACITY)).await;
 }
 
+/// Guards against starts over the capacity of a restarted worker, which may have less than before.
+#[tokio::test]
+async fn handle_sync_result_of_a_restarted_worker_reports_no_capacity_until_its_heartbeat() {
+    let mut owner = TestOwner::start(response(5, 0)).await;
+    let worker = Arc::new(move |_| {
+        let responding: BoxFuture<'static, _> = Box::pin(async move {
+            sleep(Duration::from_millis(20)).await;
+            Ok(worker_response(2))
+        });
+        responding
+    });
+    let agent = TestAgent::start(owner.known_owner.clone(), |_| worker);
+    agent.send(heartbeat(1)).await;
+    let is_restarted =
+        |report: &Report| report.status.as_ref().is_some_and(|status| status.started_unix_ms == 2);
+    let report = owner.report(is_restarted).await;
+    assert_eq!(reported_capacity(&report), Some(Resources::default()));
+    agent.send(numbered_heartbeat(1, WorkerStatus { capacity: SMALL_CAPACITY, ..status(2) })).await;
+    owner.report(|report| reported_capacity(report) == Some(SMALL_CAPACITY)).await;
+}
+
 /// Guards against a start over the capacity by an order that was sent before the owner learned of a
 /// smaller one.
 #[tokio::test]
