Stop the other members of a gang whose member can't start

Callers would see the members of a gang wait for one that was never started, and end `alone`. Cause: a refused start, one withdrawn for want of capacity, or one that a new session showed as not executed reclaimed that task only. Its gang isn't assigned again until all members wait, and the others waited for it on their workers. Change: reclaiming a task whose attempt never ran stops the other members. A task that ran and ended, or whose worker's lease expired, is treated as before. Evidence: commit_succeeded_withdraws_all_members_of_a_gang and report_of_a_refused_gang_member_stops_the_others failed before (members still running). The third path, a new session, has no test of its own.

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -865,7 +865,7 @@
                 .and_then(|task| task.run.as_ref())
                 .is_some_and(|run| run.is_listed && run.session == session);
             if !is_listed {
-                self.reclaim_task(task, "start order was not executed");
+                self.reclaim_unstarted_task(task, "start order was not executed");
             }
         }
         self.needs_plan = true;
@@ -1002,7 +1002,7 @@
             return;
         }
         self.workers[key].ineligible_until = Some(now + self.settings.refusal_backoff);
-        self.reclaim_task(task_key, &refused.reason);
+        self.reclaim_unstarted_task(task_key, &refused.reason);
         self.finalize_if_done(task_key.job);
     }
 
@@ -1045,6 +1045,19 @@
         self.needs_plan = true;
     }
 
+    /// Reclaims a task whose assigned attempt never ran. The other members of its gang would wait for
+    /// it, so they are stopped and assigned again together.
+    fn reclaim_unstarted_task(&mut self, key: TaskKey, reason: &str) {
+        self.reclaim_task(key, reason);
+        let stage = self.stage(key);
+        if !stage.is_gang {
+            return;
+        }
+        for index in 0..stage.task_count {
+            self.stop_run(TaskKey { index, ..key });
+        }
+    }
+
     fn release_run(&mut self, key: TaskKey) {
         let job = &mut self.jobs[key.job];
         let stage = &job.spec.stages[key.stage as usize];
@@ -1171,7 +1184,7 @@
         }
         // The capacity may have shrunk since the assignment.
         if !worker.can_fit(&Resources::default()) {
-            return self.reclaim_task(key, "worker is over its capacity");
+            return self.reclaim_unstarted_task(key, "worker is over its capacity");
         }
         let start = StartOrder {
             task: name.clone(),
--- a/crates/teaseltrack/tests/cell.rs
+++ b/crates/teaseltrack/tests/cell.rs
@@ -733,6 +733,41 @@
     assert_eq!(fleet.instances[0].running.len(), 3, "capacity that is back is used");
 }
 
+/// Guards against members of a gang that wait for one whose start was withdrawn.
+#[test]
+fn commit_succeeded_withdraws_all_members_of_a_gang() {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.run_steps(3);
+    fleet.commit_time = Duration::from_secs(2);
+    let gang = Stage { is_gang: true, max_per_worker: Some(2), ..long_running(4) };
+    fleet.submit(stored_job("0000000000000001", vec![gang]));
+    fleet.run_steps(1);
+    fleet.instances[1].settle_capacity(Resources { cpu_milli: 3_000, ..CAPACITY });
+    fleet.run_steps(45);
+    fleet.commit_time = Duration::ZERO;
+    fleet.run_steps(45);
+    assert!(fleet.instances.iter().all(|instance| instance.running.is_empty()));
+    fleet.instances[1].settle_capacity(CAPACITY);
+    fleet.run_steps(60);
+    assert!(fleet.instances.iter().all(|instance| instance.running.len() == 2));
+}
+
+/// Guards against members of a gang that wait for one whose start the agent refused.
+#[test]
+fn report_of_a_refused_gang_member_stops_the_others() {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.run_steps(3);
+    let gang = Stage { is_gang: true, max_per_worker: Some(2), ..long_running(4) };
+    fleet.submit(stored_job("0000000000000001", vec![gang]));
+    fleet.cell.plan(0, fleet.now);
+    fleet.commit();
+    fleet.instances[1].settle_capacity(SMALL_CAPACITY);
+    fleet.run_steps(5);
+    assert!(fleet.instances.iter().all(|instance| instance.running.is_empty()));
+    fleet.run_steps(60);
+    assert!(fleet.instances.iter().all(|instance| instance.running.len() == 2));
+}
+
 #[parameterized(
     seed_1 = { 1 },
     seed_2 = { 2 },
