Plan again when only time has passed

Callers would see a task wait beside free capacity, without end in a quiet cell: one that lasts doesn't run with room for it. Cause: the owner plans only after a change: a report of another status, an end, a first listing, a submission. A worker's back-off after a refused start, its probation, a gap in its agent's reports, the waiting times after which a serving task may use the reserve or a starved job gets a task, and due occurrences all pass without one; whatever waited for them stayed until something else happened. The simulated fleet planned in every step, so no test showed it. Change: the owner's periodic work, every 500 ms, requests a planning round. Planning is still limited to its share of the owner's time. Evidence: the simulated fleet now plans only when the owner would. Of its tests, tick_plans_again_after_the_back_off_of_a_refusal, start_order_planned_against_a_larger_capacity_is_refused and report_of_a_refused_gang_member_stops_the_others failed before (nothing running 1.5 to 3 s after the back-off of 500 ms).

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -68,8 +68,8 @@
 const ATTEMPTS_PER_EPOCH: u32 = 1_000;
 /// Session numbers reserved for each epoch, so that session tokens increase from owner to owner.
 const SESSIONS_PER_EPOCH: u64 = 1 << 20;
-/// Interval of interference estimation, stall detection and slowdown decay; about the interval at
-/// which tails are reported.
+/// Interval of interference estimation, stall detection and slowdown decay, and maximum interval of
+/// planning; about the interval at which tails are reported.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum number of orders in one response; keeps the response within the message size limit.
 const MAX_ORDERS_PER_RESPONSE: usize = 64;
@@ -555,7 +555,7 @@
     }
 
     /// Reclaims the tasks of workers whose lease has expired, and periodically updates the
-    /// interference estimates, stops stalled runs and decays slowdowns.
+    /// interference estimates, stops stalled runs, decays slowdowns and requests a planning round.
     pub fn tick(&mut self, now: Instant) {
         let expired_workers: Vec<WorkerKey> = self
             .workers
@@ -571,6 +571,9 @@
             self.interference.update_estimates(now.duration_since(maintained_at), now);
             self.stop_stalled_runs(now);
             self.decay_slowdowns(now.duration_since(maintained_at));
+            // Back-offs, waiting times and due occurrences change what planning decides without any
+            // report.
+            self.needs_plan = true;
             self.maintained_at = Some(now);
         }
     }
@@ -673,7 +676,7 @@
         });
     }
 
-    /// Whether state has changed since the last planning round.
+    /// Whether a planning round is due: state has changed since the last one, or time has passed.
     pub fn needs_plan(&self) -> bool {
         self.needs_plan
     }
--- a/crates/teaseltrack/tests/cell.rs
+++ b/crates/teaseltrack/tests/cell.rs
@@ -269,7 +269,9 @@
             }
         }
         self.cell.tick(self.now);
-        self.cell.plan(0, self.now);
+        if self.cell.needs_plan() {
+            self.cell.plan(0, self.now);
+        }
         self.commit();
     }
 
@@ -768,6 +770,22 @@
     assert!(fleet.instances.iter().all(|instance| instance.running.len() == 2));
 }
 
+/// Guards against a task that waits beside free capacity because nothing but time has passed: the
+/// worker's back-off after the refusal ends without a report of a change.
+#[test]
+fn tick_plans_again_after_the_back_off_of_a_refusal() {
+    let mut fleet = Fleet::new(1, 1);
+    fleet.run_steps(3);
+    fleet.submit(stored_job("0000000000000001", vec![long_running(1)]));
+    fleet.cell.plan(0, fleet.now);
+    fleet.commit();
+    fleet.instances[0].settle_capacity(SMALL_CAPACITY);
+    fleet.run_steps(3);
+    assert!(fleet.instances[0].running.is_empty(), "the start is refused");
+    fleet.run_steps(30);
+    assert_eq!(fleet.instances[0].running.len(), 1);
+}
+
 #[parameterized(
     seed_1 = { 1 },
     seed_2 = { 2 },
