Tests: a new owner plans against reported capacities only

restore_starts_nothing_before_the_capacity_is_reported passed from the start: workers restored from the store have no status until an agent reports one, and their runs stay reserved. It covers a capacity that shrinks while the new owner hasn't heard of the worker.

--- a/crates/teaseltrack/tests/cell.rs
+++ b/crates/teaseltrack/tests/cell.rs
@@ -786,6 +786,28 @@
     assert_eq!(fleet.instances[0].running.len(), 1);
 }
 
+/// Guards against a new owner that plans against a capacity that its predecessor knew.
+#[test]
+fn restore_starts_nothing_before_the_capacity_is_reported() {
+    let mut fleet = Fleet::new(1, 1);
+    fleet.submit(stored_job("0000000000000001", vec![long_running(2)]));
+    fleet.run_steps(6);
+    assert_eq!(fleet.instances[0].running.len(), 2);
+    fleet.replace_owner();
+    fleet.instances[0].is_disconnected = true;
+    fleet.instances[0].settle_capacity(SMALL_CAPACITY);
+    fleet.submit(stored_job("0000000000000002", vec![long_running(1)]));
+    fleet.cell.take_events();
+    fleet.run_steps(40);
+    fleet.instances[0].is_disconnected = false;
+    fleet.run_steps(40);
+    let is_assigned = |event: &CellEvent| matches!(event, CellEvent::Assigned { .. });
+    assert!(!fleet.cell.take_events().iter().any(is_assigned));
+    fleet.cancel("0000000000000001");
+    fleet.run_steps(20);
+    assert_eq!(fleet.instances[0].running.len(), 1, "the free capacity is used");
+}
+
 #[parameterized(
     seed_1 = { 1 },
     seed_2 = { 2 },
