--- a/crates/teaseltrack-cell/src/agent.rs
+++ b/crates/teaseltrack-cell/src/agent.rs
@@ -23,6 +23,7 @@
     },
     clock::SharedClock,
     ids::{AttemptNumber, InstanceId},
+    placement::Resources,
 };
 use teaseltrack_daemon::metrics::Metrics;
 use tokio::{
@@ -49,12 +50,16 @@
 const WORKER_RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Maximum number of concurrent start, stop and pace calls; each uses a connection.
 const MAX_WORKER_CALLS: usize = 6;
+/// Reason for the refusal of a start that was planned against a larger capacity.
+const CAPACITY_SHRANK: &str = "the worker's capacity shrank";
 /// Maximum number of tries of a stop call; the owner repeats the order while the run is listed.
 const MAX_STOP_TRIES: u32 = 20;
 
 /// Heartbeat of a worker.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Heartbeat {
+    /// Sequence number within the worker's incarnation.
+    pub number: u64,
     /// Status of the worker.
     pub status: WorkerStatus,
     /// Reading of the worker's clock, in milliseconds, if included.
@@ -145,7 +150,11 @@
     events: mpsc::Sender<AgentEvent>,
     permits: Arc<Semaphore>,
     status: Option<WorkerStatus>,
+    /// Capacity in `status`, for start calls that wait for a permit.
+    capacity: watch::Sender<Resources>,
     incarnation: WorkerIncarnation,
+    /// Number of the last heartbeat of the incarnation.
+    heartbeat_number: Option<u64>,
     clock_ms: u64,
     epoch: u64,
     session: SessionToken,
@@ -204,7 +213,9 @@
             events,
             permits: Arc::new(Semaphore::new(MAX_WORKER_CALLS)),
             status: None,
+            capacity: watch::channel(Resources::default()).0,
             incarnation: WorkerIncarnation::new(),
+            heartbeat_number: None,
             clock_ms: 0,
             epoch: 0,
             session: 0,
@@ -295,7 +306,7 @@
     }
 
     fn handle_heartbeat(&mut self, heartbeat: Heartbeat) {
-        let Heartbeat { status, clock_ms } = heartbeat;
+        let Heartbeat { number, status, clock_ms } = heartbeat;
         let known_started_unix_ms = self.status.as_ref().map_or(0, |status| status.started_unix_ms);
         if status.started_unix_ms < known_started_unix_ms {
             return;
@@ -306,6 +317,11 @@
                 "earlier_life" => &self.incarnation);
             self.start_incarnation(incarnation);
         }
+        // Heartbeats may overtake each other.
+        if self.heartbeat_number.is_some_and(|last| number < last) {
+            return;
+        }
+        self.heartbeat_number = Some(number);
         if let Some(clock_ms) = clock_ms {
             self.clock_ms = self.clock_ms.max(clock_ms);
         }
@@ -315,12 +331,14 @@
                     "remaining_ms" => status.remaining_ms);
             }
             self.needs_report = true;
+            self.capacity.send_replace(status.capacity);
             self.status = Some(status);
         }
     }
 
     fn start_incarnation(&mut self, incarnation: WorkerIncarnation) {
         self.incarnation = incarnation;
+        self.heartbeat_number = None;
         self.clock_ms = 0;
         self.session = 0;
         self.lease_until_ms = None;
@@ -411,6 +429,9 @@
             return;
         }
         status.started_unix_ms = started_unix_ms;
+        // The new incarnation may have another capacity; its first heartbeat tells.
+        status.capacity = Resources::default();
+        self.capacity.send_replace(status.capacity);
         let incarnation = status.incarnation();
         info!(self.context.logger, "worker restarted"; "worker" => &incarnation);
         self.start_incarnation(incarnation);
@@ -569,10 +590,17 @@
         let session = self.session;
         let call = self.addressed(WorkerCall::Start { order: order.clone(), lease_until_ms });
         let (worker, events) = (self.context.worker.clone(), self.events.clone());
-        let permits = self.permits.clone();
+        let (permits, capacity) = (self.permits.clone(), self.capacity.subscribe());
         tokio::spawn(async move {
             let permit = permits.acquire().await;
-            let result = with_timeout(WORKER_CALL_TIMEOUT, worker(call)).await;
+            // The owner has counted all that runs or is about to run against `planned_capacity`, so
+            // the start is safe as long as the worker has at least that.
+            let has_capacity = capacity.borrow().can_fit(&order.planned_capacity);
+            let result = if has_capacity {
+                with_timeout(WORKER_CALL_TIMEOUT, worker(call)).await
+            } else {
+                Err(WorkerError::Refused { reason: CAPACITY_SHRANK.to_owned() })
+            };
             drop(permit);
             let event = AgentEvent::Started { session, order: Box::new(order), result };
             drop(events.send(event).await);
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -38,6 +38,7 @@
         worker::{TaskKey, Worker},
     },
     ids::{AttemptNumber, Epoch, InstanceId},
+    placement::Resources,
 };
 
 pub mod delegation;
@@ -70,8 +71,8 @@
 const ATTEMPTS_PER_EPOCH: u32 = 1_000;
 /// Session numbers reserved for each epoch, so that session tokens increase from owner to owner.
 const SESSIONS_PER_EPOCH: u64 = 1 << 20;
-/// Interval of interference estimation, stall detection and slowdown decay; about the interval at
-/// which tails are reported.
+/// Interval of interference estimation, stall detection and slowdown decay, and maximum interval of
+/// planning; about the interval at which tails are reported.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum number of orders in one response; keeps the response within the message size limit.
 const MAX_ORDERS_PER_RESPONSE: usize = 64;
@@ -173,7 +174,7 @@
     is_dirty: bool,
     /// Whether only tasks that another cell has delegated belong to this one.
     is_partial: bool,
-    uncommitted_starts: Vec<(WorkerKey, TaskKey)>,
+    uncommitted_starts: Vec<(WorkerKey, TaskKey, AttemptNumber)>,
     uncommitted_delegations: Vec<TaskKey>,
 }
 
@@ -191,7 +192,7 @@
 /// State changes and orders deferred until the in-flight commit succeeds.
 #[derive(Clone, Debug, Default)]
 struct PendingEffects {
-    starts: Vec<(WorkerKey, TaskKey)>,
+    starts: Vec<(WorkerKey, TaskKey, AttemptNumber)>,
     delegations: Vec<TaskKey>,
     states: Vec<(JobKey, JobState)>,
     ends: Vec<(WorkerKey, u64)>,
@@ -342,8 +343,8 @@
     pending_effects: Option<PendingEffects>,
     committed_delegations: Vec<Delegation>,
     needs_plan: bool,
-    /// Time of the next planning round if no event requires an earlier one.
-    next_plan_at: Option<Instant>,
+    /// Time of the next occurrence.
+    next_due_at: Option<Instant>,
     events: Vec<CellEvent>,
     previous_leases_end: Instant,
     /// Ends of the leases of workers that were silent for the previous owner.
@@ -388,7 +389,7 @@
             pending_effects: None,
             committed_delegations: Vec::new(),
             needs_plan: true,
-            next_plan_at: None,
+            next_due_at: None,
             events: Vec::new(),
         }
     }
@@ -521,7 +522,10 @@
         }
         let mut response = ReportResponse { epoch: self.epoch, ..ReportResponse::default() };
         let Some(status) = report.status else { return response };
-        let Some(key) = self.attach_agent(&report.agent, status, now) else { return response };
+        let Some(key) = self.attach_agent(&report.agent, status, report.worker_clock_ms, now)
+        else {
+            return response;
+        };
         if !self.ensure_session(key, report.session, report.started_unix_ms, &report.agent) {
             // Carries no orders: the agent gets those of the session, which are numbered from 1,
             // once it reports under it.
@@ -585,8 +589,9 @@
         response
     }
 
-    /// Reclaims the tasks of workers whose lease has expired, requests planning rounds that are due,
-    /// and periodically updates the interference estimates, stops stalled runs and decays slowdowns.
+    /// Reclaims the tasks of workers whose lease has expired, and periodically updates the
+    /// interference estimates, stops stalled runs, decays slowdowns and requests a planning round.
+    /// Due occurrences request one at once.
     pub fn tick(&mut self, now: Instant) {
         let expired_workers: Vec<WorkerKey> = self
             .workers
@@ -598,12 +603,15 @@
             self.invalidate_worker(key, "lease expired");
         }
         self.detect_silent_workers(now);
-        self.needs_plan |= self.next_plan_at.is_some_and(|at| at <= now);
+        self.needs_plan |= self.next_due_at.is_some_and(|due_at| due_at <= now);
         let maintained_at = *self.maintained_at.get_or_insert(now);
         if now.duration_since(maintained_at) >= MAINTENANCE_INTERVAL {
             self.interference.update_estimates(now.duration_since(maintained_at), now);
             self.stop_stalled_runs(now);
             self.decay_slowdowns(now.duration_since(maintained_at));
+            // Back-offs, waiting times and due occurrences change what planning decides without any
+            // report.
+            self.needs_plan = true;
             self.maintained_at = Some(now);
         }
     }
@@ -726,8 +734,8 @@
                 worker.is_recorded_silent = false;
             }
         }
-        for (worker, task) in effects.starts {
-            self.enqueue_start(worker, task);
+        for (worker, task, attempt) in effects.starts {
+            self.enqueue_start(worker, task, attempt);
         }
         self.commit_delegations(effects.delegations);
         self.open_jobs.retain(|key| {
@@ -736,7 +744,7 @@
         });
     }
 
-    /// Whether a planning round is due.
+    /// Whether a planning round is due: state has changed since the last one, or time has passed.
     pub fn needs_plan(&self) -> bool {
         self.needs_plan
     }
@@ -821,6 +829,7 @@
         &mut self,
         agent: &InstanceId,
         status: WorkerStatus,
+        worker_clock_ms: u64,
         now: Instant,
     ) -> Option<WorkerKey> {
         let incarnation = status.incarnation();
@@ -849,6 +858,11 @@
         worker.agent = Some(agent.clone());
         worker.is_recorded |= is_recorded;
         worker.last_report_at = now;
+        // An agent's reports may overtake each other.
+        if worker_clock_ms < worker.status_clock_ms {
+            return Some(key);
+        }
+        worker.status_clock_ms = worker_clock_ms;
         if worker.status.as_ref() != Some(&status) {
             worker.status = Some(status);
             self.needs_plan = true;
@@ -950,7 +964,7 @@
                 .and_then(|task| task.run.as_ref())
                 .is_some_and(|run| run.is_listed && run.session == session);
             if !is_listed {
-                self.reclaim_task(task, "start order was not executed");
+                self.reclaim_unstarted_task(task, "start order was not executed");
             }
         }
         self.needs_plan = true;
@@ -1087,7 +1101,7 @@
             return;
         }
         self.workers[key].ineligible_until = Some(now + self.settings.refusal_backoff);
-        self.reclaim_task(task_key, &refused.reason);
+        self.reclaim_unstarted_task(task_key, &refused.reason);
         self.finalize_if_done(task_key.job);
     }
 
@@ -1130,6 +1144,19 @@
         self.needs_plan = true;
     }
 
+    /// Reclaims a task whose assigned attempt never ran. The other members of its gang would wait for
+    /// it, so they are stopped and assigned again together.
+    fn reclaim_unstarted_task(&mut self, key: TaskKey, reason: &str) {
+        self.reclaim_task(key, reason);
+        let stage = self.stage(key);
+        if !stage.is_gang {
+            return;
+        }
+        for index in 0..stage.task_count {
+            self.stop_run(TaskKey { index, ..key });
+        }
+    }
+
     fn release_run(&mut self, key: TaskKey) {
         let job = &mut self.jobs[key.job];
         let stage = &job.spec.stages[key.stage as usize];
@@ -1235,25 +1262,35 @@
         progress
     }
 
-    fn enqueue_start(&mut self, worker_key: WorkerKey, key: TaskKey) {
+    /// Sends the start of a committed attempt, unless the task was reclaimed since its assignment.
+    fn enqueue_start(&mut self, worker_key: WorkerKey, key: TaskKey, attempt: AttemptNumber) {
         let Some(name) = self.name_of(key) else { return };
         let Some(worker) = self.workers.get(worker_key) else { return };
+        let Some(status) = worker.status.as_ref() else { return };
         let session = worker.session;
         let job = &self.jobs[key.job];
         let Some(task) = self.task(key) else { return };
-        let is_current =
-            task.run.as_ref().is_some_and(|run| run.worker == worker_key && run.session == session);
+        let is_current = task.progress.attempt == attempt
+            && task
+                .run
+                .as_ref()
+                .is_some_and(|run| run.worker == worker_key && run.session == session);
         if !is_current {
             return;
         }
         if task.run.as_ref().is_some_and(|run| run.is_stopping) {
             return self.reclaim_task(key, "stopped before its start order was sent");
         }
+        // The capacity may have shrunk since the assignment.
+        if !worker.can_fit(&Resources::default()) {
+            return self.reclaim_unstarted_task(key, "worker is over its capacity");
+        }
         let start = StartOrder {
             task: name.clone(),
-            attempt: task.progress.attempt,
+            attempt,
             payload: job.spec.payload.clone(),
             checkpoint: task.progress.checkpoint.clone(),
+            planned_capacity: status.capacity,
         };
         self.enqueue_traits(worker_key, &name, Some(key));
         if let Some(worker) = self.workers.get_mut(worker_key) {
--- a/crates/teaseltrack/src/cell/worker.rs
+++ b/crates/teaseltrack/src/cell/worker.rs
@@ -70,6 +70,8 @@
     pub is_recorded: bool,
     /// Last reported status; `None` until an agent reports the worker to this owner.
     pub status: Option<WorkerStatus>,
+    /// Reading of the worker's clock in the report with `status`, in milliseconds.
+    pub status_clock_ms: u64,
     /// Token of the active session; 0 for none.
     pub session: SessionToken,
     /// Start time of the agent process that the session belongs to, in milliseconds since the Unix
@@ -137,6 +139,7 @@
             agent: None,
             is_recorded: false,
             status: None,
+            status_clock_ms: 0,
             session: 0,
             agent_started_unix_ms: 0,
             is_reconciled: false,
@@ -231,6 +234,13 @@
             .map_or(Resources::default(), |status| status.capacity.minus(&self.reserved))
     }
 
+    /// Whether a task that reserves `required` would leave the worker within its capacity. While the
+    /// worker is over it, because the capacity shrank, no task fits, whatever it requires.
+    pub fn can_fit(&self, required: &Resources) -> bool {
+        let reserved = self.reserved.plus(required);
+        self.status.as_ref().is_some_and(|status| status.capacity.can_fit(&reserved))
+    }
+
     /// Number of tasks on the worker of the same stage as `key`.
     pub fn stage_task_count(&self, key: TaskKey) -> u32 {
         let first = TaskKey { index: 0, ..key };
