Quarantine tasks that may have crashed their worker, and give up the ones that did

Cause: a crash of a worker only reclaimed its tasks. They were placed again at once, together, and no count of the crashes was kept.

Change: a crash is attributed to the runs that haven't been listed for 350 ms of the worker's clock. Such a suspect is tried again on a quarantined worker, with the least to lose, without other new tasks, so that the next crash has one suspect only. A task that was the only suspect twice (four times with others) is given up; its job fails. The counts are part of the committed progress. Nothing is attributed if the agent has restarted as well, since the machine has.

Evidence: task_that_crashes_its_workers_is_given_up (6 seeds) and _by_later_owners (4) fail without the attribution, the former also without isolation; crashes_with_several_suspects_give_up_no_task_at_once fails if all suspects are blamed; restart_of_a_machine_makes_no_task_a_suspect fails without the comparison of agents.

--- a/crates/teaseltrack-cell/src/constants.rs
+++ b/crates/teaseltrack-cell/src/constants.rs
@@ -5,7 +5,7 @@
 use teaseltrack::cell::{
     CellSettings, health::HealthSettings, interference::InterferenceSettings,
     ownership::OwnershipSettings, pacing::PacingSettings, partition::PartitionLimits,
-    planning::PlanningSettings,
+    planning::PlanningSettings, quarantine::QuarantineSettings,
 };
 
 /// Maximum lease granted to a worker, unless the platform's limit is shorter. Covers a takeover and
@@ -134,6 +134,16 @@
     slowdown_threshold: 2.0,
 };
 
+/// Isolation of tasks that may crash their workers. A cleared run is in two listings, one report
+/// interval apart.
+const QUARANTINE: QuarantineSettings = QuarantineSettings {
+    clearing_time: Duration::from_millis(350),
+    max_sole_crashes: 2,
+    max_crashes: 4,
+    max_share: 0.3,
+    max_wait: Duration::from_millis(3_000),
+};
+
 /// Interference estimation. Interference changes within tens of seconds. Tails are averaged over
 /// half a second, so consecutive reports overlap and their noise is correlated.
 const INTERFERENCE: InterferenceSettings = InterferenceSettings {
@@ -155,6 +165,7 @@
         refusal_backoff: REFUSAL_BACKOFF,
         health: HEALTH,
         planning: PLANNING,
+        quarantine: QUARANTINE,
         interference: INTERFERENCE,
     }
 }
--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -475,6 +475,22 @@
                     info!(logger, "task reclaimed"; "request_id" => &task.job, "task" => %task,
                         "attempt" => attempt, "worker" => worker, "reason" => reason);
                 }
+                CellEvent::Suspected {
+                    task,
+                    worker,
+                    crash_count,
+                    sole_crash_count,
+                    is_given_up,
+                } => {
+                    let message = if is_given_up {
+                        "worker crashed; giving up the task that it was running"
+                    } else {
+                        "worker crashed; suspecting a task that it was running"
+                    };
+                    warn!(logger, "{}", message; "request_id" => &task.job, "task" => %task,
+                        "worker" => worker, "crashes" => crash_count,
+                        "crashes_alone" => sole_crash_count);
+                }
                 CellEvent::Silent { worker, task_count, lease_remaining } => {
                     warn!(logger, "worker stopped reporting; waiting for its lease to expire";
                         "worker" => worker, "tasks" => task_count,
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -51,6 +51,7 @@
 pub mod planning;
 pub mod progress;
 pub mod protocol;
+pub mod quarantine;
 pub mod quote;
 pub mod regrouping;
 pub mod relocation;
@@ -97,6 +98,8 @@
     pub health: health::HealthSettings,
     /// Placement and sharing of workers.
     pub planning: planning::PlanningSettings,
+    /// Isolation of tasks that may crash their workers.
+    pub quarantine: quarantine::QuarantineSettings,
     /// Estimation of the interference between images.
     pub interference: InterferenceSettings,
 }
@@ -118,6 +121,8 @@
     session: SessionToken,
     /// Whether the worker has listed the run to this owner.
     is_listed: bool,
+    /// Whether the start order may have been sent.
+    is_ordered: bool,
     /// Whether the run has been ordered to stop.
     is_stopping: bool,
     /// Completed share of the work, as last listed.
@@ -125,6 +130,8 @@
     /// Tail latency or CPU use, as last listed; see [`RunningTask::gauge`].
     gauge: u64,
     first_listed_at: Option<Instant>,
+    /// Readings of the worker's clock with the first and the last listing of the run.
+    listed_clock_ms: Option<(u64, u64)>,
     /// Start of the stall timeout.
     progressed_at: Option<Instant>,
     /// Time since which the run has been listed without CPU use.
@@ -140,6 +147,8 @@
     run: Option<Run>,
     /// Time at which planning first tried to place the task; cleared when its run ends.
     waiting_since: Option<Instant>,
+    /// Whether the last crash under the task preceded the first listing of its run.
+    has_crashed_unlisted: bool,
     /// Worker on which a run failed or stalled, or from which the task was moved.
     avoided_worker: Option<WorkerKey>,
     /// Time of the last move by [`regrouping`].
@@ -272,6 +281,19 @@
         /// Reason, as logged.
         reason: String,
     },
+    /// A worker crashed under a task that may have caused it.
+    Suspected {
+        /// Name of the task.
+        task: TaskName,
+        /// Worker incarnation that crashed.
+        worker: WorkerIncarnation,
+        /// Number of crashes for which the task was a suspect.
+        crash_count: u32,
+        /// Number of those for which it was the only suspect.
+        sole_crash_count: u32,
+        /// Whether the task is given up and its job fails.
+        is_given_up: bool,
+    },
     /// A worker with tasks has stopped reporting; its tasks are reclaimed once its lease has expired.
     Silent {
         /// Worker incarnation.
@@ -315,6 +337,8 @@
             Self::Stalled { .. } => "stalled",
             Self::Moved { .. } => "moved",
             Self::Reclaimed { .. } => "taken_back",
+            Self::Suspected { is_given_up: true, .. } => "task_given_up",
+            Self::Suspected { .. } => "task_suspected",
             Self::Silent { .. } => "worker_silent",
             Self::State { state, .. } => state.name(),
             Self::ForeignReport { .. } => "foreign_report",
@@ -521,11 +545,7 @@
             return ReportResponse::default();
         }
         let mut response = ReportResponse { epoch: self.epoch, ..ReportResponse::default() };
-        let Some(status) = report.status else { return response };
-        let Some(key) = self.attach_agent(&report.agent, status, report.worker_clock_ms, now)
-        else {
-            return response;
-        };
+        let Some(key) = self.attach_agent(&report, now) else { return response };
         if !self.ensure_session(key, report.session, report.started_unix_ms, &report.agent) {
             // Carries no orders: the agent gets those of the session, which are numbered from 1,
             // once it reports under it.
@@ -548,7 +568,7 @@
             if let Some(running) = &listing.running {
                 self.observe_interference(key, running, now);
             }
-            self.process_listing(key, listing, now);
+            self.process_listing(key, listing, report.worker_clock_ms, now);
         }
         if let Some(estimates) = report.interference {
             self.interference.adopt_estimates(estimates);
@@ -600,6 +620,11 @@
             .map(|(key, _)| key)
             .collect();
         for key in expired_workers {
+            let worker = &self.workers[key];
+            let has_agent = now.duration_since(worker.last_report_at) < self.settings.agent_timeout;
+            if has_agent && !worker.is_reachable {
+                self.attribute_crash(key);
+            }
             self.invalidate_worker(key, "lease expired");
         }
         self.detect_silent_workers(now);
@@ -707,7 +732,8 @@
             is_due.then(|| {
                 worker.is_recorded = true;
                 let incarnation = worker.incarnation.clone();
-                (agent, WorkerRecord { incarnation, started_unix_ms })
+                let agent_started_unix_ms = worker.agent_started_unix_ms;
+                (agent, WorkerRecord { incarnation, started_unix_ms, agent_started_unix_ms })
             })
         });
         unrecorded.take(max_rows / 2).collect()
@@ -772,7 +798,7 @@
                                 index: index as u32,
                             };
                             self.workers[worker].reserve(task, &spec.stages[stage]);
-                            Some(Run::new(worker, 0))
+                            Some(Run { is_ordered: true, ..Run::new(worker, 0) })
                         }
                         TaskPhase::Waiting | TaskPhase::Done | TaskPhase::Delegated(_) => None,
                     };
@@ -824,14 +850,10 @@
     }
 
     /// Associates the agent with the reported worker incarnation, creating it if it is unknown;
-    /// `None` for a late report of an earlier incarnation.
-    fn attach_agent(
-        &mut self,
-        agent: &InstanceId,
-        status: WorkerStatus,
-        worker_clock_ms: u64,
-        now: Instant,
-    ) -> Option<WorkerKey> {
+    /// `None` without a worker, and for a late report of an earlier incarnation.
+    fn attach_agent(&mut self, report: &Report, now: Instant) -> Option<WorkerKey> {
+        let status = report.status.as_ref()?;
+        let agent = &report.agent;
         let incarnation = status.incarnation();
         if let Some(&current) = self.by_agent.get(agent) {
             let worker = &self.workers[current];
@@ -840,11 +862,15 @@
                 if current_unix_ms > status.started_unix_ms {
                     return None;
                 }
+                // If the agent has restarted as well, the machine has, and no task is to blame.
+                if worker.agent_started_unix_ms == report.started_unix_ms {
+                    self.attribute_crash(current);
+                }
                 self.invalidate_worker(current, "worker restarted");
                 self.remove_worker(current);
             }
         }
-        let is_recorded = self.adopt_stored_worker(agent, &status);
+        let is_recorded = self.adopt_stored_worker(report, status);
         let key = match self.by_incarnation.get(&incarnation) {
             Some(&key) => key,
             None => {
@@ -859,12 +885,12 @@
         worker.is_recorded |= is_recorded;
         worker.last_report_at = now;
         // An agent's reports may overtake each other.
-        if worker_clock_ms < worker.status_clock_ms {
+        if report.worker_clock_ms < worker.status_clock_ms {
             return Some(key);
         }
-        worker.status_clock_ms = worker_clock_ms;
-        if worker.status.as_ref() != Some(&status) {
-            worker.status = Some(status);
+        worker.status_clock_ms = report.worker_clock_ms;
+        if worker.status.as_ref() != Some(status) {
+            worker.status = Some(status.clone());
             self.needs_plan = true;
         }
         Some(key)
@@ -872,14 +898,18 @@
 
     /// Ends the agent's stored worker if the reported one is a later incarnation. Returns whether the
     /// reported worker is the stored one.
-    fn adopt_stored_worker(&mut self, agent: &InstanceId, status: &WorkerStatus) -> bool {
-        let Some(stored) = self.stored_workers.remove(agent) else { return false };
+    fn adopt_stored_worker(&mut self, report: &Report, status: &WorkerStatus) -> bool {
+        let Some(stored) = self.stored_workers.remove(&report.agent) else { return false };
+        let has_same_agent = stored.agent_started_unix_ms == report.started_unix_ms;
         if stored.incarnation == status.incarnation() {
-            return true;
+            return has_same_agent;
         }
         if stored.started_unix_ms < status.started_unix_ms
             && let Some(&ended) = self.by_incarnation.get(&stored.incarnation)
         {
+            if has_same_agent {
+                self.attribute_crash(ended);
+            }
             self.invalidate_worker(ended, "worker restarted");
             self.remove_worker(ended);
         }
@@ -939,13 +969,20 @@
         }
     }
 
-    fn process_listing(&mut self, key: WorkerKey, listing: WorkerListing, now: Instant) {
+    fn process_listing(
+        &mut self,
+        key: WorkerKey,
+        listing: WorkerListing,
+        clock_ms: u64,
+        now: Instant,
+    ) {
         for end in listing.ended {
             self.process_end(key, &end, now);
         }
+        self.needs_plan |= self.workers[key].is_quarantined;
         let Some(running) = listing.running else { return };
         for run in &running {
-            self.reconcile_run(key, run, now);
+            self.reconcile_run(key, run, clock_ms, now);
         }
         let worker = &mut self.workers[key];
         // Only the first listing of a session shows which start orders of earlier sessions were not
@@ -970,9 +1007,11 @@
         self.needs_plan = true;
     }
 
-    fn reconcile_run(&mut self, key: WorkerKey, listed: &RunningTask, now: Instant) {
+    fn reconcile_run(&mut self, key: WorkerKey, listed: &RunningTask, clock_ms: u64, now: Instant) {
         let session = self.workers[key].session;
+        let clearing_time = self.settings.quarantine.clearing_time;
         let task_key = self.key_of(&listed.task);
+        let mut was_suspect = false;
         let is_wanted = task_key.is_some_and(|task_key| {
             let is_final = self.jobs[task_key.job].state.is_final();
             let Some(task) = self.task_mut(task_key) else { return false };
@@ -984,11 +1023,17 @@
             if !listed.checkpoint.is_empty() {
                 task.progress.checkpoint.clone_from(&listed.checkpoint);
             }
-            run.update_progress(listed, now);
+            run.update_progress(listed, clock_ms, now);
             run.is_listed = true;
             run.session = session;
-            !run.is_stopping && !is_final
+            let is_wanted = !run.is_stopping && !is_final;
+            was_suspect = task.clear_if_proven(clearing_time);
+            is_wanted
         });
+        if was_suspect && let Some(task_key) = task_key {
+            self.jobs[task_key.job].is_dirty = true;
+            self.needs_plan = true;
+        }
         if is_wanted {
             if !self.workers[key].is_reconciled {
                 self.enqueue_traits(key, &listed.task, task_key);
@@ -1037,6 +1082,9 @@
         if !end.checkpoint.is_empty() {
             task.progress.checkpoint.clone_from(&end.checkpoint);
         }
+        if is_current && matches!(end.cause, EndCause::Done | EndCause::Failed) {
+            task.clear_suspicion();
+        }
         let is_new = end.attempt > task.progress.ended_attempt;
         task.progress.ended_attempt = task.progress.ended_attempt.max(end.attempt);
         self.jobs[task_key.job].is_dirty = true;
@@ -1293,6 +1341,9 @@
             planned_capacity: status.capacity,
         };
         self.enqueue_traits(worker_key, &name, Some(key));
+        if let Some(run) = self.task_mut(key).and_then(|task| task.run.as_mut()) {
+            run.is_ordered = true;
+        }
         if let Some(worker) = self.workers.get_mut(worker_key) {
             worker.enqueue_order(Order::Start(start));
         }
@@ -1368,10 +1419,12 @@
             worker,
             session,
             is_listed: false,
+            is_ordered: false,
             is_stopping: false,
             percent: 0,
             gauge: 0,
             first_listed_at: None,
+            listed_clock_ms: None,
             progressed_at: None,
             idle_since: None,
         }
--- a/crates/teaseltrack/src/cell/health.rs
+++ b/crates/teaseltrack/src/cell/health.rs
@@ -33,7 +33,7 @@
 impl Run {
     /// Updates the run from the worker's listing. A gauge of 0 restarts the stall timeout, because a
     /// run that gets no CPU can make no progress.
-    pub(super) fn update_progress(&mut self, listed: &RunningTask, now: Instant) {
+    pub(super) fn update_progress(&mut self, listed: &RunningTask, clock_ms: u64, now: Instant) {
         if self.percent != listed.percent || self.progressed_at.is_none() || listed.gauge == 0 {
             self.progressed_at = Some(now);
         }
@@ -43,6 +43,8 @@
             self.idle_since = None;
         }
         self.first_listed_at.get_or_insert(now);
+        let (first_ms, _) = *self.listed_clock_ms.get_or_insert((clock_ms, clock_ms));
+        self.listed_clock_ms = Some((first_ms, clock_ms));
         self.percent = listed.percent;
         self.gauge = listed.gauge;
     }
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -101,14 +101,16 @@
 
 /// Stage with tasks that wait to be assigned.
 #[derive(Clone, Debug)]
-struct Candidate {
+pub(super) struct Candidate {
     /// Kind, lateness, queue priority, and deadline or, for best-effort stages, time of acceptance
     /// plus the delay for remaining work; the lowest comes first.
     rank: (TaskKind, Lateness, u32, Instant),
     /// Key of the task with index 0, which identifies the stage.
-    first_task: TaskKey,
-    /// Indexes of the waiting tasks.
+    pub(super) first_task: TaskKey,
+    /// Indexes of the waiting tasks that needn't be isolated.
     waiting: Vec<u32>,
+    /// Indexes of the waiting tasks that must be isolated.
+    pub(super) suspects: Vec<u32>,
 }
 
 /// Task sizes that fitted on no worker in the current planning round; tasks of the same or a larger
@@ -145,7 +147,7 @@
 
 impl Cell {
     /// Runs a planning round: begins due occurrences, stops serving tasks on draining workers,
-    /// assigns waiting tasks, gives a task to each starved best-effort job, and, unless serving
+    /// isolates tasks that may have crashed a worker, assigns the other waiting tasks, gives a task to each starved best-effort job, and, unless serving
     /// tasks were waiting, regroups them. Start orders are sent after the next commit.
     pub fn plan(&mut self, unix_now_ms: u64, now: Instant) {
         self.needs_plan = false;
@@ -154,20 +156,21 @@
         self.next_due_at = next_due.and_then(|wait| now.checked_add(wait));
         self.evacuate_draining_workers();
         self.expire_recent_assignments(now);
-        let workers = self.eligible_workers(now);
-        if workers.is_empty() {
+        let eligible_workers = self.eligible_workers(now);
+        if eligible_workers.is_empty() {
             return;
         }
         let mut candidates = self.candidates(now);
         candidates.sort_by_key(|candidate| candidate.rank);
         let is_serving_waiting =
             candidates.iter().any(|candidate| candidate.rank.0 == TaskKind::Serving);
-        for &worker in &workers {
+        for &worker in &eligible_workers {
             self.update_remaining_headrooms(worker);
         }
+        let workers = self.place_suspects(&candidates, &eligible_workers, now);
         let mut unplaceable = UnplaceableSizes::default();
         for candidate in &candidates {
-            self.place_stage(candidate, &workers, &mut unplaceable, now);
+            self.place_stage(candidate, &workers, &eligible_workers, &mut unplaceable, now);
         }
         for candidate in &candidates {
             self.relieve_starvation(candidate, &workers, now);
@@ -187,7 +190,12 @@
         }
     }
 
-    fn track_recent_assignment(&mut self, worker: WorkerKey, stage: &Stage, now: Instant) {
+    pub(super) fn track_recent_assignment(
+        &mut self,
+        worker: WorkerKey,
+        stage: &Stage,
+        now: Instant,
+    ) {
         if stage.is_best_effort {
             let cpu_milli = stage.resources.cpu_milli;
             self.workers[worker].recent_assignments.push(RecentAssignment { at: now, cpu_milli });
@@ -267,6 +275,7 @@
     }
 
     fn candidates(&self, now: Instant) -> Vec<Candidate> {
+        let max_wait = self.settings.quarantine.max_wait;
         let mut candidates = Vec::new();
         for &key in &self.open_jobs {
             let Some(job) = self.jobs.get(key).filter(|job| !job.state.is_final()) else {
@@ -278,10 +287,14 @@
                     if !is_ready(occurrence, stage) {
                         continue;
                     }
-                    let waiting: Vec<u32> = (0..tasks.len() as u32)
+                    // The members of a gang run on several workers at once and aren't isolated.
+                    let (suspects, waiting): (Vec<u32>, Vec<u32>) = (0..tasks.len() as u32)
                         .filter(|index| tasks[*index as usize].is_waiting())
-                        .collect();
-                    if waiting.is_empty() || (stage.is_gang && waiting.len() < tasks.len()) {
+                        .partition(|index| {
+                            !stage.is_gang && tasks[*index as usize].must_be_isolated(max_wait, now)
+                        });
+                    let is_incomplete = stage.is_gang && waiting.len() < tasks.len();
+                    if waiting.is_empty() && suspects.is_empty() || is_incomplete {
                         continue;
                     }
                     let first_task = TaskKey {
@@ -291,7 +304,7 @@
                         index: 0,
                     };
                     let rank = self.rank(key, stage, now);
-                    candidates.push(Candidate { rank, first_task, waiting });
+                    candidates.push(Candidate { rank, first_task, waiting, suspects });
                 }
             }
         }
@@ -354,9 +367,11 @@
         &mut self,
         candidate: &Candidate,
         workers: &[WorkerKey],
+        eligible_workers: &[WorkerKey],
         unplaceable: &mut UnplaceableSizes,
         now: Instant,
     ) {
+        let max_wait = self.settings.quarantine.max_wait;
         let stage = self.stage(candidate.first_task).clone();
         let service = self.jobs[candidate.first_task.job].queue.service.clone();
         if unplaceable.covers(&service, &stage) {
@@ -367,6 +382,12 @@
         for &index in &candidate.waiting {
             let key = TaskKey { index, ..candidate.first_task };
             let batch_reserve = self.batch_reserve_for(key, now);
+            let has_waited = self
+                .task(key)
+                .and_then(|task| task.waiting_since)
+                .is_some_and(|since| now.duration_since(since) >= max_wait);
+            let workers =
+                if stage.is_long_running && has_waited { eligible_workers } else { workers };
             let chosen = self.choose_worker(key, &stage, workers, batch_reserve);
             let Some(worker) = chosen else {
                 unplaceable.record(&service, &stage);
@@ -464,7 +485,7 @@
         last.max(base) + 1
     }
 
-    fn assign(
+    pub(super) fn assign(
         &mut self,
         key: TaskKey,
         stage: &Stage,
@@ -487,7 +508,7 @@
     }
 
     /// Adds an assignment to the next commit.
-    fn record_assignment(&mut self, key: TaskKey) {
+    pub(super) fn record_assignment(&mut self, key: TaskKey) {
         let Some(name) = self.name_of(key) else { return };
         let Some(task) = self.task(key) else { return };
         let attempt = task.progress.attempt;
--- a/crates/teaseltrack/src/cell/progress.rs
+++ b/crates/teaseltrack/src/cell/progress.rs
@@ -19,6 +19,9 @@
     pub incarnation: WorkerIncarnation,
     /// Its start, in milliseconds since the Unix epoch.
     pub started_unix_ms: u64,
+    /// Start of the agent's process, in milliseconds since the Unix epoch.
+    #[serde(default)]
+    pub agent_started_unix_ms: u64,
 }
 
 /// State of a job as shown to its caller.
@@ -90,6 +93,12 @@
     /// Number of failed attempts.
     #[serde(rename = "f", default, skip_serializing_if = "is_zero")]
     pub failure_count: u32,
+    /// Number of crashes of workers for which the task was a suspect, since it was last cleared.
+    #[serde(rename = "k", default, skip_serializing_if = "is_zero")]
+    pub crash_count: u32,
+    /// Number of those crashes for which the task was the only suspect.
+    #[serde(rename = "s", default, skip_serializing_if = "is_zero")]
+    pub sole_crash_count: u32,
     /// Last reported checkpoint; empty for none.
     #[serde(rename = "c", default, skip_serializing_if = "String::is_empty")]
     pub checkpoint: String,
--- a/crates/teaseltrack/src/cell/scoring.rs
+++ b/crates/teaseltrack/src/cell/scoring.rs
@@ -79,7 +79,12 @@
     }
 
     /// Whether a worker has enough free capacity for a task and meets its constraints.
-    fn can_place(&self, worker: &Worker, service: &str, (key, stage): (TaskKey, &Stage)) -> bool {
+    pub(super) fn can_place(
+        &self,
+        worker: &Worker,
+        service: &str,
+        (key, stage): (TaskKey, &Stage),
+    ) -> bool {
         let Some(status) = worker.status.as_ref().filter(|status| status.service == service) else {
             return false;
         };
--- a/crates/teaseltrack/src/cell/worker.rs
+++ b/crates/teaseltrack/src/cell/worker.rs
@@ -95,6 +95,8 @@
     pub last_report_at: Instant,
     /// Whether the worker responded to its agent's last call.
     pub is_reachable: bool,
+    /// Whether the worker gets only tasks that may have crashed another worker.
+    pub is_quarantined: bool,
     /// Time until which the worker gets no new tasks after a refused start or consecutive failures.
     pub ineligible_until: Option<Instant>,
     /// Number of failed runs since the last completed one.
@@ -150,6 +152,7 @@
             clock_ms: 0,
             last_report_at: now,
             is_reachable: false,
+            is_quarantined: false,
             ineligible_until: None,
             consecutive_failures: 0,
             slowdown: 1.0,
@@ -172,6 +175,7 @@
     /// Starts a session; orders of the previous session are dropped.
     pub fn begin_session(&mut self, session: SessionToken, agent_started_unix_ms: u64) {
         self.session = session;
+        self.is_recorded &= self.agent_started_unix_ms == agent_started_unix_ms;
         self.agent_started_unix_ms = agent_started_unix_ms;
         self.is_reconciled = false;
         self.orders.clear();
--- a/crates/teaseltrack/tests/cell.rs
+++ b/crates/teaseltrack/tests/cell.rs
@@ -102,6 +102,12 @@
     /// Stops in progress, with the time at which each is complete.
     stopping: Vec<(u64, TaskName, u32)>,
     is_disconnected: bool,
+    /// Time at which the worker crashes.
+    crash_at_ms: Option<u64>,
+    /// Number of steps until the crashed worker restarts; 0 if it is up.
+    down_steps: u32,
+    /// Runs that the agent listed last; it repeats them while its worker is down.
+    listed: BTreeMap<TaskName, (u32, u64)>,
     /// Capacity in the last heartbeat.
     announced_capacity: Resources,
     /// Present capacity.
@@ -138,7 +144,9 @@
     }
 
     fn report(&self) -> Report {
-        let running = self.running.iter().map(|(task, (attempt, _))| RunningTask {
+        let is_up = self.down_steps == 0;
+        let listed = if is_up { &self.running } else { &self.listed };
+        let running = listed.iter().map(|(task, (attempt, _))| RunningTask {
             task: task.clone(),
             attempt: *attempt,
             checkpoint: String::new(),
@@ -157,7 +165,7 @@
                 ..WorkerStatus::default()
             }),
             worker_clock_ms: self.clock_ms,
-            is_worker_reachable: true,
+            is_worker_reachable: is_up,
             listing: self.has_listing.then(|| WorkerListing {
                 running: Some(running.collect()),
                 ended: self.ended.clone(),
@@ -191,6 +199,8 @@
     commit_time: Duration,
     /// Commit in flight, with the time at which it succeeds.
     in_flight: Option<(Instant, CommitBatch)>,
+    /// Number of starts of the tasks that crash their workers.
+    crashing: BTreeMap<TaskName, u32>,
 }
 
 impl Fleet {
@@ -222,6 +232,7 @@
             committed_done: BTreeSet::new(),
             done: BTreeSet::new(),
             start_count: 0,
+            crashing: BTreeMap::new(),
             max_stop_ms: 0,
             commit_time: Duration::ZERO,
             in_flight: None,
@@ -291,6 +302,17 @@
 
     fn run_worker(&mut self, index: usize) {
         let instance = &mut self.instances[index];
+        if instance.down_steps > 0 {
+            instance.down_steps -= 1;
+            if instance.down_steps == 0 {
+                self.restart_worker(index);
+            }
+            return;
+        }
+        let clock_ms = instance.clock_ms;
+        if instance.crash_at_ms.take_if(|at_ms| *at_ms <= clock_ms).is_some() {
+            return self.crash_worker(index);
+        }
         instance.clock_ms += STEP.as_millis() as u64;
         let clock_ms = instance.clock_ms;
         if clock_ms >= instance.next_heartbeat_ms {
@@ -336,6 +358,9 @@
     }
 
     fn exchange_report(&mut self, index: usize) {
+        if self.instances[index].down_steps == 0 {
+            self.instances[index].listed = self.instances[index].running.clone();
+        }
         let report = self.instances[index].report();
         let response = self.cell.handle_report(report, self.may_grant, self.now);
         let instance = &mut self.instances[index];
@@ -416,6 +441,7 @@
     fn start(&mut self, index: usize, fence: u64, start: StartOrder) {
         let instance = &self.instances[index];
         let is_rejected = fence < instance.fence
+            || instance.down_steps > 0
             || instance.clock_ms >= instance.lease_until_ms
             || instance
                 .stopped
@@ -426,6 +452,13 @@
         }
         self.check_start(index, &start);
         self.start_count += 1;
+        if let Some(crash_count) = self.crashing.get_mut(&start.task) {
+            *crash_count += 1;
+            // The run may be listed once or twice before.
+            let delay_ms = self.rng.random_range(0..3) * STEP.as_millis() as u64;
+            let instance = &mut self.instances[index];
+            instance.crash_at_ms.get_or_insert(instance.clock_ms + delay_ms);
+        }
         let stage = &self.jobs[&start.task.job].spec.stages[start.task.stage as usize];
         let run_ms = self.rng.random_range(100..1_500);
         let run_ms = if stage.is_long_running { u64::MAX / 2 } else { run_ms };
@@ -484,8 +517,18 @@
         );
     }
 
+    /// Crashes a worker, whose agent keeps running.
+    fn crash_worker(&mut self, index: usize) {
+        let instance = &mut self.instances[index];
+        instance.running.clear();
+        instance.stopping.clear();
+        instance.delayed_starts.clear();
+        instance.down_steps = 65;
+    }
+
     fn restart_worker(&mut self, index: usize) {
         let instance = &mut self.instances[index];
+        (instance.down_steps, instance.crash_at_ms) = (0, None);
         instance.incarnation += 1;
         instance.running.clear();
         instance.ended.clear();
@@ -640,7 +683,9 @@
     let lost = fleet.instances[0].running.len();
     let started = fleet.start_count;
     assert!(lost > 0);
+    // The machine has lost power, so that its agent restarts as well.
     fleet.restart_worker(0);
+    fleet.restart_agent(0);
     fleet.replace_owner();
     fleet.run_steps(10);
     assert!(fleet.start_count >= started + lost, "lost tasks run again within half a second");
@@ -1000,3 +1045,146 @@
         assert!(!is_cancelled || cancelled.contains(id), "{id} was cancelled without a request");
     }
 }
+
+/// Name of the first task of a job's first stage.
+fn first_task(job: &str) -> TaskName {
+    TaskName { job: job.to_owned(), occurrence: 0, stage: 0, index: 0 }
+}
+
+/// Tasks that the owner has given up, from its events.
+fn given_up(events: &[CellEvent]) -> BTreeSet<TaskName> {
+    let given_up = events.iter().filter_map(|event| match event {
+        CellEvent::Suspected { task, is_given_up: true, .. } => Some(task.clone()),
+        _ => None,
+    });
+    given_up.collect()
+}
+
+/// Guards against one task that crashes worker after worker, with all other runs there.
+#[parameterized(
+    seed_1 = { 1 },
+    seed_2 = { 2 },
+    seed_3 = { 3 },
+    seed_4 = { 4 },
+    seed_5 = { 5 },
+    seed_6 = { 6 },
+)]
+fn task_that_crashes_its_workers_is_given_up(seed: u64) {
+    let mut fleet = Fleet::new(8, seed);
+    let mut events = Vec::new();
+    let crashing: BTreeSet<TaskName> =
+        (0..6).map(|number| first_task(&format!("{:016x}", 3 + number * 5))).collect();
+    fleet.crashing = crashing.iter().map(|task| (task.clone(), 0)).collect();
+    for job in 0..40 {
+        fleet.submit(stored_job(&format!("{job:016x}"), vec![stage(6)]));
+        fleet.run_steps(4);
+        events.extend(fleet.cell.take_events());
+    }
+    fleet.run_steps(1_600);
+    events.extend(fleet.cell.take_events());
+    assert_eq!(given_up(&events), crashing);
+    // The platform allows five starts.
+    assert!(fleet.crashing.values().all(|start_count| *start_count <= 5), "{:?}", fleet.crashing);
+    for id in fleet.jobs.keys() {
+        let expected =
+            if crashing.contains(&first_task(id)) { JobState::Failed } else { JobState::Completed };
+        assert_eq!(fleet.cell.state(id), Some(expected), "{id}");
+    }
+}
+
+/// Guards against a count of crashes that begins anew with each owner.
+#[parameterized(
+    seed_1 = { 1 },
+    seed_2 = { 2 },
+    seed_3 = { 3 },
+    seed_4 = { 4 },
+)]
+fn task_that_crashes_its_workers_is_given_up_by_later_owners(seed: u64) {
+    let mut fleet = Fleet::new(6, seed);
+    let id = "0000000000000001";
+    fleet.submit(stored_job(id, vec![stage(8)]));
+    fleet.crashing.insert(first_task(id), 0);
+    let mut start_count = 0;
+    for _ in 0..1_600 {
+        fleet.step();
+        let present_count = fleet.crashing[&first_task(id)];
+        if present_count > start_count {
+            start_count = present_count;
+            fleet.run_steps(2);
+            fleet.replace_owner();
+        }
+    }
+    assert!(start_count <= 5, "started {start_count} times");
+    assert_eq!(fleet.cell.state(id), Some(JobState::Failed));
+}
+
+/// Guards against innocent tasks that are given up because their workers crash for other reasons.
+#[parameterized(
+    seed_1 = { 1 },
+    seed_2 = { 2 },
+    seed_3 = { 3 },
+    seed_4 = { 4 },
+    seed_5 = { 5 },
+    seed_6 = { 6 },
+)]
+fn crashes_by_other_causes_give_up_no_task(seed: u64) {
+    let mut fleet = Fleet::new(8, seed);
+    let mut faults = ChaCha8Rng::seed_from_u64(seed + 1_000);
+    let mut events = Vec::new();
+    for round in 0..1_500 {
+        if round % 10 == 0 && round < 900 {
+            fleet.submit(stored_job(&format!("{round:016x}"), vec![stage(5)]));
+        }
+        // A rack of three workers crashes, or a machine restarts, every five seconds.
+        if round % 100 == 50 && round < 1_000 {
+            let first = faults.random_range(0..6);
+            if faults.random_range(0..2) == 0 {
+                (first..first + 3).for_each(|index| fleet.crash_worker(index));
+            } else {
+                fleet.restart_worker(first);
+                fleet.restart_agent(first);
+            }
+        }
+        fleet.step();
+        events.extend(fleet.cell.take_events());
+    }
+    assert_eq!(given_up(&events), BTreeSet::new());
+    for id in fleet.jobs.keys() {
+        assert_eq!(fleet.cell.state(id), Some(JobState::Completed), "{id}");
+    }
+}
+
+/// Guards against tasks that are given up for crashes which another task may have caused.
+#[test]
+fn crashes_with_several_suspects_give_up_no_task_at_once() {
+    let mut fleet = Fleet::new(1, 1);
+    // The members of a gang can't be isolated.
+    fleet.submit(stored_job("0000000000000001", vec![Stage { is_gang: true, ..stage(3) }]));
+    let mut crash_count = 0;
+    let mut start_count = 0;
+    for _ in 0..1_000 {
+        fleet.step();
+        if crash_count < 3 && fleet.start_count >= start_count + 3 {
+            start_count = fleet.start_count;
+            crash_count += 1;
+            fleet.crash_worker(0);
+        }
+    }
+    assert_eq!(crash_count, 3);
+    assert_eq!(given_up(&fleet.cell.take_events()), BTreeSet::new());
+    assert_eq!(fleet.cell.state("0000000000000001"), Some(JobState::Completed));
+}
+
+/// Guards against suspicion of tasks on a machine that restarts as a whole.
+#[test]
+fn restart_of_a_machine_makes_no_task_a_suspect() {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.submit(stored_job("0000000000000001", vec![stage(8)]));
+    fleet.run_steps(6);
+    fleet.restart_worker(0);
+    fleet.restart_agent(0);
+    fleet.run_steps(100);
+    let events = fleet.cell.take_events();
+    assert!(!events.iter().any(|event| matches!(event, CellEvent::Suspected { .. })));
+    assert_eq!(fleet.cell.state("0000000000000001"), Some(JobState::Completed));
+}
--- a/crates/teaseltrack/tests/util.rs
+++ b/crates/teaseltrack/tests/util.rs
@@ -6,7 +6,7 @@
 use proptest::{prelude::ProptestConfig, test_runner::RngSeed};
 use teaseltrack::cell::{
     CellSettings, health::HealthSettings, interference::InterferenceSettings,
-    planning::PlanningSettings,
+    planning::PlanningSettings, quarantine::QuarantineSettings,
 };
 
 /// Seed of all property tests, so that CI runs are reproducible.
@@ -56,6 +56,13 @@
         remaining_work_weight: 20.0,
         long_overdue_factor: 3.0,
     },
+    quarantine: QuarantineSettings {
+        clearing_time: Duration::from_millis(350),
+        max_sole_crashes: 2,
+        max_crashes: 4,
+        max_share: 0.3,
+        max_wait: Duration::from_millis(3_000),
+    },
     interference: InterferenceSettings {
         half_life_s: 20.0,
         max_sample_interval: Duration::from_millis(1_500),
