Count a job as pending until one of its runs is known

Cause: a job counted as begun with its first assignment. On a crashed worker its start orders were never executed, and the job stayed counted as begun.

Change: a job has begun once a run of it was listed or has ended.

Evidence: pending_count_includes_jobs_whose_start_orders_were_lost fails without the change (0 instead of 1).

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -183,6 +183,8 @@
     is_dirty: bool,
     /// Whether only tasks that another cell has delegated belong to this one.
     is_partial: bool,
+    /// Whether a run of any task is known to have started.
+    has_begun: bool,
     uncommitted_starts: Vec<(WorkerKey, TaskKey, AttemptNumber)>,
     uncommitted_delegations: Vec<TaskKey>,
 }
@@ -457,6 +459,8 @@
         }
         let queue = self.configuration.queue(&stored.spec.queue).cloned().unwrap_or(stored.queue);
         let progress = stored.progress.unwrap_or_default();
+        let mut tasks = progress.occurrences.iter().flatten().flatten();
+        let has_begun = tasks.any(|task| task.phase == TaskPhase::Done || task.ended_attempt > 0);
         let accepted_at = now.checked_sub(stored.age).unwrap_or(now);
         let key = self.jobs.insert(Job {
             id: stored.id.clone(),
@@ -468,6 +472,7 @@
             occurrences: Vec::new(),
             is_dirty: false,
             is_partial: stored.is_partial,
+            has_begun,
             uncommitted_starts: Vec::new(),
             uncommitted_delegations: Vec::new(),
         });
@@ -512,13 +517,17 @@
         })
     }
 
-    /// Number of jobs of a queue in state [`JobState::Queued`].
+    /// Number of jobs of a queue of which no task is known to have started. An assignment isn't
+    /// enough, since its start order may not reach the worker.
     pub fn pending_count(&self, queue: &str) -> usize {
         self.open_jobs
             .iter()
             .filter_map(|key| self.jobs.get(*key))
             .filter(|job| {
-                job.state == JobState::Queued && job.spec.queue == queue && !job.is_partial
+                !job.state.is_final()
+                    && !job.has_begun
+                    && job.spec.queue == queue
+                    && !job.is_partial
             })
             .count()
     }
@@ -1030,6 +1039,9 @@
             was_suspect = task.clear_if_proven(clearing_time);
             is_wanted
         });
+        if let Some(job) = task_key.and_then(|key| self.jobs.get_mut(key.job)) {
+            job.has_begun = true;
+        }
         if was_suspect && let Some(task_key) = task_key {
             self.jobs[task_key.job].is_dirty = true;
             self.needs_plan = true;
@@ -1088,6 +1100,7 @@
         let is_new = end.attempt > task.progress.ended_attempt;
         task.progress.ended_attempt = task.progress.ended_attempt.max(end.attempt);
         self.jobs[task_key.job].is_dirty = true;
+        self.jobs[task_key.job].has_begun = true;
         self.needs_plan = true;
         match end.cause {
             EndCause::Done => self.complete_task(task_key),
--- a/crates/teaseltrack/tests/cell.rs
+++ b/crates/teaseltrack/tests/cell.rs
@@ -1175,6 +1175,23 @@
     assert_eq!(fleet.cell.state("0000000000000001"), Some(JobState::Completed));
 }
 
+/// Guards against jobs that count as begun although no start order reached a worker.
+#[test]
+fn pending_count_includes_jobs_whose_start_orders_were_lost() {
+    let mut fleet = Fleet::new(1, 1);
+    fleet.run_steps(4);
+    fleet.submit(stored_job("0000000000000001", vec![stage(2)]));
+    fleet.step();
+    fleet.crash_worker(0);
+    fleet.run_steps(4);
+    let events = fleet.cell.take_events();
+    assert!(events.iter().any(|event| matches!(event, CellEvent::Assigned { .. })));
+    assert_eq!(fleet.cell.pending_count("queue"), 1);
+    fleet.run_steps(200);
+    assert_eq!(fleet.cell.state("0000000000000001"), Some(JobState::Completed));
+    assert_eq!(fleet.cell.pending_count("queue"), 0);
+}
+
 /// Guards against suspicion of tasks on a machine that restarts as a whole.
 #[test]
 fn restart_of_a_machine_makes_no_task_a_suspect() {
