Send start orders only for the assignment that was committed

A task runs on a worker that the store doesn't name; the next owner starts it elsewhere.

Cause: the assignments whose start orders wait for a commit were kept without their attempt. A task that is assigned, reclaimed, and assigned to the same worker again while the commit of the reclaim is in flight gets its start order with that commit, in which it is waiting. An owner that fails then leaves a run that its successor doesn't know of. On the other paths, the same entries led to two start orders of one attempt, which workers accept as one.

Change: the entry carries the attempt; a start order is sent only for the current one.

Evidence: commit_succeeded_sends_no_start_order_of_a_later_assignment fails without the change (1 start, 0 allowed).

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -173,7 +173,7 @@
     is_dirty: bool,
     /// Whether only tasks that another cell has delegated belong to this one.
     is_partial: bool,
-    uncommitted_starts: Vec<(WorkerKey, TaskKey)>,
+    uncommitted_starts: Vec<UncommittedStart>,
     uncommitted_delegations: Vec<TaskKey>,
 }
 
@@ -188,10 +188,18 @@
     pub silent_workers: Vec<SilentWorker>,
 }
 
+/// Assignment of a task whose start order is sent once the assignment is committed.
+#[derive(Clone, Copy, Debug)]
+struct UncommittedStart {
+    worker: WorkerKey,
+    task: TaskKey,
+    attempt: AttemptNumber,
+}
+
 /// State changes and orders deferred until the in-flight commit succeeds.
 #[derive(Clone, Debug, Default)]
 struct PendingEffects {
-    starts: Vec<(WorkerKey, TaskKey)>,
+    starts: Vec<UncommittedStart>,
     delegations: Vec<TaskKey>,
     states: Vec<(JobKey, JobState)>,
     ends: Vec<(WorkerKey, u64)>,
@@ -726,8 +734,8 @@
                 worker.is_recorded_silent = false;
             }
         }
-        for (worker, task) in effects.starts {
-            self.enqueue_start(worker, task);
+        for start in effects.starts {
+            self.enqueue_start(start);
         }
         self.commit_delegations(effects.delegations);
         self.open_jobs.retain(|key| {
@@ -1235,14 +1243,19 @@
         progress
     }
 
-    fn enqueue_start(&mut self, worker_key: WorkerKey, key: TaskKey) {
+    /// Sends the start order of a committed assignment, unless the task has been assigned anew since.
+    fn enqueue_start(&mut self, start: UncommittedStart) {
+        let UncommittedStart { worker: worker_key, task: key, attempt } = start;
         let Some(name) = self.name_of(key) else { return };
         let Some(worker) = self.workers.get(worker_key) else { return };
         let session = worker.session;
         let job = &self.jobs[key.job];
         let Some(task) = self.task(key) else { return };
-        let is_current =
-            task.run.as_ref().is_some_and(|run| run.worker == worker_key && run.session == session);
+        let is_current = task.progress.attempt == attempt
+            && task
+                .run
+                .as_ref()
+                .is_some_and(|run| run.worker == worker_key && run.session == session);
         if !is_current {
             return;
         }
@@ -1251,7 +1264,7 @@
         }
         let start = StartOrder {
             task: name.clone(),
-            attempt: task.progress.attempt,
+            attempt,
             payload: job.spec.payload.clone(),
             checkpoint: task.progress.checkpoint.clone(),
         };
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     cell::{
-        Cell, CellEvent, JobKey, Occurrence, Run, Task, WorkerKey,
+        Cell, CellEvent, JobKey, Occurrence, Run, Task, UncommittedStart, WorkerKey,
         interference::ImageName,
         job::Stage,
         progress::{JobState, TaskPhase},
@@ -513,7 +513,7 @@
             worker: self.workers[worker].incarnation.clone(),
         });
         let job = &mut self.jobs[key.job];
-        job.uncommitted_starts.push((worker, key));
+        job.uncommitted_starts.push(UncommittedStart { worker, task: key, attempt });
         job.is_dirty = true;
         if job.state == JobState::Queued {
             job.state = JobState::Active;
--- a/crates/teaseltrack/tests/cell.rs
+++ b/crates/teaseltrack/tests/cell.rs
@@ -561,6 +561,30 @@
     assert!(response.lease_until_ms.is_some());
 }
 
+/// Guards against a run that a new owner doesn't know of, because the start order of an assignment
+/// was sent on the commit of an earlier one to the same worker.
+#[test]
+fn commit_succeeded_sends_no_start_order_of_a_later_assignment() {
+    let mut fleet = Fleet::new(1, 1);
+    fleet.run_steps(4);
+    fleet.submit(stored_job("0000000000000001", vec![stage(1)]));
+    fleet.cell.plan(0, fleet.now);
+    // The new session reclaims the task, which is then assigned to the same worker while the commit
+    // of its reclaim is in flight.
+    fleet.restart_agent(0);
+    fleet.exchange_report(0);
+    fleet.exchange_report(0);
+    let batch = fleet.cell.next_commit(50);
+    assert!(batch.is_some_and(|batch| !batch.rows.is_empty()));
+    fleet.cell.plan(0, fleet.now);
+    fleet.cell.commit_succeeded();
+    fleet.exchange_report(0);
+    assert_eq!(fleet.start_count, 0, "the store has the task as waiting");
+    fleet.commit();
+    fleet.exchange_report(0);
+    assert_eq!(fleet.start_count, 1);
+}
+
 #[test]
 fn report_of_ends_is_processed_before_the_first_listing_of_runs() {
     let mut fleet = Fleet::new(2, 1);
