Wait for leases of previous owners before tasks of a silent worker are reclaimed

Callers would see: TWICE.

But agents keep the lease of the previous owner when a session starts, and start tasks under it (Agent::send_start). An owner that may not grant yet (its takeover's response was lost, or its commits take longer than the grant period) assigns tasks to such a worker, which runs them; 1.2 s after it was first heard of, even while it reports, the tasks are reclaimed and started elsewhere.

Change: such a worker counts as expired once the leases of previous owners have ended.

--- a/crates/teaseltrack/src/cell/silence.rs
+++ b/crates/teaseltrack/src/cell/silence.rs
@@ -50,8 +50,8 @@
         for key in silent {
             let worker = &mut self.workers[key];
             worker.is_silent = true;
-            // Nothing can run on a worker that never got a lease.
-            let lease_end = *worker.lease_end.get_or_insert(now);
+            // Without a lease from this owner, tasks can run under one from a previous owner.
+            let lease_end = *worker.lease_end.get_or_insert(self.previous_leases_end.max(now));
             self.events.push(CellEvent::Silent {
                 worker: worker.incarnation.clone(),
                 task_count: worker.tasks.len(),
--- a/crates/teaseltrack/tests/cell.rs
+++ b/crates/teaseltrack/tests/cell.rs
@@ -531,7 +531,11 @@
 fn tick_reclaims_tasks_of_a_lost_worker_without_a_lease() {
     let mut fleet = Fleet::new(1, 1);
     fleet.may_grant = false;
-    fleet.run_steps(4);
+    // Until then, the worker may have a lease from a previous owner.
+    let previous_leases_end = fleet.now + CELL_SETTINGS.worst_case_lease();
+    while fleet.now < previous_leases_end {
+        fleet.step();
+    }
     fleet.submit(stored_job("0000000000000001", vec![stage(2)]));
     fleet.run_steps(2);
     fleet.instances[0].is_disconnected = true;
@@ -543,6 +547,25 @@
     assert_eq!(events.iter().filter(is_reclaimed).count(), 2);
 }
 
+/// Guards against a second run of a task whose worker still holds a lease of the previous owner.
+#[test]
+fn restore_does_not_reclaim_tasks_that_run_under_a_lease_of_the_previous_owner() {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.run_steps(4);
+    fleet.replace_owner();
+    fleet.may_grant = false;
+    fleet.run_steps(4);
+    fleet.submit(stored_job("0000000000000001", vec![stage(8)]));
+    fleet.run_steps(4);
+    assert!(fleet.start_count > 0, "agents start tasks under the lease that they hold");
+    fleet.instances.iter_mut().for_each(|instance| instance.is_disconnected = true);
+    fleet.cell.take_events();
+    fleet.run_steps(60);
+    let events = fleet.cell.take_events();
+    let is_reclaimed = |event: &&CellEvent| matches!(event, CellEvent::Reclaimed { .. });
+    assert_eq!(events.iter().filter(is_reclaimed).count(), 0);
+}
+
 /// Guards against a lease that a recorded worker gets while the next owner takes it for expired.
 #[test]
 fn grant_lease_of_a_silent_worker_follows_its_removal_from_the_record() {
