Record how long earlier owners may still grant leases

Callers would see: TWICE.

Cause: an owner that is cut off from the store doesn't know that it was replaced, and grants leases for up to 4 s. The candidate that replaces it takes this into account. A worker whose agent still reports to the first owner then has a lease that outlasts the reclaim of its tasks.

Change: the owner's row has the time for which predecessors may still grant leases. A takeover waits for the later of that and the grants of the owner that it replaces. A row of an earlier build, which doesn't have it, counts as the whole grant period, except for the first owner.

Evidence: take_over_after_a_restart_waits_for_the_leases_of_an_earlier_owner and take_over_after_a_release_waits_for_the_leases_of_an_earlier_owner fail without the change (the task is reclaimed within 3 s; the first owner may grant for 60 s). The record in the test of now says that no predecessor is left, as one written by this build does; its check is the same.

--- a/crates/teaseltrack-cell/src/candidate.rs
+++ b/crates/teaseltrack-cell/src/candidate.rs
@@ -10,7 +10,10 @@
 use slog::{info, warn};
 use teaseltrack::{
     cell::{
-        ownership::{OwnerRecord, OwnershipMonitor, SilentWorkerRecord, candidate_delay},
+        ownership::{
+            OwnerRecord, OwnershipMonitor, SilentWorkerRecord, candidate_delay,
+            recorded_remaining_ms,
+        },
         silence::SilentWorker,
     },
     ids::InstanceId,
@@ -50,12 +53,6 @@
     pub known_owner: watch::Sender<KnownOwner>,
 }
 
-/// Result of a successful takeover.
-struct Takeover {
-    committer: Committer,
-    previous_grants_end: Instant,
-}
-
 impl Candidate {
     /// Monitors the owner and runs the cell after each takeover, until `closing` is cancelled.
     pub async fn run(self, contact: OwnerContact, closing: CancellationToken) {
@@ -66,10 +63,8 @@
                 () = closing.cancelled() => return,
             }
             match self.check_owner(&mut monitor).await {
-                Ok(Some(takeover)) => {
-                    let Takeover { committer, previous_grants_end } = takeover;
-                    let context = self.context.clone();
-                    run_owner(context, committer, previous_grants_end, closing.clone()).await;
+                Ok(Some(committer)) => {
+                    run_owner(self.context.clone(), committer, closing.clone()).await;
                     monitor.reset();
                 }
                 Ok(None) => sleep(CANDIDATE_CHECK_INTERVAL).await,
@@ -99,7 +94,7 @@
     async fn check_owner(
         &self,
         monitor: &mut OwnershipMonitor,
-    ) -> Result<Option<Takeover>, StoreError> {
+    ) -> Result<Option<Committer>, StoreError> {
         let row = self.context.store.read(&owner_key(self.context.cell_id)).await?;
         let now = self.context.clock.now();
         let Some(row) = row else { return self.take_over(None, now, now).await };
@@ -115,11 +110,17 @@
             let grant_period = self.context.ownership.grant_period;
             let renewed_at = now.checked_sub(grant_period).unwrap_or(now);
             let silent_workers = restore_silent_workers(&record, now);
-            let committer = self.committer(record, row.version, renewed_at, silent_workers);
-            return Ok(Some(Takeover { committer, previous_grants_end: now + grant_period }));
+            let grants_end = now + grant_period;
+            return Ok(Some(self.committer(
+                record,
+                row.version,
+                renewed_at,
+                grants_end,
+                silent_workers,
+            )));
         }
         if record.owner == self.instance && record.address == self.address {
-            // The earlier process has ended, and so have its grants.
+            // The earlier process has ended, and so have its own grants.
             return self.take_over(Some((record, row)), now, now).await;
         }
         let delay = candidate_delay(
@@ -147,15 +148,18 @@
     }
 
     /// Takes over the cell from the owner of the stored record, which was committed at
-    /// `committed_by` or earlier.
+    /// `committed_by` or earlier, and grants no lease after `owner_grants_end`.
     async fn take_over(
         &self,
         stored: Option<(OwnerRecord, Row)>,
         committed_by: Instant,
-        previous_grants_end: Instant,
-    ) -> Result<Option<Takeover>, StoreError> {
+        owner_grants_end: Instant,
+    ) -> Result<Option<Committer>, StoreError> {
         let (stored, version) =
             stored.map_or_else(Default::default, |(record, row)| (record, row.version));
+        let grant_period = self.context.ownership.grant_period;
+        let previous_grants_end =
+            owner_grants_end.max(stored.previous_grants_end(committed_by, grant_period));
         let silent_workers = restore_silent_workers(&stored, committed_by);
         let sent_at = self.context.clock.now();
         let record = OwnerRecord {
@@ -165,6 +169,7 @@
             started_unix_ms: self.started_unix_ms,
             sequence: 0,
             is_released: false,
+            previous_grants_remaining_ms: Some(recorded_remaining_ms(previous_grants_end, sent_at)),
             silent_workers: silent_workers
                 .iter()
                 .map(|silent| SilentWorkerRecord::new(silent, sent_at))
@@ -184,8 +189,13 @@
             CommitOutcome::Committed { version } => {
                 info!(self.context.logger, "cell taken over"; "cell" => cell, "epoch" => record.epoch);
                 self.update_known_owner(&record);
-                let committer = self.committer(record, version, sent_at, silent_workers);
-                Ok(Some(Takeover { committer, previous_grants_end }))
+                Ok(Some(self.committer(
+                    record,
+                    version,
+                    sent_at,
+                    previous_grants_end,
+                    silent_workers,
+                )))
             }
         }
     }
@@ -195,6 +205,7 @@
         record: OwnerRecord,
         version: u64,
         renewed_at: Instant,
+        previous_grants_end: Instant,
         silent_workers: Vec<SilentWorker>,
     ) -> Committer {
         Committer {
@@ -204,6 +215,7 @@
             record,
             version,
             renewed_at,
+            previous_grants_end,
             silent_workers,
             logger: self.context.logger.clone(),
         }
--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -121,12 +121,9 @@
 }
 
 /// Runs a cell until it has another owner or `closing` is cancelled.
-///
-/// `previous_grants_end` is the latest time at which the previous owner may have granted a lease.
 pub async fn run_owner(
     context: OwnerContext,
     mut committer: Committer,
-    previous_grants_end: Instant,
     closing: CancellationToken,
 ) {
     let Some(loaded) = load_while_renewing(&context, &mut committer).await else { return };
@@ -136,7 +133,7 @@
         context.cell,
         epoch,
         QueueConfiguration::default(),
-        previous_grants_end,
+        committer.previous_grants_end,
     );
     cell.adopt_silent_workers(committer.silent_workers.clone());
     cell.adopt_workers(loaded.workers);
--- a/crates/teaseltrack-cell/src/owner/committer.rs
+++ b/crates/teaseltrack-cell/src/owner/committer.rs
@@ -9,7 +9,7 @@
 use teaseltrack::{
     cell::{
         CommitBatch,
-        ownership::{OwnerRecord, SilentWorkerRecord},
+        ownership::{OwnerRecord, SilentWorkerRecord, recorded_remaining_ms},
         partition::CellId,
         silence::SilentWorker,
     },
@@ -46,6 +46,8 @@
     pub version: u64,
     /// Time at which the last successful commit was first sent.
     pub renewed_at: Instant,
+    /// Latest time at which a predecessor may grant a lease.
+    pub previous_grants_end: Instant,
     /// Silent workers to record with each commit.
     pub silent_workers: Vec<SilentWorker>,
     /// Logger for failed tries.
@@ -84,6 +86,10 @@
         let silent_workers = self.silent_workers.iter();
         let next = OwnerRecord {
             sequence: self.record.sequence + 1,
+            previous_grants_remaining_ms: Some(recorded_remaining_ms(
+                self.previous_grants_end,
+                first_sent_at,
+            )),
             silent_workers: silent_workers
                 .map(|silent| SilentWorkerRecord::new(silent, first_sent_at))
                 .collect(),
--- a/crates/teaseltrack-cell/tests/candidate.rs
+++ b/crates/teaseltrack-cell/tests/candidate.rs
@@ -92,6 +92,7 @@
         owner: OWNER.to_owned(),
         address: "127.0.0.1:1".to_owned(),
         started_unix_ms: 1,
+        previous_grants_remaining_ms: Some(0),
         ..OwnerRecord::default()
     };
     let rows = rows_of_a_lost_worker(&owner);
@@ -107,3 +108,63 @@
     closing.cancel();
     assert!(reclaimed.is_ok(), "the task still waits for the lease of its lost worker");
 }
+
+/// Rows of a cell that a candidate has just taken over from an owner that was cut off from the store,
+/// and that may still grant leases; the candidate's process has then been killed or shut down.
+async fn rows_after_two_owners(is_killed: bool) -> Arc<Mutex<Rows>> {
+    let cut_off = OwnerRecord {
+        epoch: 2,
+        owner: "instance-9".to_owned(),
+        address: "127.0.0.1:9".to_owned(),
+        started_unix_ms: 1,
+        ..OwnerRecord::default()
+    };
+    let rows = rows_of_a_lost_worker(&cut_off);
+    let closing = CancellationToken::new();
+    let (_contact, contact) = watch::channel(None);
+    let second = tokio::spawn(candidate(&rows).run(contact, closing.clone()));
+    wait_for_owner_writes(&rows, 2).await;
+    if is_killed {
+        second.abort();
+    } else {
+        closing.cancel();
+    }
+    drop(second.await);
+    rows
+}
+
+async fn wait_for_owner_writes(rows: &Mutex<Rows>, count: usize) {
+    while rows.lock().unwrap().write_count(&owner_key(0)) < count {
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against a second run of a task whose worker has a lease from an owner that doesn't know yet
+/// that it was replaced, after its successor has restarted.
+#[tokio::test]
+async fn take_over_after_a_restart_waits_for_the_leases_of_an_earlier_owner() {
+    let rows = rows_after_two_owners(true).await;
+    let restarted = Candidate { started_unix_ms: 3, ..candidate(&rows) };
+    assert_no_reclaim(&rows, restarted).await;
+}
+
+/// Guards against a second run of a task whose worker has a lease from an owner that doesn't know yet
+/// that it was replaced, after its successor has released the cell.
+#[tokio::test]
+async fn take_over_after_a_release_waits_for_the_leases_of_an_earlier_owner() {
+    let rows = rows_after_two_owners(false).await;
+    let third = Candidate { instance: "instance-2".to_owned(), ..candidate(&rows) };
+    assert_no_reclaim(&rows, third).await;
+}
+
+async fn assert_no_reclaim(rows: &Arc<Mutex<Rows>>, third: Candidate) {
+    let write_count = rows.lock().unwrap().write_count(&owner_key(0));
+    let (_contact, contact) = watch::channel(None);
+    let closing = CancellationToken::new();
+    tokio::spawn(third.run(contact, closing.clone()));
+    wait_for_owner_writes(rows, write_count + 1).await;
+    sleep(Duration::from_secs(3)).await;
+    closing.cancel();
+    let progress_writes = rows.lock().unwrap().write_count(&progress_key(0, JOB));
+    assert_eq!(progress_writes, 1, "reclaimed while the first owner may still grant a lease");
+}
--- a/crates/teaseltrack/src/cell/ownership.rs
+++ b/crates/teaseltrack/src/cell/ownership.rs
@@ -30,6 +30,10 @@
     /// Whether the owner has shut down and grants no more leases.
     #[serde(default)]
     pub is_released: bool,
+    /// Time from the commit of the record until the owner's predecessors grant no more leases. A
+    /// predecessor that doesn't know that it was replaced may outlast its successor.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub previous_grants_remaining_ms: Option<u64>,
     /// Workers that get no lease from any owner until they are removed from this list.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub silent_workers: Vec<SilentWorkerRecord>,
@@ -61,6 +65,22 @@
     }
 }
 
+impl OwnerRecord {
+    /// Latest time at which a predecessor of the owner may grant a lease, if the record was
+    /// committed at `committed_by` or earlier.
+    pub fn previous_grants_end(&self, committed_by: Instant, grant_period: Duration) -> Instant {
+        // The first owner has no predecessor; a record without the time is that of an earlier build.
+        let unknown = if self.epoch > 1 { grant_period } else { Duration::ZERO };
+        committed_by + self.previous_grants_remaining_ms.map_or(unknown, Duration::from_millis)
+    }
+}
+
+/// Remaining time as recorded in the owner's row, rounded up.
+pub fn recorded_remaining_ms(end: Instant, now: Instant) -> u64 {
+    let remaining = end.saturating_duration_since(now);
+    if remaining.is_zero() { 0 } else { remaining.as_millis() as u64 + 1 }
+}
+
 /// Timing of ownership.
 #[derive(Clone, Copy, Debug)]
 pub struct OwnershipSettings {
