Don't count workers that report as silent while no lease may be granted

Callers would see: runs that lapse while the store is slow, and "worker stopped reporting" in the log for workers that report.

Cause: silence was the time without an extension of the lease. While an owner may not grant leases, since its last commit was sent more than 4 s ago, all workers become silent after 1.2 s, and again 1.2 s after each report.

Change: silence is the time without a new reading of the worker's clock.

Evidence: tick_does_not_count_a_reporting_worker_without_grants_as_silent fails without the change.

--- a/crates/teaseltrack-cell/src/constants.rs
+++ b/crates/teaseltrack-cell/src/constants.rs
@@ -20,7 +20,7 @@
 /// Time without a report from an agent after which its worker gets no new tasks: two missed
 /// reports.
 const AGENT_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// Time without an extension of its lease after which a worker counts as silent: two missed reports.
+/// Time without a new reading of its clock after which a worker counts as silent: two missed reports.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Time without new assignments to a worker after it refused a start.
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(500);
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -88,7 +88,7 @@
     pub lease_margin: Duration,
     /// Time without a report from the agent after which its worker gets no new tasks.
     pub agent_timeout: Duration,
-    /// Time without an extension of its lease after which a worker counts as silent.
+    /// Time without a new reading of its clock after which a worker counts as silent.
     pub silence_timeout: Duration,
     /// Time without new assignments to a worker after it refused a start.
     pub refusal_backoff: Duration,
@@ -915,9 +915,10 @@
     ) {
         let worst_case_lease = self.settings.worst_case_lease();
         let worker = &mut self.workers[key];
-        if worker_clock_ms > worker.clock_ms && worker.is_silent {
+        if worker_clock_ms > worker.reported_clock_ms {
+            worker.reported_clock_ms = worker_clock_ms;
+            worker.clock_reported_at = now;
             worker.is_silent = false;
-            worker.lease_extended_at = now;
         }
         if !may_grant || worker_clock_ms == 0 || worker.is_silent || worker.is_recorded_silent {
             return;
@@ -927,7 +928,6 @@
         // granted.
         if worker_clock_ms > worker.clock_ms {
             worker.clock_ms = worker_clock_ms;
-            worker.lease_extended_at = now;
             let end = now + worst_case_lease;
             worker.lease_end = Some(worker.lease_end.map_or(end, |current| current.max(end)));
         }
--- a/crates/teaseltrack/src/cell/silence.rs
+++ b/crates/teaseltrack/src/cell/silence.rs
@@ -34,15 +34,15 @@
         silent.map(|worker| worker.tasks.len()).sum()
     }
 
-    /// Marks workers with tasks as silent once their lease hasn't been extended for
-    /// `silence_timeout`.
+    /// Marks workers with tasks as silent once there was no new reading of their clock for
+    /// `silence_timeout`. A worker that reports while the owner may not grant leases isn't silent.
     pub(super) fn detect_silent_workers(&mut self, now: Instant) {
         let timeout = self.settings.silence_timeout;
         let silent: Vec<WorkerKey> = self
             .workers
             .iter()
             .filter(|(_, worker)| {
-                let elapsed = now.duration_since(worker.lease_extended_at);
+                let elapsed = now.duration_since(worker.clock_reported_at);
                 !worker.is_silent && !worker.tasks.is_empty() && elapsed >= timeout
             })
             .map(|(key, _)| key)
--- a/crates/teaseltrack/src/cell/worker.rs
+++ b/crates/teaseltrack/src/cell/worker.rs
@@ -80,14 +80,16 @@
     /// Time by which the lease has expired on the worker, so that nothing runs there any more;
     /// `None` if no lease was granted.
     pub lease_end: Option<Instant>,
-    /// Time at which the lease was last extended, or at which this owner learned of the worker.
-    pub lease_extended_at: Instant,
-    /// Whether the lease hasn't been extended for `silence_timeout`.
+    /// Highest reported reading of the worker's clock, in milliseconds.
+    pub reported_clock_ms: u64,
+    /// Time of the report with that reading, or at which this owner learned of the worker.
+    pub clock_reported_at: Instant,
+    /// Whether there was no new reading of the worker's clock for `silence_timeout`.
     pub is_silent: bool,
     /// Whether the owner's row may list the worker as silent; it gets no lease until a commit has
     /// removed it from the row.
     pub is_recorded_silent: bool,
-    /// Highest reported reading of the worker's clock, in milliseconds.
+    /// Highest reading of the worker's clock for which a lease was granted, in milliseconds.
     pub clock_ms: u64,
     /// Time of the last report from its agent.
     pub last_report_at: Instant,
@@ -141,7 +143,8 @@
             agent_started_unix_ms: 0,
             is_reconciled: false,
             lease_end: None,
-            lease_extended_at: now,
+            reported_clock_ms: 0,
+            clock_reported_at: now,
             is_silent: false,
             is_recorded_silent: false,
             clock_ms: 0,
--- a/crates/teaseltrack/tests/cell.rs
+++ b/crates/teaseltrack/tests/cell.rs
@@ -566,6 +566,20 @@
     assert_eq!(events.iter().filter(is_reclaimed).count(), 0);
 }
 
+/// Guards against leases that lapse on a slow store: a worker that reports while its owner may not
+/// grant leases is recorded as silent, and gets no lease until another commit has removed it.
+#[test]
+fn tick_does_not_count_a_reporting_worker_without_grants_as_silent() {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.submit(stored_job("0000000000000001", vec![stage(40)]));
+    fleet.run_steps(6);
+    fleet.cell.take_events();
+    fleet.may_grant = false;
+    fleet.run_steps(60);
+    let events = fleet.cell.take_events();
+    assert!(!events.iter().any(|event| matches!(event, CellEvent::Silent { .. })));
+}
+
 /// Guards against a lease that a recorded worker gets while the next owner takes it for expired.
 #[test]
 fn grant_lease_of_a_silent_worker_follows_its_removal_from_the_record() {
