Record the last clock reading of silent workers

Cause: the agent goes on reporting, with the last reading of the worker's clock. To a new owner, the first of these reports is a new reading: it takes the worker out of its row, and grants a lease for the old reading, so that the wait starts anew with each change of the owner.

Change: the row has the last reading of a silent worker; a new owner takes only a later one for a sign of life. Rows of an earlier build have 0, with which the first report counts as before.

Left: an owner that never heard of the worker may get one such report, and waits for a lease once.

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -354,8 +354,8 @@
     next_plan_at: Option<Instant>,
     events: Vec<CellEvent>,
     previous_leases_end: Instant,
-    /// Ends of the leases of workers that were silent for the previous owner.
-    silent_leases_end: HashMap<WorkerIncarnation, Instant>,
+    /// Workers that were silent for the previous owner.
+    silent_workers: HashMap<WorkerIncarnation, SilentWorker>,
     interference: InterferenceModel,
     maintained_at: Option<Instant>,
     regrouped_at: Option<Instant>,
@@ -377,7 +377,7 @@
         Self {
             id,
             previous_leases_end: previous_grants_end + settings.worst_case_lease(),
-            silent_leases_end: HashMap::new(),
+            silent_workers: HashMap::new(),
             interference: InterferenceModel::new(settings.interference),
             maintained_at: None,
             regrouped_at: None,
@@ -813,8 +813,9 @@
         }
         let mut worker = Worker::new(incarnation.to_owned(), now);
         worker.lease_end = Some(lease_end);
-        if let Some(&silent_lease_end) = self.silent_leases_end.get(incarnation) {
-            worker.lease_end = Some(lease_end.min(silent_lease_end));
+        if let Some(silent) = self.silent_workers.get(incarnation) {
+            worker.lease_end = Some(lease_end.min(silent.lease_end));
+            worker.reported_clock_ms = silent.clock_ms;
             worker.is_silent = true;
             worker.is_recorded_silent = true;
         }
--- a/crates/teaseltrack/src/cell/ownership.rs
+++ b/crates/teaseltrack/src/cell/ownership.rs
@@ -46,6 +46,9 @@
     pub incarnation: WorkerIncarnation,
     /// Time from the commit of the record until the worker's lease has expired for certain.
     pub lease_remaining_ms: u64,
+    /// Highest reported reading of the worker's clock, in milliseconds.
+    #[serde(default)]
+    pub clock_ms: u64,
 }
 
 impl SilentWorkerRecord {
@@ -55,13 +58,18 @@
         Self {
             incarnation: silent.incarnation.clone(),
             lease_remaining_ms: remaining.as_millis() as u64 + 1,
+            clock_ms: silent.clock_ms,
         }
     }
 
     /// The silent worker, if the record was committed at `committed_by` or earlier.
     pub fn restore(self, committed_by: Instant) -> SilentWorker {
         let remaining = Duration::from_millis(self.lease_remaining_ms);
-        SilentWorker { incarnation: self.incarnation, lease_end: committed_by + remaining }
+        SilentWorker {
+            incarnation: self.incarnation,
+            lease_end: committed_by + remaining,
+            clock_ms: self.clock_ms,
+        }
     }
 }
 
--- a/crates/teaseltrack/src/cell/silence.rs
+++ b/crates/teaseltrack/src/cell/silence.rs
@@ -17,15 +17,17 @@
     pub incarnation: WorkerIncarnation,
     /// Time by which its lease has expired for certain.
     pub lease_end: Instant,
+    /// Highest reported reading of its clock, in milliseconds; an agent whose worker doesn't respond
+    /// repeats it.
+    pub clock_ms: u64,
 }
 
 impl Cell {
     /// Adopts the silent workers that the previous owner has recorded; must precede
     /// [`Cell::admit`].
     pub fn adopt_silent_workers(&mut self, silent_workers: Vec<SilentWorker>) {
-        self.silent_leases_end.extend(
-            silent_workers.into_iter().map(|silent| (silent.incarnation, silent.lease_end)),
-        );
+        self.silent_workers
+            .extend(silent_workers.into_iter().map(|silent| (silent.incarnation.clone(), silent)));
     }
 
     /// Number of tasks that are assigned to silent workers.
@@ -74,6 +76,7 @@
             silent_workers.extend(worker.lease_end.map(|lease_end| SilentWorker {
                 incarnation: worker.incarnation.clone(),
                 lease_end,
+                clock_ms: worker.reported_clock_ms,
             }));
         }
         silent_workers
--- a/crates/teaseltrack/tests/cell.rs
+++ b/crates/teaseltrack/tests/cell.rs
@@ -86,6 +86,8 @@
     refused: Vec<RefusedStart>,
     stopped: BTreeSet<(TaskName, u32)>,
     delayed_starts: Vec<(u64, u64, StartOrder)>,
+    /// Last reading of the clock of a worker that doesn't respond to its agent any more.
+    last_clock_ms: Option<u64>,
     is_disconnected: bool,
 }
 
@@ -122,9 +124,9 @@
                 capacity: CAPACITY,
                 ..WorkerStatus::default()
             }),
-            worker_clock_ms: self.clock_ms,
-            is_worker_reachable: true,
-            listing: self.has_listing.then(|| WorkerListing {
+            worker_clock_ms: self.last_clock_ms.unwrap_or(self.clock_ms),
+            is_worker_reachable: self.last_clock_ms.is_none(),
+            listing: (self.has_listing && self.last_clock_ms.is_none()).then(|| WorkerListing {
                 running: Some(running.collect()),
                 ended: self.ended.clone(),
             }),
@@ -271,18 +273,19 @@
         let report = self.instances[index].report();
         let response = self.cell.handle_report(report, self.may_grant, self.now);
         let instance = &mut self.instances[index];
+        let is_responsive = instance.last_clock_ms.is_none();
         instance.refused.clear();
         if response.session > instance.session {
             instance.session = response.session;
             instance.fence = instance.fence.max(response.session);
             instance.accepted_order = 0;
-            instance.has_listing = true;
+            instance.has_listing = is_responsive;
             return;
         }
         if response.session != instance.session {
             return;
         }
-        if let Some(until_ms) = response.lease_until_ms {
+        if let Some(until_ms) = response.lease_until_ms.filter(|_| is_responsive) {
             instance.lease_until_ms = instance.lease_until_ms.max(until_ms);
         }
         for end in instance.ended.iter().filter(|end| end.number <= response.forget_until) {
@@ -511,6 +514,25 @@
     assert_eq!(fleet.cell.state("0000000000000001"), Some(JobState::Completed));
 }
 
+/// Guards against tasks of an unresponsive worker that wait for its lease anew after each change of the
+/// owner, since its agent repeats the last reading of its clock.
+#[test]
+fn restore_does_not_extend_the_wait_for_an_unresponsive_worker() {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.submit(stored_job("0000000000000001", vec![stage(8)]));
+    fleet.run_steps(6);
+    assert!(!fleet.instances[0].running.is_empty());
+    let clock_ms = fleet.instances[0].clock_ms;
+    fleet.instances[0].last_clock_ms = Some(clock_ms);
+    fleet.run_steps(30);
+    assert_eq!(fleet.silent_workers.len(), 1);
+    for _ in 0..3 {
+        fleet.replace_owner();
+        fleet.run_steps(50);
+    }
+    assert_eq!(fleet.cell.state("0000000000000001"), Some(JobState::Completed));
+}
+
 /// Guards against a new owner that waits for the lease of a worker whose agent reports a later one.
 #[test]
 fn restore_reclaims_tasks_of_a_worker_that_restarted_meanwhile() {
