Plan for future occurrences every second, as the wall clock may be set forward

Callers would see: an occurrence that begins up to a minute late, in a cell without other events, on a machine whose clock was set forward.

Cause: the time of an occurrence is on the wall clock, the next planning round is requested on the steady clock, at most 60 s ahead.

Change: the limit is 1 s.

Evidence: tick_requests_a_plan_for_an_occurrence_that_is_due_after_a_clock_step fails without the change (no start 3 s after the time).

--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -32,8 +32,9 @@
 /// Time until the next planning round while tasks are waiting.
 const PLAN_RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Maximum time until the next planning round while occurrences are due later.
-const MAX_PLAN_INTERVAL: Duration = Duration::from_secs(60);
+/// Maximum time until the next planning round while occurrences are due later: the wall clock may be
+/// set forward meanwhile.
+const MAX_PLAN_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Settings of planning.
 #[derive(Clone, Copy, Debug)]
--- a/crates/teaseltrack/tests/cell.rs
+++ b/crates/teaseltrack/tests/cell.rs
@@ -656,6 +656,21 @@
     assert_eq!(fleet.cell.state("0000000000000001"), Some(JobState::Completed));
 }
 
+/// Guards against an occurrence that begins late, in a cell without other events, since the wall clock
+/// was set forward.
+#[test]
+fn tick_requests_a_plan_for_an_occurrence_that_is_due_after_a_clock_step() {
+    let mut fleet = Fleet::new(1, 1);
+    let mut job = stored_job("0000000000000001", vec![stage(1)]);
+    job.spec.schedule =
+        Some(Schedule { first_unix_ms: 60_000, interval_ms: 1_000, occurrence_count: 1 });
+    fleet.submit(job);
+    fleet.run_steps(10);
+    fleet.unix_now_ms += 60_000;
+    fleet.run_steps(60);
+    assert!(fleet.start_count > 0, "nothing runs 3 s after the time");
+}
+
 #[test]
 fn cancel_stops_running_tasks_and_starts_none() {
     let mut fleet = Fleet::new(1, 1);
