--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -90,7 +90,7 @@
     pub lease_margin: Duration,
     /// Time without a report from the agent after which its worker gets no new tasks.
     pub agent_timeout: Duration,
-    /// Time without an extension of its lease after which a worker counts as silent.
+    /// Time without a new reading of its clock after which a worker counts as silent.
     pub silence_timeout: Duration,
     /// Time without new assignments to a worker after it refused a start.
     pub refusal_backoff: Duration,
@@ -185,7 +185,7 @@
     is_partial: bool,
     /// Whether a run of any task is known to have started.
     has_begun: bool,
-    uncommitted_starts: Vec<(WorkerKey, TaskKey, AttemptNumber)>,
+    uncommitted_starts: Vec<UncommittedStart>,
     uncommitted_delegations: Vec<TaskKey>,
 }
 
@@ -200,10 +200,18 @@
     pub silent_workers: Vec<SilentWorker>,
 }
 
+/// Assignment of a task whose start order is sent once the assignment is committed.
+#[derive(Clone, Copy, Debug)]
+struct UncommittedStart {
+    worker: WorkerKey,
+    task: TaskKey,
+    attempt: AttemptNumber,
+}
+
 /// State changes and orders deferred until the in-flight commit succeeds.
 #[derive(Clone, Debug, Default)]
 struct PendingEffects {
-    starts: Vec<(WorkerKey, TaskKey, AttemptNumber)>,
+    starts: Vec<UncommittedStart>,
     delegations: Vec<TaskKey>,
     states: Vec<(JobKey, JobState)>,
     ends: Vec<(WorkerKey, u64)>,
@@ -373,8 +381,8 @@
     next_due_at: Option<Instant>,
     events: Vec<CellEvent>,
     previous_leases_end: Instant,
-    /// Ends of the leases of workers that were silent for the previous owner.
-    silent_leases_end: HashMap<WorkerIncarnation, Instant>,
+    /// Workers that were silent for the previous owner.
+    silent_workers: HashMap<WorkerIncarnation, SilentWorker>,
     interference: InterferenceModel,
     maintained_at: Option<Instant>,
     regrouped_at: Option<Instant>,
@@ -396,7 +404,7 @@
         Self {
             id,
             previous_leases_end: previous_grants_end + settings.worst_case_lease(),
-            silent_leases_end: HashMap::new(),
+            silent_workers: HashMap::new(),
             interference: InterferenceModel::new(settings.interference),
             maintained_at: None,
             regrouped_at: None,
@@ -567,6 +575,7 @@
         worker.last_report_at = now;
         if worker.is_reachable != report.is_worker_reachable {
             worker.is_reachable = report.is_worker_reachable;
+            worker.expired_suspects.clear();
             self.needs_plan = true;
         }
         worker.acknowledge_orders(report.accepted_order);
@@ -629,11 +638,7 @@
             .map(|(key, _)| key)
             .collect();
         for key in expired_workers {
-            let worker = &self.workers[key];
-            let has_agent = now.duration_since(worker.last_report_at) < self.settings.agent_timeout;
-            if has_agent && !worker.is_reachable {
-                self.attribute_crash(key);
-            }
+            self.note_expired_suspects(key);
             self.invalidate_worker(key, "lease expired");
         }
         self.detect_silent_workers(now);
@@ -769,8 +774,8 @@
                 worker.is_recorded_silent = false;
             }
         }
-        for (worker, task, attempt) in effects.starts {
-            self.enqueue_start(worker, task, attempt);
+        for start in effects.starts {
+            self.enqueue_start(start);
         }
         self.commit_delegations(effects.delegations);
         self.open_jobs.retain(|key| {
@@ -848,8 +853,9 @@
         }
         let mut worker = Worker::new(incarnation.to_owned(), now);
         worker.lease_end = Some(lease_end);
-        if let Some(&silent_lease_end) = self.silent_leases_end.get(incarnation) {
-            worker.lease_end = Some(lease_end.min(silent_lease_end));
+        if let Some(silent) = self.silent_workers.get(incarnation) {
+            worker.lease_end = Some(lease_end.min(silent.lease_end));
+            worker.reported_clock_ms = silent.clock_ms;
             worker.is_silent = true;
             worker.is_recorded_silent = true;
         }
@@ -960,9 +966,10 @@
     ) {
         let worst_case_lease = self.settings.worst_case_lease();
         let worker = &mut self.workers[key];
-        if worker_clock_ms > worker.clock_ms && worker.is_silent {
+        if worker_clock_ms > worker.reported_clock_ms {
+            worker.reported_clock_ms = worker_clock_ms;
+            worker.clock_reported_at = now;
             worker.is_silent = false;
-            worker.lease_extended_at = now;
         }
         if !may_grant || worker_clock_ms == 0 || worker.is_silent || worker.is_recorded_silent {
             return;
@@ -972,7 +979,6 @@
         // granted.
         if worker_clock_ms > worker.clock_ms {
             worker.clock_ms = worker_clock_ms;
-            worker.lease_extended_at = now;
             let end = now + worst_case_lease;
             worker.lease_end = Some(worker.lease_end.map_or(end, |current| current.max(end)));
         }
@@ -1323,8 +1329,9 @@
         progress
     }
 
-    /// Sends the start of a committed attempt, unless the task was reclaimed since its assignment.
-    fn enqueue_start(&mut self, worker_key: WorkerKey, key: TaskKey, attempt: AttemptNumber) {
+    /// Sends the start order of a committed assignment, unless the task has been assigned anew since.
+    fn enqueue_start(&mut self, start: UncommittedStart) {
+        let UncommittedStart { worker: worker_key, task: key, attempt } = start;
         let Some(name) = self.name_of(key) else { return };
         let Some(worker) = self.workers.get(worker_key) else { return };
         let Some(status) = worker.status.as_ref() else { return };
--- a/crates/teaseltrack/src/cell/quarantine.rs
+++ b/crates/teaseltrack/src/cell/quarantine.rs
@@ -15,7 +15,7 @@
 use crate::cell::{
     Cell, CellEvent, Run, Task, WorkerKey,
     planning::{Candidate, TaskKind},
-    progress::JobState,
+    progress::{JobState, TaskPhase},
     worker::{TaskKey, Worker},
 };
 
@@ -77,12 +77,17 @@
     /// Suspects the runs of a crashed worker, and gives up tasks that have caused too many crashes.
     pub(super) fn attribute_crash(&mut self, key: WorkerKey) {
         let settings = self.settings.quarantine;
-        let suspects: Vec<TaskKey> = self.uncleared_tasks(&self.workers[key]);
+        let mut suspects = self.uncleared_tasks(&self.workers[key]);
+        suspects.append(&mut self.workers[key].expired_suspects);
         let is_sole = suspects.len() == 1;
         let worker = self.workers[key].incarnation.clone();
         for suspect in suspects {
             let Some(name) = self.name_of(suspect) else { continue };
-            let Some(task) = self.task_mut(suspect) else { continue };
+            let Some(task) =
+                self.task_mut(suspect).filter(|task| task.progress.phase != TaskPhase::Done)
+            else {
+                continue;
+            };
             task.has_crashed_unlisted =
                 task.run.as_ref().is_some_and(|run| run.listed_clock_ms.is_none());
             task.progress.crash_count += 1;
@@ -105,6 +110,13 @@
         }
     }
 
+    /// Keeps the suspects of a worker whose lease expires: whether it has crashed or is merely
+    /// unresponsive isn't known before it responds.
+    pub(super) fn note_expired_suspects(&mut self, key: WorkerKey) {
+        let suspects = self.uncleared_tasks(&self.workers[key]);
+        self.workers[key].expired_suspects.extend(suspects);
+    }
+
     /// Tasks of a worker that were ordered to start there and haven't been cleared.
     fn uncleared_tasks(&self, worker: &Worker) -> Vec<TaskKey> {
         let clearing_time = self.settings.quarantine.clearing_time;
--- a/crates/teaseltrack/src/cell/silence.rs
+++ b/crates/teaseltrack/src/cell/silence.rs
@@ -17,15 +17,17 @@
     pub incarnation: WorkerIncarnation,
     /// Time by which its lease has expired for certain.
     pub lease_end: Instant,
+    /// Highest reported reading of its clock, in milliseconds; an agent whose worker doesn't respond
+    /// repeats it.
+    pub clock_ms: u64,
 }
 
 impl Cell {
     /// Adopts the silent workers that the previous owner has recorded; must precede
     /// [`Cell::admit`].
     pub fn adopt_silent_workers(&mut self, silent_workers: Vec<SilentWorker>) {
-        self.silent_leases_end.extend(
-            silent_workers.into_iter().map(|silent| (silent.incarnation, silent.lease_end)),
-        );
+        self.silent_workers
+            .extend(silent_workers.into_iter().map(|silent| (silent.incarnation.clone(), silent)));
     }
 
     /// Number of tasks that are assigned to silent workers.
@@ -34,15 +36,15 @@
         silent.map(|worker| worker.tasks.len()).sum()
     }
 
-    /// Marks workers with tasks as silent once their lease hasn't been extended for
-    /// `silence_timeout`.
+    /// Marks workers with tasks as silent once there was no new reading of their clock for
+    /// `silence_timeout`. A worker that reports while the owner may not grant leases isn't silent.
     pub(super) fn detect_silent_workers(&mut self, now: Instant) {
         let timeout = self.settings.silence_timeout;
         let silent: Vec<WorkerKey> = self
             .workers
             .iter()
             .filter(|(_, worker)| {
-                let elapsed = now.duration_since(worker.lease_extended_at);
+                let elapsed = now.duration_since(worker.clock_reported_at);
                 !worker.is_silent && !worker.tasks.is_empty() && elapsed >= timeout
             })
             .map(|(key, _)| key)
@@ -50,8 +52,8 @@
         for key in silent {
             let worker = &mut self.workers[key];
             worker.is_silent = true;
-            // Nothing can run on a worker that never got a lease.
-            let lease_end = *worker.lease_end.get_or_insert(now);
+            // Without a lease from this owner, tasks can run under one from a previous owner.
+            let lease_end = *worker.lease_end.get_or_insert(self.previous_leases_end.max(now));
             self.events.push(CellEvent::Silent {
                 worker: worker.incarnation.clone(),
                 task_count: worker.tasks.len(),
@@ -74,6 +76,7 @@
             silent_workers.extend(worker.lease_end.map(|lease_end| SilentWorker {
                 incarnation: worker.incarnation.clone(),
                 lease_end,
+                clock_ms: worker.reported_clock_ms,
             }));
         }
         silent_workers
