Keep the number of crashes of a delegated task

Callers saw: nothing yet; found in review. A long-running task that crashes its workers, delegated while it waits for a quarantined worker, was placed in the next cell as if it had crashed none, beside other new tasks.

Cause: the row of a delegation has the attempt and the checkpoint of the task, but not the counts of its crashes.

Evidence: delegate_keeps_the_number_of_crashes fails without the fix (counts 0 and 0 instead of 3 and 1).

Why it works: the counts go with the task, as its attempt does, and the next cell commits them with its first assignment. Rows without them are read as 0.

--- a/crates/teaseltrack-cell/tests/delegation.rs
+++ b/crates/teaseltrack-cell/tests/delegation.rs
@@ -33,6 +33,8 @@
         task: TaskName { job: JOB.to_owned(), occurrence: 0, stage: 0, index },
         attempt: 3,
         checkpoint: String::new(),
+        crash_count: 0,
+        sole_crash_count: 0,
         spec: JobSpec { stages: vec![stage], ..JobSpec::default() },
         queue: Queue::default(),
     }
--- a/crates/teaseltrack/src/cell/delegation.rs
+++ b/crates/teaseltrack/src/cell/delegation.rs
@@ -16,7 +16,7 @@
         job::{JobSpec, Queue, Stage},
         partition::CellId,
         planning::TaskKind,
-        progress::TaskPhase,
+        progress::{TaskPhase, TaskProgress},
         protocol::TaskName,
         worker::TaskKey,
     },
@@ -34,6 +34,12 @@
     pub attempt: AttemptNumber,
     /// Last checkpoint; empty for none.
     pub checkpoint: String,
+    /// Number of crashes of workers for which the task was a suspect; see [`TaskProgress`].
+    #[serde(default)]
+    pub crash_count: u32,
+    /// Number of those crashes for which the task was the only suspect.
+    #[serde(default)]
+    pub sole_crash_count: u32,
     /// Specification of the job.
     pub spec: JobSpec,
     /// Queue of the job.
@@ -141,6 +147,8 @@
             task.progress.phase = TaskPhase::Waiting;
             task.progress.attempt = task.progress.attempt.max(delegation.attempt);
             task.progress.checkpoint = delegation.checkpoint;
+            task.progress.crash_count = delegation.crash_count;
+            task.progress.sole_crash_count = delegation.sole_crash_count;
         }
         self.needs_plan = true;
     }
@@ -170,6 +178,8 @@
             task: self.name_of(key)?,
             attempt: progress.attempt,
             checkpoint: progress.checkpoint.clone(),
+            crash_count: progress.crash_count,
+            sole_crash_count: progress.sole_crash_count,
             spec: JobSpec::clone(&job.spec),
             queue: job.queue.clone(),
         })
@@ -189,9 +199,9 @@
 /// An occurrence of which no task belongs to this cell. The cell in the phase is not used.
 fn elsewhere(spec: &JobSpec) -> Occurrence {
     let task = Task {
-        progress: super::TaskProgress {
+        progress: TaskProgress {
             phase: TaskPhase::Delegated(CellId::default()),
-            ..super::TaskProgress::default()
+            ..TaskProgress::default()
         },
         ..Task::default()
     };
--- a/crates/teaseltrack/tests/delegation.rs
+++ b/crates/teaseltrack/tests/delegation.rs
@@ -19,7 +19,7 @@
         delegation::Delegation,
         job::{JobId, JobSpec, Queue, QueueConfiguration, Stage},
         partition::CellId,
-        progress::JobProgress,
+        progress::{JobProgress, JobState, TaskProgress},
         protocol::{
             EndCause, EndedTask, Order, Report, RunningTask, TaskName, WorkerListing, WorkerStatus,
         },
@@ -312,6 +312,27 @@
     assert_eq!(model.unstored.len(), 2);
 }
 
+/// Guards against a task that crashes its workers and is counted anew in the next cell.
+#[test]
+fn delegate_keeps_the_number_of_crashes() {
+    let mut model = Model::new();
+    model.submit(job("0000000000000001", 4));
+    model.run_steps(25);
+    let suspect = TaskProgress { crash_count: 3, sole_crash_count: 1, ..TaskProgress::default() };
+    let occurrences = vec![vec![vec![suspect]]];
+    let progress = Some(JobProgress { state: JobState::Active, occurrences });
+    model.submit(StoredJob { progress, ..job("0000000000000002", 1) });
+    model.run_steps(25);
+    model.delegate();
+    model.run_steps(1);
+    model.store_delegation(1);
+    model.run_steps(1);
+    let delegated = &model.sites[1].progress["0000000000000002"].occurrences[0][0][0];
+    assert_eq!((delegated.crash_count, delegated.sole_crash_count), (3, 1));
+    model.run_steps(5);
+    assert_eq!(model.running(1), 1);
+}
+
 #[test]
 fn cancel_stops_delegated_tasks() {
     let mut model = Model::new();
