Test: an owner suspects no task of a machine that was lost before it

From the review of the quarantine: an owner that no agent of a lost machine had reached attributed a crash to its runs when the lease expired. Since suspects are kept until the worker reports a restart, the test passes; it failed before. The simulated agent no longer lists at once in a new session while its worker is down, like the real one.

--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -147,8 +147,9 @@
 
 impl Cell {
     /// Runs a planning round: begins due occurrences, stops serving tasks on draining workers,
-    /// isolates tasks that may have crashed a worker, assigns the other waiting tasks, gives a task to each starved best-effort job, and, unless serving
-    /// tasks were waiting, regroups them. Start orders are sent after the next commit.
+    /// isolates tasks that may have crashed a worker, assigns the other waiting tasks, gives a task to
+    /// each starved best-effort job, and, unless serving tasks were waiting, regroups them. Start
+    /// orders are sent after the next commit.
     pub fn plan(&mut self, unix_now_ms: u64, now: Instant) {
         self.needs_plan = false;
         let next_due = self.begin_due_occurrences(unix_now_ms);
--- a/crates/teaseltrack/tests/cell.rs
+++ b/crates/teaseltrack/tests/cell.rs
@@ -551,7 +551,7 @@
 
     fn handle_response(&mut self, index: usize, response: ReportResponse) {
         let instance = &mut self.instances[index];
-        let is_responsive = instance.last_clock_ms.is_none();
+        let is_responsive = instance.last_clock_ms.is_none() && instance.down_steps == 0;
         instance.refused.clear();
         if response.session > instance.session {
             instance.session = response.session;
@@ -567,7 +567,6 @@
             instance.lease_until_ms = instance.lease_until_ms.max(until_ms);
         }
         for end in instance.ended.iter().filter(|end| end.number <= response.forget_until) {
-            // An end that is committed after a lapse of the worker's lease doesn't count; without a
             // The platform doesn't count an end that is confirmed after the worker's lease has lapsed.
             let is_lapsed = self.slow_store.is_some() && end.number <= instance.lapsed_end;
             if end.cause == EndCause::Done && !is_lapsed {
@@ -1500,6 +1499,24 @@
     assert_eq!(fleet.cell.pending_count("queue"), 0);
 }
 
+/// Guards against suspicion of tasks on a lost machine by an owner that no agent of it has reached.
+#[test]
+fn restore_makes_no_task_of_a_lost_machine_a_suspect() {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.submit(stored_job("0000000000000001", vec![long_running(4)]));
+    fleet.run_steps(40);
+    assert!(!fleet.instances[0].running.is_empty());
+    fleet.instances[0].is_disconnected = true;
+    // The owner's row says that the lease ends within a second.
+    fleet.run_steps(95);
+    assert_eq!(fleet.silent_workers.len(), 1);
+    fleet.replace_owner();
+    fleet.run_steps(40);
+    let events = fleet.cell.take_events();
+    assert!(events.iter().any(|event| matches!(event, CellEvent::Reclaimed { .. })));
+    assert!(!events.iter().any(|event| matches!(event, CellEvent::Suspected { .. })));
+}
+
 /// Guards against suspicion of tasks on a machine that restarts as a whole.
 #[test]
 fn restart_of_a_machine_makes_no_task_a_suspect() {
