Let serving tasks that have waited use quarantined workers earlier

Callers would see: a long-running task that waits for 3 s to 3.8 s beside capacity (5.8 s at most in a fleet of one worker) while suspects are being tried. The platform's limit is 3 s.

Cause: quarantined workers were closed to serving tasks for as long as to suspects that have waited.

Change: a setting of its own, 1.5 s.

Evidence: quarantine_yields_to_a_waiting_serving_task fails with 3 s.

--- a/crates/teaseltrack-cell/src/constants.rs
+++ b/crates/teaseltrack-cell/src/constants.rs
@@ -142,6 +142,7 @@
     max_crashes: 4,
     max_share: 0.3,
     max_wait: Duration::from_millis(3_000),
+    max_serving_wait: Duration::from_millis(1_500),
 };
 
 /// Interference estimation. Interference changes within tens of seconds. Tails are averaged over
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -372,7 +372,7 @@
         unplaceable: &mut UnplaceableSizes,
         now: Instant,
     ) {
-        let max_wait = self.settings.quarantine.max_wait;
+        let max_serving_wait = self.settings.quarantine.max_serving_wait;
         let stage = self.stage(candidate.first_task).clone();
         let service = self.jobs[candidate.first_task.job].queue.service.clone();
         if unplaceable.covers(&service, &stage) {
@@ -386,7 +386,7 @@
             let has_waited = self
                 .task(key)
                 .and_then(|task| task.waiting_since)
-                .is_some_and(|since| now.duration_since(since) >= max_wait);
+                .is_some_and(|since| now.duration_since(since) >= max_serving_wait);
             let workers =
                 if stage.is_long_running && has_waited { eligible_workers } else { workers };
             let chosen = self.choose_worker(key, &stage, workers, batch_reserve);
--- a/crates/teaseltrack/src/cell/quarantine.rs
+++ b/crates/teaseltrack/src/cell/quarantine.rs
@@ -30,9 +30,10 @@
     pub max_crashes: u32,
     /// Share of a service's workers that may be quarantined; at least one.
     pub max_share: f64,
-    /// Waiting time after which a task that was suspected only once is placed like any other, and
-    /// after which a serving task that isn't suspected may use quarantined workers.
+    /// Waiting time after which a task that was suspected only once is placed like any other.
     pub max_wait: Duration,
+    /// Waiting time after which a serving task that isn't suspected may use quarantined workers.
+    pub max_serving_wait: Duration,
 }
 
 impl Run {
--- a/crates/teaseltrack/tests/cell.rs
+++ b/crates/teaseltrack/tests/cell.rs
@@ -1517,6 +1517,29 @@
     assert!(!events.iter().any(|event| matches!(event, CellEvent::Suspected { .. })));
 }
 
+/// Guards against a serving task that waits beside free capacity while suspects are being tried.
+#[test]
+fn quarantine_yields_to_a_waiting_serving_task() {
+    let mut fleet = Fleet::new(1, 1);
+    fleet.run_steps(4);
+    fleet.submit(stored_job("0000000000000001", vec![Stage { task_count: 12, ..small_stage() }]));
+    fleet.run_steps(3);
+    fleet.crash_worker(0);
+    fleet.run_steps(70);
+    fleet.submit(stored_job(
+        "0000000000000002",
+        vec![Stage { is_long_running: true, ..small_stage() }],
+    ));
+    fleet.run_steps(50);
+    let serving = first_task("0000000000000002");
+    assert!(fleet.instances[0].running.contains_key(&serving), "no run within 2.5 s");
+}
+
+/// Stage of one task that leaves most of a worker free.
+fn small_stage() -> Stage {
+    Stage { resources: Resources { cpu_milli: 500, ..CAPACITY.minus(&CAPACITY) }, ..stage(1) }
+}
+
 /// Guards against suspicion of tasks on a machine that restarts as a whole.
 #[test]
 fn restart_of_a_machine_makes_no_task_a_suspect() {
--- a/crates/teaseltrack/tests/util.rs
+++ b/crates/teaseltrack/tests/util.rs
@@ -62,6 +62,7 @@
         max_crashes: 4,
         max_share: 0.3,
         max_wait: Duration::from_millis(3_000),
+        max_serving_wait: Duration::from_millis(1_500),
     },
     interference: InterferenceSettings {
         half_life_s: 20.0,
