--- a/crates/teaseltrack/src/cell/quarantine.rs
+++ b/crates/teaseltrack/src/cell/quarantine.rs
@@ -26,7 +26,7 @@
     pub clearing_time: Duration,
     /// Crashes with the task as the only suspect after which it is given up.
     pub max_sole_crashes: u32,
-    /// Crashes with the task as one of several suspects after which it is given up.
+    /// Crashes after which a task is given up although others were suspects as well.
     pub max_crashes: u32,
     /// Share of a service's workers that may be quarantined; at least one.
     pub max_share: f64,
