Move the commits of a cell's owner into a module of their own

What stopped a newcomer: cell.rs had grown to 1,450 lines; what is committed and what waits for the commit was spread over it.

Change: next_commit, renewal, commit_succeeded and what only they use are in cell/commits.rs. No change of behaviour.

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -31,16 +31,16 @@
         },
         protocol::{
             EndCause, EndedTask, Order, RefusedStart, Report, ReportResponse, RunningTask,
-            SessionToken, SharingTraits, StartOrder, TaskName, WorkerListing, WorkerStatus,
+            SessionToken, TaskName, WorkerListing, WorkerStatus,
         },
         silence::SilentWorker,
         tail_model::Tail,
         worker::{TaskKey, Worker},
     },
     ids::{AttemptNumber, Epoch, InstanceId},
-    placement::Resources,
 };
 
+mod commits;
 pub mod delegation;
 pub mod health;
 pub mod interference;
@@ -694,96 +694,6 @@
         }
     }
 
-    /// Returns the next batch to commit, of at most `max_rows` rows; `None` if there is nothing to
-    /// commit or a commit is in flight.
-    pub fn next_commit(&mut self, max_rows: usize) -> Option<CommitBatch> {
-        let has_dirty = self.dirty_jobs().next().is_some();
-        let has_ends =
-            self.workers.values().any(|worker| worker.processed_end > worker.committed_end);
-        if !has_dirty && !has_ends && !self.has_silence_changes() {
-            return None;
-        }
-        self.renewal(max_rows)
-    }
-
-    /// Returns the next batch to commit, which may be empty; `None` if a commit is in flight.
-    pub fn renewal(&mut self, max_rows: usize) -> Option<CommitBatch> {
-        if self.pending_effects.is_some() {
-            return None;
-        }
-        let workers = self.list_unrecorded_workers(max_rows);
-        let max_rows = max_rows - workers.len();
-        let dirty: Vec<JobKey> = self.dirty_jobs().collect();
-        let mut effects =
-            PendingEffects { returned: self.returned_workers(), ..Default::default() };
-        let silent_workers = self.list_silent_workers();
-        let mut batch = CommitBatch { workers, silent_workers, ..Default::default() };
-        // A worker discards the record of an ended run once the end is committed, so ends are
-        // confirmed only by a batch that contains the progress of all dirty jobs.
-        if dirty.len() <= max_rows {
-            effects.ends =
-                self.workers.iter().map(|(key, worker)| (key, worker.processed_end)).collect();
-        }
-        for key in dirty.into_iter().take(max_rows) {
-            let progress = self.progress_of(key);
-            let job = &mut self.jobs[key];
-            job.is_dirty = false;
-            effects.starts.append(&mut job.uncommitted_starts);
-            effects.delegations.append(&mut job.uncommitted_delegations);
-            effects.states.push((key, job.state));
-            batch.rows.push((job.id.clone(), progress));
-        }
-        self.pending_effects = Some(effects);
-        Some(batch)
-    }
-
-    /// Workers with tasks whose row isn't stored, at most half of the rows of a batch.
-    fn list_unrecorded_workers(&mut self, max_rows: usize) -> Vec<(InstanceId, WorkerRecord)> {
-        let unrecorded = self.workers.values_mut().filter_map(|worker| {
-            let started_unix_ms = worker.status.as_ref()?.started_unix_ms;
-            let agent = worker.agent.clone()?;
-            let is_due = !worker.is_recorded && !worker.tasks.is_empty();
-            is_due.then(|| {
-                worker.is_recorded = true;
-                let incarnation = worker.incarnation.clone();
-                let agent_started_unix_ms = worker.agent_started_unix_ms;
-                (agent, WorkerRecord { incarnation, started_unix_ms, agent_started_unix_ms })
-            })
-        });
-        unrecorded.take(max_rows / 2).collect()
-    }
-
-    fn dirty_jobs(&self) -> impl Iterator<Item = JobKey> {
-        let is_dirty = |key: &JobKey| self.jobs.get(*key).is_some_and(|job| job.is_dirty);
-        self.open_jobs.iter().copied().filter(is_dirty)
-    }
-
-    /// Applies the effects deferred until the in-flight commit, which has succeeded.
-    pub fn commit_succeeded(&mut self) {
-        let Some(effects) = self.pending_effects.take() else { return };
-        for (key, state) in effects.states {
-            self.jobs[key].committed_state = state;
-        }
-        for (worker, end) in effects.ends {
-            if let Some(worker) = self.workers.get_mut(worker) {
-                worker.committed_end = worker.committed_end.max(end.min(worker.processed_end));
-            }
-        }
-        for worker in effects.returned {
-            if let Some(worker) = self.workers.get_mut(worker) {
-                worker.is_recorded_silent = false;
-            }
-        }
-        for start in effects.starts {
-            self.enqueue_start(start);
-        }
-        self.commit_delegations(effects.delegations);
-        self.open_jobs.retain(|key| {
-            let job = &self.jobs[*key];
-            !(job.committed_state.is_final() && !job.is_dirty && job.occurrences.is_empty())
-        });
-    }
-
     /// Whether a planning round is due: state has changed since the last one, or time has passed.
     pub fn needs_plan(&self) -> bool {
         self.needs_plan
@@ -1304,88 +1214,6 @@
         occurrences.iter().flat_map(|o| o.stages.iter().flatten()).any(|task| task.run.is_some())
     }
 
-    fn progress_of(&self, key: JobKey) -> JobProgress {
-        let job = &self.jobs[key];
-        let occurrences = job
-            .occurrences
-            .iter()
-            .map(|occurrence| {
-                let stages = occurrence.stages.iter();
-                stages
-                    .map(|tasks| tasks.iter().map(|task| self.progress_to_commit(task)).collect())
-                    .collect()
-            })
-            .collect();
-        JobProgress { state: job.state, occurrences }
-    }
-
-    fn progress_to_commit(&self, task: &Task) -> TaskProgress {
-        let mut progress = task.progress.clone();
-        if let Some(worker) = task.run.as_ref().and_then(|run| self.workers.get(run.worker))
-            && progress.phase != TaskPhase::Done
-        {
-            progress.phase = TaskPhase::Assigned(worker.incarnation.clone());
-        }
-        progress
-    }
-
-    /// Sends the start order of a committed assignment, unless the task has been assigned anew since.
-    fn enqueue_start(&mut self, start: UncommittedStart) {
-        let UncommittedStart { worker: worker_key, task: key, attempt } = start;
-        let Some(name) = self.name_of(key) else { return };
-        let Some(worker) = self.workers.get(worker_key) else { return };
-        let Some(status) = worker.status.as_ref() else { return };
-        let session = worker.session;
-        let job = &self.jobs[key.job];
-        let Some(task) = self.task(key) else { return };
-        let is_current = task.progress.attempt == attempt
-            && task
-                .run
-                .as_ref()
-                .is_some_and(|run| run.worker == worker_key && run.session == session);
-        if !is_current {
-            return;
-        }
-        if task.run.as_ref().is_some_and(|run| run.is_stopping) {
-            return self.reclaim_task(key, "stopped before its start order was sent");
-        }
-        // The capacity may have shrunk since the assignment.
-        if !worker.can_fit(&Resources::default()) {
-            return self.reclaim_unstarted_task(key, "worker is over its capacity");
-        }
-        let start = StartOrder {
-            task: name.clone(),
-            attempt,
-            payload: job.spec.payload.clone(),
-            checkpoint: task.progress.checkpoint.clone(),
-            planned_capacity: status.capacity,
-        };
-        self.enqueue_traits(worker_key, &name, Some(key));
-        if let Some(run) = self.task_mut(key).and_then(|task| task.run.as_mut()) {
-            run.is_ordered = true;
-        }
-        if let Some(worker) = self.workers.get_mut(worker_key) {
-            worker.enqueue_order(Order::Start(start));
-        }
-    }
-
-    fn enqueue_traits(&mut self, worker: WorkerKey, name: &TaskName, key: Option<TaskKey>) {
-        let Some(key) = key else { return };
-        let stage = self.stage(key);
-        if !stage.is_best_effort && stage.target_tail_ms.is_none() {
-            return;
-        }
-        let traits = SharingTraits {
-            task: name.clone(),
-            image: stage.image.clone(),
-            is_best_effort: stage.is_best_effort,
-            target_tail_ms: stage.target_tail_ms,
-        };
-        if let Some(worker) = self.workers.get_mut(worker) {
-            worker.enqueue_order(Order::Traits(traits));
-        }
-    }
-
     fn stage(&self, key: TaskKey) -> &Stage {
         &self.jobs[key.job].spec.stages[key.stage as usize]
     }
