Terms of comments and a name that stopped a reader

What stopped a newcomer: "room" and "machine" of the users' pages in two comments, and clear_if_proven, whose name says nothing of the run that it looks at (now clear_after_run).

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -787,7 +787,7 @@
                 if current_unix_ms > status.started_unix_ms {
                     return None;
                 }
-                // If the agent has restarted as well, the machine has, and no task is to blame.
+                // If the agent has restarted as well, so has the instance, and no task is to blame.
                 if worker.agent_started_unix_ms == report.started_unix_ms {
                     self.attribute_crash(current);
                 }
@@ -952,7 +952,7 @@
             run.is_listed = true;
             run.session = session;
             let is_wanted = !run.is_stopping && !is_final;
-            was_suspect = task.clear_if_proven(clearing_time);
+            was_suspect = task.clear_after_run(clearing_time);
             is_wanted
         });
         if let Some(job) = task_key.and_then(|key| self.jobs.get_mut(key.job)) {
--- a/crates/teaseltrack/src/cell/protocol.rs
+++ b/crates/teaseltrack/src/cell/protocol.rs
@@ -201,8 +201,8 @@
     pub payload: String,
     /// Checkpoint to resume from; empty for none.
     pub checkpoint: String,
-    /// Capacity of the worker in which the owner found room for the task. The agent refuses the
-    /// start once the worker has announced less.
+    /// Capacity of the worker that the assignment is based on. The agent refuses the start once the
+    /// worker has announced less.
     #[serde(default)]
     pub planned_capacity: Resources,
 }
--- a/crates/teaseltrack/src/cell/quarantine.rs
+++ b/crates/teaseltrack/src/cell/quarantine.rs
@@ -59,13 +59,13 @@
         self.is_suspect() && (self.progress.crash_count > 1 || !has_waited)
     }
 
-    /// Clears the task if its run is cleared; returns whether it was a suspect.
-    pub(super) fn clear_if_proven(&mut self, clearing_time: Duration) -> bool {
+    /// Ends the suspicion of the task if its run is cleared; returns whether it was a suspect.
+    pub(super) fn clear_after_run(&mut self, clearing_time: Duration) -> bool {
         let is_cleared = self.run.as_ref().is_some_and(|run| run.is_cleared(clearing_time));
         is_cleared && self.clear_suspicion()
     }
 
-    /// Returns whether the task was a suspect.
+    /// Ends the suspicion of the task; returns whether it was a suspect.
     pub(super) fn clear_suspicion(&mut self) -> bool {
         let was_suspect = self.is_suspect();
         self.progress.crash_count = 0;
