Count members of a completed gang until they have ended, also for a new owner

Callers would see: a start over the capacity of a worker after a takeover (LIMIT; what is being stopped still counts).

Cause: the first member of a gang to complete completes all, and the others are stopped. Their phase is committed as done at once, so a new owner restored no run for them. It saw them in the worker's listing, ordered them to stop again, and planned as if they used nothing.

Why it works: a worker gets tasks only after its first listing, and a listed run of a done task whose attempt hasn't ended reserves its resources until its end is reported.

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -936,6 +936,9 @@
         let session = self.workers[key].session;
         let clearing_time = self.settings.quarantine.clearing_time;
         let task_key = self.key_of(&listed.task);
+        if let Some(task_key) = task_key {
+            self.restore_completed_run(key, task_key, listed.attempt);
+        }
         let mut was_suspect = false;
         let is_wanted = task_key.is_some_and(|task_key| {
             let is_final = self.jobs[task_key.job].state.is_final();
@@ -981,6 +984,22 @@
         }
     }
 
+    /// Reserves the resources of a listed run whose task a previous owner has committed as done: the
+    /// run of another member of a completed gang, which takes some time to stop.
+    fn restore_completed_run(&mut self, key: WorkerKey, task_key: TaskKey, attempt: AttemptNumber) {
+        let session = self.workers[key].session;
+        let Some(task) = self.task_mut(task_key) else { return };
+        let progress = &task.progress;
+        let is_running = progress.attempt == attempt && progress.ended_attempt < attempt;
+        if task.run.is_some() || progress.phase != TaskPhase::Done || !is_running {
+            return;
+        }
+        let run = Run { is_ordered: true, is_stopping: true, ..Run::new(key, session) };
+        task.run = Some(run);
+        let spec = self.jobs[task_key.job].spec.clone();
+        self.workers[key].reserve(task_key, &spec.stages[task_key.stage as usize]);
+    }
+
     fn process_end(&mut self, key: WorkerKey, end: &EndedTask, now: Instant) {
         let worker = &mut self.workers[key];
         if end.number <= worker.processed_end {
--- a/crates/teaseltrack/tests/cell/capacities.rs
+++ b/crates/teaseltrack/tests/cell/capacities.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use teaseltrack::{
-    cell::{CellEvent, job::Stage},
+    cell::{CellEvent, job::Stage, progress::JobState},
     placement::Resources,
 };
+use yare::parameterized;
 
 use crate::fleet::{CAPACITY, Fleet, SMALL_CAPACITY, long_running, stage, stored_job};
 
@@ -175,3 +176,33 @@
     fleet.run_steps(20);
     assert_eq!(fleet.instances[0].running.len(), 1, "the free capacity is used");
 }
+
+/// Guards against starts beside members of a completed gang that are still being stopped when the
+/// owner changes.
+#[parameterized(
+    seed_1 = { 1 },
+    seed_2 = { 2 },
+    seed_3 = { 3 },
+    seed_4 = { 4 },
+    seed_5 = { 5 },
+    seed_6 = { 6 },
+)]
+fn restored_owner_counts_members_of_a_completed_gang_until_they_have_ended(seed: u64) {
+    let mut fleet = Fleet::new(1, seed);
+    fleet.max_stop_ms = 5_000;
+    fleet.run_steps(3);
+    let gang = Stage { is_gang: true, ..stage(3) };
+    fleet.submit(stored_job("0000000000000001", vec![gang, long_running(1)]));
+    for _ in 0..200 {
+        fleet.step();
+        if !fleet.done.is_empty() {
+            break;
+        }
+    }
+    assert!(!fleet.done.is_empty());
+    fleet.run_steps(2);
+    fleet.replace_owner();
+    fleet.submit(stored_job("0000000000000002", vec![stage(8)]));
+    fleet.run_steps(600);
+    assert_eq!(fleet.cell.state("0000000000000002"), Some(JobState::Completed));
+}
