Keep suspects of an expired lease until their worker has responded

Callers would see: tasks suspected for a crash of a worker on which they didn't run any more, so that the task that did crash it isn't the only suspect and starts once more; and, the other way round, a crash that counts for nothing.

Cause: the suspects of a worker whose lease has expired were dropped whenever its agent reported it as reachable after unreachable, or the reverse. A worker whose machine was cut off, agent included, comes back without such a change: the suspects stayed for good, once more for each cut. An agent that was cut off while its worker crashed reports the old incarnation as unreachable first: the suspects were dropped before the restarted worker was reported.

Evidence: crash_after_a_reconnect_makes_no_earlier_task_a_suspect and crash_of_a_worker_that_was_cut_off_makes_its_tasks_suspects fail without the fix.

Why it works: an expired lease ends the session, and the first listing of the next one shows that the same incarnation has responded since; nothing else does.

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -575,7 +575,6 @@
         worker.last_report_at = now;
         if worker.is_reachable != report.is_worker_reachable {
             worker.is_reachable = report.is_worker_reachable;
-            worker.expired_suspects.clear();
             self.needs_plan = true;
         }
         worker.acknowledge_orders(report.accepted_order);
@@ -916,6 +915,8 @@
             return;
         }
         worker.is_reconciled = true;
+        // The worker has responded since its lease expired, so it hasn't crashed.
+        worker.expired_suspects.clear();
         // A new session ends a refusal back-off or probation.
         worker.ineligible_until = None;
         let session = worker.session;
--- a/crates/teaseltrack/tests/cell/quarantine.rs
+++ b/crates/teaseltrack/tests/cell/quarantine.rs
@@ -225,3 +225,46 @@
     assert!(!events.iter().any(|event| matches!(event, CellEvent::Suspected { .. })));
     assert_eq!(fleet.cell.state("0000000000000001"), Some(JobState::Completed));
 }
+
+/// Guards against suspicion of tasks whose worker was cut off for longer than its lease, and has
+/// responded since, when it crashes later.
+#[test]
+fn crash_after_a_reconnect_makes_no_earlier_task_a_suspect() {
+    let mut fleet = Fleet::new(1, 1);
+    fleet.down_step_count = 1;
+    fleet.run_steps(4);
+    fleet.submit(stored_job("0000000000000001", vec![long_running(2)]));
+    for _ in 0..2 {
+        fleet.run_steps(4);
+        fleet.instances[0].is_disconnected = true;
+        fleet.run_steps(200);
+        fleet.instances[0].is_disconnected = false;
+    }
+    fleet.run_steps(200);
+    assert_eq!(fleet.instances[0].running.len(), 2);
+    fleet.crash_worker(0);
+    fleet.run_steps(100);
+    let events = fleet.cell.take_events();
+    assert!(events.iter().any(|event| matches!(event, CellEvent::Reclaimed { .. })));
+    let suspected = |event: &&CellEvent| matches!(event, CellEvent::Suspected { .. });
+    assert_eq!(events.iter().find(suspected), None);
+}
+
+/// Guards against a crash that counts for nothing because the agent, cut off for longer than a lease,
+/// reports the unresponsive worker before the restarted one.
+#[test]
+fn crash_of_a_worker_that_was_cut_off_makes_its_tasks_suspects() {
+    let mut fleet = Fleet::new(1, 1);
+    fleet.down_step_count = 250;
+    fleet.run_steps(4);
+    fleet.submit(stored_job("0000000000000001", vec![long_running(2)]));
+    fleet.run_steps(4);
+    fleet.instances[0].is_disconnected = true;
+    fleet.crash_worker(0);
+    fleet.run_steps(200);
+    fleet.instances[0].is_disconnected = false;
+    fleet.run_steps(100);
+    let events = fleet.cell.take_events().into_iter();
+    let suspected = events.filter(|event| matches!(event, CellEvent::Suspected { .. }));
+    assert_eq!(suspected.count(), 2);
+}
