Close jobs whose last run is withdrawn before its start

Callers would see: memory and the number of open jobs grow with each job that is cancelled between the assignment of its last task and the commit.

Cause: a final job is closed once it has no runs left, which is checked when a run ends. A start that was stopped before its commit, withdrawn for want of capacity, or shown as not executed by a new session reclaimed the task without the check.

Evidence: cancel_before_the_commit_of_a_start_closes_the_job fails without the fix (1 open job instead of 0). The other two paths have no test of their own.

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -1099,7 +1099,6 @@
         }
         self.workers[key].ineligible_until = Some(now + self.settings.refusal_backoff);
         self.reclaim_unstarted_task(task_key, &refused.reason);
-        self.finalize_if_done(task_key.job);
     }
 
     /// Reclaims all tasks of a worker that can no longer run them, and invalidates its lease and
@@ -1146,12 +1145,11 @@
     fn reclaim_unstarted_task(&mut self, key: TaskKey, reason: &str) {
         self.reclaim_task(key, reason);
         let stage = self.stage(key);
-        if !stage.is_gang {
-            return;
-        }
-        for index in 0..stage.task_count {
+        let members = if stage.is_gang { 0..stage.task_count } else { 0..0 };
+        for index in members {
             self.stop_run(TaskKey { index, ..key });
         }
+        self.finalize_if_done(key.job);
     }
 
     fn release_run(&mut self, key: TaskKey) {
--- a/crates/teaseltrack/src/cell/commits.rs
+++ b/crates/teaseltrack/src/cell/commits.rs
@@ -148,7 +148,8 @@
             return;
         }
         if task.run.as_ref().is_some_and(|run| run.is_stopping) {
-            return self.reclaim_task(key, "stopped before its start order was sent");
+            self.reclaim_task(key, "stopped before its start order was sent");
+            return self.finalize_if_done(key.job);
         }
         // The capacity may have shrunk since the assignment.
         if !worker.can_fit(&Resources::default()) {
--- a/crates/teaseltrack/tests/cell/main.rs
+++ b/crates/teaseltrack/tests/cell/main.rs
@@ -224,3 +224,15 @@
         assert!(!is_cancelled || cancelled.contains(id), "{id} was cancelled without a request");
     }
 }
+
+/// Guards against cancelled jobs that stay open because their starts were withdrawn.
+#[test]
+fn cancel_before_the_commit_of_a_start_closes_the_job() {
+    let mut fleet = Fleet::new(1, 1);
+    fleet.run_steps(3);
+    fleet.submit(stored_job("0000000000000001", vec![stage(2)]));
+    fleet.cell.plan(0, fleet.now);
+    fleet.cancel("0000000000000001");
+    fleet.run_steps(20);
+    assert_eq!(fleet.cell.open_count(), 0);
+}
