--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -986,7 +986,7 @@
     }
 
     /// Reserves the resources of a listed run whose task a previous owner has committed as done: the
-    /// run of another member of a completed gang, which takes some time to stop.
+    /// run of another member of a completed gang, or of a later attempt, takes some time to stop.
     fn restore_completed_run(&mut self, key: WorkerKey, task_key: TaskKey, attempt: AttemptNumber) {
         let session = self.workers[key].session;
         let Some(task) = self.task_mut(task_key) else { return };
--- a/crates/teaseltrack/tests/cell/main.rs
+++ b/crates/teaseltrack/tests/cell/main.rs
@@ -167,6 +167,7 @@
     seed_6 = { 6 },
     seed_7 = { 7 },
     seed_8 = { 8 },
+    done_run_across_owners = { 1345 },
 )]
 fn cell_upholds_invariants_while_capacities_change(seed: u64) {
     run_random_faults(seed, true);
