--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -575,7 +575,6 @@
         worker.last_report_at = now;
         if worker.is_reachable != report.is_worker_reachable {
             worker.is_reachable = report.is_worker_reachable;
-            worker.expired_suspects.clear();
             self.needs_plan = true;
         }
         worker.acknowledge_orders(report.accepted_order);
@@ -916,6 +915,8 @@
             return;
         }
         worker.is_reconciled = true;
+        // The worker has responded since its lease expired, so it hasn't crashed.
+        worker.expired_suspects.clear();
         // A new session ends a refusal back-off or probation.
         worker.ineligible_until = None;
         let session = worker.session;
@@ -936,6 +937,9 @@
         let session = self.workers[key].session;
         let clearing_time = self.settings.quarantine.clearing_time;
         let task_key = self.key_of(&listed.task);
+        if let Some(task_key) = task_key {
+            self.restore_completed_run(key, task_key, listed.attempt);
+        }
         let mut was_suspect = false;
         let is_wanted = task_key.is_some_and(|task_key| {
             let is_final = self.jobs[task_key.job].state.is_final();
@@ -981,6 +985,22 @@
         }
     }
 
+    /// Reserves the resources of a listed run whose task a previous owner has committed as done: the
+    /// run of another member of a completed gang, or of a later attempt, takes some time to stop.
+    fn restore_completed_run(&mut self, key: WorkerKey, task_key: TaskKey, attempt: AttemptNumber) {
+        let session = self.workers[key].session;
+        let Some(task) = self.task_mut(task_key) else { return };
+        let progress = &task.progress;
+        let is_running = progress.attempt == attempt && progress.ended_attempt < attempt;
+        if task.run.is_some() || progress.phase != TaskPhase::Done || !is_running {
+            return;
+        }
+        let run = Run { is_ordered: true, is_stopping: true, ..Run::new(key, session) };
+        task.run = Some(run);
+        let spec = self.jobs[task_key.job].spec.clone();
+        self.workers[key].reserve(task_key, &spec.stages[task_key.stage as usize]);
+    }
+
     fn process_end(&mut self, key: WorkerKey, end: &EndedTask, now: Instant) {
         let worker = &mut self.workers[key];
         if end.number <= worker.processed_end {
@@ -1079,7 +1099,6 @@
         }
         self.workers[key].ineligible_until = Some(now + self.settings.refusal_backoff);
         self.reclaim_unstarted_task(task_key, &refused.reason);
-        self.finalize_if_done(task_key.job);
     }
 
     /// Reclaims all tasks of a worker that can no longer run them, and invalidates its lease and
@@ -1126,12 +1145,11 @@
     fn reclaim_unstarted_task(&mut self, key: TaskKey, reason: &str) {
         self.reclaim_task(key, reason);
         let stage = self.stage(key);
-        if !stage.is_gang {
-            return;
-        }
-        for index in 0..stage.task_count {
+        let members = if stage.is_gang { 0..stage.task_count } else { 0..0 };
+        for index in members {
             self.stop_run(TaskKey { index, ..key });
         }
+        self.finalize_if_done(key.job);
     }
 
     fn release_run(&mut self, key: TaskKey) {
--- a/crates/teaseltrack/tests/cell/main.rs
+++ b/crates/teaseltrack/tests/cell/main.rs
@@ -167,6 +167,7 @@
     seed_6 = { 6 },
     seed_7 = { 7 },
     seed_8 = { 8 },
+    done_run_across_owners = { 1345 },
 )]
 fn cell_upholds_invariants_while_capacities_change(seed: u64) {
     run_random_faults(seed, true);
@@ -224,3 +225,15 @@
         assert!(!is_cancelled || cancelled.contains(id), "{id} was cancelled without a request");
     }
 }
+
+/// Guards against cancelled jobs that stay open because their starts were withdrawn.
+#[test]
+fn cancel_before_the_commit_of_a_start_closes_the_job() {
+    let mut fleet = Fleet::new(1, 1);
+    fleet.run_steps(3);
+    fleet.submit(stored_job("0000000000000001", vec![stage(2)]));
+    fleet.cell.plan(0, fleet.now);
+    fleet.cancel("0000000000000001");
+    fleet.run_steps(20);
+    assert_eq!(fleet.cell.open_count(), 0);
+}
