Read expected run times in one place

Cause: planning, and the parts that follow, need how long a task will run; the declared estimate was read where it was needed. Change: one function, which still returns the estimate.

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -42,6 +42,7 @@
 
 mod commits;
 pub mod delegation;
+mod durations;
 pub mod health;
 pub mod interference;
 pub mod job;
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -349,7 +349,8 @@
             let started_count = job.occurrences.len().max(1) as u64;
             let remaining =
                 (started_count * u64::from(stage.task_count)).saturating_sub(done as u64);
-            remaining * stage.estimate_ms * stage.resources.cpu_milli / 1_000
+            let run_time_ms = self.expected_run_time(key, stage_index).as_millis() as u64;
+            remaining * run_time_ms * stage.resources.cpu_milli / 1_000
         };
         let stages = job.spec.stages.iter().enumerate();
         let core_ms: u64 =
