Plan by what has changed, once per commit

A round computed the capacity of the cell, done tasks, headrooms and suspects anew for each stage or worker, and scored each worker for each task; rounds ran while a commit was in flight, although their starts had to wait for it.

Change: a round follows a commit, or runs every 50 ms while one takes long. Jobs without waiting tasks are skipped, scores are kept for a stage and updated for the worker that got the task, headrooms, done counts and suspects are computed after changes. Estimates are copied only into responses that are sent at once, and only agents with an update are looked up.

--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -55,6 +55,10 @@
 /// Capacity of the channel for job changes from the store, in batches.
 const JOB_CHANGES_CHANNEL_SIZE: usize = 16;
 
+/// Maximum time between two planning rounds while a commit is in flight, for decisions that need no
+/// commit: short compared with the time in which a worker must be emptied.
+const MAX_PLAN_DELAY: Duration = Duration::from_millis(50);
+
 /// Maximum share of the owner's time spent on planning; the rest is for reports and commits.
 const MAX_PLANNING_SHARE: f64 = 0.4;
 
@@ -114,6 +118,8 @@
     /// Time at which the last successful commit, which also renewed the ownership, was first sent.
     renewed_at: Instant,
     next_plan_at: Instant,
+    /// Start of the last planning round.
+    planned_at: Instant,
     clients: CellClients,
     searching: Option<SearchTask>,
     search_count: usize,
@@ -167,6 +173,7 @@
     context.mailbox.send_replace(Some(mailbox));
     let renewed_at = committer.renewed_at;
     let next_plan_at = context.clock.now();
+    let planned_at = next_plan_at;
     let parked = HashMap::new();
     let mut owner = Owner {
         context,
@@ -174,6 +181,7 @@
         parked,
         renewed_at,
         next_plan_at,
+        planned_at,
         clients: CellClients::default(),
         searching: None,
         search_count: 0,
@@ -258,7 +266,7 @@
                 }
                 () = closing.cancelled(), if !self.is_stopping => self.is_stopping = true,
             }
-            self.plan();
+            self.plan(committing.is_some());
             // The committer is either idle here or owned by the commit in flight. An idle one
             // starts the next commit, and stays idle if there is nothing to commit.
             committing = match (committing, idle_committer.take()) {
@@ -388,12 +396,17 @@
         }
     }
 
-    /// Plans, unless planning has used up its share of the time.
-    fn plan(&mut self) {
+    /// Plans, unless planning has used up its share of the time. Decisions of a round wait for the
+    /// commit in flight, so that the next round waits for it too, unless it takes long.
+    fn plan(&mut self, is_committing: bool) {
         let started_at = self.context.clock.now();
         if !self.cell.needs_plan() || started_at < self.next_plan_at {
             return;
         }
+        if is_committing && started_at < self.planned_at + MAX_PLAN_DELAY {
+            return;
+        }
+        self.planned_at = started_at;
         self.cell.plan(unix_ms((self.context.wall_now)()), started_at);
         let plan_time = self.context.clock.now().duration_since(started_at);
         self.context.metrics.time("plan", plan_time);
@@ -422,17 +435,15 @@
     fn respond_to_parked(&mut self) {
         let now = self.context.clock.now();
         let is_takeover_advised = self.is_takeover_advised(now);
-        let cell = &self.cell;
-        let ready: Vec<InstanceId> = self
-            .parked
-            .iter()
-            .filter(|(agent, parked)| {
-                parked.respond_by <= now
-                    || is_takeover_advised
-                    || cell.has_pending_update(agent, parked.accepted_order, parked.forgot_until)
+        let mut ready = self.cell.take_updated_agents();
+        ready.retain(|agent| {
+            self.parked.get(agent).is_some_and(|parked| {
+                self.cell.has_pending_update(agent, parked.accepted_order, parked.forgot_until)
             })
-            .map(|(agent, _)| agent.clone())
-            .collect();
+        });
+        let has_waited = |parked: &ParkedReport| parked.respond_by <= now || is_takeover_advised;
+        let overdue = self.parked.iter().filter(|(_, parked)| has_waited(parked));
+        ready.extend(overdue.map(|(agent, _)| agent.clone()));
         for agent in ready {
             let Some(parked) = self.parked.remove(&agent) else { continue };
             let mut response = self.cell.pending_update(&agent);
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -182,6 +182,10 @@
     committed_state: JobState,
     occurrences: Vec<Occurrence>,
     is_dirty: bool,
+    /// Whether a task may be waiting in a stage that is ready; planning skips the job otherwise.
+    may_have_waiting: bool,
+    /// Number of done tasks by stage, over all occurrences; `None` until it is counted anew.
+    done_counts: Option<Vec<usize>>,
     /// Whether only tasks that another cell has delegated belong to this one.
     is_partial: bool,
     /// Whether a run of any task is known to have started.
@@ -378,6 +382,12 @@
     pending_effects: Option<PendingEffects>,
     committed_delegations: Vec<Delegation>,
     needs_plan: bool,
+    /// Whether any task may be a suspect.
+    may_have_suspects: bool,
+    /// CPU of all workers at the start of the planning round, in millicores.
+    capacity_milli: u64,
+    /// Version of the interference estimates that the workers' remaining headrooms follow from.
+    headrooms_version: u64,
     /// Time of the next occurrence.
     next_due_at: Option<Instant>,
     events: Vec<CellEvent>,
@@ -424,6 +434,9 @@
             pending_effects: None,
             committed_delegations: Vec::new(),
             needs_plan: true,
+            may_have_suspects: true,
+            capacity_milli: 0,
+            headrooms_version: 0,
             next_due_at: None,
             events: Vec::new(),
         }
@@ -480,6 +493,8 @@
             committed_state: progress.state,
             occurrences: Vec::new(),
             is_dirty: false,
+            may_have_waiting: true,
+            done_counts: None,
             is_partial: stored.is_partial,
             has_begun,
             uncommitted_starts: Vec::new(),
@@ -591,15 +606,19 @@
         if let Some(estimates) = report.interference {
             self.interference.adopt_estimates(estimates);
         }
-        if report.interference_version != self.interference.estimates().version {
-            response.interference = Some(self.interference.estimates().clone());
-        }
         self.grant_lease(key, report.worker_clock_ms, may_grant, now, &mut response);
         let worker = &self.workers[key];
         response.session = worker.session;
         response.forget_until = worker.committed_end;
         response.first_order = worker.first_order;
         response.orders = worker.orders.iter().take(MAX_ORDERS_PER_RESPONSE).cloned().collect();
+        // The response to a report that is parked carries no estimates.
+        let is_immediate = report.wait_ms == 0
+            || !response.orders.is_empty()
+            || response.forget_until > report.forgot_until;
+        if is_immediate && report.interference_version != self.interference.estimates().version {
+            response.interference = Some(self.interference.estimates().clone());
+        }
         response
     }
 
@@ -613,6 +632,16 @@
         })
     }
 
+    /// Returns the agents whose workers got orders or had ends committed since the last call: only
+    /// their parked reports may have a pending update.
+    pub fn take_updated_agents(&mut self) -> Vec<InstanceId> {
+        let workers = self.workers.values_mut();
+        let updated = workers.filter_map(|worker| {
+            std::mem::take(&mut worker.has_update).then(|| worker.agent.clone())
+        });
+        updated.flatten().collect()
+    }
+
     /// Response to a parked report: one without an immediate response, because there were no orders
     /// or committed ends to send. Grants no lease.
     pub fn pending_update(&self, agent: &str) -> ReportResponse {
@@ -686,6 +715,7 @@
             *min_headroom = headroom.min(*min_headroom);
         }
         let worker = &mut self.workers[key];
+        worker.are_headrooms_stale = true;
         worker.headrooms = headrooms;
         worker.best_effort_used_milli = (usage.values().sum::<f64>() * capacity_milli) as u64;
         let usage = Arc::new(usage);
@@ -712,6 +742,7 @@
             for (stage, tasks) in stages.into_iter().enumerate() {
                 let mut restored_tasks = Vec::with_capacity(tasks.len());
                 for (index, progress) in tasks.into_iter().enumerate() {
+                    self.may_have_suspects |= progress.crash_count > 0;
                     let run = match &progress.phase {
                         TaskPhase::Assigned(incarnation) => {
                             let worker = self.get_or_insert_worker(incarnation, lease_end, now);
@@ -816,6 +847,7 @@
         worker.status_clock_ms = report.worker_clock_ms;
         if worker.status.as_ref() != Some(status) {
             worker.status = Some(status.clone());
+            worker.are_headrooms_stale = true;
             self.needs_plan = true;
         }
         Some(key)
@@ -1058,6 +1090,9 @@
         }
         // The first member of a gang to complete completes all members.
         let members = if stage.is_gang { 0..stage.task_count } else { key.index..key.index + 1 };
+        // The stages that depend on this one may be ready now.
+        self.jobs[key.job].may_have_waiting = true;
+        self.jobs[key.job].done_counts = None;
         for index in members {
             let member = TaskKey { index, ..key };
             self.stop_run(member);
@@ -1155,6 +1190,7 @@
 
     fn release_run(&mut self, key: TaskKey) {
         let job = &mut self.jobs[key.job];
+        job.may_have_waiting = true;
         let stage = &job.spec.stages[key.stage as usize];
         let task = &mut job.occurrences[key.occurrence as usize].stages[key.stage as usize]
             [key.index as usize];
--- a/crates/teaseltrack/src/cell/commits.rs
+++ b/crates/teaseltrack/src/cell/commits.rs
@@ -87,7 +87,9 @@
         }
         for (worker, end) in effects.ends {
             if let Some(worker) = self.workers.get_mut(worker) {
-                worker.committed_end = worker.committed_end.max(end.min(worker.processed_end));
+                let committed_end = worker.committed_end.max(end.min(worker.processed_end));
+                worker.has_update |= committed_end > worker.committed_end;
+                worker.committed_end = committed_end;
             }
         }
         for worker in effects.returned {
--- a/crates/teaseltrack/src/cell/delegation.rs
+++ b/crates/teaseltrack/src/cell/delegation.rs
@@ -149,6 +149,8 @@
             task.progress.checkpoint = delegation.checkpoint;
             task.progress.crash_count = delegation.crash_count;
             task.progress.sole_crash_count = delegation.sole_crash_count;
+            self.may_have_suspects = true;
+            self.jobs[key].may_have_waiting = true;
         }
         self.needs_plan = true;
     }
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -19,10 +19,11 @@
 
 use crate::{
     cell::{
-        Cell, CellEvent, JobKey, Occurrence, Run, Task, UncommittedStart, WorkerKey,
+        Cell, CellEvent, Job, JobKey, Occurrence, Run, Task, UncommittedStart, WorkerKey,
         interference::ImageName,
         job::Stage,
         progress::{JobState, TaskPhase},
+        scoring::StageScores,
         worker::{RecentAssignment, TaskKey, Worker},
     },
     ids::{AttemptNumber, ServiceName},
@@ -107,30 +108,34 @@
     rank: (TaskKind, Lateness, u32, Instant),
     /// Key of the task with index 0, which identifies the stage.
     pub(super) first_task: TaskKey,
-    /// Indexes of the waiting tasks that needn't be isolated.
-    waiting: Vec<u32>,
-    /// Indexes of the waiting tasks that must be isolated.
-    pub(super) suspects: Vec<u32>,
 }
 
 /// Task sizes that fitted on no worker in the current planning round; tasks of the same or a larger
 /// size are skipped.
 #[derive(Debug, Default)]
 struct UnplaceableSizes {
-    sizes: HashMap<(ServiceName, Option<ImageName>), Vec<Resources>>,
+    services: HashMap<ServiceName, ServiceSizes>,
 }
 
-impl UnplaceableSizes {
-    fn key(service: &str, stage: &Stage) -> (ServiceName, Option<ImageName>) {
-        let image = stage.is_best_effort.then(|| stage.image.clone().unwrap_or_default());
-        (service.to_owned(), image)
-    }
+#[derive(Debug, Default)]
+struct ServiceSizes {
+    batch: Vec<Resources>,
+    /// Sizes of best-effort tasks, by image.
+    best_effort: HashMap<ImageName, Vec<Resources>>,
+}
 
+impl UnplaceableSizes {
     /// Whether a size that the stage's tasks equal or exceed could not be placed.
     fn covers(&self, service: &str, stage: &Stage) -> bool {
-        let sizes = self.sizes.get(&Self::key(service, stage));
-        !stage.is_long_running
-            && sizes.is_some_and(|sizes| sizes.iter().any(|size| stage.resources.can_fit(size)))
+        let Some(sizes) = self.services.get(service).filter(|_| !stage.is_long_running) else {
+            return false;
+        };
+        let sizes = if stage.is_best_effort {
+            sizes.best_effort.get(stage.image.as_deref().unwrap_or_default())
+        } else {
+            Some(&sizes.batch)
+        };
+        sizes.is_some_and(|sizes| sizes.iter().any(|size| stage.resources.can_fit(size)))
     }
 
     /// Records a size that could not be placed, unless the stage has constraints other than its
@@ -139,9 +144,16 @@
         let is_limited_by_size = !stage.is_long_running
             && stage.required_label.is_none()
             && stage.max_per_worker.is_none();
-        if is_limited_by_size {
-            self.sizes.entry(Self::key(service, stage)).or_default().push(stage.resources);
+        if !is_limited_by_size {
+            return;
         }
+        let sizes = self.services.entry(service.to_owned()).or_default();
+        let sizes = if stage.is_best_effort {
+            sizes.best_effort.entry(stage.image.clone().unwrap_or_default()).or_default()
+        } else {
+            &mut sizes.batch
+        };
+        sizes.push(stage.resources);
     }
 }
 
@@ -161,13 +173,17 @@
         if eligible_workers.is_empty() {
             return;
         }
+        self.capacity_milli = self
+            .workers
+            .values()
+            .filter_map(|worker| worker.status.as_ref())
+            .map(|status| status.capacity.cpu_milli)
+            .sum();
         let mut candidates = self.candidates(now);
         candidates.sort_by_key(|candidate| candidate.rank);
         let is_serving_waiting =
             candidates.iter().any(|candidate| candidate.rank.0 == TaskKind::Serving);
-        for &worker in &eligible_workers {
-            self.update_remaining_headrooms(worker);
-        }
+        self.update_stale_headrooms(&eligible_workers);
         let workers = self.place_suspects(&candidates, &eligible_workers, now);
         let mut unplaceable = UnplaceableSizes::default();
         for candidate in &candidates {
@@ -248,6 +264,7 @@
             .map(|stage| vec![Task::default(); stage.task_count as usize])
             .collect();
         job.occurrences.push(Occurrence { stages });
+        job.may_have_waiting = true;
     }
 
     /// Stops serving tasks on draining workers.
@@ -275,43 +292,71 @@
         self.workers.iter().filter(|(_, worker)| is_eligible(worker)).map(|(key, _)| key).collect()
     }
 
-    fn candidates(&self, now: Instant) -> Vec<Candidate> {
-        let max_wait = self.settings.quarantine.max_wait;
+    /// Stages with tasks that wait, in the order of acceptance. Jobs without any are skipped until
+    /// one of their runs ends.
+    fn candidates(&mut self, now: Instant) -> Vec<Candidate> {
         let mut candidates = Vec::new();
-        for &key in &self.open_jobs {
-            let Some(job) = self.jobs.get(key).filter(|job| !job.state.is_final()) else {
-                continue;
-            };
-            for (occurrence_index, occurrence) in job.occurrences.iter().enumerate() {
-                for (stage_index, stage) in job.spec.stages.iter().enumerate() {
-                    let tasks = &occurrence.stages[stage_index];
-                    if !is_ready(occurrence, stage) {
-                        continue;
-                    }
-                    // The members of a gang run on several workers at once and aren't isolated.
-                    let (suspects, waiting): (Vec<u32>, Vec<u32>) = (0..tasks.len() as u32)
-                        .filter(|index| tasks[*index as usize].is_waiting())
-                        .partition(|index| {
-                            !stage.is_gang && tasks[*index as usize].must_be_isolated(max_wait, now)
-                        });
-                    let is_incomplete = stage.is_gang && waiting.len() < tasks.len();
-                    if waiting.is_empty() && suspects.is_empty() || is_incomplete {
-                        continue;
-                    }
-                    let first_task = TaskKey {
-                        job: key,
-                        occurrence: occurrence_index as u32,
-                        stage: stage_index as u32,
-                        index: 0,
-                    };
-                    let rank = self.rank(key, stage, now);
-                    candidates.push(Candidate { rank, first_task, waiting, suspects });
+        for index in 0..self.open_jobs.len() {
+            let key = self.open_jobs[index];
+            let is_open = |job: &&mut Job| job.may_have_waiting && !job.state.is_final();
+            let Some(job) = self.jobs.get_mut(key).filter(is_open) else { continue };
+            job.may_have_waiting = job.has_waiting_task();
+            if job.may_have_waiting {
+                if job.done_counts.is_none() {
+                    let stages = 0..job.spec.stages.len();
+                    job.done_counts = Some(stages.map(|stage| job.done_count(stage)).collect());
                 }
+                self.push_candidates(key, now, &mut candidates);
             }
         }
         candidates
     }
 
+    fn push_candidates(&self, key: JobKey, now: Instant, candidates: &mut Vec<Candidate>) {
+        let job = &self.jobs[key];
+        for (occurrence_index, occurrence) in job.occurrences.iter().enumerate() {
+            for (stage_index, stage) in job.spec.stages.iter().enumerate() {
+                let tasks = &occurrence.stages[stage_index];
+                if !tasks.iter().any(Task::is_waiting) || !is_ready(occurrence, stage) {
+                    continue;
+                }
+                if stage.is_gang && !tasks.iter().all(Task::is_waiting) {
+                    continue;
+                }
+                let first_task = TaskKey {
+                    job: key,
+                    occurrence: occurrence_index as u32,
+                    stage: stage_index as u32,
+                    index: 0,
+                };
+                let rank = self.rank(key, stage, now);
+                candidates.push(Candidate { rank, first_task });
+            }
+        }
+    }
+
+    /// Waiting tasks of a stage that must, or needn't, be isolated.
+    pub(super) fn waiting_tasks(
+        &self,
+        first_task: TaskKey,
+        is_isolated: bool,
+        now: Instant,
+    ) -> impl Iterator<Item = TaskKey> + '_ {
+        let max_wait = self.settings.quarantine.max_wait;
+        let job = &self.jobs[first_task.job];
+        let TaskKey { occurrence, stage, .. } = first_task;
+        let tasks = &job.occurrences[occurrence as usize].stages[stage as usize];
+        // The members of a gang run on several workers at once and aren't isolated.
+        let is_gang = job.spec.stages[stage as usize].is_gang;
+        let is_wanted = move |task: &Task| {
+            task.is_waiting() && (!is_gang && task.must_be_isolated(max_wait, now)) == is_isolated
+        };
+        (0..)
+            .zip(tasks)
+            .filter(move |(_, task)| is_wanted(task))
+            .map(move |(index, _)| TaskKey { index, ..first_task })
+    }
+
     fn rank(&self, key: JobKey, stage: &Stage, now: Instant) -> (TaskKind, Lateness, u32, Instant) {
         let job = &self.jobs[key];
         let stretched_ms = job.queue.stretch.max(1.0) * job.spec.critical_path_ms() as f64;
@@ -340,12 +385,10 @@
     fn remaining_work_delay(&self, key: JobKey) -> Duration {
         let job = &self.jobs[key];
         let remaining_core_ms = |stage_index: usize, stage: &Stage| {
-            let is_done = |task: &&Task| task.progress.phase == TaskPhase::Done;
-            let done: usize = job
-                .occurrences
-                .iter()
-                .map(|occurrence| occurrence.stages[stage_index].iter().filter(is_done).count())
-                .sum();
+            let done = job.done_counts.as_ref().map_or_else(
+                || job.done_count(stage_index),
+                |done_counts| done_counts[stage_index],
+            );
             let started_count = job.occurrences.len().max(1) as u64;
             let remaining =
                 (started_count * u64::from(stage.task_count)).saturating_sub(done as u64);
@@ -355,13 +398,7 @@
         let stages = job.spec.stages.iter().enumerate();
         let core_ms: u64 =
             stages.map(|(stage_index, stage)| remaining_core_ms(stage_index, stage)).sum();
-        let cell_milli: u64 = self
-            .workers
-            .values()
-            .filter_map(|worker| worker.status.as_ref())
-            .map(|status| status.capacity.cpu_milli)
-            .sum();
-        let cell_ms = core_ms as f64 * 1_000.0 / cell_milli.max(1) as f64;
+        let cell_ms = core_ms as f64 * 1_000.0 / self.capacity_milli.max(1) as f64;
         Duration::from_millis((cell_ms * self.settings.planning.remaining_work_weight) as u64)
     }
 
@@ -374,15 +411,18 @@
         now: Instant,
     ) {
         let max_serving_wait = self.settings.quarantine.max_serving_wait;
-        let stage = self.stage(candidate.first_task).clone();
-        let service = self.jobs[candidate.first_task.job].queue.service.clone();
-        if unplaceable.covers(&service, &stage) {
+        let job = &self.jobs[candidate.first_task.job];
+        let spec = job.spec.clone();
+        let stage = &spec.stages[candidate.first_task.stage as usize];
+        if unplaceable.covers(&job.queue.service, stage) {
             return;
         }
-        let attempt = self.next_gang_attempt(candidate, &stage);
+        let service = job.queue.service.clone();
+        let attempt = self.next_gang_attempt(candidate, stage);
+        let mut scores = StageScores::default();
         let mut placed = Vec::new();
-        for &index in &candidate.waiting {
-            let key = TaskKey { index, ..candidate.first_task };
+        let waiting: Vec<TaskKey> = self.waiting_tasks(candidate.first_task, false, now).collect();
+        for &key in &waiting {
             let batch_reserve = self.batch_reserve_for(key, now);
             let has_waited = self
                 .task(key)
@@ -390,9 +430,9 @@
                 .is_some_and(|since| now.duration_since(since) >= max_serving_wait);
             let workers =
                 if stage.is_long_running && has_waited { eligible_workers } else { workers };
-            let chosen = self.choose_worker(key, &stage, workers, batch_reserve);
+            let chosen = self.choose_worker_by(&mut scores, key, stage, workers, batch_reserve);
             let Some(worker) = chosen else {
-                unplaceable.record(&service, &stage);
+                unplaceable.record(&service, stage);
                 // Another serving task of the stage may have waited long enough to use the reserve.
                 // All other tasks of a stage are interchangeable: if one doesn't fit, none does.
                 if stage.is_long_running {
@@ -400,14 +440,15 @@
                 }
                 break;
             };
-            self.assign(key, &stage, worker, attempt);
-            self.track_recent_assignment(worker, &stage, now);
+            self.assign(key, stage, worker, attempt);
+            self.track_recent_assignment(worker, stage, now);
             if stage.is_best_effort {
                 self.update_remaining_headrooms(worker);
             }
+            self.update_score(&mut scores, key, stage, worker);
             placed.push(key);
         }
-        if stage.is_gang && placed.len() < candidate.waiting.len() {
+        if stage.is_gang && placed.len() < waiting.len() {
             for key in placed {
                 self.revert_assignment(key);
             }
@@ -423,23 +464,24 @@
     /// serving tasks is ignored, because agents pace the task.
     fn relieve_starvation(&mut self, candidate: &Candidate, workers: &[WorkerKey], now: Instant) {
         let settings = self.settings.planning;
-        let stage = self.stage(candidate.first_task).clone();
+        let spec = self.jobs[candidate.first_task.job].spec.clone();
+        let stage = &spec.stages[candidate.first_task.stage as usize];
         let job = candidate.first_task.job;
-        let Some(&index) = candidate.waiting.first() else { return };
-        let key = TaskKey { index, ..candidate.first_task };
         if !stage.is_best_effort || stage.is_gang || self.has_runs(job) {
             return;
         }
+        let first_waiting = self.waiting_tasks(candidate.first_task, false, now).next();
+        let Some(key) = first_waiting else { return };
         let Some(task) = self.task_mut(key) else { return };
         let waiting_since = *task.waiting_since.get_or_insert(now);
         let has_waited = now.duration_since(waiting_since) >= settings.starvation_wait;
-        let service = self.jobs[job].queue.service.clone();
-        if !has_waited || self.reserved_share(&service) >= settings.starvation_max_load {
+        let service = &self.jobs[job].queue.service;
+        if !has_waited || self.reserved_share(service) >= settings.starvation_max_load {
             return;
         }
-        let Some(worker) = self.least_loaded_worker(key, &stage, workers) else { return };
-        self.assign(key, &stage, worker, None);
-        self.track_recent_assignment(worker, &stage, now);
+        let Some(worker) = self.least_loaded_worker(key, stage, workers) else { return };
+        self.assign(key, stage, worker, None);
+        self.track_recent_assignment(worker, stage, now);
         self.update_remaining_headrooms(worker);
         self.record_assignment(key);
     }
@@ -529,6 +571,25 @@
     }
 }
 
+impl Job {
+    /// Number of tasks of a stage that are done, over all occurrences.
+    fn done_count(&self, stage_index: usize) -> usize {
+        let is_done = |task: &&Task| task.progress.phase == TaskPhase::Done;
+        let tasks = self.occurrences.iter().flat_map(|o| &o.stages[stage_index]);
+        tasks.filter(is_done).count()
+    }
+
+    /// Whether a task waits in a stage that is ready.
+    fn has_waiting_task(&self) -> bool {
+        self.occurrences.iter().any(|occurrence| {
+            let mut stages = occurrence.stages.iter().zip(&self.spec.stages);
+            stages.any(|(tasks, stage)| {
+                tasks.iter().any(Task::is_waiting) && is_ready(occurrence, stage)
+            })
+        })
+    }
+}
+
 fn is_ready(occurrence: &Occurrence, stage: &Stage) -> bool {
     let is_done = |dependency: &usize| {
         occurrence.stages[*dependency].iter().all(|task| task.progress.phase == TaskPhase::Done)
--- a/crates/teaseltrack/src/cell/quarantine.rs
+++ b/crates/teaseltrack/src/cell/quarantine.rs
@@ -95,6 +95,7 @@
             task.progress.sole_crash_count += u32::from(is_sole);
             let (crash_count, sole_crash_count) =
                 (task.progress.crash_count, task.progress.sole_crash_count);
+            self.may_have_suspects = true;
             self.jobs[suspect.job].is_dirty = true;
             let is_given_up = sole_crash_count >= settings.max_sole_crashes
                 || crash_count >= settings.max_crashes;
@@ -149,7 +150,10 @@
         workers: &[WorkerKey],
         now: Instant,
     ) -> Vec<WorkerKey> {
-        let suspects = self.waiting_suspects(candidates);
+        if !self.may_have_suspects {
+            return workers.to_vec();
+        }
+        let suspects = self.waiting_suspects(candidates, now);
         self.release_quarantined_workers(&suspects);
         for key in suspects {
             if let Some(task) = self.task_mut(key) {
@@ -168,18 +172,26 @@
             let worker = &self.workers[*key];
             !worker.is_quarantined && !self.has_suspect(worker)
         };
-        workers.iter().copied().filter(is_open).collect()
+        let open_workers = workers.iter().copied().filter(is_open).collect();
+        self.may_have_suspects = self.has_any_suspect();
+        open_workers
+    }
+
+    /// Whether any task is a suspect or any worker quarantined.
+    fn has_any_suspect(&self) -> bool {
+        let tasks = self.open_jobs.iter().filter_map(|key| self.jobs.get(*key)).flat_map(|job| {
+            job.occurrences.iter().flat_map(|occurrence| occurrence.stages.iter().flatten())
+        });
+        self.workers.values().any(|worker| worker.is_quarantined)
+            || tasks.into_iter().any(Task::is_suspect)
     }
 
     /// Waiting tasks that must be isolated: serving tasks first, since their callers wait, then the
     /// most likely causes of crashes.
-    fn waiting_suspects(&self, candidates: &[Candidate]) -> Vec<TaskKey> {
+    fn waiting_suspects(&self, candidates: &[Candidate], now: Instant) -> Vec<TaskKey> {
         let mut suspects: Vec<TaskKey> = candidates
             .iter()
-            .flat_map(|candidate| {
-                let indexes = candidate.suspects.iter();
-                indexes.map(|&index| TaskKey { index, ..candidate.first_task })
-            })
+            .flat_map(|candidate| self.waiting_tasks(candidate.first_task, true, now))
             .collect();
         suspects.sort_by_key(|key| {
             let is_serving = TaskKind::of(self.stage(*key)) == TaskKind::Serving;
--- a/crates/teaseltrack/src/cell/scoring.rs
+++ b/crates/teaseltrack/src/cell/scoring.rs
@@ -39,6 +39,22 @@
     Similar,
 }
 
+/// Scores of the workers for the tasks of one stage that avoid no worker; `None` for workers that
+/// can't run any. Empty before the first task.
+#[derive(Debug, Default)]
+pub(super) struct StageScores {
+    scores: Vec<(WorkerKey, Option<PlacementScore>)>,
+    batch_reserve: f64,
+}
+
+impl StageScores {
+    fn are_of(&self, workers: &[WorkerKey], batch_reserve: f64) -> bool {
+        self.batch_reserve == batch_reserve
+            && self.scores.len() == workers.len()
+            && self.scores.iter().map(|(key, _)| key).eq(workers)
+    }
+}
+
 impl Cell {
     /// Returns the worker with the best score for a task; `None` if no worker can run it now.
     ///
@@ -62,6 +78,51 @@
             .map(|(worker, _)| worker)
     }
 
+    /// Like [`Self::choose_worker`], for the tasks of one stage in turn: only the first task of a
+    /// planning round pays for the score of each worker.
+    pub(super) fn choose_worker_by(
+        &self,
+        scores: &mut StageScores,
+        key: TaskKey,
+        stage: &Stage,
+        workers: &[WorkerKey],
+        batch_reserve: f64,
+    ) -> Option<WorkerKey> {
+        // The score of a worker that the task avoids differs from the other tasks' scores.
+        if self.task(key).is_some_and(|task| task.avoided_worker.is_some()) {
+            return self.choose_worker(key, stage, workers, batch_reserve);
+        }
+        if !scores.are_of(workers, batch_reserve) {
+            let service = &self.jobs[key.job].queue.service;
+            let score = |candidate: &WorkerKey| {
+                let worker = &self.workers[*candidate];
+                (*candidate, self.score(worker, service, (key, stage), batch_reserve))
+            };
+            scores.scores = workers.iter().map(score).collect();
+            scores.batch_reserve = batch_reserve;
+        }
+        let placeable = scores.scores.iter().filter_map(|(key, score)| score.map(|s| (*key, s)));
+        placeable.max_by_key(|(_, score)| *score).map(|(worker, _)| worker)
+    }
+
+    /// Updates the score of the worker that has been assigned the task.
+    pub(super) fn update_score(
+        &self,
+        scores: &mut StageScores,
+        key: TaskKey,
+        stage: &Stage,
+        assigned: WorkerKey,
+    ) {
+        let service = &self.jobs[key.job].queue.service;
+        let batch_reserve = scores.batch_reserve;
+        if let Some((_, score)) = scores.scores.iter_mut().find(|(key, _)| *key == assigned) {
+            // The next task may not avoid the worker, as this one may.
+            let other = TaskKey { index: u32::MAX, ..key };
+            let worker = &self.workers[assigned];
+            *score = self.score(worker, service, (other, stage), batch_reserve);
+        }
+    }
+
     /// Returns the worker with the most spare CPU among those that can run a best-effort task,
     /// regardless of interference.
     pub(super) fn least_loaded_worker(
@@ -169,6 +230,20 @@
         capacity_milli as i64 - committed_milli as i64
     }
 
+    /// Updates the remaining headrooms that new tails, tasks or estimates have changed.
+    pub(super) fn update_stale_headrooms(&mut self, workers: &[WorkerKey]) {
+        let version = self.interference.estimates().version;
+        if self.headrooms_version != version {
+            self.workers.values_mut().for_each(|worker| worker.are_headrooms_stale = true);
+            self.headrooms_version = version;
+        }
+        for &worker in workers {
+            if self.workers[worker].are_headrooms_stale {
+                self.update_remaining_headrooms(worker);
+            }
+        }
+    }
+
     /// Computes the headrooms that the best-effort tasks assigned to a worker leave.
     pub(super) fn update_remaining_headrooms(&mut self, key: WorkerKey) {
         let estimates = self.interference.estimates();
@@ -185,7 +260,10 @@
         let headrooms = worker.headrooms.iter();
         let remaining =
             headrooms.map(|(serving, headroom)| (serving.clone(), headroom - growth(serving)));
-        self.workers[key].remaining_headrooms = remaining.collect();
+        let remaining_headrooms = remaining.collect();
+        let worker = &mut self.workers[key];
+        worker.remaining_headrooms = remaining_headrooms;
+        worker.are_headrooms_stale = false;
     }
 
     /// CPU that another best-effort task may use without pushing a colocated tail over its limit,
--- a/crates/teaseltrack/src/cell/worker.rs
+++ b/crates/teaseltrack/src/cell/worker.rs
@@ -119,6 +119,8 @@
     /// What remains of `headrooms` after the expected interference of the assigned best-effort
     /// tasks.
     pub remaining_headrooms: Vec<(ImageName, f64)>,
+    /// Whether `remaining_headrooms` must be computed anew.
+    pub are_headrooms_stale: bool,
     /// Best-effort tasks by image.
     pub best_effort_images: BTreeMap<ImageName, ImageDemand>,
     /// CPU use of best-effort tasks in the last listing, in millicores.
@@ -131,6 +133,11 @@
     pub orders: VecDeque<Order>,
     /// Sequence number of the first order in `orders`.
     pub first_order: u64,
+    /// Whether orders were added or ends committed since [`Cell::take_updated_agents`] was last
+    /// called.
+    ///
+    /// [`Cell::take_updated_agents`]: crate::cell::Cell::take_updated_agents
+    pub has_update: bool,
     /// Number of the last processed end.
     pub processed_end: u64,
     /// Number of the last end whose processing is committed.
@@ -167,12 +174,14 @@
             serving_images: BTreeMap::new(),
             headrooms: BTreeMap::new(),
             remaining_headrooms: Vec::new(),
+            are_headrooms_stale: true,
             best_effort_images: BTreeMap::new(),
             best_effort_used_milli: 0,
             recent_assignments: Vec::new(),
             tasks: BTreeSet::new(),
             orders: VecDeque::new(),
             first_order: 1,
+            has_update: false,
             processed_end: 0,
             committed_end: 0,
         }
@@ -190,6 +199,7 @@
 
     /// Appends an order to the queue.
     pub fn enqueue_order(&mut self, order: Order) {
+        self.has_update = true;
         self.orders.push_back(order);
     }
 
@@ -211,6 +221,7 @@
                 let image_demand = self.best_effort_images.entry(image_of(stage)).or_default();
                 image_demand.task_count += 1;
                 image_demand.cpu_milli += stage.resources.cpu_milli;
+                self.are_headrooms_stale = true;
             }
         }
     }
@@ -221,19 +232,20 @@
             self.reserved = self.reserved.minus(&reserved_resources(stage));
             let demand = self.demand_of(stage);
             *demand = demand.saturating_sub(stage.resources.cpu_milli);
-            let image = image_of(stage);
+            let image = stage.image.as_deref().unwrap_or_default();
             if stage.is_long_running
-                && let Some(count) = self.serving_images.get_mut(&image)
+                && let Some(count) = self.serving_images.get_mut(image)
             {
                 *count -= 1;
+                self.serving_images.retain(|_, count| *count > 0);
             } else if stage.is_best_effort
-                && let Some(image_demand) = self.best_effort_images.get_mut(&image)
+                && let Some(image_demand) = self.best_effort_images.get_mut(image)
             {
                 image_demand.task_count -= 1;
                 image_demand.cpu_milli -= stage.resources.cpu_milli;
+                self.best_effort_images.retain(|_, demand| demand.task_count > 0);
+                self.are_headrooms_stale = true;
             }
-            self.serving_images.retain(|_, count| *count > 0);
-            self.best_effort_images.retain(|_, demand| demand.task_count > 0);
         }
     }
 
