Measure what callers lose by late completions in one module

Callers saw: nothing new yet; the order of waiting work computed its own deadlines, and nothing could compare what two callers lose.

Cause: deadline, lateness and remaining work were three computations inside the planning of stages, and none of them said what a late job costs.

Change: cell::loss has the loss curve of a job (value by priority and work, on time until its objective, worthless once it is long overdue), the work that it still needs, and the loss per core-second that letting it run avoids. The planner takes its deadlines from it; recurring jobs count from the time at which an occurrence is due, not from their acceptance.

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -46,6 +46,7 @@
 pub mod health;
 pub mod interference;
 pub mod job;
+pub mod loss;
 pub mod ownership;
 pub mod pacing;
 pub mod partition;
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -6,10 +6,12 @@
 //!
 //! Batch tasks come first, then serving tasks, which leave a reserve of each worker to batch tasks,
 //! then best-effort tasks, which use CPU that no other task needs. Within a kind, stages are
-//! ordered by the lateness of their job, the priority of its queue and the job's deadline. In place
-//! of the deadline, best-effort stages have the time at which their job was accepted plus a delay
-//! in proportion to its remaining work. [`scoring`] chooses the worker.
+//! ordered by the outlook of their job ([`loss`]), the priority of its queue and the end of the time
+//! in which the job is on time. In place of that time, best-effort stages have the time at which
+//! their job was accepted plus a delay in proportion to its remaining work. [`scoring`] chooses the
+//! worker.
 //!
+//! [`loss`]: crate::cell::loss
 //! [`scoring`]: crate::cell::scoring
 
 use std::{
@@ -22,6 +24,7 @@
         Cell, CellEvent, JobKey, Occurrence, Run, Task, UncommittedStart, WorkerKey,
         interference::ImageName,
         job::Stage,
+        loss::{Outlook, multiply},
         progress::{JobState, TaskPhase},
         worker::{RecentAssignment, TaskKey, Worker},
     },
@@ -90,21 +93,15 @@
     }
 }
 
-/// How far a job is past its completion-time objective, in scheduling order: late jobs must not
-/// delay jobs that can still meet their objective. Serving stages always count as on time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Lateness {
-    OnTime,
-    Late,
-    LongOverdue,
-}
+/// Kind, outlook, queue priority, and end of the time in which the job is on time or, for
+/// best-effort stages, time of acceptance plus the delay for remaining work; the lowest comes first.
+/// Serving stages always count as on time.
+type Rank = (TaskKind, Outlook, u32, Instant);
 
 /// Stage with tasks that wait to be assigned.
 #[derive(Clone, Debug)]
 pub(super) struct Candidate {
-    /// Kind, lateness, queue priority, and deadline or, for best-effort stages, time of acceptance
-    /// plus the delay for remaining work; the lowest comes first.
-    rank: (TaskKind, Lateness, u32, Instant),
+    rank: Rank,
     /// Key of the task with index 0, which identifies the stage.
     pub(super) first_task: TaskKey,
     /// Indexes of the waiting tasks that needn't be isolated.
@@ -304,7 +301,7 @@
                         stage: stage_index as u32,
                         index: 0,
                     };
-                    let rank = self.rank(key, stage, now);
+                    let rank = self.rank(first_task, stage, now);
                     candidates.push(Candidate { rank, first_task, waiting, suspects });
                 }
             }
@@ -312,57 +309,31 @@
         candidates
     }
 
-    fn rank(&self, key: JobKey, stage: &Stage, now: Instant) -> (TaskKind, Lateness, u32, Instant) {
-        let job = &self.jobs[key];
-        let stretched_ms = job.queue.stretch.max(1.0) * job.spec.critical_path_ms() as f64;
-        let objective = Duration::from_millis(stretched_ms as u64 + job.queue.objective_ms);
-        let deadline = job.accepted_at + objective;
-        let long_overdue_at =
-            job.accepted_at + objective.mul_f64(self.settings.planning.long_overdue_factor);
-        let lateness = if stage.is_long_running || now <= deadline {
-            Lateness::OnTime
-        } else if now <= long_overdue_at {
-            Lateness::Late
-        } else {
-            Lateness::LongOverdue
-        };
+    fn rank(&self, first_task: TaskKey, stage: &Stage, now: Instant) -> Rank {
+        let job = &self.jobs[first_task.job];
+        let curve = self.occurrence_loss_curve(first_task.job, first_task.occurrence as usize);
+        let outlook = if stage.is_long_running { Outlook::OnTime } else { curve.outlook(now) };
         let ordering_time = if stage.is_best_effort {
-            job.accepted_at + self.remaining_work_delay(key)
+            job.accepted_at + self.remaining_work_delay(first_task)
         } else {
-            deadline
+            curve.on_time_until
         };
-        (TaskKind::of(stage), lateness, job.queue.priority, ordering_time)
+        (TaskKind::of(stage), outlook, job.queue.priority, ordering_time)
     }
 
     /// Delay of a best-effort job in the scheduling order, in proportion to its remaining work.
     /// Jobs with little remaining work come first, and jobs with much do not starve, because the
     /// delay is added to the time of acceptance.
-    fn remaining_work_delay(&self, key: JobKey) -> Duration {
-        let job = &self.jobs[key];
-        let remaining_core_ms = |stage_index: usize, stage: &Stage| {
-            let is_done = |task: &&Task| task.progress.phase == TaskPhase::Done;
-            let done: usize = job
-                .occurrences
-                .iter()
-                .map(|occurrence| occurrence.stages[stage_index].iter().filter(is_done).count())
-                .sum();
-            let started_count = job.occurrences.len().max(1) as u64;
-            let remaining =
-                (started_count * u64::from(stage.task_count)).saturating_sub(done as u64);
-            let run_time_ms = self.expected_run_time(key, stage_index).as_millis() as u64;
-            remaining * run_time_ms * stage.resources.cpu_milli / 1_000
-        };
-        let stages = job.spec.stages.iter().enumerate();
-        let core_ms: u64 =
-            stages.map(|(stage_index, stage)| remaining_core_ms(stage_index, stage)).sum();
+    fn remaining_work_delay(&self, first_task: TaskKey) -> Duration {
+        let remaining = self.remaining_work(first_task.job, first_task.occurrence as usize);
         let cell_milli: u64 = self
             .workers
             .values()
             .filter_map(|worker| worker.status.as_ref())
             .map(|status| status.capacity.cpu_milli)
             .sum();
-        let cell_ms = core_ms as f64 * 1_000.0 / cell_milli.max(1) as f64;
-        Duration::from_millis((cell_ms * self.settings.planning.remaining_work_weight) as u64)
+        let cell_s = remaining.core_s * 1_000.0 / cell_milli.max(1) as f64;
+        multiply(Duration::from_secs(1), cell_s * self.settings.planning.remaining_work_weight)
     }
 
     fn place_stage(
