Complete a task whose earlier attempt turns out to be done

Callers saw: work that ran twice.

Cause: a worker that is cut off completes a run, its lease lapses, a later attempt fails elsewhere, and the earlier end is then read as outdated: it was acknowledged, so that the worker forgot it, but not counted.

Ruled out: keeping the end unacknowledged until the task is done otherwise; the worker would list it for as long as the task runs, and the work is done already.

Change: the end of an earlier attempt counts if it is a completion. Other runs of the task are stopped as for members of a completed gang.

The new test fails with the condition on the cause taken out.

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -1026,7 +1026,10 @@
             self.release_run(task_key);
         }
         let Some(task) = self.task_mut(task_key) else { return };
-        if end.attempt <= task.progress.ended_attempt && !is_current {
+        // A completion counts even if a later attempt has ended otherwise since its worker was cut off:
+        // the worker discards its record, and the task must not run again.
+        let is_earlier = end.attempt <= task.progress.ended_attempt && !is_current;
+        if is_earlier && end.cause != EndCause::Done {
             return;
         }
         if !end.checkpoint.is_empty() {
--- a/crates/teaseltrack/tests/cell/main.rs
+++ b/crates/teaseltrack/tests/cell/main.rs
@@ -237,3 +237,31 @@
     fleet.run_steps(20);
     assert_eq!(fleet.cell.open_count(), 0);
 }
+
+/// Guards against a task that runs again after a worker that was cut off has completed it: its lease
+/// had lapsed, and the next attempt had failed elsewhere.
+#[test]
+fn completion_of_an_earlier_attempt_completes_the_task() {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.run_steps(4);
+    let job = "0000000000000001";
+    fleet.submit(stored_job(job, vec![stage(1)]));
+    let is_running = |fleet: &Fleet, index: usize| !fleet.instances[index].running.is_empty();
+    while !is_running(&fleet, 0) && !is_running(&fleet, 1) {
+        fleet.step();
+    }
+    let cut = usize::from(is_running(&fleet, 1));
+    fleet.instances[cut].is_disconnected = true;
+    while !is_running(&fleet, 1 - cut) {
+        fleet.step();
+    }
+    let task = TaskName { job: job.to_owned(), occurrence: 0, stage: 0, index: 0 };
+    // Has no room for another attempt.
+    fleet.instances[1 - cut].settle_capacity(Resources::default());
+    fleet.instances[1 - cut].end(&task, EndCause::Failed);
+    fleet.run_steps(2);
+    fleet.instances[cut].is_disconnected = false;
+    fleet.run_steps(60);
+    assert_eq!(fleet.cell.state(job), Some(JobState::Completed));
+    assert_eq!(fleet.start_count, 2);
+}
