Order waiting work by what its callers lose by waiting

Cause: the order compared lateness at present, priority and a deadline or a delay for remaining work one after the other. A job whose remaining path no longer fitted before its objective displaced jobs that could be saved, and the work that saving a job needs didn't meet what its caller loses.

Change: batch and best-effort stages are ordered by priority, then by the loss per core-second that running now avoids, discounted by slack; jobs past any gain come last by age, and one of them first once it has been overdue for 10 s.

The test of starvation fails with the promotion taken out.

--- a/crates/teaseltrack-cell/src/constants.rs
+++ b/crates/teaseltrack-cell/src/constants.rs
@@ -119,7 +119,7 @@
     relocation_wait: Duration::from_millis(1_000),
     relocation_interval: Duration::from_millis(300),
     usage_report_delay: Duration::from_millis(1_000),
-    remaining_work_weight: 20.0,
+    max_overdue_wait: Duration::from_secs(10),
     long_overdue_factor: 3.0,
 };
 
--- a/crates/teaseltrack/src/cell/loss.rs
+++ b/crates/teaseltrack/src/cell/loss.rs
@@ -8,7 +8,10 @@
 //! Decisions under load compare the loss that can still be avoided with the work that avoiding it
 //! takes: Smith's rule, applied to a loss that depends on the time of completion.
 
-use std::time::{Duration, Instant};
+use std::{
+    cmp::Ordering,
+    time::{Duration, Instant},
+};
 
 use crate::cell::{
     Cell, JobKey, Task,
@@ -20,6 +23,8 @@
 const PRIORITY_FACTOR: f64 = 4.0;
 /// Share of its value that a job loses as soon as it is late.
 const LATE_SHARE: f64 = 0.75;
+/// Slack relative to the remaining path at which a job is half as urgent as one without slack.
+const SLACK_SCALE: f64 = 2.0;
 /// Limit on run times and objectives, which callers and operators choose; keeps sums of times
 /// representable.
 const MAX_TIME: Duration = Duration::from_secs(365 * 24 * 3_600);
@@ -39,7 +44,7 @@
 }
 
 /// Product, at most [`MAX_TIME`].
-pub(super) fn multiply(time: Duration, factor: f64) -> Duration {
+fn multiply(time: Duration, factor: f64) -> Duration {
     let product = Duration::try_from_secs_f64(time.as_secs_f64() * factor);
     product.unwrap_or(MAX_TIME).min(MAX_TIME)
 }
@@ -122,9 +127,85 @@
     }
 }
 
+/// Job that waits for capacity, as far as its place in the order depends on it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WaitingJob {
+    /// Priority of its queue; 0 is the highest.
+    pub priority: u32,
+    /// What its caller loses with the time of its completion.
+    pub curve: LossCurve,
+    /// Work that it still needs.
+    pub remaining: RemainingWork,
+}
+
+/// Place of a waiting job in the order; the lowest comes first.
+#[derive(Clone, Copy, Debug)]
+pub struct Precedence {
+    is_long_overdue: bool,
+    priority: u32,
+    /// Loss per core-second that the job avoids by running now, discounted by the time for which it
+    /// can still wait.
+    urgency: f64,
+    on_time_until: Instant,
+}
+
+impl Precedence {
+    /// Place of a job that loses nothing by waiting: by priority and age alone.
+    pub fn by_objective(job: &WaitingJob) -> Self {
+        let WaitingJob { priority, curve, .. } = *job;
+        let on_time_until = curve.on_time_until;
+        Self { is_long_overdue: false, priority, urgency: 0.0, on_time_until }
+    }
+}
+
+impl PartialEq for Precedence {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Precedence {}
+
+impl Ord for Precedence {
+    fn cmp(&self, other: &Self) -> Ordering {
+        (self.is_long_overdue, self.priority)
+            .cmp(&(other.is_long_overdue, other.priority))
+            .then(other.urgency.total_cmp(&self.urgency))
+            .then(self.on_time_until.cmp(&other.on_time_until))
+    }
+}
+
+impl PartialOrd for Precedence {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl WaitingJob {
+    /// Place of the job in the order.
+    ///
+    /// Jobs that their callers still gain by come first, by priority, then by the loss per
+    /// core-second that running now avoids. That loss is discounted by the job's slack, relative to
+    /// its path, since a job that can wait loses nothing by it. Jobs that are long overdue follow by
+    /// age.
+    pub fn precedence(&self, now: Instant) -> Precedence {
+        let Self { priority, curve, remaining } = *self;
+        let is_long_overdue = curve.outlook(now + remaining.critical_path) == Outlook::LongOverdue;
+        let scale_s = (SLACK_SCALE * remaining.critical_path.as_secs_f64()).max(f64::MIN_POSITIVE);
+        let slack_s = curve.slack(remaining, now).as_secs_f64();
+        let avoidable_loss = curve.avoidable_loss_per_core_s(remaining, now);
+        Precedence {
+            is_long_overdue,
+            priority: if is_long_overdue { 0 } else { priority },
+            urgency: avoidable_loss * scale_s / (scale_s + slack_s),
+            on_time_until: curve.on_time_until,
+        }
+    }
+}
+
 impl Cell {
     /// Loss curve of a job; of its latest occurrence, if it is a recurring job.
-    pub fn loss_curve(&self, key: JobKey) -> LossCurve {
+    pub(super) fn loss_curve(&self, key: JobKey) -> LossCurve {
         self.occurrence_loss_curve(key, self.jobs[key].occurrences.len().saturating_sub(1))
     }
 
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -5,11 +5,9 @@
 //! all remaining tasks are batch tasks.
 //!
 //! Batch tasks come first, then serving tasks, which leave a reserve of each worker to batch tasks,
-//! then best-effort tasks, which use CPU that no other task needs. Within a kind, stages are
-//! ordered by the outlook of their job ([`loss`]), the priority of its queue and the end of the time
-//! in which the job is on time. In place of that time, best-effort stages have the time at which
-//! their job was accepted plus a delay in proportion to its remaining work. [`scoring`] chooses the
-//! worker.
+//! then best-effort tasks, which use CPU that no other task needs. Within a kind, stages are ordered
+//! by what their callers lose by waiting ([`loss`]), serving stages by priority and age.
+//! [`scoring`] chooses the worker.
 //!
 //! [`loss`]: crate::cell::loss
 //! [`scoring`]: crate::cell::scoring
@@ -24,7 +22,7 @@
         Cell, CellEvent, JobKey, Occurrence, Run, Task, UncommittedStart, WorkerKey,
         interference::ImageName,
         job::Stage,
-        loss::{Outlook, multiply},
+        loss::{Precedence, WaitingJob},
         progress::{JobState, TaskPhase},
         worker::{RecentAssignment, TaskKey, Worker},
     },
@@ -65,9 +63,8 @@
     pub relocation_interval: Duration,
     /// Time until the CPU use of an assigned best-effort task appears in its worker's reports.
     pub usage_report_delay: Duration,
-    /// Weight of the remaining work in the order of best-effort jobs: a job is delayed by this
-    /// factor times the time that all workers of the cell together need for its remaining work.
-    pub remaining_work_weight: f64,
+    /// Time after which a long overdue job is scheduled first among its kind.
+    pub max_overdue_wait: Duration,
     /// Multiple of its completion-time objective after which a job is scheduled last among its
     /// kind.
     pub long_overdue_factor: f64,
@@ -93,10 +90,14 @@
     }
 }
 
-/// Kind, outlook, queue priority, and end of the time in which the job is on time or, for
-/// best-effort stages, time of acceptance plus the delay for remaining work; the lowest comes first.
-/// Serving stages always count as on time.
-type Rank = (TaskKind, Outlook, u32, Instant);
+/// Place of a stage in the order in which stages get their workers; the lowest comes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    kind: TaskKind,
+    /// `false` for the job of its kind that has been overdue for too long.
+    is_not_starved: bool,
+    precedence: Precedence,
+}
 
 /// Stage with tasks that wait to be assigned.
 #[derive(Clone, Debug)]
@@ -159,9 +160,10 @@
             return;
         }
         let mut candidates = self.candidates(now);
+        self.promote_starved_job(&mut candidates, now);
         candidates.sort_by_key(|candidate| candidate.rank);
         let is_serving_waiting =
-            candidates.iter().any(|candidate| candidate.rank.0 == TaskKind::Serving);
+            candidates.iter().any(|candidate| candidate.rank.kind == TaskKind::Serving);
         for &worker in &eligible_workers {
             self.update_remaining_headrooms(worker);
         }
@@ -310,30 +312,45 @@
     }
 
     fn rank(&self, first_task: TaskKey, stage: &Stage, now: Instant) -> Rank {
-        let job = &self.jobs[first_task.job];
-        let curve = self.occurrence_loss_curve(first_task.job, first_task.occurrence as usize);
-        let outlook = if stage.is_long_running { Outlook::OnTime } else { curve.outlook(now) };
-        let ordering_time = if stage.is_best_effort {
-            job.accepted_at + self.remaining_work_delay(first_task)
+        let job = self.waiting_job(first_task);
+        // A serving task has no end, so it is never late and isn't compared by its work.
+        let precedence = if stage.is_long_running {
+            Precedence::by_objective(&job)
         } else {
-            curve.on_time_until
+            job.precedence(now)
         };
-        (TaskKind::of(stage), outlook, job.queue.priority, ordering_time)
+        Rank { kind: TaskKind::of(stage), is_not_starved: true, precedence }
     }
 
-    /// Delay of a best-effort job in the scheduling order, in proportion to its remaining work.
-    /// Jobs with little remaining work come first, and jobs with much do not starve, because the
-    /// delay is added to the time of acceptance.
-    fn remaining_work_delay(&self, first_task: TaskKey) -> Duration {
-        let remaining = self.remaining_work(first_task.job, first_task.occurrence as usize);
-        let cell_milli: u64 = self
-            .workers
-            .values()
-            .filter_map(|worker| worker.status.as_ref())
-            .map(|status| status.capacity.cpu_milli)
-            .sum();
-        let cell_s = remaining.core_s * 1_000.0 / cell_milli.max(1) as f64;
-        multiply(Duration::from_secs(1), cell_s * self.settings.planning.remaining_work_weight)
+    /// Puts one job first among its kind that has been long overdue for `max_overdue_wait`: one that
+    /// runs in part, otherwise the oldest. Further ones wait for it, so that jobs whose callers gain
+    /// nothing any more don't take the capacity of all others.
+    fn promote_starved_job(&self, candidates: &mut [Candidate], now: Instant) {
+        let max_wait = self.settings.planning.max_overdue_wait;
+        let is_starved = |key: &JobKey| {
+            let job = &self.jobs[*key];
+            let is_open = !job.state.is_final() && !job.spec.is_long_running();
+            let overdue_at = self.loss_curve(*key).worthless_after;
+            is_open && now.saturating_duration_since(overdue_at) >= max_wait
+        };
+        let starved: Vec<JobKey> = self.open_jobs.iter().copied().filter(is_starved).collect();
+        let first = starved
+            .iter()
+            .find(|key| self.has_runs(**key))
+            .or_else(|| starved.iter().min_by_key(|key| self.loss_curve(**key).on_time_until));
+        let Some(first) = first else { return };
+        for candidate in candidates {
+            candidate.rank.is_not_starved &= candidate.first_task.job != *first;
+        }
+    }
+
+    pub(super) fn waiting_job(&self, task: TaskKey) -> WaitingJob {
+        let occurrence = task.occurrence as usize;
+        WaitingJob {
+            priority: self.jobs[task.job].queue.priority,
+            curve: self.occurrence_loss_curve(task.job, occurrence),
+            remaining: self.remaining_work(task.job, occurrence),
+        }
     }
 
     fn place_stage(
--- a/crates/teaseltrack/tests/cell/main.rs
+++ b/crates/teaseltrack/tests/cell/main.rs
@@ -238,6 +238,22 @@
     assert_eq!(fleet.cell.open_count(), 0);
 }
 
+/// Guards against a large job that never runs beside a stream of small ones.
+#[test]
+fn plan_starves_no_overdue_job_under_a_steady_overload() {
+    let mut fleet = Fleet::new(1, 1);
+    fleet.max_run_ms = 1_000;
+    fleet.submit(stored_job("00000000000000ff", vec![stage(4)]));
+    for round in 0..800 {
+        // More than the worker can run.
+        if round % 5 == 0 {
+            fleet.submit(stored_job(&format!("1{round:015x}"), vec![stage(3)]));
+        }
+        fleet.step();
+    }
+    assert_eq!(fleet.cell.state("00000000000000ff"), Some(JobState::Completed));
+}
+
 /// Guards against a task that runs again after a worker that was cut off has completed it: its lease
 /// had lapsed, and the next attempt had failed elsewhere.
 #[test]
