--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -46,6 +46,7 @@
 pub mod health;
 pub mod interference;
 pub mod job;
+pub mod loss;
 pub mod ownership;
 pub mod pacing;
 pub mod partition;
@@ -184,8 +185,6 @@
     is_dirty: bool,
     /// Whether a task may be waiting in a stage that is ready; planning skips the job otherwise.
     may_have_waiting: bool,
-    /// Number of done tasks by stage, over all occurrences; `None` until it is counted anew.
-    done_counts: Option<Vec<usize>>,
     /// Whether only tasks that another cell has delegated belong to this one.
     is_partial: bool,
     /// Whether a run of any task is known to have started.
@@ -384,8 +383,6 @@
     needs_plan: bool,
     /// Whether any task may be a suspect.
     may_have_suspects: bool,
-    /// CPU of all workers at the start of the planning round, in millicores.
-    capacity_milli: u64,
     /// Version of the interference estimates that the workers' remaining headrooms follow from.
     headrooms_version: u64,
     /// Time of the next occurrence.
@@ -435,7 +432,6 @@
             committed_delegations: Vec::new(),
             needs_plan: true,
             may_have_suspects: true,
-            capacity_milli: 0,
             headrooms_version: 0,
             next_due_at: None,
             events: Vec::new(),
@@ -494,7 +490,6 @@
             occurrences: Vec::new(),
             is_dirty: false,
             may_have_waiting: true,
-            done_counts: None,
             is_partial: stored.is_partial,
             has_begun,
             uncommitted_starts: Vec::new(),
@@ -1057,7 +1052,10 @@
             self.release_run(task_key);
         }
         let Some(task) = self.task_mut(task_key) else { return };
-        if end.attempt <= task.progress.ended_attempt && !is_current {
+        // A completion counts even if a later attempt has ended otherwise since its worker was cut off:
+        // the worker discards its record, and the task must not run again.
+        let is_earlier = end.attempt <= task.progress.ended_attempt && !is_current;
+        if is_earlier && end.cause != EndCause::Done {
             return;
         }
         if !end.checkpoint.is_empty() {
@@ -1092,7 +1090,6 @@
         let members = if stage.is_gang { 0..stage.task_count } else { key.index..key.index + 1 };
         // The stages that depend on this one may be ready now.
         self.jobs[key.job].may_have_waiting = true;
-        self.jobs[key.job].done_counts = None;
         for index in members {
             let member = TaskKey { index, ..key };
             self.stop_run(member);
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -5,11 +5,11 @@
 //! all remaining tasks are batch tasks.
 //!
 //! Batch tasks come first, then serving tasks, which leave a reserve of each worker to batch tasks,
-//! then best-effort tasks, which use CPU that no other task needs. Within a kind, stages are
-//! ordered by the lateness of their job, the priority of its queue and the job's deadline. In place
-//! of the deadline, best-effort stages have the time at which their job was accepted plus a delay
-//! in proportion to its remaining work. [`scoring`] chooses the worker.
+//! then best-effort tasks, which use CPU that no other task needs. Within a kind, stages are ordered
+//! by what their callers lose by waiting ([`loss`]), serving stages by priority and age.
+//! [`scoring`] chooses the worker.
 //!
+//! [`loss`]: crate::cell::loss
 //! [`scoring`]: crate::cell::scoring
 
 use std::{
@@ -22,6 +22,7 @@
         Cell, CellEvent, Job, JobKey, Occurrence, Run, Task, UncommittedStart, WorkerKey,
         interference::ImageName,
         job::Stage,
+        loss::{Precedence, WaitingJob},
         progress::{JobState, TaskPhase},
         scoring::StageScores,
         worker::{RecentAssignment, TaskKey, Worker},
@@ -63,9 +64,8 @@
     pub relocation_interval: Duration,
     /// Time until the CPU use of an assigned best-effort task appears in its worker's reports.
     pub usage_report_delay: Duration,
-    /// Weight of the remaining work in the order of best-effort jobs: a job is delayed by this
-    /// factor times the time that all workers of the cell together need for its remaining work.
-    pub remaining_work_weight: f64,
+    /// Time after which a long overdue job is scheduled first among its kind.
+    pub max_overdue_wait: Duration,
     /// Multiple of its completion-time objective after which a job is scheduled last among its
     /// kind.
     pub long_overdue_factor: f64,
@@ -91,21 +91,19 @@
     }
 }
 
-/// How far a job is past its completion-time objective, in scheduling order: late jobs must not
-/// delay jobs that can still meet their objective. Serving stages always count as on time.
+/// Place of a stage in the order in which stages get their workers; the lowest comes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Lateness {
-    OnTime,
-    Late,
-    LongOverdue,
+struct Rank {
+    kind: TaskKind,
+    /// `false` for the job of its kind that has been overdue for too long.
+    is_not_starved: bool,
+    precedence: Precedence,
 }
 
 /// Stage with tasks that wait to be assigned.
 #[derive(Clone, Debug)]
 pub(super) struct Candidate {
-    /// Kind, lateness, queue priority, and deadline or, for best-effort stages, time of acceptance
-    /// plus the delay for remaining work; the lowest comes first.
-    rank: (TaskKind, Lateness, u32, Instant),
+    rank: Rank,
     /// Key of the task with index 0, which identifies the stage.
     pub(super) first_task: TaskKey,
 }
@@ -173,16 +171,11 @@
         if eligible_workers.is_empty() {
             return;
         }
-        self.capacity_milli = self
-            .workers
-            .values()
-            .filter_map(|worker| worker.status.as_ref())
-            .map(|status| status.capacity.cpu_milli)
-            .sum();
         let mut candidates = self.candidates(now);
+        self.promote_starved_job(&mut candidates, now);
         candidates.sort_by_key(|candidate| candidate.rank);
         let is_serving_waiting =
-            candidates.iter().any(|candidate| candidate.rank.0 == TaskKind::Serving);
+            candidates.iter().any(|candidate| candidate.rank.kind == TaskKind::Serving);
         self.update_stale_headrooms(&eligible_workers);
         let workers = self.place_suspects(&candidates, &eligible_workers, now);
         let mut unplaceable = UnplaceableSizes::default();
@@ -302,10 +295,6 @@
             let Some(job) = self.jobs.get_mut(key).filter(is_open) else { continue };
             job.may_have_waiting = job.has_waiting_task();
             if job.may_have_waiting {
-                if job.done_counts.is_none() {
-                    let stages = 0..job.spec.stages.len();
-                    job.done_counts = Some(stages.map(|stage| job.done_count(stage)).collect());
-                }
                 self.push_candidates(key, now, &mut candidates);
             }
         }
@@ -329,7 +318,7 @@
                     stage: stage_index as u32,
                     index: 0,
                 };
-                let rank = self.rank(key, stage, now);
+                let rank = self.rank(first_task, stage, now);
                 candidates.push(Candidate { rank, first_task });
             }
         }
@@ -357,49 +346,46 @@
             .map(move |(index, _)| TaskKey { index, ..first_task })
     }
 
-    fn rank(&self, key: JobKey, stage: &Stage, now: Instant) -> (TaskKind, Lateness, u32, Instant) {
-        let job = &self.jobs[key];
-        let stretched_ms = job.queue.stretch.max(1.0) * job.spec.critical_path_ms() as f64;
-        let objective = Duration::from_millis(stretched_ms as u64 + job.queue.objective_ms);
-        let deadline = job.accepted_at + objective;
-        let long_overdue_at =
-            job.accepted_at + objective.mul_f64(self.settings.planning.long_overdue_factor);
-        let lateness = if stage.is_long_running || now <= deadline {
-            Lateness::OnTime
-        } else if now <= long_overdue_at {
-            Lateness::Late
+    fn rank(&self, first_task: TaskKey, stage: &Stage, now: Instant) -> Rank {
+        let job = self.waiting_job(first_task);
+        // A serving task has no end, so it is never late and isn't compared by its work.
+        let precedence = if stage.is_long_running {
+            Precedence::by_objective(&job)
         } else {
-            Lateness::LongOverdue
+            job.precedence(now)
         };
-        let ordering_time = if stage.is_best_effort {
-            job.accepted_at + self.remaining_work_delay(key)
-        } else {
-            deadline
-        };
-        (TaskKind::of(stage), lateness, job.queue.priority, ordering_time)
+        Rank { kind: TaskKind::of(stage), is_not_starved: true, precedence }
     }
 
-    /// Delay of a best-effort job in the scheduling order, in proportion to its remaining work.
-    /// Jobs with little remaining work come first, and jobs with much do not starve, because the
-    /// delay is added to the time of acceptance.
-    fn remaining_work_delay(&self, key: JobKey) -> Duration {
-        let job = &self.jobs[key];
-        let remaining_core_ms = |stage_index: usize, stage: &Stage| {
-            let done = job.done_counts.as_ref().map_or_else(
-                || job.done_count(stage_index),
-                |done_counts| done_counts[stage_index],
-            );
-            let started_count = job.occurrences.len().max(1) as u64;
-            let remaining =
-                (started_count * u64::from(stage.task_count)).saturating_sub(done as u64);
-            let run_time_ms = self.expected_run_time(key, stage_index).as_millis() as u64;
-            remaining * run_time_ms * stage.resources.cpu_milli / 1_000
+    /// Puts one job first among its kind that has been long overdue for `max_overdue_wait`: one that
+    /// runs in part, otherwise the oldest. Further ones wait for it, so that jobs whose callers gain
+    /// nothing any more don't take the capacity of all others.
+    fn promote_starved_job(&self, candidates: &mut [Candidate], now: Instant) {
+        let max_wait = self.settings.planning.max_overdue_wait;
+        let is_starved = |key: &JobKey| {
+            let job = &self.jobs[*key];
+            let is_open = !job.state.is_final() && !job.spec.is_long_running();
+            let overdue_at = self.loss_curve(*key).worthless_after;
+            is_open && now.saturating_duration_since(overdue_at) >= max_wait
         };
-        let stages = job.spec.stages.iter().enumerate();
-        let core_ms: u64 =
-            stages.map(|(stage_index, stage)| remaining_core_ms(stage_index, stage)).sum();
-        let cell_ms = core_ms as f64 * 1_000.0 / self.capacity_milli.max(1) as f64;
-        Duration::from_millis((cell_ms * self.settings.planning.remaining_work_weight) as u64)
+        let starved: Vec<JobKey> = self.open_jobs.iter().copied().filter(is_starved).collect();
+        let first = starved
+            .iter()
+            .find(|key| self.has_runs(**key))
+            .or_else(|| starved.iter().min_by_key(|key| self.loss_curve(**key).on_time_until));
+        let Some(first) = first else { return };
+        for candidate in candidates {
+            candidate.rank.is_not_starved &= candidate.first_task.job != *first;
+        }
+    }
+
+    pub(super) fn waiting_job(&self, task: TaskKey) -> WaitingJob {
+        let occurrence = task.occurrence as usize;
+        WaitingJob {
+            priority: self.jobs[task.job].queue.priority,
+            curve: self.occurrence_loss_curve(task.job, occurrence),
+            remaining: self.remaining_work(task.job, occurrence),
+        }
     }
 
     fn place_stage(
@@ -572,13 +558,6 @@
 }
 
 impl Job {
-    /// Number of tasks of a stage that are done, over all occurrences.
-    fn done_count(&self, stage_index: usize) -> usize {
-        let is_done = |task: &&Task| task.progress.phase == TaskPhase::Done;
-        let tasks = self.occurrences.iter().flat_map(|o| &o.stages[stage_index]);
-        tasks.filter(is_done).count()
-    }
-
     /// Whether a task waits in a stage that is ready.
     fn has_waiting_task(&self) -> bool {
         self.occurrences.iter().any(|occurrence| {
