Obey requests to evacuate an availability zone

Cause: no code read the request.

Change: the owner follows the requests in the feed of the configuration and reads them before it plans. From then on it assigns nothing in these zones, withdraws assignments whose order hasn't been sent, and tells agents in each response whether their zone is evacuated and for how long start orders may be carried out. Its knowledge expires within the deployment's bound, if it has one.

Ruled out: conditions on the requests' rows in each commit (another part of the store, twice the time of a transaction), and an order to the agent (executed after the starts ahead of it).

Guards taken out one at a time, each made tests fail: withdrawal of unsent starts, filter of eligible workers, expiry of the owner's knowledge, expiry and state of the agent's notice, versions at owner and agent, the agent's checks before a call, waiting work before moves, availability of the stage, room for a move, warm-up limit, quotes, sources of relocation, reading again after lost history, deleted rows, time of proof. The random-fault test passes with any one of them taken out, since the layers cover each other. Changed tests: the fleet's agents refuse orders by the notice (inactive without zones), AgentEvent::Reported has the time of sending, the configuration's source of the owner has moved.

--- a/crates/teaseltrack-cell/src/agent.rs
+++ b/crates/teaseltrack-cell/src/agent.rs
@@ -13,6 +13,7 @@
 use slog::{Logger, debug, info, warn};
 use teaseltrack::{
     cell::{
+        evacuation::EvacuationNotice,
         pacing::{PaceChange, Pacer},
         partition::CellId,
         progress::WorkerIncarnation,
@@ -52,6 +53,10 @@
 const MAX_WORKER_CALLS: usize = 6;
 /// Reason for the refusal of a start that was planned against a larger capacity.
 const CAPACITY_SHRANK: &str = "the worker's capacity shrank";
+/// Reason for the refusal of a start in an evacuated availability zone.
+const EVACUATED: &str = "availability zone is being evacuated";
+/// Reason for the refusal of a start whose order has expired.
+const START_EXPIRED: &str = "start order has expired";
 /// Maximum number of tries of a stop call; the owner repeats the order while the run is listed.
 const MAX_STOP_TRIES: u32 = 20;
 
@@ -88,6 +93,8 @@
         is_poll: bool,
         /// Number of refused starts in the report.
         refused_count: usize,
+        /// Time at which the report was sent.
+        sent_at: Instant,
         /// Response, if it arrived in time.
         response: Option<Box<ReportResponse>>,
     },
@@ -152,6 +159,8 @@
     status: Option<WorkerStatus>,
     /// Capacity in `status`, for start calls that wait for a permit.
     capacity: watch::Sender<Resources>,
+    /// Newest known state of the zone, for start calls that wait for a permit.
+    evacuation: watch::Sender<EvacuationNotice>,
     incarnation: WorkerIncarnation,
     /// Number of the last heartbeat of the incarnation.
     heartbeat_number: Option<u64>,
@@ -214,6 +223,7 @@
             permits: Arc::new(Semaphore::new(MAX_WORKER_CALLS)),
             status: None,
             capacity: watch::channel(Resources::default()).0,
+            evacuation: watch::channel(EvacuationNotice::default()).0,
             incarnation: WorkerIncarnation::new(),
             heartbeat_number: None,
             clock_ms: 0,
@@ -258,11 +268,11 @@
             AgentEvent::Synced { number, sent_at, result } => {
                 self.handle_sync_result(number, sent_at, result);
             }
-            AgentEvent::Reported { incarnation, is_poll, refused_count, response } => {
+            AgentEvent::Reported { incarnation, is_poll, refused_count, sent_at, response } => {
                 // A response about an earlier incarnation must not discard unprocessed ends of the
                 // current one.
                 let response = response.filter(|_| incarnation == self.incarnation);
-                self.handle_report_response(is_poll, refused_count, response);
+                self.handle_report_response(is_poll, refused_count, sent_at, response);
             }
             AgentEvent::Started { session, order, result } => {
                 self.handle_start_result(session, *order, result);
@@ -511,9 +521,11 @@
         let (client, events) = (self.client.clone(), self.events.clone());
         let (is_poll, refused_count) = (report.wait_ms > 0, report.refused.len());
         let incarnation = self.incarnation.clone();
+        let sent_at = self.context.clock.now();
         tokio::spawn(async move {
             let response = client.report(owner, report).await.map(Box::new);
-            let event = AgentEvent::Reported { incarnation, is_poll, refused_count, response };
+            let event =
+                AgentEvent::Reported { incarnation, is_poll, refused_count, sent_at, response };
             drop(events.send(event).await);
         });
     }
@@ -522,6 +534,7 @@
         &mut self,
         is_poll: bool,
         refused_count: usize,
+        sent_at: Instant,
         response: Option<Box<ReportResponse>>,
     ) {
         if is_poll {
@@ -537,6 +550,7 @@
         };
         self.epoch = response.epoch;
         self.context.owner_contact.send_replace((!response.is_store_lost).then_some(now));
+        let start_by = self.apply_evacuation_notice(response.evacuation, sent_at);
         if response.session > self.session {
             info!(self.context.logger, "session started"; "worker" => &self.incarnation,
                 "session" => response.session, "epoch" => response.epoch);
@@ -563,14 +577,32 @@
         for (number, order) in (response.first_order..).zip(response.orders) {
             if number == self.accepted_order + 1 {
                 self.accepted_order = number;
-                self.execute_order(order);
+                self.execute_order(order, start_by);
             }
         }
     }
 
-    fn execute_order(&mut self, order: Order) {
+    /// Keeps the newest state of the zone, since responses may overtake each other. Returns the time by
+    /// which start calls must be sent, if there is a limit.
+    fn apply_evacuation_notice(
+        &mut self,
+        notice: EvacuationNotice,
+        sent_at: Instant,
+    ) -> Option<Instant> {
+        let known = *self.evacuation.borrow();
+        if notice.version >= known.version {
+            if notice.is_evacuated != known.is_evacuated {
+                info!(self.context.logger, "evacuation of the worker's availability zone changed";
+                    "worker" => &self.incarnation, "is_evacuated" => notice.is_evacuated);
+            }
+            self.evacuation.send_replace(notice);
+        }
+        notice.valid_for_ms.map(|valid_for_ms| sent_at + Duration::from_millis(valid_for_ms))
+    }
+
+    fn execute_order(&mut self, order: Order, start_by: Option<Instant>) {
         match order {
-            Order::Start(start) => self.send_start(start),
+            Order::Start(start) => self.send_start(start, start_by),
             Order::Stop(task, attempt) => {
                 info!(self.context.logger, "stop order received"; "request_id" => &task.job,
                     "task" => %task, "attempt" => attempt);
@@ -580,7 +612,7 @@
         }
     }
 
-    fn send_start(&mut self, order: StartOrder) {
+    fn send_start(&mut self, order: StartOrder, start_by: Option<Instant>) {
         let is_draining = self.status.as_ref().is_some_and(|status| status.is_draining);
         let Some(lease_until_ms) = self.lease_until_ms.filter(|_| !is_draining) else {
             let reason = if is_draining { "worker is draining" } else { "no lease" };
@@ -590,16 +622,23 @@
         let session = self.session;
         let call = self.addressed(WorkerCall::Start { order: order.clone(), lease_until_ms });
         let (worker, events) = (self.context.worker.clone(), self.events.clone());
-        let (permits, capacity) = (self.permits.clone(), self.capacity.subscribe());
+        let (permits, clock) = (self.permits.clone(), self.context.clock.clone());
+        let (capacity, evacuation) = (self.capacity.subscribe(), self.evacuation.subscribe());
         tokio::spawn(async move {
             let permit = permits.acquire().await;
             // The owner has counted all that runs or is about to run against `planned_capacity`, so
             // the start is safe as long as the worker has at least that.
             let has_capacity = capacity.borrow().can_fit(&order.planned_capacity);
-            let result = if has_capacity {
-                with_timeout(WORKER_CALL_TIMEOUT, worker(call)).await
+            let refusal = if !has_capacity {
+                Some(CAPACITY_SHRANK)
+            } else if evacuation.borrow().is_evacuated {
+                Some(EVACUATED)
             } else {
-                Err(WorkerError::Refused { reason: CAPACITY_SHRANK.to_owned() })
+                start_by.filter(|start_by| *start_by < clock.now()).map(|_| START_EXPIRED)
+            };
+            let result = match refusal {
+                Some(reason) => Err(WorkerError::Refused { reason: reason.to_owned() }),
+                None => with_timeout(WORKER_CALL_TIMEOUT, worker(call)).await,
             };
             drop(permit);
             let event = AgentEvent::Started { session, order: Box::new(order), result };
--- a/crates/teaseltrack-cell/src/configuration.rs
+++ b/crates/teaseltrack-cell/src/configuration.rs
@@ -85,7 +85,7 @@
     Ok(Some(page.version.max(after)))
 }
 
-fn apply<T>(
+pub(crate) fn apply<T>(
     source: &ConfigurationSource<T>,
     text: &str,
     sender: &watch::Sender<Option<Arc<T>>>,
--- a/crates/teaseltrack-cell/src/constants.rs
+++ b/crates/teaseltrack-cell/src/constants.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use teaseltrack::cell::{
-    CellSettings, health::HealthSettings, interference::InterferenceSettings,
-    ownership::OwnershipSettings, pacing::PacingSettings, partition::PartitionLimits,
-    planning::PlanningSettings, quarantine::QuarantineSettings,
+    CellSettings, evacuation::EvacuationSettings, health::HealthSettings,
+    interference::InterferenceSettings, ownership::OwnershipSettings, pacing::PacingSettings,
+    partition::PartitionLimits, planning::PlanningSettings, quarantine::QuarantineSettings,
 };
 
 /// Maximum lease granted to a worker, unless the platform's limit is shorter. Covers a takeover and
@@ -155,8 +155,22 @@
     variance_inflation: 1.5,
 };
 
-/// Settings of an owner, given the platform's limit on leases.
-pub fn cell_settings(max_lease: Duration) -> CellSettings {
+/// Evacuations. Moves leave the owner of a stage time to place one task before it stops the next one.
+/// Agents report several times before a zone without workers counts as unknown.
+const EVACUATION: EvacuationSettings = EvacuationSettings {
+    max_age: None,
+    move_interval: Duration::from_millis(300),
+    unknown_zone_wait: Duration::from_millis(2_000),
+    max_cold_starts: 2,
+};
+/// Time from the last moment at which an agent may send a start call until the start; one timeout for
+/// the call, and one for a store that is slow to acknowledge.
+const START_MARGIN: Duration = Duration::from_millis(2 * 500);
+
+/// Settings of an owner, given the platform's limit on leases and its limit on the time from an
+/// evacuation's request to the last start, if there is one.
+pub fn cell_settings(max_lease: Duration, evacuation_bound: Option<Duration>) -> CellSettings {
+    let max_age = evacuation_bound.map(|bound| bound.saturating_sub(START_MARGIN));
     CellSettings {
         lease: MAX_LEASE.min(max_lease),
         clock_drift: CLOCK_DRIFT,
@@ -168,5 +182,6 @@
         planning: PLANNING,
         quarantine: QUARANTINE,
         interference: INTERFERENCE,
+        evacuation: Some(EvacuationSettings { max_age, ..EVACUATION }),
     }
 }
--- a/crates/teaseltrack-cell/src/lib.rs
+++ b/crates/teaseltrack-cell/src/lib.rs
@@ -6,8 +6,8 @@
 //! - [`candidate`] runs in each agent process and takes over the cell when its owner fails or
 //!   releases it; [`owner`] is the async task that it then runs.
 //! - [`partition`] decides how a fleet is divided into cells; each has an owner of its own.
-//! - [`rows`] defines the stored rows, [`configuration`] follows the configuration of the queues,
-//!   and [`calls`] implements the RPCs between processes.
+//! - [`rows`] defines the stored rows, [`configuration`] and [`evacuation`] follow the operator's
+//!   rows, and [`calls`] implements the RPCs between processes.
 //!
 //! Workers are called through [`worker_port`], the store through `teaseltrack_platform::store`.
 
@@ -17,6 +17,7 @@
 pub mod configuration;
 pub mod constants;
 pub mod entry;
+pub mod evacuation;
 pub mod owner;
 pub mod partition;
 pub mod rows;
--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -15,6 +15,7 @@
 use teaseltrack::{
     cell::{
         Cell, CellEvent, CellSettings,
+        evacuation::Evacuations,
         job::QueueConfiguration,
         ownership::OwnershipSettings,
         partition::CellId,
@@ -35,10 +36,10 @@
 
 use crate::{
     calls::{CellClients, InboundCall},
-    configuration::{ConfigurationSource, follow_configuration},
     constants::{
         DELEGATION_WAIT, MAX_COMMIT_ROWS, OWNER_TICK_INTERVAL, RENEWAL_INTERVAL, STORE_LOST_TIMEOUT,
     },
+    evacuation::{OperatorSenders, OperatorSource, follow_operator},
     owner::{
         committer::{Committer, OwnershipLost},
         delegator::{find_cells, next_stages, store_delegations},
@@ -75,8 +76,8 @@
     pub cell: CellSettings,
     /// Takeover timeout and grant period of the ownership.
     pub ownership: OwnershipSettings,
-    /// Source of the queue configuration.
-    pub configuration: ConfigurationSource<QueueConfiguration>,
+    /// Source of the queue configuration and of the requested evacuations.
+    pub operator: OperatorSource<QueueConfiguration>,
     /// Publishes the owner's mailbox to the RPC server.
     pub mailbox: watch::Sender<Option<mpsc::Sender<InboundCall>>>,
     /// Logger.
@@ -93,6 +94,7 @@
     accepted_order: u64,
     forgot_until: u64,
     lease_until_ms: Option<u64>,
+    is_evacuated: bool,
 }
 
 /// Commit in flight; returns the committer with the result.
@@ -105,6 +107,7 @@
     calls: mpsc::Receiver<InboundCall>,
     job_changes: mpsc::Receiver<JobChanges>,
     configuration: watch::Receiver<Option<Arc<QueueConfiguration>>>,
+    evacuations: watch::Receiver<Option<Evacuations>>,
 }
 
 struct Owner {
@@ -158,10 +161,12 @@
         context.logger.clone(),
     ));
     let (configuration_sender, configuration) = watch::channel(None);
-    let configuration_follower = tokio::spawn(follow_configuration(
+    let (evacuation_sender, evacuations) = watch::channel(None);
+    let operator_follower = tokio::spawn(follow_operator(
         context.store.clone(),
-        context.configuration.clone(),
-        configuration_sender,
+        context.clock.clone(),
+        context.operator.clone(),
+        OperatorSenders { configuration: configuration_sender, evacuations: evacuation_sender },
         context.logger.clone(),
     ));
     context.mailbox.send_replace(Some(mailbox));
@@ -179,10 +184,11 @@
         search_count: 0,
         is_stopping: false,
     };
-    owner.run(committer, Receivers { calls, job_changes, configuration }, closing).await;
+    let receivers = Receivers { calls, job_changes, configuration, evacuations };
+    owner.run(committer, receivers, closing).await;
     owner.context.mailbox.send_replace(None);
     job_follower.abort();
-    configuration_follower.abort();
+    operator_follower.abort();
 }
 
 async fn load_while_renewing(
@@ -256,6 +262,12 @@
                         self.cell.apply_configuration(active);
                     }
                 }
+                Ok(()) = receivers.evacuations.changed() => {
+                    let requested = receivers.evacuations.borrow_and_update().clone();
+                    if let Some(requested) = requested {
+                        self.cell.apply_evacuations(requested, self.context.clock.now());
+                    }
+                }
                 () = closing.cancelled(), if !self.is_stopping => self.is_stopping = true,
             }
             self.plan();
@@ -329,9 +341,10 @@
             accepted_order,
             forgot_until,
             lease_until_ms: response.lease_until_ms,
+            is_evacuated: response.evacuation.is_evacuated,
         };
         if let Some(superseded) = self.parked.insert(agent.clone(), parked) {
-            drop(superseded.reply.send(self.cell.pending_update(&agent)));
+            drop(superseded.reply.send(self.cell.pending_update(&agent, now)));
         }
     }
 
@@ -429,13 +442,14 @@
             .filter(|(agent, parked)| {
                 parked.respond_by <= now
                     || is_takeover_advised
+                    || cell.is_agent_evacuated(agent) != parked.is_evacuated
                     || cell.has_pending_update(agent, parked.accepted_order, parked.forgot_until)
             })
             .map(|(agent, _)| agent.clone())
             .collect();
         for agent in ready {
             let Some(parked) = self.parked.remove(&agent) else { continue };
-            let mut response = self.cell.pending_update(&agent);
+            let mut response = self.cell.pending_update(&agent, now);
             // The lease that was granted when the report arrived; waiting doesn't extend it.
             response.lease_until_ms = parked.lease_until_ms;
             response.is_store_lost = is_takeover_advised;
@@ -445,10 +459,14 @@
 
     /// Logs the cell's events and records them in metrics, with the gauges of the cell.
     fn record_events(&mut self) {
-        let OwnerContext { logger, metrics, .. } = &self.context;
+        let OwnerContext { logger, metrics, clock, .. } = &self.context;
         metrics.gauge("jobs_open", self.cell.open_count() as u64);
         metrics.gauge("tasks_on_silent_workers", self.cell.silent_task_count() as u64);
         metrics.gauge("configuration_version", self.cell.configuration_version());
+        let evacuation_time = self.cell.evacuation_time(clock.now());
+        metrics.gauge("zones_evacuated", self.cell.evacuated_zone_count() as u64);
+        metrics.gauge("tasks_in_evacuated_zones", self.cell.evacuated_task_count() as u64);
+        metrics.gauge("evacuation_ms", evacuation_time.as_millis() as u64);
         for event in self.cell.take_events() {
             metrics.count_tagged("cell_events", "kind", event.name());
             match event {
@@ -496,6 +514,22 @@
                 CellEvent::State { job, state } => {
                     info!(logger, "job ended"; "request_id" => job, "state" => ?state);
                 }
+                CellEvent::EvacuationStarted { zone, worker_count, task_count } => {
+                    info!(logger, "evacuation of an availability zone started"; "zone" => zone,
+                        "workers" => worker_count, "tasks" => task_count);
+                }
+                CellEvent::EvacuationEmptied { zone, elapsed } => {
+                    info!(logger, "evacuated availability zone has no tasks left"; "zone" => zone,
+                        "elapsed_ms" => elapsed.as_millis() as u64);
+                }
+                CellEvent::EvacuationEnded { zone, task_count, elapsed } => {
+                    info!(logger, "evacuation of an availability zone ended"; "zone" => zone,
+                        "tasks" => task_count, "elapsed_ms" => elapsed.as_millis() as u64);
+                }
+                CellEvent::EvacuationUnknown { zone } => {
+                    warn!(logger, "no worker of the cell is in an evacuated availability zone";
+                        "zone" => zone);
+                }
                 CellEvent::ForeignReport { agent, cell } => {
                     warn!(logger, "report of another cell's agent ignored"; "agent" => agent,
                         "agent_cell" => cell);
--- a/crates/teaseltrack-cell/tests/agent.rs
+++ b/crates/teaseltrack-cell/tests/agent.rs
@@ -1,16 +1,19 @@
-//! Tests of the agent's async task with a worker that restarts while responses are in flight, or
-//! whose capacity changes.
+//! Tests of the agent's async task with a worker that restarts while responses are in flight, whose
+//! capacity changes, or whose availability zone is evacuated.
 
 use std::{
     future::pending,
     sync::{Arc, Mutex},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use futures::future::BoxFuture;
 use teaseltrack::{
-    cell::protocol::{
-        Order, Report, ReportResponse, StartOrder, TaskName, WorkerListing, WorkerStatus,
+    cell::{
+        evacuation::EvacuationNotice,
+        protocol::{
+            Order, Report, ReportResponse, StartOrder, TaskName, WorkerListing, WorkerStatus,
+        },
     },
     clock::SystemClock,
     placement::Resources,
@@ -27,6 +30,7 @@
     time::{sleep, timeout},
 };
 use tokio_util::sync::CancellationToken;
+use yare::parameterized;
 
 /// Far longer than the agent needs to handle an event, so that the test passes on a loaded machine.
 const TIMEOUT: Duration = Duration::from_secs(20);
@@ -70,6 +74,7 @@
         incarnation: status(started_unix_ms).incarnation(),
         is_poll: false,
         refused_count: 0,
+        sent_at: Instant::now(),
         response: Some(Box::new(response)),
     }
 }
@@ -348,3 +353,65 @@
     }
     assert!((1..20).contains(&start_count), "{start_count} starts");
 }
+
+fn notice(version: u64, is_evacuated: bool) -> EvacuationNotice {
+    EvacuationNotice { version, is_evacuated, valid_for_ms: Some(60_000) }
+}
+
+/// Guards against starts by orders that an owner has sent before it learned of an evacuation, or that it
+/// has sent without knowing of one for too long.
+#[parameterized(
+    evacuated = { notice(2, true) },
+    expired = { EvacuationNotice { valid_for_ms: Some(0), ..notice(2, false) } },
+)]
+#[test_macro(tokio::test)]
+async fn send_start_refuses_an_order_without_permission(evacuation: EvacuationNotice) {
+    let response = ReportResponse { evacuation, ..orders(vec![start(0, CAPACITY)]) };
+    let mut owner = TestOwner::start(response).await;
+    let (calls, mut worker_calls) = mpsc::unbounded_channel();
+    let agent = TestAgent::start(owner.known_owner.clone(), |_| worker(calls));
+    agent.send(heartbeat(1)).await;
+    let report = owner.report(|report| !report.refused.is_empty()).await;
+    assert_eq!(report.refused[0].task.index, 0);
+    assert!(worker_calls.try_recv().is_err());
+}
+
+/// Guards against starts that wait in the agent for other calls when the evacuation becomes known, also
+/// if an older response arrives after that.
+#[tokio::test]
+async fn send_start_refuses_a_waiting_order_after_the_evacuation_has_become_known() {
+    let (calls, mut worker_calls) = mpsc::unbounded_channel();
+    let worker = move |events: mpsc::Sender<AgentEvent>| -> WorkerAdapter {
+        Arc::new(move |call: AddressedCall| {
+            match &call.call {
+                WorkerCall::Start { .. } => {
+                    for evacuation in [notice(3, true), notice(2, false)] {
+                        let late = ReportResponse { evacuation, ..response(5, 0) };
+                        events.try_send(reported(1, late)).unwrap();
+                    }
+                    calls.send(call.call).ok();
+                }
+                WorkerCall::Stop { .. } => drop(calls.send(call.call)),
+                WorkerCall::Sync { .. } | WorkerCall::Pace { .. } => {}
+            }
+            let no_response: BoxFuture<'static, Result<_, WorkerError>> = Box::pin(pending());
+            no_response
+        })
+    };
+    let (_owner, known_owner) = watch::channel(KnownOwner::default());
+    let agent = TestAgent::start(known_owner, worker);
+    agent.send(heartbeat(1)).await;
+    let starts = (0..20).map(|index| start(index, CAPACITY)).collect();
+    let permitted = ReportResponse { evacuation: notice(2, false), ..orders(starts) };
+    agent.send(reported(1, permitted)).await;
+    let mut start_count = 0;
+    // Starts without a response time out and are stopped; stops wait behind all starts.
+    loop {
+        let call = timeout(TIMEOUT, worker_calls.recv()).await.expect("no call to the worker");
+        match call {
+            Some(WorkerCall::Start { .. }) => start_count += 1,
+            _ => break,
+        }
+    }
+    assert!((1..20).contains(&start_count), "{start_count} starts");
+}
--- a/crates/teaseltrack-cell/tests/candidate.rs
+++ b/crates/teaseltrack-cell/tests/candidate.rs
@@ -9,7 +9,7 @@
 
 use teaseltrack::{
     cell::{
-        job::{JobSpec, QueueConfiguration, Stage},
+        job::{JobSpec, Stage},
         ownership::{OwnerRecord, OwnershipSettings},
         progress::{JobProgress, JobState, TaskPhase, TaskProgress},
     },
@@ -18,7 +18,6 @@
 use teaseltrack_cell::{
     calls::KnownOwner,
     candidate::Candidate,
-    configuration::ConfigurationSource,
     constants::cell_settings,
     owner::OwnerContext,
     rows::{Submission, owner_key, progress_key, submission_key},
@@ -29,7 +28,7 @@
     time::{sleep, timeout},
 };
 use tokio_util::sync::CancellationToken;
-use util::{Rows, store};
+use util::{Rows, operator_source, store};
 
 const JOB: &str = "00000000000000aa";
 const OWNER: &str = "instance-1";
@@ -64,17 +63,12 @@
             store: store(rows),
             clock: Arc::new(SystemClock),
             wall_now: SystemTime::now,
-            cell: cell_settings(LEASE),
+            cell: cell_settings(LEASE, None),
             ownership: OwnershipSettings {
                 takeover_timeout: Duration::from_millis(300),
                 grant_period: Duration::from_secs(60),
             },
-            configuration: ConfigurationSource {
-                table: "configuration".to_owned(),
-                key: "configuration/0/active".to_owned(),
-                decode: Arc::new(|_| Ok(QueueConfiguration::default())),
-                version: |configuration| configuration.version,
-            },
+            operator: operator_source(),
             mailbox: watch::channel(None).0,
             logger: silent(),
             metrics: Metrics::scrape_only(),
--- a/crates/teaseltrack-cell/tests/util.rs
+++ b/crates/teaseltrack-cell/tests/util.rs
@@ -6,7 +6,8 @@
     time::Duration,
 };
 
-use teaseltrack::clock::SystemClock;
+use teaseltrack::{cell::job::QueueConfiguration, clock::SystemClock};
+use teaseltrack_cell::{configuration::ConfigurationSource, evacuation::OperatorSource};
 use teaseltrack_platform::store::{
     ChangePage, CommitOutcome, Row, RowChange, Store, StoreBudget, StoreCall, StoreError,
     StoreReply, Transaction,
@@ -18,9 +19,13 @@
 pub struct Rows {
     values: BTreeMap<String, Row>,
     history: Vec<RowChange>,
+    /// Version before which changes are forgotten.
+    forgotten_version: u64,
     version: u64,
     /// Number of responses to commits still to lose.
     pub lost_responses: u32,
+    /// Number of calls other than commits still to fail.
+    pub failing_reads: u32,
 }
 
 impl Rows {
@@ -30,6 +35,22 @@
         self.put_at(key, value, self.version);
     }
 
+    /// Deletes a row as another process would.
+    #[allow(dead_code, reason = "not all test programs use it")]
+    pub fn delete(&mut self, key: &str) {
+        self.version += 1;
+        self.values.remove(key);
+        self.history.push(RowChange { key: key.to_owned(), version: self.version, value: None });
+    }
+
+    /// Forgets all changes, so that followers must read the rows again.
+    #[allow(dead_code, reason = "not all test programs use it")]
+    pub fn forget_history(&mut self) {
+        self.version += 1;
+        self.forgotten_version = self.version;
+        self.history.clear();
+    }
+
     fn put_at(&mut self, key: &str, value: &str, version: u64) {
         let (key, value) = (key.to_owned(), value.to_owned());
         let row = Row { key: key.clone(), version, value: value.clone() };
@@ -74,11 +95,15 @@
         StoreReply::Changes(ChangePage {
             changes: self.history.iter().filter(is_included).cloned().collect(),
             version: self.version,
-            is_history_lost: false,
+            is_history_lost: after < self.forgotten_version,
         })
     }
 
     fn call(&mut self, call: StoreCall) -> Result<StoreReply, StoreError> {
+        if self.failing_reads > 0 && !call.is_write() {
+            self.failing_reads -= 1;
+            return Err(StoreError::Unavailable { message: "response lost".to_owned() });
+        }
         match call {
             StoreCall::Read { key } => Ok(self.rows(|other| other == key)),
             StoreCall::List { prefix, after, .. } => {
@@ -92,6 +117,20 @@
     }
 }
 
+/// Rows of the operator in the simulated store.
+#[allow(dead_code, reason = "not all test programs use it")]
+pub fn operator_source() -> OperatorSource<QueueConfiguration> {
+    OperatorSource {
+        configuration: ConfigurationSource {
+            table: "operator".to_owned(),
+            key: "operator/0/configuration".to_owned(),
+            decode: Arc::new(|_| Ok(QueueConfiguration::default())),
+            version: |configuration| configuration.version,
+        },
+        evacuation_prefix: "operator/0/evacuate/".to_owned(),
+    }
+}
+
 /// Client of a simulated store with a response time of 4 ms.
 pub fn store(rows: &Arc<Mutex<Rows>>) -> Store {
     let rows = rows.clone();
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -22,6 +22,7 @@
 use crate::{
     cell::{
         delegation::Delegation,
+        evacuation::{EvacuationSettings, EvacuationState},
         interference::{ImageUsage, InterferenceModel, InterferenceSettings},
         job::{JobId, JobSpec, Queue, QueueConfiguration, Stage},
         partition::CellId,
@@ -37,12 +38,13 @@
         tail_model::Tail,
         worker::{TaskKey, Worker},
     },
-    ids::{AttemptNumber, Epoch, InstanceId},
+    ids::{AttemptNumber, Epoch, InstanceId, ZoneName},
 };
 
 mod commits;
 pub mod delegation;
 mod durations;
+pub mod evacuation;
 pub mod health;
 pub mod interference;
 pub mod job;
@@ -103,6 +105,8 @@
     pub quarantine: quarantine::QuarantineSettings,
     /// Estimation of the interference between images.
     pub interference: InterferenceSettings,
+    /// Evacuation of availability zones; `None` if the owner doesn't follow requests for it.
+    pub evacuation: Option<EvacuationSettings>,
 }
 
 impl CellSettings {
@@ -321,6 +325,36 @@
         /// State that it reached.
         state: JobState,
     },
+    /// An availability zone is being evacuated.
+    EvacuationStarted {
+        /// The zone.
+        zone: ZoneName,
+        /// Number of the cell's workers in it.
+        worker_count: usize,
+        /// Number of their tasks.
+        task_count: usize,
+    },
+    /// An evacuated zone has no tasks left.
+    EvacuationEmptied {
+        /// The zone.
+        zone: ZoneName,
+        /// Time since the owner learned of the request.
+        elapsed: Duration,
+    },
+    /// The evacuation of a zone was taken back.
+    EvacuationEnded {
+        /// The zone.
+        zone: ZoneName,
+        /// Number of tasks that are still there.
+        task_count: usize,
+        /// Time since the owner learned of the request.
+        elapsed: Duration,
+    },
+    /// No worker of the cell is in an evacuated zone.
+    EvacuationUnknown {
+        /// The zone.
+        zone: ZoneName,
+    },
     /// The report of another cell's agent was ignored.
     ForeignReport {
         /// Agent that sent the report.
@@ -352,6 +386,10 @@
             Self::Suspected { .. } => "task_suspected",
             Self::Silent { .. } => "worker_silent",
             Self::State { state, .. } => state.name(),
+            Self::EvacuationStarted { .. } => "evacuation_started",
+            Self::EvacuationEmptied { .. } => "evacuation_emptied",
+            Self::EvacuationEnded { .. } => "evacuation_ended",
+            Self::EvacuationUnknown { .. } => "evacuation_unknown",
             Self::ForeignReport { .. } => "foreign_report",
             Self::Session { .. } => "session",
         }
@@ -385,6 +423,7 @@
     /// Workers that were silent for the previous owner.
     silent_workers: HashMap<WorkerIncarnation, SilentWorker>,
     interference: InterferenceModel,
+    evacuation: EvacuationState,
     maintained_at: Option<Instant>,
     regrouped_at: Option<Instant>,
     relocated_at: Option<Instant>,
@@ -407,6 +446,7 @@
             previous_leases_end: previous_grants_end + settings.worst_case_lease(),
             silent_workers: HashMap::new(),
             interference: InterferenceModel::new(settings.interference),
+            evacuation: EvacuationState::default(),
             maintained_at: None,
             regrouped_at: None,
             relocated_at: None,
@@ -569,6 +609,7 @@
             // once it reports under it.
             response.session = self.workers[key].session;
             response.first_order = 1;
+            response.evacuation = self.evacuation_notice(key, now);
             self.grant_lease(key, report.worker_clock_ms, may_grant, now, &mut response);
             return response;
         }
@@ -600,6 +641,7 @@
         response.forget_until = worker.committed_end;
         response.first_order = worker.first_order;
         response.orders = worker.orders.iter().take(MAX_ORDERS_PER_RESPONSE).cloned().collect();
+        response.evacuation = self.evacuation_notice(key, now);
         response
     }
 
@@ -615,15 +657,15 @@
 
     /// Response to a parked report: one without an immediate response, because there were no orders
     /// or committed ends to send. Grants no lease.
-    pub fn pending_update(&self, agent: &str) -> ReportResponse {
+    pub fn pending_update(&self, agent: &str, now: Instant) -> ReportResponse {
         let mut response = ReportResponse { epoch: self.epoch, ..ReportResponse::default() };
-        let Some(worker) = self.by_agent.get(agent).map(|key| &self.workers[*key]) else {
-            return response;
-        };
+        let Some(&key) = self.by_agent.get(agent) else { return response };
+        let worker = &self.workers[key];
         response.session = worker.session;
         response.forget_until = worker.committed_end;
         response.first_order = worker.first_order;
         response.orders = worker.orders.iter().take(MAX_ORDERS_PER_RESPONSE).cloned().collect();
+        response.evacuation = self.evacuation_notice(key, now);
         response
     }
 
@@ -648,6 +690,7 @@
             self.interference.update_estimates(now.duration_since(maintained_at), now);
             self.stop_stalled_runs(now);
             self.decay_slowdowns(now.duration_since(maintained_at));
+            self.review_evacuations(now);
             // Back-offs, waiting times and due occurrences change what planning decides without any
             // report.
             self.needs_plan = true;
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -148,14 +148,15 @@
 impl Cell {
     /// Runs a planning round: begins due occurrences, stops serving tasks on draining workers,
     /// isolates tasks that may have crashed a worker, assigns the other waiting tasks, gives a task to
-    /// each starved best-effort job, and, unless serving tasks were waiting, regroups them. Start
-    /// orders are sent after the next commit.
+    /// each starved best-effort job, and, unless serving tasks were waiting, moves one out of an
+    /// evacuated zone or regroups them. Start orders are sent after the next commit. Assigns nothing
+    /// while the requested evacuations aren't known.
     pub fn plan(&mut self, unix_now_ms: u64, now: Instant) {
         self.needs_plan = false;
         let next_due = self.begin_due_occurrences(unix_now_ms);
         // Callers choose the time, and it may be too late to be an `Instant`.
         self.next_due_at = next_due.and_then(|wait| now.checked_add(wait));
-        self.evacuate_draining_workers();
+        self.vacate_draining_workers();
         self.expire_recent_assignments(now);
         let eligible_workers = self.eligible_workers(now);
         if eligible_workers.is_empty() {
@@ -177,6 +178,9 @@
             self.relieve_starvation(candidate, &workers, now);
         }
         self.relocate_idle_tasks(&workers, now);
+        if !self.has_unplaced_tasks(&candidates) {
+            self.move_evacuated_task(&workers, now);
+        }
         if !is_serving_waiting {
             self.regroup(&workers, now);
         }
@@ -251,7 +255,7 @@
     }
 
     /// Stops serving tasks on draining workers.
-    fn evacuate_draining_workers(&mut self) {
+    fn vacate_draining_workers(&mut self) {
         let affected: Vec<TaskKey> = self
             .workers
             .values()
@@ -264,7 +268,22 @@
         }
     }
 
+    /// Whether batch or serving tasks wait for room.
+    fn has_unplaced_tasks(&self, candidates: &[Candidate]) -> bool {
+        let is_waiting = |task| self.task(task).is_some_and(Task::is_waiting);
+        candidates
+            .iter()
+            .filter(|candidate| candidate.rank.0 != TaskKind::BestEffort)
+            .flat_map(|candidate| {
+                candidate.waiting.iter().map(|&index| TaskKey { index, ..candidate.first_task })
+            })
+            .any(is_waiting)
+    }
+
     fn eligible_workers(&self, now: Instant) -> Vec<WorkerKey> {
+        if !self.knows_evacuations(now) {
+            return Vec::new();
+        }
         let is_eligible = |worker: &Worker| {
             worker.is_reconciled
                 && worker.is_reachable
@@ -272,7 +291,11 @@
                 && now.duration_since(worker.last_report_at) < self.settings.agent_timeout
                 && worker.ineligible_until.is_none_or(|until| until <= now)
         };
-        self.workers.iter().filter(|(_, worker)| is_eligible(worker)).map(|(key, _)| key).collect()
+        self.workers
+            .iter()
+            .filter(|(key, worker)| is_eligible(worker) && !self.is_evacuated(*key))
+            .map(|(key, _)| key)
+            .collect()
     }
 
     fn candidates(&self, now: Instant) -> Vec<Candidate> {
@@ -444,12 +467,12 @@
         self.record_assignment(key);
     }
 
-    /// Share of a service's CPU that is reserved by tasks.
+    /// Share of a service's CPU outside evacuated zones that is reserved by tasks.
     pub(super) fn reserved_share(&self, service: &str) -> f64 {
         let (mut reserved_milli, mut capacity_milli) = (0, 0);
-        for worker in self.workers.values() {
+        for (key, worker) in &self.workers {
             let Some(status) = worker.status.as_ref() else { continue };
-            if status.service == service {
+            if status.service == service && !self.is_evacuated(key) {
                 reserved_milli += worker.reserved.cpu_milli;
                 capacity_milli += status.capacity.cpu_milli;
             }
--- a/crates/teaseltrack/src/cell/protocol.rs
+++ b/crates/teaseltrack/src/cell/protocol.rs
@@ -11,8 +11,8 @@
 
 use crate::{
     cell::{
-        interference::InterferenceEstimates, job::JobId, partition::CellId,
-        progress::WorkerIncarnation,
+        evacuation::EvacuationNotice, interference::InterferenceEstimates, job::JobId,
+        partition::CellId, progress::WorkerIncarnation,
     },
     ids::{AttemptNumber, Epoch, InstanceId, ServiceName, ZoneName},
     placement::Resources,
@@ -60,6 +60,9 @@
     pub is_draining: bool,
     /// Minimum time until shutdown, if draining.
     pub remaining_ms: Option<u64>,
+    /// Whether the worker is slow because it has just started.
+    #[serde(default)]
+    pub is_cold: bool,
 }
 
 impl WorkerStatus {
@@ -253,4 +256,7 @@
     pub is_store_lost: bool,
     /// Address of the owner, if the responding process has it.
     pub owner_address: Option<String>,
+    /// Evacuation of the worker's availability zone.
+    #[serde(default)]
+    pub evacuation: EvacuationNotice,
 }
--- a/crates/teaseltrack/src/cell/quote.rs
+++ b/crates/teaseltrack/src/cell/quote.rs
@@ -61,8 +61,12 @@
     /// Quote for a job with the given stages. Serving tasks that have just begun to wait count as
     /// placed first; those that have waited for longer don't fit into the free capacity.
     pub fn quote(&self, stages: &[StageDemand], service: &str, now: Instant) -> Quote {
-        let workers: Vec<&Worker> =
-            self.workers.values().filter(|worker| worker.is_available_to(service)).collect();
+        let workers: Vec<&Worker> = self
+            .workers
+            .iter()
+            .filter(|(key, worker)| worker.is_available_to(service) && !self.is_evacuated(*key))
+            .map(|(_, worker)| worker)
+            .collect();
         let waiting_count = self.new_serving_count(service, now);
         let unplaceable_count = stages
             .iter()
--- a/crates/teaseltrack/src/cell/regrouping.rs
+++ b/crates/teaseltrack/src/cell/regrouping.rs
@@ -27,6 +27,11 @@
         }
         self.regrouped_at = Some(now);
         let Some((task, from)) = self.next_move(workers, now) else { return };
+        self.move_task(task, from, now);
+    }
+
+    /// Stops a serving task so that it can be placed on another worker.
+    pub(super) fn move_task(&mut self, task: TaskKey, from: WorkerKey, now: Instant) {
         let Some(name) = self.name_of(task) else { return };
         let Some(stopped) = self.task_mut(task) else { return };
         stopped.avoided_worker = Some(from);
@@ -87,12 +92,16 @@
     /// none now.
     fn may_move(&self, key: TaskKey, now: Instant) -> bool {
         let cooldown = self.settings.planning.move_cooldown;
+        let moved_at = self.task(key).and_then(|task| task.moved_at);
+        moved_at.is_none_or(|at| now.duration_since(at) >= cooldown) && self.tolerates_move(key)
+    }
+
+    /// Whether the task's stage tolerates an unavailable task and has none now.
+    pub(super) fn tolerates_move(&self, key: TaskKey) -> bool {
         let is_serving = |run: &Run| run.is_listed && !run.is_stopping && run.percent >= 100;
-        let Some(task) = self.task(key) else { return false };
         let tasks =
             &self.jobs[key.job].occurrences[key.occurrence as usize].stages[key.stage as usize];
-        task.moved_at.is_none_or(|at| now.duration_since(at) >= cooldown)
-            && self.stage(key).max_unavailable != Some(0)
+        self.stage(key).max_unavailable != Some(0)
             && tasks.iter().all(|task| {
                 matches!(task.progress.phase, TaskPhase::Delegated(_))
                     || task.run.as_ref().is_some_and(is_serving)
--- a/crates/teaseltrack/src/cell/relocation.rs
+++ b/crates/teaseltrack/src/cell/relocation.rs
@@ -27,7 +27,8 @@
         }
         self.relocated_at = Some(now);
         let mut targets: BTreeSet<WorkerKey> = BTreeSet::new();
-        for &source in workers {
+        let sources = workers.iter().copied().chain(self.evacuated_workers());
+        for source in sources.collect::<Vec<WorkerKey>>() {
             for task in self.idle_tasks(&self.workers[source], now) {
                 let candidates: Vec<WorkerKey> = workers
                     .iter()
--- a/crates/teaseltrack/src/cell/scoring.rs
+++ b/crates/teaseltrack/src/cell/scoring.rs
@@ -92,7 +92,10 @@
             stage.required_label.as_ref().is_none_or(|label| status.labels.contains(label));
         let is_below_limit =
             stage.max_per_worker.is_none_or(|max| worker.stage_task_count(key) < max);
-        has_label && is_below_limit && worker.can_fit(&reserved_resources(stage))
+        has_label
+            && is_below_limit
+            && worker.can_fit(&reserved_resources(stage))
+            && !self.is_cold_limit_reached(worker)
     }
 
     /// Scores a worker for a task; `None` if the task can't be placed there.
@@ -129,7 +132,8 @@
         };
         let is_data_local =
             stage.data_rack.as_ref().is_some_and(|rack| status.labels.contains(rack));
-        let is_slow = worker.slowdown > self.settings.health.slowdown_threshold;
+        let is_slow =
+            worker.slowdown > self.settings.health.slowdown_threshold || self.is_warming_up(worker);
         let is_avoided =
             self.task(key).and_then(|task| task.avoided_worker).is_some_and(|avoided_key| {
                 self.workers
--- a/crates/teaseltrack/tests/cell/fleet.rs
+++ b/crates/teaseltrack/tests/cell/fleet.rs
@@ -15,7 +15,8 @@
 use rand_chacha::ChaCha8Rng;
 use teaseltrack::{
     cell::{
-        Cell, CommitBatch, StoredJob,
+        Cell, CellSettings, CommitBatch, StoredJob,
+        evacuation::{EvacuationNotice, EvacuationSettings, Evacuations},
         job::{JobSpec, Queue, QueueConfiguration, Stage},
         ownership::SilentWorkerRecord,
         progress::{JobProgress, WorkerRecord},
@@ -132,6 +133,11 @@
     /// Earlier capacities, with the time at which each was replaced.
     pub earlier_capacities: Vec<(u64, Resources)>,
     pub next_heartbeat_ms: u64,
+    pub zone: String,
+    pub is_cold: bool,
+    /// Completed share of all runs, as listed.
+    pub percent: u32,
+    pub evacuation: EvacuationNotice,
 }
 
 impl Instance {
@@ -167,7 +173,7 @@
             task: task.clone(),
             attempt: *attempt,
             checkpoint: String::new(),
-            percent: 10,
+            percent: self.percent,
             gauge: 0,
         });
         Report {
@@ -179,6 +185,8 @@
                 started_unix_ms: self.incarnation,
                 service: "service".to_owned(),
                 capacity: self.announced_capacity,
+                zone: self.zone.clone(),
+                is_cold: self.is_cold,
                 ..WorkerStatus::default()
             }),
             worker_clock_ms: self.last_clock_ms.unwrap_or(self.clock_ms),
@@ -217,8 +225,29 @@
     pub previous: Option<(Cell, Instant)>,
 }
 
+/// Time from the acknowledgement of an evacuation until nothing starts any more.
+pub const EVACUATION_BOUND: Duration = Duration::from_secs(5);
+
+pub const EVACUATION_SETTINGS: EvacuationSettings = EvacuationSettings {
+    max_age: Some(Duration::from_secs(4)),
+    move_interval: Duration::from_millis(300),
+    unknown_zone_wait: Duration::from_secs(2),
+    max_cold_starts: 2,
+};
+
+/// Stored evacuation requests, with the time at which each was acknowledged.
+#[derive(Default)]
+pub struct Requests {
+    pub version: u64,
+    pub zones: BTreeMap<String, Instant>,
+    /// Whether the owner can't read the requests.
+    pub is_cut: bool,
+}
+
 /// Simulated workers and agents, the owner and its committed progress.
 pub struct Fleet {
+    pub settings: CellSettings,
+    pub requests: Option<Requests>,
     pub rng: ChaCha8Rng,
     pub now: Instant,
     pub unix_now_ms: u64,
@@ -258,10 +287,13 @@
                 clock_ms: 1_000,
                 announced_capacity: CAPACITY,
                 capacity: CAPACITY,
+                percent: 10,
                 ..Instance::default()
             })
             .collect();
         Self {
+            settings: CELL_SETTINGS,
+            requests: None,
             rng: ChaCha8Rng::seed_from_u64(seed),
             now,
             unix_now_ms: 0,
@@ -301,6 +333,62 @@
         Self { slow_store: Some(slow_store), max_run_ms: 8_000, ..self }
     }
 
+    /// Divides the workers among zones, whose evacuations the owner follows.
+    pub fn with_zones(mut self, zones: &[&str]) -> Self {
+        for (index, instance) in self.instances.iter_mut().enumerate() {
+            instance.zone = zones[index % zones.len()].to_owned();
+        }
+        self.settings.evacuation = Some(EVACUATION_SETTINGS);
+        self.cell = Cell::new(0, self.settings, 1, configuration(), self.now);
+        self.requests = Some(Requests::default());
+        self
+    }
+
+    /// Stores a request to evacuate a zone.
+    pub fn evacuate(&mut self, zone: &str) {
+        if let Some(requests) = &mut self.requests {
+            requests.version += 1;
+            requests.zones.entry(zone.to_owned()).or_insert(self.now);
+        }
+    }
+
+    /// Takes the evacuation of a zone back.
+    pub fn reopen(&mut self, zone: &str) {
+        if let Some(requests) = &mut self.requests {
+            requests.version += 1;
+            requests.zones.remove(zone);
+        }
+    }
+
+    pub fn set_requests_cut(&mut self, is_cut: bool) {
+        if let Some(requests) = &mut self.requests {
+            requests.is_cut = is_cut;
+        }
+    }
+
+    /// Lets the owner read the evacuation requests, if it can.
+    pub fn read_requests(&mut self) {
+        let Some(requests) = self.requests.as_ref().filter(|requests| !requests.is_cut) else {
+            return;
+        };
+        let zones = requests.zones.keys().cloned().collect();
+        let evacuations = Evacuations { version: requests.version, zones, current_at: self.now };
+        self.cell.apply_evacuations(evacuations, self.now);
+    }
+
+    /// Names of the tasks that run in a zone.
+    pub fn running_in(&self, zone: &str) -> BTreeSet<TaskName> {
+        let instances = self.instances.iter().filter(|instance| instance.zone == zone);
+        instances.flat_map(|instance| instance.running.keys().cloned()).collect()
+    }
+
+    fn check_evacuation(&self, index: usize, start: &StartOrder) {
+        let zone = &self.instances[index].zone;
+        let acknowledged_at = self.requests.as_ref().and_then(|requests| requests.zones.get(zone));
+        let is_late = acknowledged_at.is_some_and(|at| self.now > *at + EVACUATION_BOUND);
+        assert!(!is_late, "{} started in an evacuated zone", start.task);
+    }
+
     pub fn submit(&mut self, job: StoredJob) {
         self.jobs.insert(job.id.clone(), job.clone());
         self.cell.admit(job, self.now);
@@ -321,7 +409,7 @@
     pub fn start_owner(&mut self, grants_end: Instant) {
         self.epoch += 1;
         self.in_flight = None;
-        self.cell = Cell::new(0, CELL_SETTINGS, self.epoch, configuration(), grants_end);
+        self.cell = Cell::new(0, self.settings, self.epoch, configuration(), grants_end);
         self.cell.adopt_silent_workers(self.silent_workers.clone());
         self.cell.adopt_workers(self.workers.clone().into_iter().collect());
         for job in self.jobs.values() {
@@ -466,6 +554,7 @@
     pub fn step(&mut self) {
         self.now += STEP;
         self.unix_now_ms += STEP.as_millis() as u64;
+        self.read_requests();
         for index in 0..self.instances.len() {
             self.run_worker(index);
             let is_due = self.slow_store.is_none() || self.rng.random_bool(0.25);
@@ -559,6 +648,10 @@
         let instance = &mut self.instances[index];
         let is_responsive = instance.last_clock_ms.is_none() && instance.down_steps == 0;
         instance.refused.clear();
+        if response.evacuation.version >= instance.evacuation.version {
+            instance.evacuation = response.evacuation;
+        }
+        let valid_for_ms = response.evacuation.valid_for_ms;
         if response.session > instance.session {
             instance.session = response.session;
             instance.fence = instance.fence.max(response.session);
@@ -585,11 +678,11 @@
                 continue;
             }
             self.instances[index].accepted_order = number;
-            self.execute(index, order);
+            self.execute(index, order, valid_for_ms);
         }
     }
 
-    pub fn execute(&mut self, index: usize, order: Order) {
+    pub fn execute(&mut self, index: usize, order: Order, valid_for_ms: Option<u64>) {
         match order {
             Order::Start(start) => {
                 let instance = &mut self.instances[index];
@@ -602,6 +695,14 @@
                     });
                     return;
                 }
+                if instance.evacuation.is_evacuated || valid_for_ms == Some(0) {
+                    instance.refused.push(RefusedStart {
+                        task: start.task,
+                        attempt: start.attempt,
+                        reason: "zone may be evacuated".to_owned(),
+                    });
+                    return;
+                }
                 if instance.clock_ms >= instance.lease_until_ms {
                     instance.refused.push(RefusedStart {
                         task: start.task,
@@ -621,6 +722,7 @@
                     });
                     instance.delayed_starts.push((due_ms, fence, start));
                 } else {
+                    self.check_evacuation(index, &start);
                     self.start(index, fence, start);
                 }
             }
--- a/crates/teaseltrack/tests/util.rs
+++ b/crates/teaseltrack/tests/util.rs
@@ -71,4 +71,5 @@
         min_evidence: 10.0,
         variance_inflation: 1.5,
     },
+    evacuation: None,
 };
