--- a/crates/teaseltrack/src/cell/worker.rs
+++ b/crates/teaseltrack/src/cell/worker.rs
@@ -133,8 +133,8 @@
     pub orders: VecDeque<Order>,
     /// Sequence number of the first order in `orders`.
     pub first_order: u64,
-    /// Whether orders were added or ends committed since [`Cell::take_updated_agents`] was last
-    /// called.
+    /// Whether orders were added, ends committed or its zone's evacuation changed since
+    /// [`Cell::take_updated_agents`] was last called.
     ///
     /// [`Cell::take_updated_agents`]: crate::cell::Cell::take_updated_agents
     pub has_update: bool,
