Stop runs of lower priority for waiting tasks whose loss is imminent

Callers saw: a job of priority 0 waited for what ran, however much less the stop of a run of priority 2 would have cost.

Cause: nothing compared a waiting job with running work; work with a checkpoint was stopped only for moves.

Ruled out: victims of equal priority, serving tasks and members of gangs (docs/design/preemption.md says why).

Change: at the end of a planning round, the first waiting batch and serving stages may stop runs of queues with a lower priority, if the loss that they avoid is twice what the stops cost: delay of the victim's job and work thrown away. Batch jobs get room for all their waiting tasks or none. The room is held until the ends are listed, a task is stopped so once in 20 s, at most 8 runs a round. Queues of one priority are served as before.

Tests without a network: with the hold taken out, preempt_holds_the_room_until_both_runs_have_ended fails; with the cooldown taken out, preempt_leaves_a_task_in_peace_after_a_stop. Owners that end between a stop and its end: preempt_upholds_invariants_across_owners.

--- a/crates/teaseltrack-cell/src/constants.rs
+++ b/crates/teaseltrack-cell/src/constants.rs
@@ -5,7 +5,7 @@
 use teaseltrack::cell::{
     CellSettings, health::HealthSettings, interference::InterferenceSettings,
     ownership::OwnershipSettings, pacing::PacingSettings, partition::PartitionLimits,
-    planning::PlanningSettings, quarantine::QuarantineSettings,
+    planning::PlanningSettings, preemption::PreemptionSettings, quarantine::QuarantineSettings,
 };
 
 /// Maximum lease granted to a worker, unless the platform's limit is shorter. Covers a takeover and
@@ -145,6 +145,19 @@
     max_serving_wait: Duration::from_millis(1_500),
 };
 
+/// Pre-emption. A run stops within the platform's limit and a commit; a job that loses its room waits
+/// as long as the platform takes to start and restore it. A caller's work is delayed once, not again
+/// within the time of a long job.
+const PREEMPTION: PreemptionSettings = PreemptionSettings {
+    min_gain_ratio: 2.0,
+    stop_time: Duration::from_millis(400),
+    restore_time: Duration::from_millis(200),
+    hold_time: Duration::from_millis(2_000),
+    cooldown: Duration::from_secs(20),
+    interval: Duration::from_millis(200),
+    max_stops_per_round: 8,
+};
+
 /// Interference estimation. Interference changes within tens of seconds. Tails are averaged over
 /// half a second, so consecutive reports overlap and their noise is correlated.
 const INTERFERENCE: InterferenceSettings = InterferenceSettings {
@@ -167,6 +180,7 @@
         health: HEALTH,
         planning: PLANNING,
         quarantine: QUARANTINE,
+        preemption: PREEMPTION,
         interference: INTERFERENCE,
     }
 }
--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -468,6 +468,11 @@
                     info!(logger, "task is being moved to another worker"; "request_id" => &task.job,
                         "task" => %task, "attempt" => attempt, "worker" => worker);
                 }
+                CellEvent::Preempted { task, attempt, worker, newcomer, gain, cost } => {
+                    info!(logger, "run is being stopped for a waiting task of higher priority";
+                        "request_id" => &task.job, "task" => %task, "attempt" => attempt,
+                        "worker" => worker, "waiting" => %newcomer, "gain" => gain, "cost" => cost);
+                }
                 CellEvent::Reclaimed { task, attempt, worker, reason } => {
                     info!(logger, "task reclaimed"; "request_id" => &task.job, "task" => %task,
                         "attempt" => attempt, "worker" => worker, "reason" => reason);
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -51,6 +51,7 @@
 pub mod pacing;
 pub mod partition;
 pub mod planning;
+pub mod preemption;
 pub mod progress;
 pub mod protocol;
 pub mod quarantine;
@@ -102,6 +103,8 @@
     pub planning: planning::PlanningSettings,
     /// Isolation of tasks that may crash their workers.
     pub quarantine: quarantine::QuarantineSettings,
+    /// Stops of runs for waiting jobs of higher priority.
+    pub preemption: preemption::PreemptionSettings,
     /// Estimation of the interference between images.
     pub interference: InterferenceSettings,
 }
@@ -155,6 +158,8 @@
     avoided_worker: Option<WorkerKey>,
     /// Time of the last move by [`regrouping`].
     moved_at: Option<Instant>,
+    /// Time of the last stop by [`preemption`].
+    preempted_at: Option<Instant>,
     /// Duration of the completed run.
     run_time: Option<Duration>,
 }
@@ -282,6 +287,22 @@
         /// Worker incarnation of the run.
         worker: WorkerIncarnation,
     },
+    /// A run is being stopped to make room for a waiting task.
+    Preempted {
+        /// Name of the task.
+        task: TaskName,
+        /// Attempt of the run.
+        attempt: AttemptNumber,
+        /// Worker incarnation of the run.
+        worker: WorkerIncarnation,
+        /// Waiting task.
+        newcomer: TaskName,
+        /// What the waiting job's caller gains by the stops of one round, in the unit of
+        /// [`loss::job_value`].
+        gain: f64,
+        /// What the stops for the job cost, in the same unit.
+        cost: f64,
+    },
     /// A task was reclaimed from a worker that reported no end of its run.
     Reclaimed {
         /// Name of the task.
@@ -348,6 +369,7 @@
             Self::Ended { cause, .. } => cause.name(),
             Self::Stalled { .. } => "stalled",
             Self::Moved { .. } => "moved",
+            Self::Preempted { .. } => "preempted",
             Self::Reclaimed { .. } => "taken_back",
             Self::Suspected { is_given_up: true, .. } => "task_given_up",
             Self::Suspected { .. } => "task_suspected",
@@ -389,6 +411,7 @@
     maintained_at: Option<Instant>,
     regrouped_at: Option<Instant>,
     relocated_at: Option<Instant>,
+    preempted_at: Option<Instant>,
 }
 
 impl Cell {
@@ -411,6 +434,7 @@
             maintained_at: None,
             regrouped_at: None,
             relocated_at: None,
+            preempted_at: None,
             settings,
             epoch,
             session_count: 0,
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -106,7 +106,7 @@
     /// Key of the task with index 0, which identifies the stage.
     pub(super) first_task: TaskKey,
     /// Indexes of the waiting tasks that needn't be isolated.
-    waiting: Vec<u32>,
+    pub(super) waiting: Vec<u32>,
     /// Indexes of the waiting tasks that must be isolated.
     pub(super) suspects: Vec<u32>,
 }
@@ -146,7 +146,7 @@
 impl Cell {
     /// Runs a planning round: begins due occurrences, stops serving tasks on draining workers,
     /// isolates tasks that may have crashed a worker, assigns the other waiting tasks, gives a task to
-    /// each starved best-effort job, and, unless serving tasks were waiting, regroups them. Start
+    /// each starved best-effort job, stops runs for waiting jobs of higher priority, and, unless serving tasks were waiting, regroups them. Start
     /// orders are sent after the next commit.
     pub fn plan(&mut self, unix_now_ms: u64, now: Instant) {
         self.needs_plan = false;
@@ -155,6 +155,7 @@
         self.next_due_at = next_due.and_then(|wait| now.checked_add(wait));
         self.evacuate_draining_workers();
         self.expire_recent_assignments(now);
+        self.release_held_rooms(now);
         let eligible_workers = self.eligible_workers(now);
         if eligible_workers.is_empty() {
             return;
@@ -175,6 +176,7 @@
         for candidate in &candidates {
             self.relieve_starvation(candidate, &workers, now);
         }
+        self.preempt(&candidates, &workers, now);
         self.relocate_idle_tasks(&workers, now);
         if !is_serving_waiting {
             self.regroup(&workers, now);
@@ -364,7 +366,8 @@
         let max_serving_wait = self.settings.quarantine.max_serving_wait;
         let stage = self.stage(candidate.first_task).clone();
         let service = self.jobs[candidate.first_task.job].queue.service.clone();
-        if unplaceable.covers(&service, &stage) {
+        // A smaller task may have been kept out of the room that is held for this stage.
+        if unplaceable.covers(&service, &stage) && !self.has_held_room(candidate) {
             return;
         }
         let attempt = self.next_gang_attempt(candidate, &stage);
--- a/crates/teaseltrack/src/cell/scoring.rs
+++ b/crates/teaseltrack/src/cell/scoring.rs
@@ -84,6 +84,17 @@
         worker: &Worker,
         service: &str,
         (key, stage): (TaskKey, &Stage),
+    ) -> bool {
+        self.meets_constraints(worker, service, (key, stage))
+            && worker.can_fit_beside_held_rooms(key, &reserved_resources(stage))
+    }
+
+    /// Whether a worker meets a task's constraints other than its size.
+    pub(super) fn meets_constraints(
+        &self,
+        worker: &Worker,
+        service: &str,
+        (key, stage): (TaskKey, &Stage),
     ) -> bool {
         let Some(status) = worker.status.as_ref().filter(|status| status.service == service) else {
             return false;
@@ -92,7 +103,7 @@
             stage.required_label.as_ref().is_none_or(|label| status.labels.contains(label));
         let is_below_limit =
             stage.max_per_worker.is_none_or(|max| worker.stage_task_count(key) < max);
-        has_label && is_below_limit && worker.can_fit(&reserved_resources(stage))
+        has_label && is_below_limit
     }
 
     /// Scores a worker for a task; `None` if the task can't be placed there.
--- a/crates/teaseltrack/src/cell/worker.rs
+++ b/crates/teaseltrack/src/cell/worker.rs
@@ -59,6 +59,17 @@
     pub cpu_milli: u64,
 }
 
+/// Room of a worker that is held for a waiting task.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HeldRoom {
+    /// Waiting task.
+    pub task: TaskKey,
+    /// What it reserves.
+    pub required: Resources,
+    /// Time at which the room is released.
+    pub until: Instant,
+}
+
 /// Incarnation of a worker.
 #[derive(Clone, Debug)]
 pub struct Worker {
@@ -125,6 +136,8 @@
     pub best_effort_used_milli: u64,
     /// Recently assigned best-effort tasks, whose CPU use is not reported yet.
     pub recent_assignments: Vec<RecentAssignment>,
+    /// Rooms that are held for waiting tasks.
+    pub held_rooms: Vec<HeldRoom>,
     /// Tasks assigned to the worker.
     pub tasks: BTreeSet<TaskKey>,
     /// Orders that the agent has not accepted yet.
@@ -170,6 +183,7 @@
             best_effort_images: BTreeMap::new(),
             best_effort_used_milli: 0,
             recent_assignments: Vec::new(),
+            held_rooms: Vec::new(),
             tasks: BTreeSet::new(),
             orders: VecDeque::new(),
             first_order: 1,
@@ -251,6 +265,13 @@
         self.status.as_ref().is_some_and(|status| status.capacity.can_fit(&reserved))
     }
 
+    /// Whether the task, which reserves `required`, fits beside the rooms that are held for tasks of
+    /// other jobs.
+    pub fn can_fit_beside_held_rooms(&self, key: TaskKey, required: &Resources) -> bool {
+        let held = self.held_rooms.iter().filter(|held| held.task.job != key.job);
+        self.can_fit(&held.fold(*required, |sum, held| sum.plus(&held.required)))
+    }
+
     /// Number of tasks on the worker of the same stage as `key`.
     pub fn stage_task_count(&self, key: TaskKey) -> u32 {
         let first = TaskKey { index: 0, ..key };
--- a/crates/teaseltrack/tests/cell/main.rs
+++ b/crates/teaseltrack/tests/cell/main.rs
@@ -3,6 +3,7 @@
 mod capacities;
 mod fleet;
 mod owner_changes;
+mod preemption;
 mod quarantine;
 #[path = "../util.rs"]
 mod util;
--- a/crates/teaseltrack/tests/util.rs
+++ b/crates/teaseltrack/tests/util.rs
@@ -6,7 +6,7 @@
 use proptest::{prelude::ProptestConfig, test_runner::RngSeed};
 use teaseltrack::cell::{
     CellSettings, health::HealthSettings, interference::InterferenceSettings,
-    planning::PlanningSettings, quarantine::QuarantineSettings,
+    planning::PlanningSettings, preemption::PreemptionSettings, quarantine::QuarantineSettings,
 };
 
 /// Seed of all property tests, so that CI runs are reproducible.
@@ -64,6 +64,15 @@
         max_wait: Duration::from_millis(3_000),
         max_serving_wait: Duration::from_millis(1_500),
     },
+    preemption: PreemptionSettings {
+        min_gain_ratio: 2.0,
+        stop_time: Duration::from_millis(400),
+        restore_time: Duration::from_millis(200),
+        hold_time: Duration::from_millis(2_000),
+        cooldown: Duration::from_secs(20),
+        interval: Duration::from_millis(200),
+        max_stops_per_round: 8,
+    },
     interference: InterferenceSettings {
         half_life_s: 20.0,
         max_sample_interval: Duration::from_millis(1_500),
