Bound the search for room to pre-empt

Change: a round at most every 0.2 s, for at most 4 stages whose loss grows within 2 s; runs that hold nothing that is short are passed over first.

--- a/crates/teaseltrack-cell/src/constants.rs
+++ b/crates/teaseltrack-cell/src/constants.rs
@@ -155,6 +155,7 @@
     hold_time: Duration::from_millis(2_000),
     cooldown: Duration::from_secs(20),
     interval: Duration::from_millis(200),
+    max_stages_per_round: 4,
     max_stops_per_round: 8,
 };
 
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -411,7 +411,7 @@
     maintained_at: Option<Instant>,
     regrouped_at: Option<Instant>,
     relocated_at: Option<Instant>,
-    preempted_at: Option<Instant>,
+    preemption_checked_at: Option<Instant>,
 }
 
 impl Cell {
@@ -434,7 +434,7 @@
             maintained_at: None,
             regrouped_at: None,
             relocated_at: None,
-            preempted_at: None,
+            preemption_checked_at: None,
             settings,
             epoch,
             session_count: 0,
--- a/crates/teaseltrack/src/cell/preemption.rs
+++ b/crates/teaseltrack/src/cell/preemption.rs
@@ -36,8 +36,10 @@
     pub hold_time: Duration,
     /// Time for which a task that was pre-empted isn't pre-empted again.
     pub cooldown: Duration,
-    /// Minimum time between two rounds with pre-emptions.
+    /// Minimum time between two rounds.
     pub interval: Duration,
+    /// Maximum number of stages for which room is sought in one round.
+    pub max_stages_per_round: usize,
     /// Maximum number of runs stopped in one round.
     pub max_stops_per_round: usize,
 }
@@ -104,23 +106,29 @@
         now: Instant,
     ) {
         let settings = self.settings.preemption;
-        if self.preempted_at.is_some_and(|at| now.duration_since(at) < settings.interval) {
+        if self.preemption_checked_at.is_some_and(|at| now.duration_since(at) < settings.interval) {
             return;
         }
+        self.preemption_checked_at = Some(now);
         let lowest_priority = self.lowest_priority();
-        let mut stop_count = 0;
+        let (mut stage_count, mut stop_count) = (0, 0);
         for candidate in candidates {
             let priority = self.jobs[candidate.first_task.job].queue.priority;
             if lowest_priority.is_none_or(|lowest| priority >= lowest) {
                 continue;
             }
-            let Some((rooms, gain)) = self.plan_rooms(candidate, workers, now) else { continue };
+            let Some((job, waiting)) = self.imminent_loss(candidate, now) else { continue };
+            stage_count += 1;
+            if stage_count > settings.max_stages_per_round {
+                return;
+            }
+            let plan = self.plan_rooms(candidate, &job, &waiting, workers, now);
+            let Some((rooms, gain)) = plan else { continue };
             let count: usize = rooms.iter().map(|(_, room)| room.victims.len()).sum();
             if stop_count + count > settings.max_stops_per_round {
                 continue;
             }
             stop_count += count;
-            self.preempted_at = Some(now);
             for (task, room) in rooms {
                 self.make_room(task, &room, gain, now);
             }
@@ -133,45 +141,65 @@
         jobs.filter(|job| !job.state.is_final()).map(|job| job.queue.priority).max()
     }
 
-    /// Rooms for the stage's waiting tasks that are worth their stops, and what they gain: for all tasks of a batch stage,
-    /// or for as many serving tasks as possible. `None` if there are none.
-    fn plan_rooms(
+    /// Job and waiting tasks of a batch or serving stage for which stops may be worth while: its loss
+    /// grows if it waits for as long as a room is held.
+    fn imminent_loss(
         &self,
         candidate: &Candidate,
-        workers: &[WorkerKey],
         now: Instant,
-    ) -> Option<(Vec<(TaskKey, RoomPlan)>, f64)> {
+    ) -> Option<(WaitingJob, Vec<TaskKey>)> {
         let settings = self.settings.preemption;
         let stage = self.stage(candidate.first_task);
-        let kind = TaskKind::of(stage);
-        let mut job = self.waiting_job(candidate.first_task);
-        if kind == TaskKind::Serving {
-            // A serving job loses by every moment of waiting.
-            let time_to_lose = job.curve.worthless_after - job.curve.on_time_until;
-            (job.curve.on_time_until, job.curve.worthless_after) = (now, now + time_to_lose);
-        }
+        let is_serving = stage.is_long_running;
+        let may_wait = |key: TaskKey| {
+            let is_waiting = self.task(key).is_some_and(Task::is_waiting);
+            let reserve_wait = self.settings.planning.reserve_wait;
+            is_waiting && (!is_serving || self.has_waited(key, reserve_wait, now))
+        };
         let waiting: Vec<TaskKey> = candidate
             .waiting
             .iter()
             .map(|&index| TaskKey { index, ..candidate.first_task })
-            .filter(|key| self.task(*key).is_some_and(Task::is_waiting))
+            .filter(|key| may_wait(*key))
             .collect();
-        if kind == TaskKind::BestEffort || waiting.is_empty() || self.has_held_room(candidate) {
+        let is_out_of_question = TaskKind::of(stage) == TaskKind::BestEffort
+            || waiting.is_empty()
+            || self.has_held_room(candidate);
+        if is_out_of_question {
             return None;
         }
-        let is_serving = kind == TaskKind::Serving;
+        let mut job = self.waiting_job(candidate.first_task);
+        if is_serving {
+            // A serving job loses by every moment of waiting.
+            let time_to_lose = job.curve.worthless_after - job.curve.on_time_until;
+            (job.curve.on_time_until, job.curve.worthless_after) = (now, now + time_to_lose);
+        }
+        let gain = gain_by_stops(&job, settings.stop_time, settings.hold_time, now);
+        (gain > 0.0).then_some((job, waiting))
+    }
+
+    /// Rooms for the waiting tasks that are worth their stops, and what they gain: for all tasks of a
+    /// batch stage, or for as many serving tasks as possible. `None` if there are none.
+    fn plan_rooms(
+        &self,
+        candidate: &Candidate,
+        job: &WaitingJob,
+        waiting: &[TaskKey],
+        workers: &[WorkerKey],
+        now: Instant,
+    ) -> Option<(Vec<(TaskKey, RoomPlan)>, f64)> {
+        let settings = self.settings.preemption;
+        let stage = self.stage(candidate.first_task);
+        let is_serving = stage.is_long_running;
         let max_rooms = settings.max_stops_per_round;
         if !is_serving && waiting.len() > max_rooms {
             return None;
         }
         let mut rooms: Vec<(TaskKey, RoomPlan)> = Vec::new();
         for key in waiting.iter().copied().take(max_rooms) {
-            if is_serving && !self.has_waited(key, self.settings.planning.reserve_wait, now) {
-                continue;
-            }
             let plans: Vec<RoomPlan> = workers
                 .iter()
-                .filter_map(|worker| self.plan_room((key, stage), &job, *worker, &rooms, now))
+                .filter_map(|worker| self.plan_room((key, stage), job, *worker, &rooms, now))
                 .collect();
             let wait = plans.iter().map(|room| room.wait).min();
             let best = plans.into_iter().min_by(|a, b| a.cost.total_cmp(&b.cost));
@@ -185,7 +213,7 @@
             rooms.push((key, room));
         }
         let wait = rooms.iter().map(|(_, room)| room.wait).max()?;
-        let mut gain = gain_by_stops(&job, settings.stop_time, wait, now);
+        let mut gain = gain_by_stops(job, settings.stop_time, wait, now);
         if is_serving {
             gain *= rooms.len() as f64 / f64::from(stage.task_count.max(1));
         }
@@ -225,13 +253,13 @@
             .tasks
             .iter()
             .filter(|task| !planned.iter().any(|room| room.victims.contains(task)))
+            // Only a run that holds something that is short is worth a stop.
+            .filter(|task| has_common(&reserved_resources(self.stage(**task)), &excess))
             .filter_map(|task| {
                 let victim = self.victim(*task, newcomer.priority, now)?;
                 let cost = cost_of_stop(&victim, newcomer, absence, now);
                 let freed = reserved_resources(self.stage(*task));
-                // Only a run that holds something that is short is worth a stop.
-                let is_useful = has_common(&freed, &excess);
-                is_useful.then_some((cost, *task, victim.remaining, freed))
+                Some((cost, *task, victim.remaining, freed))
             })
             .collect();
         victims.sort_by(|a, b| a.0.total_cmp(&b.0));
@@ -256,10 +284,9 @@
         let stage = self.stage(key);
         let task = self.task(key)?;
         let run = task.run.as_ref()?;
-        let job = self.waiting_job(key);
         let is_cooling_down =
             task.preempted_at.is_some_and(|at| now.duration_since(at) < settings.cooldown);
-        let is_allowed = job.priority > newcomer_priority
+        let is_allowed = self.jobs[key.job].queue.priority > newcomer_priority
             && !self.jobs[key.job].state.is_final()
             && task.progress.phase != TaskPhase::Done
             && run.is_listed
@@ -270,6 +297,7 @@
         if !is_allowed {
             return None;
         }
+        let job = self.waiting_job(key);
         let run_time = self.expected_run_time(key.job, key.stage as usize);
         let done_share = f64::from(run.percent.min(100)) / 100.0;
         let done_time = run_time.mul_f64(done_share);
