--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -158,9 +158,9 @@
 impl Cell {
     /// Runs a planning round: begins due occurrences, stops serving tasks on draining workers,
     /// isolates tasks that may have crashed a worker, assigns the other waiting tasks, gives a task to
-    /// each starved best-effort job, and, unless serving tasks were waiting, moves one out of an
-    /// evacuated zone or regroups them. Start orders are sent after the next commit. Assigns nothing
-    /// while the requested evacuations aren't known.
+    /// each starved best-effort job, stops runs for waiting jobs of higher priority, and, unless serving
+    /// tasks were waiting, moves one out of an evacuated zone or regroups them. Start orders are sent
+    /// after the next commit. Assigns nothing while the requested evacuations aren't known.
     pub fn plan(&mut self, unix_now_ms: u64, now: Instant) {
         self.needs_plan = false;
         let next_due = self.begin_due_occurrences(unix_now_ms);
@@ -168,6 +168,7 @@
         self.next_due_at = next_due.and_then(|wait| now.checked_add(wait));
         self.vacate_draining_workers();
         self.expire_recent_assignments(now);
+        self.release_held_rooms(now);
         let eligible_workers = self.eligible_workers(now);
         if eligible_workers.is_empty() {
             return;
@@ -186,6 +187,7 @@
         for candidate in &candidates {
             self.relieve_starvation(candidate, &workers, now);
         }
+        self.preempt(&candidates, &workers, now);
         self.relocate_idle_tasks(&workers, now);
         if !self.has_unplaced_tasks(&candidates, now) {
             self.move_evacuated_task(&workers, now);
@@ -419,10 +421,11 @@
         let job = &self.jobs[candidate.first_task.job];
         let spec = job.spec.clone();
         let stage = &spec.stages[candidate.first_task.stage as usize];
-        if unplaceable.covers(&job.queue.service, stage) {
+        let service = job.queue.service.clone();
+        // A smaller task may have been kept out of the room that is held for this stage.
+        if unplaceable.covers(&service, stage) && !self.has_held_room(candidate) {
             return;
         }
-        let service = job.queue.service.clone();
         let attempt = self.next_gang_attempt(candidate, stage);
         let mut scores = StageScores::default();
         let mut placed = Vec::new();
--- a/crates/teaseltrack/tests/cell/main.rs
+++ b/crates/teaseltrack/tests/cell/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod owner_changes;
 mod placement;
+mod preemption;
 mod quarantine;
 #[path = "../util.rs"]
 mod util;
