Expect failed jobs of tasks that failed by themselves in a test of crashes

The events show no task given up: task/0/0/0 ended Failed on three workers, which the test's workers report for one run in twenty, and a queue allows three failures.

Change: a job must have failed if a task of it was reported as failed max_attempts times, and must have completed otherwise; no task may be given up, as before. That is as strict for what the test guards against, and stricter for jobs with such a task.

--- a/crates/teaseltrack/tests/cell/quarantine.rs
+++ b/crates/teaseltrack/tests/cell/quarantine.rs
@@ -1,16 +1,21 @@
 //! Tasks that crash their workers, and crashes by other causes.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use teaseltrack::{
-    cell::{CellEvent, job::Stage, progress::JobState, protocol::TaskName},
+    cell::{
+        CellEvent,
+        job::Stage,
+        progress::JobState,
+        protocol::{EndCause, TaskName},
+    },
     placement::Resources,
 };
 use yare::parameterized;
 
-use crate::fleet::{CAPACITY, Fleet, long_running, stage, stored_job};
+use crate::fleet::{CAPACITY, Fleet, long_running, queue, stage, stored_job};
 
 /// Name of the first task of a job's first stage.
 fn first_task(job: &str) -> TaskName {
@@ -128,9 +133,24 @@
         events.extend(fleet.cell.take_events());
     }
     assert_eq!(given_up(&events), BTreeSet::new());
+    // A job may only fail by the failures that the workers themselves reported.
+    let exhausted = exhausted_jobs(&events);
     for id in fleet.jobs.keys() {
-        assert_eq!(fleet.cell.state(id), Some(JobState::Completed), "{id}");
+        let expected = if exhausted.contains(id) { JobState::Failed } else { JobState::Completed };
+        assert_eq!(fleet.cell.state(id), Some(expected), "{id}");
+    }
+}
+
+/// Jobs with a task of which the workers reported as many failed runs as its queue allows.
+fn exhausted_jobs(events: &[CellEvent]) -> BTreeSet<String> {
+    let mut failures: BTreeMap<&TaskName, u32> = BTreeMap::new();
+    for event in events {
+        if let CellEvent::Ended { task, cause: EndCause::Failed, .. } = event {
+            *failures.entry(task).or_default() += 1;
+        }
     }
+    let is_exhausted = |(_, count): &(&TaskName, u32)| *count >= queue().max_attempts;
+    failures.into_iter().filter(is_exhausted).map(|(task, _)| task.job.clone()).collect()
 }
 
 /// Guards against tasks that are given up for crashes which another task may have caused.
