Learn run times, and prefer workers by what became of their runs

What callers saw: for the long jobs of two new users the declared estimate is far off, and it alone ordered best-effort jobs by remaining work.

Change: Cell::expected_run_time corrects the estimate by what ended runs took: earlier jobs of the queue, image and stage, the job's other stages, and done siblings, measured on the worker's clock and without pacing. expected_remaining adds the progress of a run. Cell::expected_slowdown combines the speed of a worker's runs, unfinished ones included, with its failure probability and its recent losses; placement prefers by steps of half a doubling in place of the threshold of 2.0. All of it decays, and no worker is left out: preference only orders.

What was ruled out: storing what was learned, since a new owner has learned again within the run time of one task; steps finer than half a doubling, which let the noise of single runs decide over free CPU.

Tests name their loads: a fifth of the workers slow, more tasks than sound workers have room for, a worker that fails 40%, tasks that fail everywhere, flapping by turns, and estimates that are too short, too long or paced. With preference taken out, the slow, failing and flapping cases fail; without shared blame, the case of tasks that fail everywhere does. The slow case first passed without preference, as slow workers are also fuller; its bound is now below what equal filling gives.

--- a/crates/teaseltrack-cell/src/constants.rs
+++ b/crates/teaseltrack-cell/src/constants.rs
@@ -131,7 +131,11 @@
     stall_timeout: Duration::from_millis(2_000),
     slowdown_weight: 0.3,
     slowdown_half_life_s: 4.0,
-    slowdown_threshold: 2.0,
+    failure_prior: 0.02,
+    failure_prior_weight: 2.0,
+    failure_half_life: Duration::from_secs(10),
+    trust_half_life: Duration::from_secs(4),
+    loss_half_life: Duration::from_secs(20),
 };
 
 /// Isolation of tasks that may crash their workers. A cleared run is in two listings, one report
--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -459,6 +459,7 @@
         let OwnerContext { logger, metrics, .. } = &self.context;
         metrics.gauge("jobs_open", self.cell.open_count() as u64);
         metrics.gauge("tasks_on_silent_workers", self.cell.silent_task_count() as u64);
+        metrics.gauge("workers_doubted", self.cell.doubted_worker_count() as u64);
         metrics.gauge("configuration_version", self.cell.configuration_version());
         for event in self.cell.take_events() {
             metrics.count_tagged("cell_events", "kind", event.name());
@@ -475,6 +476,15 @@
                     info!(logger, "stalled run is being stopped"; "request_id" => &task.job,
                         "task" => %task, "attempt" => attempt, "worker" => worker);
                 }
+                CellEvent::Doubt { worker, is_doubted, expected_slowdown } => {
+                    let message = if is_doubted {
+                        "worker is slow or unreliable; preferring others"
+                    } else {
+                        "worker is no longer slow or unreliable"
+                    };
+                    info!(logger, "{}", message; "worker" => worker,
+                        "expected_slowdown" => format!("{expected_slowdown:.2}"));
+                }
                 CellEvent::Moved { task, attempt, worker } => {
                     info!(logger, "task is being moved to another worker"; "request_id" => &task.job,
                         "task" => %task, "attempt" => attempt, "worker" => worker);
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -22,6 +22,7 @@
 use crate::{
     cell::{
         delegation::Delegation,
+        durations::{FactorEstimate, Histories, HistoryKey},
         interference::{ImageUsage, InterferenceModel, InterferenceSettings},
         job::{JobId, JobSpec, Queue, QueueConfiguration, Stage},
         partition::CellId,
@@ -55,6 +56,7 @@
 pub mod quarantine;
 pub mod quote;
 pub mod regrouping;
+pub mod reliability;
 pub mod relocation;
 pub mod scoring;
 pub mod silence;
@@ -128,6 +130,10 @@
     is_stopping: bool,
     /// Completed share of the work, as last listed.
     percent: u32,
+    /// Completed share of the work, as first listed.
+    first_percent: u32,
+    /// CPU time used between the listings, in core-milliseconds; not more than requested.
+    used_core_ms: f64,
     /// Tail latency or CPU use, as last listed; see [`RunningTask::gauge`].
     gauge: u64,
     first_listed_at: Option<Instant>,
@@ -154,8 +160,6 @@
     avoided_worker: Option<WorkerKey>,
     /// Time of the last move by [`regrouping`].
     moved_at: Option<Instant>,
-    /// Duration of the completed run.
-    run_time: Option<Duration>,
 }
 
 impl Task {
@@ -186,6 +190,10 @@
     may_have_waiting: bool,
     /// Number of done tasks by stage, over all occurrences; `None` until it is counted anew.
     done_counts: Option<Vec<usize>>,
+    /// Run times of the done tasks of each stage, as factors on the declared estimate.
+    stage_factors: Vec<FactorEstimate>,
+    /// What earlier jobs have shown about each stage.
+    histories: Vec<HistoryKey>,
     /// Whether only tasks that another cell has delegated belong to this one.
     is_partial: bool,
     /// Whether a run of any task is known to have started.
@@ -275,6 +283,16 @@
         /// Worker incarnation of the run.
         worker: WorkerIncarnation,
     },
+    /// Others are preferred to a worker from now on, because work is expected to take longer there,
+    /// or not any more.
+    Doubt {
+        /// Worker incarnation.
+        worker: WorkerIncarnation,
+        /// Whether others are preferred.
+        is_doubted: bool,
+        /// Expected time until work is done, in relation to a sound worker.
+        expected_slowdown: f64,
+    },
     /// A serving or paused best-effort task is being stopped so that it can be placed on another
     /// worker.
     Moved {
@@ -350,6 +368,8 @@
             Self::Assigned { .. } => "assigned",
             Self::Ended { cause, .. } => cause.name(),
             Self::Stalled { .. } => "stalled",
+            Self::Doubt { is_doubted: true, .. } => "worker_doubted",
+            Self::Doubt { .. } => "worker_trusted",
             Self::Moved { .. } => "moved",
             Self::Reclaimed { .. } => "taken_back",
             Self::Suspected { is_given_up: true, .. } => "task_given_up",
@@ -395,6 +415,9 @@
     /// Workers that were silent for the previous owner.
     silent_workers: HashMap<WorkerIncarnation, SilentWorker>,
     interference: InterferenceModel,
+    histories: Histories,
+    /// Decayed number of losses of each agent's worker, and when it was last changed.
+    losses: HashMap<InstanceId, (f64, Instant)>,
     maintained_at: Option<Instant>,
     regrouped_at: Option<Instant>,
     relocated_at: Option<Instant>,
@@ -417,6 +440,8 @@
             previous_leases_end: previous_grants_end + settings.worst_case_lease(),
             silent_workers: HashMap::new(),
             interference: InterferenceModel::new(settings.interference),
+            histories: Histories::default(),
+            losses: HashMap::new(),
             maintained_at: None,
             regrouped_at: None,
             relocated_at: None,
@@ -484,6 +509,8 @@
         let mut tasks = progress.occurrences.iter().flatten().flatten();
         let has_begun = tasks.any(|task| task.phase == TaskPhase::Done || task.ended_attempt > 0);
         let accepted_at = now.checked_sub(stored.age).unwrap_or(now);
+        let stage_factors = vec![FactorEstimate::default(); stored.spec.stages.len()];
+        let histories = self.histories.keys_of(&stored.spec, now);
         let key = self.jobs.insert(Job {
             id: stored.id.clone(),
             spec: Arc::new(stored.spec),
@@ -495,6 +522,8 @@
             is_dirty: false,
             may_have_waiting: true,
             done_counts: None,
+            stage_factors,
+            histories,
             is_partial: stored.is_partial,
             has_begun,
             uncommitted_starts: Vec::new(),
@@ -668,6 +697,7 @@
             .collect();
         for key in expired_workers {
             self.note_expired_suspects(key);
+            self.note_loss(key, now);
             self.invalidate_worker(key, "lease expired");
         }
         self.detect_silent_workers(now);
@@ -676,7 +706,9 @@
         if now.duration_since(maintained_at) >= MAINTENANCE_INTERVAL {
             self.interference.update_estimates(now.duration_since(maintained_at), now);
             self.stop_stalled_runs(now);
+            self.observe_progress();
             self.decay_slowdowns(now.duration_since(maintained_at));
+            self.decay_reliability(now.duration_since(maintained_at), now);
             // Back-offs, waiting times and due occurrences change what planning decides without any
             // report.
             self.needs_plan = true;
@@ -822,6 +854,10 @@
                 if worker.agent_started_unix_ms == report.started_unix_ms {
                     self.attribute_crash(current);
                 }
+                let status = self.workers[current].status.as_ref();
+                if status.is_none_or(|status| !status.is_draining) {
+                    self.note_loss(current, now);
+                }
                 self.invalidate_worker(current, "worker restarted");
                 self.remove_worker(current);
             }
@@ -830,7 +866,9 @@
         let key = match self.by_incarnation.get(&incarnation) {
             Some(&key) => key,
             None => {
-                let key = self.workers.insert(Worker::new(incarnation.clone(), now));
+                let mut worker = Worker::new(incarnation.clone(), now);
+                worker.recent_losses = self.loss_count(agent, now);
+                let key = self.workers.insert(worker);
                 self.by_incarnation.insert(incarnation, key);
                 key
             }
@@ -974,6 +1012,7 @@
             self.restore_completed_run(key, task_key, listed.attempt);
         }
         let mut was_suspect = false;
+        let cpu_milli = task_key.map_or(0, |key| self.stage(key).resources.cpu_milli);
         let is_wanted = task_key.is_some_and(|task_key| {
             let is_final = self.jobs[task_key.job].state.is_final();
             let Some(task) = self.task_mut(task_key) else { return false };
@@ -985,7 +1024,7 @@
             if !listed.checkpoint.is_empty() {
                 task.progress.checkpoint.clone_from(&listed.checkpoint);
             }
-            run.update_progress(listed, clock_ms, now);
+            run.update_progress(listed, clock_ms, cpu_milli, now);
             run.is_listed = true;
             run.session = session;
             let is_wanted = !run.is_stopping && !is_final;
@@ -1325,6 +1364,8 @@
             is_ordered: false,
             is_stopping: false,
             percent: 0,
+            first_percent: 0,
+            used_core_ms: 0.0,
             gauge: 0,
             first_listed_at: None,
             listed_clock_ms: None,
--- a/crates/teaseltrack/src/cell/health.rs
+++ b/crates/teaseltrack/src/cell/health.rs
@@ -1,13 +1,15 @@
 //! Detection of failing and slow workers and of stalled runs.
 //!
-//! A worker on which several runs in a row fail is put on probation and gets no new tasks. A
-//! worker's slowdown follows from run times relative to other tasks of the same stage. A stalled
-//! run is stopped, and its next attempt avoids the worker.
+//! A worker on which several runs in a row fail is put on probation and gets no new tasks. A stalled
+//! run is stopped, and its next attempt avoids the worker. Between sound workers and those on
+//! probation, [`reliability`] decides.
+//!
+//! [`reliability`]: crate::cell::reliability
 
 use std::time::{Duration, Instant};
 
 use crate::cell::{
-    Cell, CellEvent, Run, Task, WorkerKey,
+    Cell, CellEvent, Run, WorkerKey,
     protocol::{EndCause, RunningTask},
     worker::TaskKey,
 };
@@ -26,14 +28,34 @@
     pub slowdown_weight: f64,
     /// Half-life of a worker's slowdown, in seconds.
     pub slowdown_half_life_s: f64,
-    /// Slowdown above which other workers are preferred.
-    pub slowdown_threshold: f64,
+    /// Failure probability of a run on a sound worker.
+    pub failure_prior: f64,
+    /// Weight of `failure_prior`, in runs.
+    pub failure_prior_weight: f64,
+    /// Time after which an ended run counts half in a worker's failure probability.
+    pub failure_half_life: Duration,
+    /// Time after which a worker that was lost is distrusted half as much.
+    pub trust_half_life: Duration,
+    /// Time after which an earlier loss counts half when a worker comes back.
+    pub loss_half_life: Duration,
 }
 
 impl Run {
     /// Updates the run from the worker's listing. A gauge of 0 restarts the stall timeout, because a
     /// run that gets no CPU can make no progress.
-    pub(super) fn update_progress(&mut self, listed: &RunningTask, clock_ms: u64, now: Instant) {
+    pub(super) fn update_progress(
+        &mut self,
+        listed: &RunningTask,
+        clock_ms: u64,
+        cpu_milli: u64,
+        now: Instant,
+    ) {
+        if self.listed_clock_ms.is_none() {
+            self.first_percent = listed.percent;
+        }
+        let last_ms = self.listed_clock_ms.map_or(clock_ms, |(_, last_ms)| last_ms);
+        let elapsed_ms = clock_ms.saturating_sub(last_ms);
+        self.used_core_ms += (listed.gauge.min(cpu_milli) * elapsed_ms) as f64 / 1_000.0;
         if self.percent != listed.percent || self.progressed_at.is_none() || listed.gauge == 0 {
             self.progressed_at = Some(now);
         }
@@ -69,9 +91,11 @@
         let settings = self.settings.health;
         match cause {
             EndCause::Failed => {
-                if let Some(task) = self.task_mut(task_key) {
-                    task.avoided_worker = Some(key);
-                }
+                let previous = self.task_mut(task_key).and_then(|task| {
+                    let has_failed = task.progress.failure_count > 0;
+                    task.avoided_worker.replace(key).filter(|_| has_failed)
+                });
+                self.note_failure(key, previous);
                 let worker = &mut self.workers[key];
                 worker.consecutive_failures += 1;
                 if worker.consecutive_failures >= settings.failure_threshold {
@@ -80,45 +104,12 @@
             }
             EndCause::Done => {
                 self.workers[key].consecutive_failures = 0;
-                self.update_slowdown(key, task_key, now);
+                self.note_completion(key, task_key, now);
             }
             EndCause::Stopped | EndCause::Lapsed | EndCause::Broken | EndCause::Alone => {}
         }
     }
 
-    fn update_slowdown(&mut self, key: WorkerKey, task_key: TaskKey, now: Instant) {
-        if self.stage(task_key).is_best_effort {
-            return;
-        }
-        let weight = self.settings.health.slowdown_weight;
-        let Some(task) = self.task_mut(task_key) else { return };
-        let first_listed_at = task.run.as_ref().and_then(|run| run.first_listed_at);
-        let Some(run_time) =
-            first_listed_at.map(|first_listed_at| now.duration_since(first_listed_at))
-        else {
-            return;
-        };
-        task.run_time = Some(run_time);
-        let Some(median) = self.median_run_time(task_key) else { return };
-        // Medians below 50 ms count as 50 ms, so that short runs yield no extreme ratios.
-        let ratio = run_time.as_secs_f64() / median.as_secs_f64().max(0.05);
-        let worker = &mut self.workers[key];
-        worker.slowdown += weight * (ratio - worker.slowdown);
-    }
-
-    /// Median run time of the stage's other tasks that are done.
-    fn median_run_time(&self, key: TaskKey) -> Option<Duration> {
-        let occurrence = self.jobs[key.job].occurrences.get(key.occurrence as usize)?;
-        let tasks: &[Task] = occurrence.stages.get(key.stage as usize)?;
-        let mut times: Vec<Duration> = (0_u32..)
-            .zip(tasks)
-            .filter(|(index, _)| *index != key.index)
-            .filter_map(|(_, task)| task.run_time)
-            .collect();
-        times.sort();
-        times.get(times.len() / 2).copied()
-    }
-
     /// Stops stalled runs of batch and best-effort tasks on reachable workers. Gang members are
     /// exempt.
     pub(super) fn stop_stalled_runs(&mut self, now: Instant) {
@@ -142,6 +133,7 @@
             let attempt = task.progress.attempt;
             let Some(worker) = task.run.as_ref().map(|run| run.worker) else { continue };
             task.avoided_worker = Some(worker);
+            self.note_failure(worker, None);
             let worker = self.workers[worker].incarnation.clone();
             self.events.push(CellEvent::Stalled { task: name, attempt, worker });
             self.stop_run(key);
--- a/crates/teaseltrack/src/cell/scoring.rs
+++ b/crates/teaseltrack/src/cell/scoring.rs
@@ -13,10 +13,16 @@
     worker::{TaskKey, Worker, reserved_resources},
 };
 
+/// Preference for a worker near the task's data: remote data takes about twice as long.
+const LOCALITY_PREFERENCE: i64 = 2;
+/// Penalty of a worker that the task avoids.
+const AVOIDANCE_PREFERENCE: i64 = 4;
+
 /// Score of a worker for a task; the highest is chosen. Fields are compared in order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct PlacementScore {
-    /// Data locality, less penalties for a slow worker and for one that the task avoids.
+    /// Data locality, less the doubt about the worker and a penalty for one that the task avoids, in
+    /// steps of half a doubling of the run time.
     preference: i64,
     /// Colocation with serving tasks.
     pub(super) colocation: Colocation,
@@ -190,14 +196,15 @@
         };
         let is_data_local =
             stage.data_rack.as_ref().is_some_and(|rack| status.labels.contains(rack));
-        let is_slow = worker.slowdown > self.settings.health.slowdown_threshold;
         let is_avoided =
             self.task(key).and_then(|task| task.avoided_worker).is_some_and(|avoided_key| {
                 self.workers
                     .get(avoided_key)
                     .is_some_and(|avoided| avoided.incarnation == worker.incarnation)
             });
-        let preference = i64::from(is_data_local) - i64::from(is_slow) - 2 * i64::from(is_avoided);
+        let preference = LOCALITY_PREFERENCE * i64::from(is_data_local)
+            - AVOIDANCE_PREFERENCE * i64::from(is_avoided)
+            - worker.doubt(&self.settings.health);
         Some(PlacementScore { preference, colocation, cpu_milli })
     }
 
--- a/crates/teaseltrack/src/cell/worker.rs
+++ b/crates/teaseltrack/src/cell/worker.rs
@@ -12,6 +12,7 @@
         job::Stage,
         progress::WorkerIncarnation,
         protocol::{Order, SessionToken, WorkerStatus},
+        reliability::Outcomes,
     },
     ids::InstanceId,
     placement::Resources,
@@ -105,8 +106,14 @@
     pub ineligible_until: Option<Instant>,
     /// Number of failed runs since the last completed one.
     pub consecutive_failures: u32,
-    /// Moving average of run times relative to the median of their stage; 1 for a typical worker.
+    /// Moving average of run times relative to the expected ones; 1 for a typical worker.
     pub slowdown: f64,
+    /// Ends of its runs, for its reliability.
+    pub outcomes: Outcomes,
+    /// Losses of the agent's worker, decayed since this incarnation began or last lapsed.
+    pub recent_losses: f64,
+    /// Whether other workers are preferred.
+    pub is_doubted: bool,
     /// Resources reserved by tasks.
     pub reserved: Resources,
     /// Requested CPU by kind of task.
@@ -169,6 +176,9 @@
             ineligible_until: None,
             consecutive_failures: 0,
             slowdown: 1.0,
+            outcomes: Outcomes::default(),
+            recent_losses: 0.0,
+            is_doubted: false,
             reserved: Resources::default(),
             demand: Demand::default(),
             serving_images: BTreeMap::new(),
--- a/crates/teaseltrack/tests/cell/main.rs
+++ b/crates/teaseltrack/tests/cell/main.rs
@@ -5,6 +5,7 @@
 mod owner_changes;
 mod placement;
 mod quarantine;
+mod reliability;
 #[path = "../util.rs"]
 mod util;
 
