--- a/crates/teaseltrack/tests/cell/main.rs
+++ b/crates/teaseltrack/tests/cell/main.rs
@@ -7,6 +7,7 @@
 mod placement;
 mod preemption;
 mod quarantine;
+mod reliability;
 #[path = "../util.rs"]
 mod util;
 
