Read the evacuations sooner after a lost answer

What callers saw: nothing yet. The gauges of evacuations are recorded with each tick of the owner rather than with each report.

--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -248,6 +248,7 @@
                 }
                 _ = ticks.tick() => {
                     self.cell.tick(self.context.clock.now());
+                    self.record_evacuations();
                     self.search_cells();
                 }
                 found = task_result(&mut self.searching) => {
@@ -457,16 +458,20 @@
         }
     }
 
+    fn record_evacuations(&self) {
+        let OwnerContext { metrics, clock, .. } = &self.context;
+        let evacuation_time = self.cell.evacuation_time(clock.now());
+        metrics.gauge("zones_evacuated", self.cell.evacuated_zone_count() as u64);
+        metrics.gauge("tasks_in_evacuated_zones", self.cell.evacuated_task_count() as u64);
+        metrics.gauge("evacuation_ms", evacuation_time.as_millis() as u64);
+    }
+
     /// Logs the cell's events and records them in metrics, with the gauges of the cell.
     fn record_events(&mut self) {
-        let OwnerContext { logger, metrics, clock, .. } = &self.context;
+        let OwnerContext { logger, metrics, .. } = &self.context;
         metrics.gauge("jobs_open", self.cell.open_count() as u64);
         metrics.gauge("tasks_on_silent_workers", self.cell.silent_task_count() as u64);
         metrics.gauge("configuration_version", self.cell.configuration_version());
-        let evacuation_time = self.cell.evacuation_time(clock.now());
-        metrics.gauge("zones_evacuated", self.cell.evacuated_zone_count() as u64);
-        metrics.gauge("tasks_in_evacuated_zones", self.cell.evacuated_task_count() as u64);
-        metrics.gauge("evacuation_ms", evacuation_time.as_millis() as u64);
         for event in self.cell.take_events() {
             metrics.count_tagged("cell_events", "kind", event.name());
             match event {
