Refuse start orders that a later order stops

What callers saw: nothing yet. Cause: an agent that couldn't fetch orders for a while gets the start and the stop of an attempt at once, and executed both. The same holds for starts of cancelled jobs. Change: the agent refuses a start that a later order of the same response stops; the owner releases its room. No message changes.

--- a/crates/teaseltrack-cell/src/agent.rs
+++ b/crates/teaseltrack-cell/src/agent.rs
@@ -560,10 +560,18 @@
             self.ended.retain(|end| end.number > response.forget_until);
             self.next_sync_at = now;
         }
-        for (number, order) in (response.first_order..).zip(response.orders) {
-            if number == self.accepted_order + 1 {
-                self.accepted_order = number;
-                self.execute_order(order);
+        let orders = response.orders;
+        for (number, order) in (response.first_order..).zip(&orders) {
+            if number != self.accepted_order + 1 {
+                continue;
+            }
+            self.accepted_order = number;
+            match order {
+                // Orders that couldn't be fetched for a while may have been overtaken.
+                Order::Start(start) if is_stopped(&orders, start) => {
+                    self.record_refusal(start, "stopped before its start");
+                }
+                order => self.execute_order(order.clone()),
             }
         }
     }
@@ -697,6 +705,12 @@
     }
 }
 
+/// Whether one of the orders stops the attempt.
+fn is_stopped(orders: &[Order], start: &StartOrder) -> bool {
+    let attempt = Some((&start.task, start.attempt));
+    orders.iter().any(|order| order.stopped_attempt() == attempt)
+}
+
 async fn with_timeout(
     limit: Duration,
     call: impl Future<Output = Result<WorkerResponse, WorkerError>>,
--- a/crates/teaseltrack-cell/tests/agent.rs
+++ b/crates/teaseltrack-cell/tests/agent.rs
@@ -54,10 +54,13 @@
     numbered_heartbeat(number, WorkerStatus { capacity, ..status(1) })
 }
 
+fn task(index: u32) -> TaskName {
+    TaskName { job: "job".to_owned(), occurrence: 0, stage: 0, index }
+}
+
 fn start(index: u32, planned_capacity: Resources) -> Order {
-    let task = TaskName { job: "job".to_owned(), occurrence: 0, stage: 0, index };
     Order::Start(StartOrder {
-        task,
+        task: task(index),
         attempt: 1,
         payload: String::new(),
         checkpoint: String::new(),
@@ -314,6 +317,22 @@
     assert_eq!(order.task.index, 1);
 }
 
+/// Guards against the start of a run that its owner has given up while the agent couldn't fetch orders.
+#[tokio::test]
+async fn handle_report_response_refuses_a_start_that_a_later_order_stops() {
+    let stop = Order::Stop(task(0), 1);
+    let mut owner =
+        TestOwner::start(orders(vec![start(0, CAPACITY), start(1, CAPACITY), stop])).await;
+    let (calls, mut worker_calls) = mpsc::unbounded_channel();
+    let agent = TestAgent::start(owner.known_owner.clone(), |_| worker(calls));
+    agent.send(heartbeat(1)).await;
+    let report = owner.report(|report| !report.refused.is_empty()).await;
+    assert_eq!(report.refused[0].task.index, 0);
+    let call = timeout(TIMEOUT, worker_calls.recv()).await.expect("no call to the worker");
+    let Some(WorkerCall::Start { order, .. }) = call else { panic!("not a start: {call:?}") };
+    assert_eq!(order.task.index, 1);
+}
+
 /// Guards against starts that wait in the agent for other calls while the capacity shrinks.
 #[tokio::test]
 async fn send_start_refuses_a_waiting_order_after_the_capacity_has_shrunk() {
--- a/crates/teaseltrack/src/cell/protocol.rs
+++ b/crates/teaseltrack/src/cell/protocol.rs
@@ -231,6 +231,16 @@
     Traits(SharingTraits),
 }
 
+impl Order {
+    /// Attempt that the order stops, if it is a stop order.
+    pub fn stopped_attempt(&self) -> Option<(&TaskName, AttemptNumber)> {
+        match self {
+            Self::Stop(task, attempt) => Some((task, *attempt)),
+            Self::Start(_) | Self::Traits(_) => None,
+        }
+    }
+}
+
 /// Response of the owner to a report.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ReportResponse {
