Copy slow runs of speculative stages

What callers saw: a quick job whose task sat on a slow, standing or silent worker waited for that worker, or for its lease, although the job allows copies. `is_speculative` wasn't used. A copy starts when the run's expected remaining time exceeds the whole time of a copy by a quarter, or its worker is silent, and only in room that no batch or serving task waits for. The first end that is done counts; the owner that comes next knows both runs. Jobs without the flag are placed and committed as before; one field is added to the progress row, absent without a copy. Guards taken out, each with a test seen to fail: the stage's flag, gang, kind; remaining time; waiting tasks; tasks that can't run anywhere; share of the CPU; silence; end after done; failure of the earlier attempt; last attempt. Without the stop of the copy on cancellation no test fails, because the next listing stops it as well.

--- a/crates/teaseltrack-cell/src/constants.rs
+++ b/crates/teaseltrack-cell/src/constants.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use teaseltrack::cell::{
-    CellSettings, health::HealthSettings, interference::InterferenceSettings,
+    CellSettings, copies::CopySettings, health::HealthSettings, interference::InterferenceSettings,
     ownership::OwnershipSettings, pacing::PacingSettings, partition::PartitionLimits,
     planning::PlanningSettings, quarantine::QuarantineSettings,
 };
@@ -145,6 +145,18 @@
     max_serving_wait: Duration::from_millis(1_500),
 };
 
+/// Copies of slow runs. A search costs a look at each task of the open jobs with speculative stages. A
+/// run's speed follows from at least two listings. A copy starts after a commit, its order and the
+/// call to the worker. Tasks that arrive next find as much CPU free as serving tasks leave them.
+const COPIES: CopySettings = CopySettings {
+    search_interval: Duration::from_millis(100),
+    min_observation: Duration::from_millis(250),
+    min_gain: 1.25,
+    start_delay: Duration::from_millis(200),
+    max_cpu_share: 0.05,
+    free_cpu_share: PLANNING.batch_reserve,
+};
+
 /// Interference estimation. Interference changes within tens of seconds. Tails are averaged over
 /// half a second, so consecutive reports overlap and their noise is correlated.
 const INTERFERENCE: InterferenceSettings = InterferenceSettings {
@@ -167,6 +179,7 @@
         health: HEALTH,
         planning: PLANNING,
         quarantine: QUARANTINE,
+        copies: COPIES,
         interference: INTERFERENCE,
     }
 }
--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -468,6 +468,19 @@
                     info!(logger, "task is being moved to another worker"; "request_id" => &task.job,
                         "task" => %task, "attempt" => attempt, "worker" => worker);
                 }
+                CellEvent::CopyStarted { task, attempt, worker, remaining, copy_time } => {
+                    info!(logger, "copy of a slow run assigned"; "request_id" => &task.job,
+                        "task" => %task, "attempt" => attempt, "worker" => worker,
+                        "run_remaining_ms" => remaining.as_millis() as u64,
+                        "copy_ms" => copy_time.as_millis() as u64);
+                }
+                CellEvent::CopySettled { task, attempt, worker, is_copy_first, lost_core_ms } => {
+                    metrics.time("copy_lost_core", Duration::from_millis(lost_core_ms));
+                    info!(logger, "one of two runs is done; stopping the other";
+                        "request_id" => &task.job, "task" => %task, "attempt" => attempt,
+                        "worker" => worker, "is_copy_first" => is_copy_first,
+                        "lost_core_ms" => lost_core_ms);
+                }
                 CellEvent::Reclaimed { task, attempt, worker, reason } => {
                     info!(logger, "task reclaimed"; "request_id" => &task.job, "task" => %task,
                         "attempt" => attempt, "worker" => worker, "reason" => reason);
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     cell::{
+        copies::TaskCopy,
         delegation::Delegation,
         interference::{ImageUsage, InterferenceModel, InterferenceSettings},
         job::{JobId, JobSpec, Queue, QueueConfiguration, Stage},
@@ -41,6 +42,7 @@
 };
 
 mod commits;
+pub mod copies;
 pub mod delegation;
 mod durations;
 pub mod health;
@@ -101,6 +103,8 @@
     pub planning: planning::PlanningSettings,
     /// Isolation of tasks that may crash their workers.
     pub quarantine: quarantine::QuarantineSettings,
+    /// Copies of slow runs.
+    pub copies: copies::CopySettings,
     /// Estimation of the interference between images.
     pub interference: InterferenceSettings,
 }
@@ -126,6 +130,8 @@
     is_ordered: bool,
     /// Whether the run has been ordered to stop.
     is_stopping: bool,
+    /// Completed share of the work, as first listed.
+    first_percent: u32,
     /// Completed share of the work, as last listed.
     percent: u32,
     /// Tail latency or CPU use, as last listed; see [`RunningTask::gauge`].
@@ -133,6 +139,8 @@
     first_listed_at: Option<Instant>,
     /// Readings of the worker's clock with the first and the last listing of the run.
     listed_clock_ms: Option<(u64, u64)>,
+    /// Reading of the worker's clock with the first listing of the present percentage.
+    progressed_clock_ms: u64,
     /// Start of the stall timeout.
     progressed_at: Option<Instant>,
     /// Time since which the run has been listed without CPU use.
@@ -146,6 +154,10 @@
     /// ([`Cell::progress_to_commit`]): with a new run, `phase` stays [`TaskPhase::Waiting`].
     progress: TaskProgress,
     run: Option<Run>,
+    /// Second run, only while there is a first one.
+    copy: Option<TaskCopy>,
+    /// Number of the last attempt that was started as a copy by this owner; 0 for none.
+    last_copy_attempt: AttemptNumber,
     /// Time at which planning first tried to place the task; cleared when its run ends.
     waiting_since: Option<Instant>,
     /// Whether the last crash under the task preceded the first listing of its run.
@@ -281,6 +293,32 @@
         /// Worker incarnation of the run.
         worker: WorkerIncarnation,
     },
+    /// A copy of a slow run was assigned to another worker.
+    CopyStarted {
+        /// Name of the task.
+        task: TaskName,
+        /// Attempt of the copy.
+        attempt: AttemptNumber,
+        /// Worker incarnation of the copy.
+        worker: WorkerIncarnation,
+        /// Expected time until the first run is done.
+        remaining: Duration,
+        /// Expected time until the copy is done.
+        copy_time: Duration,
+    },
+    /// One of a task's two runs was done, and the other one is being stopped.
+    CopySettled {
+        /// Name of the task.
+        task: TaskName,
+        /// Attempt of the run that was done.
+        attempt: AttemptNumber,
+        /// Worker incarnation of that run.
+        worker: WorkerIncarnation,
+        /// Whether that run is the copy.
+        is_copy_first: bool,
+        /// Work of the other run, which is lost, in core-milliseconds.
+        lost_core_ms: u64,
+    },
     /// A task was reclaimed from a worker that reported no end of its run.
     Reclaimed {
         /// Name of the task.
@@ -347,6 +385,9 @@
             Self::Ended { cause, .. } => cause.name(),
             Self::Stalled { .. } => "stalled",
             Self::Moved { .. } => "moved",
+            Self::CopyStarted { .. } => "copy_started",
+            Self::CopySettled { is_copy_first: true, .. } => "copy_won",
+            Self::CopySettled { .. } => "copy_lost",
             Self::Reclaimed { .. } => "taken_back",
             Self::Suspected { is_given_up: true, .. } => "task_given_up",
             Self::Suspected { .. } => "task_suspected",
@@ -388,6 +429,7 @@
     maintained_at: Option<Instant>,
     regrouped_at: Option<Instant>,
     relocated_at: Option<Instant>,
+    copies_searched_at: Option<Instant>,
 }
 
 impl Cell {
@@ -410,6 +452,7 @@
             maintained_at: None,
             regrouped_at: None,
             relocated_at: None,
+            copies_searched_at: None,
             settings,
             epoch,
             session_count: 0,
@@ -711,22 +754,30 @@
             let mut restored = Occurrence::default();
             for (stage, tasks) in stages.into_iter().enumerate() {
                 let mut restored_tasks = Vec::with_capacity(tasks.len());
-                for (index, progress) in tasks.into_iter().enumerate() {
-                    let run = match &progress.phase {
+                for (index, mut progress) in tasks.into_iter().enumerate() {
+                    let task = TaskKey {
+                        job: key,
+                        occurrence: occurrence as u32,
+                        stage: stage as u32,
+                        index: index as u32,
+                    };
+                    let mut run = match &progress.phase {
                         TaskPhase::Assigned(incarnation) => {
                             let worker = self.get_or_insert_worker(incarnation, lease_end, now);
-                            let task = TaskKey {
-                                job: key,
-                                occurrence: occurrence as u32,
-                                stage: stage as u32,
-                                index: index as u32,
-                            };
                             self.workers[worker].reserve(task, &spec.stages[stage]);
                             Some(Run { is_ordered: true, ..Run::new(worker, 0) })
                         }
                         TaskPhase::Waiting | TaskPhase::Done | TaskPhase::Delegated(_) => None,
                     };
-                    restored_tasks.push(Task { progress, run, ..Task::default() });
+                    let stage = &spec.stages[stage];
+                    let copy = self.restore_other_runs(
+                        task,
+                        stage,
+                        &mut progress,
+                        &mut run,
+                        (lease_end, now),
+                    );
+                    restored_tasks.push(Task { progress, run, copy, ..Task::default() });
                 }
                 restored.stages.push(restored_tasks);
             }
@@ -925,9 +976,10 @@
         for task in assigned {
             let is_listed = self
                 .task(task)
-                .and_then(|task| task.run.as_ref())
+                .and_then(|task| task.run_on(key))
                 .is_some_and(|run| run.is_listed && run.session == session);
             if !is_listed {
+                self.select_run(task, key);
                 self.reclaim_unstarted_task(task, "start order was not executed");
             }
         }
@@ -945,18 +997,15 @@
         let is_wanted = task_key.is_some_and(|task_key| {
             let is_final = self.jobs[task_key.job].state.is_final();
             let Some(task) = self.task_mut(task_key) else { return false };
-            let attempt = task.progress.attempt;
-            let Some(run) = task.run.as_mut() else { return false };
-            if run.worker != key || attempt != listed.attempt {
-                return false;
-            }
-            if !listed.checkpoint.is_empty() {
-                task.progress.checkpoint.clone_from(&listed.checkpoint);
-            }
+            let is_ahead = task.is_ahead(listed.attempt, listed.percent);
+            let Some(run) = task.run_mut(key, listed.attempt) else { return false };
             run.update_progress(listed, clock_ms, now);
             run.is_listed = true;
             run.session = session;
             let is_wanted = !run.is_stopping && !is_final;
+            if !listed.checkpoint.is_empty() && is_ahead {
+                task.progress.checkpoint.clone_from(&listed.checkpoint);
+            }
             was_suspect = task.clear_after_run(clearing_time);
             is_wanted
         });
@@ -978,12 +1027,15 @@
         if !worker.orders.contains(&stop) {
             worker.enqueue_order(stop);
         }
-        if let Some(run) =
-            task_key.and_then(|key| self.task_mut(key)).and_then(|task| task.run.as_mut())
+        let Some(task) = task_key.and_then(|key| self.task_mut(key)) else { return };
+        if let Some(run) = task.run.as_mut()
             && run.worker == key
         {
             run.is_stopping = true;
         }
+        if let Some(run) = task.run_mut(key, listed.attempt) {
+            run.is_stopping = true;
+        }
     }
 
     /// Reserves the resources of a listed run whose task a previous owner has committed as done: the
@@ -1016,32 +1068,39 @@
             worker: incarnation,
             cause: end.cause,
         });
-        let is_current = self.task(task_key).is_some_and(|task| {
-            task.progress.attempt == end.attempt
-                && task.run.as_ref().is_some_and(|run| run.worker == key)
-        });
+        let is_current =
+            self.task_mut(task_key).is_some_and(|task| task.run_mut(key, end.attempt).is_some());
+        let mut is_ahead = true;
         if is_current {
+            self.select_run(task_key, key);
+            if end.cause == EndCause::Done {
+                self.settle_copy(task_key, now);
+            }
             self.update_worker_health(key, task_key, end.cause, now);
+            is_ahead = self.task(task_key).is_some_and(Task::is_first_run_ahead);
             self.release_run(task_key);
         }
         let Some(task) = self.task_mut(task_key) else { return };
         if end.attempt <= task.progress.ended_attempt && !is_current {
             return;
         }
-        if !end.checkpoint.is_empty() {
+        if !end.checkpoint.is_empty() && is_ahead {
             task.progress.checkpoint.clone_from(&end.checkpoint);
         }
         if is_current && matches!(end.cause, EndCause::Done | EndCause::Failed) {
             task.clear_suspicion();
         }
-        let is_new = end.attempt > task.progress.ended_attempt;
+        // The end of a copy may precede that of an earlier attempt. After one of them is done, the
+        // end of the other one counts for nothing.
+        let is_counted = (end.attempt > task.progress.ended_attempt || is_current)
+            && task.progress.phase != TaskPhase::Done;
         task.progress.ended_attempt = task.progress.ended_attempt.max(end.attempt);
         self.jobs[task_key.job].is_dirty = true;
         self.jobs[task_key.job].has_begun = true;
         self.needs_plan = true;
         match end.cause {
             EndCause::Done => self.complete_task(task_key),
-            EndCause::Failed if is_new => self.record_failure(task_key),
+            EndCause::Failed if is_counted => self.record_failure(task_key),
             EndCause::Failed
             | EndCause::Stopped
             | EndCause::Lapsed
@@ -1061,6 +1120,7 @@
         for index in members {
             let member = TaskKey { index, ..key };
             self.stop_run(member);
+            self.stop_copy(member);
             if let Some(task) = self.task_mut(member) {
                 task.progress.phase = TaskPhase::Done;
                 task.progress.checkpoint.clear();
@@ -1091,13 +1151,13 @@
 
     fn process_refusal(&mut self, key: WorkerKey, refused: &RefusedStart, now: Instant) {
         let Some(task_key) = self.key_of(&refused.task) else { return };
-        let is_current = self.task(task_key).is_some_and(|task| {
-            task.progress.attempt == refused.attempt
-                && task.run.as_ref().is_some_and(|run| run.worker == key && !run.is_listed)
+        let is_current = self.task_mut(task_key).is_some_and(|task| {
+            task.run_mut(key, refused.attempt).is_some_and(|run| !run.is_listed)
         });
         if !is_current {
             return;
         }
+        self.select_run(task_key, key);
         self.workers[key].ineligible_until = Some(now + self.settings.refusal_backoff);
         self.reclaim_unstarted_task(task_key, &refused.reason);
     }
@@ -1107,6 +1167,7 @@
     fn invalidate_worker(&mut self, key: WorkerKey, reason: &str) {
         let tasks: Vec<TaskKey> = self.workers[key].tasks.iter().copied().collect();
         for task in tasks {
+            self.select_run(task, key);
             self.reclaim_task(task, reason);
             self.finalize_if_done(task.job);
         }
@@ -1164,6 +1225,7 @@
         {
             worker.release(key, stage);
         }
+        task.promote_copy();
         if task.progress.phase != TaskPhase::Done {
             task.progress.phase = TaskPhase::Waiting;
         }
@@ -1205,6 +1267,7 @@
         self.events.push(CellEvent::State { job: id, state });
         for task in self.task_keys(key) {
             self.stop_run(task);
+            self.stop_copy(task);
         }
         self.needs_plan = true;
     }
@@ -1288,10 +1351,12 @@
             is_listed: false,
             is_ordered: false,
             is_stopping: false,
+            first_percent: 0,
             percent: 0,
             gauge: 0,
             first_listed_at: None,
             listed_clock_ms: None,
+            progressed_clock_ms: 0,
             progressed_at: None,
             idle_since: None,
         }
--- a/crates/teaseltrack/src/cell/commits.rs
+++ b/crates/teaseltrack/src/cell/commits.rs
@@ -122,6 +122,8 @@
 
     fn progress_to_commit(&self, task: &Task) -> TaskProgress {
         let mut progress = task.progress.clone();
+        progress.other_runs = task
+            .other_runs(|worker| self.workers.get(worker).map(|worker| worker.incarnation.clone()));
         if let Some(worker) = task.run.as_ref().and_then(|run| self.workers.get(run.worker))
             && progress.phase != TaskPhase::Done
         {
@@ -133,6 +135,7 @@
     /// Sends the start order of a committed assignment, unless the task has been assigned anew since.
     fn enqueue_start(&mut self, start: UncommittedStart) {
         let UncommittedStart { worker: worker_key, task: key, attempt } = start;
+        self.select_run(key, worker_key);
         let Some(name) = self.name_of(key) else { return };
         let Some(worker) = self.workers.get(worker_key) else { return };
         let Some(status) = worker.status.as_ref() else { return };
--- a/crates/teaseltrack/src/cell/delegation.rs
+++ b/crates/teaseltrack/src/cell/delegation.rs
@@ -186,7 +186,7 @@
     }
 
     /// Stages of all occurrences, with the key of the task with index 0.
-    fn stages_of(&self, key: JobKey) -> impl Iterator<Item = (TaskKey, &Stage)> + '_ {
+    pub(super) fn stages_of(&self, key: JobKey) -> impl Iterator<Item = (TaskKey, &Stage)> + '_ {
         let job = &self.jobs[key];
         (0..job.occurrences.len() as u32).flat_map(move |occurrence| {
             (0..).zip(&job.spec.stages).map(move |(stage_number, stage)| {
--- a/crates/teaseltrack/src/cell/health.rs
+++ b/crates/teaseltrack/src/cell/health.rs
@@ -43,6 +43,12 @@
             self.idle_since = None;
         }
         self.first_listed_at.get_or_insert(now);
+        if self.listed_clock_ms.is_none() {
+            self.first_percent = listed.percent;
+        }
+        if self.listed_clock_ms.is_none() || self.percent != listed.percent {
+            self.progressed_clock_ms = clock_ms;
+        }
         let (first_ms, _) = *self.listed_clock_ms.get_or_insert((clock_ms, clock_ms));
         self.listed_clock_ms = Some((first_ms, clock_ms));
         self.percent = listed.percent;
@@ -123,24 +129,24 @@
     /// exempt.
     pub(super) fn stop_stalled_runs(&mut self, now: Instant) {
         let timeout = self.settings.health.stall_timeout;
-        let stalled: Vec<TaskKey> = self
+        let stalled: Vec<(WorkerKey, TaskKey)> = self
             .workers
-            .values()
-            .filter(|worker| worker.is_reachable)
-            .flat_map(|worker| worker.tasks.iter().copied())
-            .filter(|key| {
+            .iter()
+            .filter(|(_, worker)| worker.is_reachable)
+            .flat_map(|(key, worker)| worker.tasks.iter().map(move |task| (key, *task)))
+            .filter(|(worker, key)| {
                 let stage = self.stage(*key);
-                let run = self.task(*key).and_then(|task| task.run.as_ref());
+                let run = self.task(*key).and_then(|task| task.run_on(*worker));
                 !stage.is_long_running
                     && !stage.is_gang
                     && run.is_some_and(|run| run.is_stalled(timeout, now))
             })
             .collect();
-        for key in stalled {
+        for (worker, key) in stalled {
+            self.select_run(key, worker);
             let Some(name) = self.name_of(key) else { continue };
             let Some(task) = self.task_mut(key) else { continue };
             let attempt = task.progress.attempt;
-            let Some(worker) = task.run.as_ref().map(|run| run.worker) else { continue };
             task.avoided_worker = Some(worker);
             let worker = self.workers[worker].incarnation.clone();
             self.events.push(CellEvent::Stalled { task: name, attempt, worker });
--- a/crates/teaseltrack/src/cell/job.rs
+++ b/crates/teaseltrack/src/cell/job.rs
@@ -61,8 +61,8 @@
     pub is_gang: bool,
     /// Whether tasks run slower when spread across racks; not used by the scheduler.
     pub is_rack_local: bool,
-    /// Whether several copies of a task may run at the same time (speculative execution); not used
-    /// by the scheduler, which runs one copy.
+    /// Whether copies of a task may run at the same time, of which the first one that is done counts
+    /// (speculative execution).
     pub is_speculative: bool,
     /// Whether tasks run until the job is cancelled.
     pub is_long_running: bool,
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -108,7 +108,7 @@
     /// Key of the task with index 0, which identifies the stage.
     pub(super) first_task: TaskKey,
     /// Indexes of the waiting tasks that needn't be isolated.
-    waiting: Vec<u32>,
+    pub(super) waiting: Vec<u32>,
     /// Indexes of the waiting tasks that must be isolated.
     pub(super) suspects: Vec<u32>,
 }
@@ -148,8 +148,8 @@
 impl Cell {
     /// Runs a planning round: begins due occurrences, stops serving tasks on draining workers,
     /// isolates tasks that may have crashed a worker, assigns the other waiting tasks, gives a task to
-    /// each starved best-effort job, and, unless serving tasks were waiting, regroups them. Start
-    /// orders are sent after the next commit.
+    /// each starved best-effort job, starts copies of slow runs, and, unless serving tasks were
+    /// waiting, regroups them. Start orders are sent after the next commit.
     pub fn plan(&mut self, unix_now_ms: u64, now: Instant) {
         self.needs_plan = false;
         let next_due = self.begin_due_occurrences(unix_now_ms);
@@ -176,6 +176,7 @@
         for candidate in &candidates {
             self.relieve_starvation(candidate, &workers, now);
         }
+        self.copy_slow_runs(&candidates, &workers, now);
         self.relocate_idle_tasks(&workers, now);
         if !is_serving_waiting {
             self.regroup(&workers, now);
@@ -482,7 +483,7 @@
         Some(self.attempt_after(last))
     }
 
-    fn attempt_after(&self, last: AttemptNumber) -> AttemptNumber {
+    pub(super) fn attempt_after(&self, last: AttemptNumber) -> AttemptNumber {
         let base = (self.epoch.saturating_sub(1) as u32).saturating_mul(super::ATTEMPTS_PER_EPOCH);
         last.max(base) + 1
     }
@@ -497,7 +498,7 @@
         let worker = &mut self.workers[worker_key];
         worker.reserve(key, stage);
         let run = Run::new(worker_key, worker.session);
-        let last = self.task(key).map_or(0, |task| task.progress.attempt);
+        let last = self.task(key).map_or(0, Task::last_attempt);
         let attempt = attempt.unwrap_or_else(|| self.attempt_after(last));
         if let Some(task) = self.task_mut(key) {
             task.run = Some(run);
--- a/crates/teaseltrack/src/cell/progress.rs
+++ b/crates/teaseltrack/src/cell/progress.rs
@@ -102,6 +102,21 @@
     /// Last reported checkpoint; empty for none.
     #[serde(rename = "c", default, skip_serializing_if = "String::is_empty")]
     pub checkpoint: String,
+    /// Runs that haven't ended and that `phase` doesn't show: the second run of a task, and runs of a
+    /// completed task that are being stopped.
+    #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
+    pub other_runs: Vec<RunRecord>,
+}
+
+/// Run of a task.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunRecord {
+    /// Its attempt.
+    #[serde(rename = "n")]
+    pub attempt: AttemptNumber,
+    /// Its worker.
+    #[serde(rename = "w")]
+    pub worker: WorkerIncarnation,
 }
 
 fn is_zero(number: &u32) -> bool {
--- a/crates/teaseltrack/src/cell/quarantine.rs
+++ b/crates/teaseltrack/src/cell/quarantine.rs
@@ -39,7 +39,7 @@
 impl Run {
     /// Whether a crash of the worker can't be attributed to the run any more. The worker's clock
     /// decides, since an agent repeats the last listing of a crashed worker.
-    fn is_cleared(&self, clearing_time: Duration) -> bool {
+    pub(super) fn is_cleared(&self, clearing_time: Duration) -> bool {
         self.listed_clock_ms.is_some_and(|(first_ms, last_ms)| {
             Duration::from_millis(last_ms.saturating_sub(first_ms)) >= clearing_time
         })
@@ -78,7 +78,7 @@
     /// Suspects the runs of a crashed worker, and gives up tasks that have caused too many crashes.
     pub(super) fn attribute_crash(&mut self, key: WorkerKey) {
         let settings = self.settings.quarantine;
-        let mut suspects = self.uncleared_tasks(&self.workers[key]);
+        let mut suspects = self.uncleared_tasks(key);
         suspects.append(&mut self.workers[key].expired_suspects);
         let is_sole = suspects.len() == 1;
         let worker = self.workers[key].incarnation.clone();
@@ -90,7 +90,7 @@
                 continue;
             };
             task.has_crashed_unlisted =
-                task.run.as_ref().is_some_and(|run| run.listed_clock_ms.is_none());
+                task.run_on(key).is_some_and(|run| run.listed_clock_ms.is_none());
             task.progress.crash_count += 1;
             task.progress.sole_crash_count += u32::from(is_sole);
             let (crash_count, sole_crash_count) =
@@ -114,25 +114,25 @@
     /// Keeps the suspects of a worker whose lease expires: whether it has crashed or is merely
     /// unresponsive isn't known before it responds.
     pub(super) fn note_expired_suspects(&mut self, key: WorkerKey) {
-        let suspects = self.uncleared_tasks(&self.workers[key]);
+        let suspects = self.uncleared_tasks(key);
         self.workers[key].expired_suspects.extend(suspects);
     }
 
     /// Tasks of a worker that were ordered to start there and haven't been cleared.
-    fn uncleared_tasks(&self, worker: &Worker) -> Vec<TaskKey> {
+    fn uncleared_tasks(&self, worker: WorkerKey) -> Vec<TaskKey> {
         let clearing_time = self.settings.quarantine.clearing_time;
         let is_uncleared = |key: &TaskKey| {
-            let run = self.task(*key).and_then(|task| task.run.as_ref());
+            let run = self.task(*key).and_then(|task| task.run_on(worker));
             run.is_some_and(|run| run.is_ordered && !run.is_cleared(clearing_time))
         };
-        worker.tasks.iter().copied().filter(is_uncleared).collect()
+        self.workers[worker].tasks.iter().copied().filter(is_uncleared).collect()
     }
 
     /// Whether any run on a worker isn't cleared, or is about to start.
-    fn has_uncleared_run(&self, worker: &Worker) -> bool {
+    fn has_uncleared_run(&self, worker: WorkerKey) -> bool {
         let clearing_time = self.settings.quarantine.clearing_time;
-        worker.tasks.iter().any(|key| {
-            let run = self.task(*key).and_then(|task| task.run.as_ref());
+        self.workers[worker].tasks.iter().any(|key| {
+            let run = self.task(*key).and_then(|task| task.run_on(worker));
             run.is_some_and(|run| !run.is_cleared(clearing_time))
         })
     }
@@ -156,7 +156,7 @@
                 task.waiting_since.get_or_insert(now);
             }
             let Some(worker) = self.quarantined_worker_for(key, workers) else { continue };
-            if self.has_uncleared_run(&self.workers[worker]) {
+            if self.has_uncleared_run(worker) {
                 continue;
             }
             let stage = self.stage(key).clone();
@@ -215,8 +215,7 @@
         let fitting: Vec<WorkerKey> =
             workers.iter().copied().filter(|worker| self.fits_suspect(*worker, key)).collect();
         let is_free = |worker: &WorkerKey| {
-            let worker = &self.workers[*worker];
-            worker.is_quarantined && !self.has_uncleared_run(worker)
+            self.workers[*worker].is_quarantined && !self.has_uncleared_run(*worker)
         };
         if let Some(free) = fitting.iter().copied().find(is_free) {
             return Some(free);
--- a/crates/teaseltrack/tests/cell/main.rs
+++ b/crates/teaseltrack/tests/cell/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a cell's owner under failing, unresponsive, disconnected and restarted workers.
 
 mod capacities;
+mod copies;
 mod fleet;
 mod owner_changes;
 mod quarantine;
