Take a late end of a run that was done

A worker ends a run `done` while it is cut off, its lease lapses, a later attempt ends in another way, and the first end, listed afterwards, was ignored: the task ran again. Cause: ends up to the last attempt that has ended were taken for repeated ones. With copies, ends of two attempts come in any order, so this would be common. Change: such an end completes the task unless it is done already. It then counts as before for an end that is listed before that of a later attempt.

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -1081,7 +1081,9 @@
             self.release_run(task_key);
         }
         let Some(task) = self.task_mut(task_key) else { return };
-        if end.attempt <= task.progress.ended_attempt && !is_current {
+        // A run that was done while its worker was cut off may be listed after the end of a later attempt.
+        let is_first_done = end.cause == EndCause::Done && task.progress.phase != TaskPhase::Done;
+        if end.attempt <= task.progress.ended_attempt && !is_current && !is_first_done {
             return;
         }
         if !end.checkpoint.is_empty() && is_ahead {
--- a/crates/teaseltrack/tests/cell/owner_changes.rs
+++ b/crates/teaseltrack/tests/cell/owner_changes.rs
@@ -205,6 +205,34 @@
     assert_eq!(fleet.cell.state("0000000000000001"), Some(JobState::Completed));
 }
 
+/// Guards against a task that runs again although it is done: its worker was cut off, and lists the end
+/// after that of a later attempt.
+#[test]
+fn end_of_an_earlier_attempt_completes_a_task_that_failed_since() {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.submit(stored_job("0000000000000001", vec![stage(1)]));
+    fleet.run_steps(4);
+    let first = usize::from(fleet.instances[0].running.is_empty());
+    let second = 1 - first;
+    let task = fleet.instances[first].running.keys().next().expect("task is running").clone();
+    fleet.instances[first].end(&task, EndCause::Done);
+    fleet.done.insert(task.clone());
+    fleet.instances[first].is_disconnected = true;
+    fleet.max_run_ms = 20_000;
+    for _ in 0..200 {
+        if fleet.instances[second].running.is_empty() {
+            fleet.step();
+        }
+    }
+    fleet.instances[second].end(&task, EndCause::Failed);
+    fleet.exchange_report(second);
+    (0..3).for_each(|_| fleet.exchange_report(first));
+    fleet.instances[first].is_disconnected = false;
+    fleet.run_steps(40);
+    assert_eq!(fleet.start_count, 2, "a completed task must not be started again");
+    assert_eq!(fleet.cell.state("0000000000000001"), Some(JobState::Completed));
+}
+
 /// Guards against a second run of a task that a new owner reclaims although the lease of its worker
 /// may have been extended: by an owner that doesn't know yet that it was replaced, while the commit
 /// that lists or removes the worker is in flight, or by an owner that isn't sure of its takeover.
