--- a/crates/teaseltrack/tests/cell/copies.rs
+++ b/crates/teaseltrack/tests/cell/copies.rs
@@ -8,8 +8,8 @@
     CellEvent,
     copies::{ObservedProgress, expected_copy_time},
     job::Stage,
-    progress::{JobState, TaskProgress},
-    protocol::{EndCause, TaskName},
+    progress::{JobState, TaskPhase, TaskProgress},
+    protocol::{EndCause, RefusedStart, Report, TaskName},
 };
 use teaseltrack::placement::Resources;
 use yare::parameterized;
@@ -64,6 +64,27 @@
     panic!("no copy within 3 s");
 }
 
+/// Steps, without commits, until a copy is assigned; returns the index of its worker.
+fn await_assigned_copy(fleet: &mut Fleet) -> usize {
+    for _ in 0..60 {
+        fleet.now += Duration::from_millis(50);
+        (0..3).for_each(|index| fleet.run_worker(index));
+        (0..3).for_each(|index| fleet.exchange_report(index));
+        fleet.cell.tick(fleet.now);
+        fleet.cell.plan(0, fleet.now);
+        let events = fleet.cell.take_events();
+        let copy = events.iter().find_map(|event| match event {
+            CellEvent::CopyStarted { worker, .. } => Some(worker.clone()),
+            _ => None,
+        });
+        if let Some(copy) = copy {
+            let is_worker = |index: &usize| copy.starts_with(&fleet.instances[*index].name);
+            return (0..3).find(is_worker).expect("worker of the copy");
+        }
+    }
+    panic!("no copy within 3 s");
+}
+
 /// Fleet with two runs of a task, and their workers.
 fn fleet_with_copy() -> (Fleet, usize, usize) {
     let (mut fleet, original) = fleet_with_slow_run(1);
@@ -392,18 +413,7 @@
 #[test]
 fn restore_drops_a_copy_that_was_committed_but_not_sent() {
     let (mut fleet, original) = fleet_with_slow_run(1);
-    let mut is_started = false;
-    for _ in 0..60 {
-        if is_started {
-            break;
-        }
-        fleet.now += Duration::from_millis(50);
-        (0..3).for_each(|index| fleet.run_worker(index));
-        (0..3).for_each(|index| fleet.exchange_report(index));
-        fleet.cell.tick(fleet.now);
-        fleet.cell.plan(0, fleet.now);
-        is_started = count(&fleet.cell.take_events(), "copy_started") > 0;
-    }
+    await_assigned_copy(&mut fleet);
     fleet.commit();
     assert_eq!(progress(&fleet).other_runs.len(), 1);
     fleet.replace_owner();
@@ -415,6 +425,22 @@
     assert_eq!(fleet.start_count, 2);
 }
 
+/// Guards against a refused copy in place of which the running original is given up.
+#[test]
+fn refused_copy_leaves_the_original() {
+    let (mut fleet, original) = fleet_with_slow_run(1);
+    let copy = await_assigned_copy(&mut fleet);
+    fleet.commit();
+    let attempt = progress(&fleet).other_runs[0].attempt;
+    let refused = RefusedStart { task: name(0), attempt, reason: "no lease".to_owned() };
+    let report = Report { refused: vec![refused], ..fleet.instances[copy].report() };
+    fleet.cell.handle_report(report, true, fleet.now);
+    fleet.commit();
+    let incarnation = format!("{}@1", fleet.instances[original].name);
+    assert_eq!(progress(&fleet).phase, TaskPhase::Assigned(incarnation));
+    assert!(progress(&fleet).other_runs.is_empty());
+}
+
 /// Guards against a second start of a task that was done under the previous owner.
 #[test]
 fn restore_takes_the_uncommitted_end_of_one_run() {
