--- a/crates/teaseltrack-cell/src/constants.rs
+++ b/crates/teaseltrack-cell/src/constants.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use teaseltrack::cell::{
-    CellSettings, evacuation::EvacuationSettings, health::HealthSettings,
+    CellSettings, copies::CopySettings, evacuation::EvacuationSettings, health::HealthSettings,
     interference::InterferenceSettings, ownership::OwnershipSettings, pacing::PacingSettings,
     partition::PartitionLimits, planning::PlanningSettings, preemption::PreemptionSettings,
     quarantine::QuarantineSettings,
@@ -164,6 +164,18 @@
     max_stops_per_round: 8,
 };
 
+/// Copies of slow runs. A search costs a look at each task of the open jobs with speculative stages. A
+/// run's speed follows from at least two listings. A copy starts after a commit, its order and the
+/// call to the worker. Tasks that arrive next find as much CPU free as serving tasks leave them.
+const COPIES: CopySettings = CopySettings {
+    search_interval: Duration::from_millis(100),
+    min_observation: Duration::from_millis(250),
+    min_gain: 1.25,
+    start_delay: Duration::from_millis(200),
+    max_cpu_share: 0.05,
+    free_cpu_share: PLANNING.batch_reserve,
+};
+
 /// Interference estimation. Interference changes within tens of seconds. Tails are averaged over
 /// half a second, so consecutive reports overlap and their noise is correlated.
 const INTERFERENCE: InterferenceSettings = InterferenceSettings {
@@ -201,6 +213,7 @@
         planning: PLANNING,
         quarantine: QUARANTINE,
         preemption: PREEMPTION,
+        copies: COPIES,
         interference: INTERFERENCE,
         evacuation: Some(EvacuationSettings { max_age, ..EVACUATION }),
     }
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     cell::{
+        copies::TaskCopy,
         delegation::Delegation,
         durations::{FactorEstimate, Histories, HistoryKey},
         evacuation::{EvacuationSettings, EvacuationState},
@@ -43,6 +44,7 @@
 };
 
 mod commits;
+pub mod copies;
 pub mod delegation;
 mod durations;
 pub mod evacuation;
@@ -109,6 +111,8 @@
     pub quarantine: quarantine::QuarantineSettings,
     /// Stops of runs for waiting jobs of higher priority.
     pub preemption: preemption::PreemptionSettings,
+    /// Copies of slow runs.
+    pub copies: copies::CopySettings,
     /// Estimation of the interference between images.
     pub interference: InterferenceSettings,
     /// Evacuation of availability zones; `None` if the owner doesn't follow requests for it.
@@ -147,6 +151,8 @@
     first_listed_at: Option<Instant>,
     /// Readings of the worker's clock with the first and the last listing of the run.
     listed_clock_ms: Option<(u64, u64)>,
+    /// Reading of the worker's clock with the first listing of the present percentage.
+    progressed_clock_ms: u64,
     /// Start of the stall timeout.
     progressed_at: Option<Instant>,
     /// Time since which the run has been listed without CPU use.
@@ -160,6 +166,10 @@
     /// ([`Cell::progress_to_commit`]): with a new run, `phase` stays [`TaskPhase::Waiting`].
     progress: TaskProgress,
     run: Option<Run>,
+    /// Second run, only while there is a first one.
+    copy: Option<TaskCopy>,
+    /// Number of the last attempt that was started as a copy by this owner; 0 for none.
+    last_copy_attempt: AttemptNumber,
     /// Time at which planning first tried to place the task; cleared when its run ends.
     waiting_since: Option<Instant>,
     /// Whether the last crash under the task preceded the first listing of its run.
@@ -170,6 +180,8 @@
     moved_at: Option<Instant>,
     /// Time of the last stop by [`preemption`].
     preempted_at: Option<Instant>,
+    /// Duration of the completed run.
+    run_time: Option<Duration>,
 }
 
 impl Task {
@@ -327,6 +339,32 @@
         /// What the stops for the job cost, in the same unit.
         cost: f64,
     },
+    /// A copy of a slow run was assigned to another worker.
+    CopyStarted {
+        /// Name of the task.
+        task: TaskName,
+        /// Attempt of the copy.
+        attempt: AttemptNumber,
+        /// Worker incarnation of the copy.
+        worker: WorkerIncarnation,
+        /// Expected time until the first run is done.
+        remaining: Duration,
+        /// Expected time until the copy is done.
+        copy_time: Duration,
+    },
+    /// One of a task's two runs was done, and the other one is being stopped.
+    CopySettled {
+        /// Name of the task.
+        task: TaskName,
+        /// Attempt of the run that was done.
+        attempt: AttemptNumber,
+        /// Worker incarnation of that run.
+        worker: WorkerIncarnation,
+        /// Whether that run is the copy.
+        is_copy_first: bool,
+        /// Work of the other run, which is lost, in core-milliseconds.
+        lost_core_ms: u64,
+    },
     /// A task was reclaimed from a worker that reported no end of its run.
     Reclaimed {
         /// Name of the task.
@@ -426,6 +464,9 @@
             Self::Doubt { .. } => "worker_trusted",
             Self::Moved { .. } => "moved",
             Self::Preempted { .. } => "preempted",
+            Self::CopyStarted { .. } => "copy_started",
+            Self::CopySettled { is_copy_first: true, .. } => "copy_won",
+            Self::CopySettled { .. } => "copy_lost",
             Self::Reclaimed { .. } => "taken_back",
             Self::Suspected { is_given_up: true, .. } => "task_given_up",
             Self::Suspected { .. } => "task_suspected",
@@ -480,6 +521,7 @@
     regrouped_at: Option<Instant>,
     relocated_at: Option<Instant>,
     preemption_checked_at: Option<Instant>,
+    copies_searched_at: Option<Instant>,
 }
 
 impl Cell {
@@ -506,6 +548,7 @@
             regrouped_at: None,
             relocated_at: None,
             preemption_checked_at: None,
+            copies_searched_at: None,
             settings,
             epoch,
             session_count: 0,
@@ -835,23 +878,31 @@
             let mut restored = Occurrence::default();
             for (stage, tasks) in stages.into_iter().enumerate() {
                 let mut restored_tasks = Vec::with_capacity(tasks.len());
-                for (index, progress) in tasks.into_iter().enumerate() {
+                for (index, mut progress) in tasks.into_iter().enumerate() {
                     self.may_have_suspects |= progress.crash_count > 0;
-                    let run = match &progress.phase {
+                    let task = TaskKey {
+                        job: key,
+                        occurrence: occurrence as u32,
+                        stage: stage as u32,
+                        index: index as u32,
+                    };
+                    let mut run = match &progress.phase {
                         TaskPhase::Assigned(incarnation) => {
                             let worker = self.get_or_insert_worker(incarnation, lease_end, now);
-                            let task = TaskKey {
-                                job: key,
-                                occurrence: occurrence as u32,
-                                stage: stage as u32,
-                                index: index as u32,
-                            };
                             self.workers[worker].reserve(task, &spec.stages[stage]);
                             Some(Run { is_ordered: true, ..Run::new(worker, 0) })
                         }
                         TaskPhase::Waiting | TaskPhase::Done | TaskPhase::Delegated(_) => None,
                     };
-                    restored_tasks.push(Task { progress, run, ..Task::default() });
+                    let stage = &spec.stages[stage];
+                    let copy = self.restore_other_runs(
+                        task,
+                        stage,
+                        &mut progress,
+                        &mut run,
+                        (lease_end, now),
+                    );
+                    restored_tasks.push(Task { progress, run, copy, ..Task::default() });
                 }
                 restored.stages.push(restored_tasks);
             }
@@ -1057,9 +1108,10 @@
         for task in assigned {
             let is_listed = self
                 .task(task)
-                .and_then(|task| task.run.as_ref())
+                .and_then(|task| task.run_on(key))
                 .is_some_and(|run| run.is_listed && run.session == session);
             if !is_listed {
+                self.select_run(task, key);
                 self.reclaim_unstarted_task(task, "start order was not executed");
             }
         }
@@ -1078,18 +1130,15 @@
         let is_wanted = task_key.is_some_and(|task_key| {
             let is_final = self.jobs[task_key.job].state.is_final();
             let Some(task) = self.task_mut(task_key) else { return false };
-            let attempt = task.progress.attempt;
-            let Some(run) = task.run.as_mut() else { return false };
-            if run.worker != key || attempt != listed.attempt {
-                return false;
-            }
-            if !listed.checkpoint.is_empty() {
-                task.progress.checkpoint.clone_from(&listed.checkpoint);
-            }
+            let is_ahead = task.is_ahead(listed.attempt, listed.percent);
+            let Some(run) = task.run_mut(key, listed.attempt) else { return false };
             run.update_progress(listed, clock_ms, cpu_milli, now);
             run.is_listed = true;
             run.session = session;
             let is_wanted = !run.is_stopping && !is_final;
+            if !listed.checkpoint.is_empty() && is_ahead {
+                task.progress.checkpoint.clone_from(&listed.checkpoint);
+            }
             was_suspect = task.clear_after_run(clearing_time);
             is_wanted
         });
@@ -1111,12 +1160,15 @@
         if !worker.orders.contains(&stop) {
             worker.enqueue_order(stop);
         }
-        if let Some(run) =
-            task_key.and_then(|key| self.task_mut(key)).and_then(|task| task.run.as_mut())
+        let Some(task) = task_key.and_then(|key| self.task_mut(key)) else { return };
+        if let Some(run) = task.run.as_mut()
             && run.worker == key
         {
             run.is_stopping = true;
         }
+        if let Some(run) = task.run_mut(key, listed.attempt) {
+            run.is_stopping = true;
+        }
     }
 
     /// Reserves the resources of a listed run whose task a previous owner has committed as done: the
@@ -1149,35 +1201,41 @@
             worker: incarnation,
             cause: end.cause,
         });
-        let is_current = self.task(task_key).is_some_and(|task| {
-            task.progress.attempt == end.attempt
-                && task.run.as_ref().is_some_and(|run| run.worker == key)
-        });
+        let is_current =
+            self.task_mut(task_key).is_some_and(|task| task.run_mut(key, end.attempt).is_some());
+        let mut is_ahead = true;
         if is_current {
+            self.select_run(task_key, key);
+            if end.cause == EndCause::Done {
+                self.settle_copy(task_key, now);
+            }
             self.update_worker_health(key, task_key, end.cause, now);
+            is_ahead = self.task(task_key).is_some_and(Task::is_first_run_ahead);
             self.release_run(task_key);
         }
         let Some(task) = self.task_mut(task_key) else { return };
-        // A completion counts even if a later attempt has ended otherwise since its worker was cut off:
-        // the worker discards its record, and the task must not run again.
-        let is_earlier = end.attempt <= task.progress.ended_attempt && !is_current;
-        if is_earlier && end.cause != EndCause::Done {
+        // A run that was done while its worker was cut off may be listed after the end of a later attempt.
+        let is_first_done = end.cause == EndCause::Done && task.progress.phase != TaskPhase::Done;
+        if end.attempt <= task.progress.ended_attempt && !is_current && !is_first_done {
             return;
         }
-        if !end.checkpoint.is_empty() {
+        if !end.checkpoint.is_empty() && is_ahead {
             task.progress.checkpoint.clone_from(&end.checkpoint);
         }
         if is_current && matches!(end.cause, EndCause::Done | EndCause::Failed) {
             task.clear_suspicion();
         }
-        let is_new = end.attempt > task.progress.ended_attempt;
+        // The end of a copy may precede that of an earlier attempt. After one of them is done, the
+        // end of the other one counts for nothing.
+        let is_counted = (end.attempt > task.progress.ended_attempt || is_current)
+            && task.progress.phase != TaskPhase::Done;
         task.progress.ended_attempt = task.progress.ended_attempt.max(end.attempt);
         self.jobs[task_key.job].is_dirty = true;
         self.jobs[task_key.job].has_begun = true;
         self.needs_plan = true;
         match end.cause {
             EndCause::Done => self.complete_task(task_key),
-            EndCause::Failed if is_new => self.record_failure(task_key),
+            EndCause::Failed if is_counted => self.record_failure(task_key),
             EndCause::Failed
             | EndCause::Stopped
             | EndCause::Lapsed
@@ -1199,6 +1257,7 @@
         for index in members {
             let member = TaskKey { index, ..key };
             self.stop_run(member);
+            self.stop_copy(member);
             if let Some(task) = self.task_mut(member) {
                 task.progress.phase = TaskPhase::Done;
                 task.progress.checkpoint.clear();
@@ -1229,13 +1288,13 @@
 
     fn process_refusal(&mut self, key: WorkerKey, refused: &RefusedStart, now: Instant) {
         let Some(task_key) = self.key_of(&refused.task) else { return };
-        let is_current = self.task(task_key).is_some_and(|task| {
-            task.progress.attempt == refused.attempt
-                && task.run.as_ref().is_some_and(|run| run.worker == key && !run.is_listed)
+        let is_current = self.task_mut(task_key).is_some_and(|task| {
+            task.run_mut(key, refused.attempt).is_some_and(|run| !run.is_listed)
         });
         if !is_current {
             return;
         }
+        self.select_run(task_key, key);
         self.workers[key].ineligible_until = Some(now + self.settings.refusal_backoff);
         self.reclaim_unstarted_task(task_key, &refused.reason);
     }
@@ -1245,6 +1304,7 @@
     fn invalidate_worker(&mut self, key: WorkerKey, reason: &str) {
         let tasks: Vec<TaskKey> = self.workers[key].tasks.iter().copied().collect();
         for task in tasks {
+            self.select_run(task, key);
             self.reclaim_task(task, reason);
             self.finalize_if_done(task.job);
         }
@@ -1303,6 +1363,7 @@
         {
             worker.release(key, stage);
         }
+        task.promote_copy();
         if task.progress.phase != TaskPhase::Done {
             task.progress.phase = TaskPhase::Waiting;
         }
@@ -1344,6 +1405,7 @@
         self.events.push(CellEvent::State { job: id, state });
         for task in self.task_keys(key) {
             self.stop_run(task);
+            self.stop_copy(task);
         }
         self.needs_plan = true;
     }
@@ -1433,6 +1495,7 @@
             gauge: 0,
             first_listed_at: None,
             listed_clock_ms: None,
+            progressed_clock_ms: 0,
             progressed_at: None,
             idle_since: None,
         }
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -158,9 +158,10 @@
 impl Cell {
     /// Runs a planning round: begins due occurrences, stops serving tasks on draining workers,
     /// isolates tasks that may have crashed a worker, assigns the other waiting tasks, gives a task to
-    /// each starved best-effort job, stops runs for waiting jobs of higher priority, and, unless serving
-    /// tasks were waiting, moves one out of an evacuated zone or regroups them. Start orders are sent
-    /// after the next commit. Assigns nothing while the requested evacuations aren't known.
+    /// each starved best-effort job, stops runs for waiting jobs of higher priority, starts copies of
+    /// slow runs, and, unless serving tasks were waiting, moves one out of an evacuated zone or regroups
+    /// them. Start orders are sent after the next commit. Assigns nothing while the requested
+    /// evacuations aren't known.
     pub fn plan(&mut self, unix_now_ms: u64, now: Instant) {
         self.needs_plan = false;
         let next_due = self.begin_due_occurrences(unix_now_ms);
@@ -188,6 +189,7 @@
             self.relieve_starvation(candidate, &workers, now);
         }
         self.preempt(&candidates, &workers, now);
+        self.copy_slow_runs(&candidates, &workers, now);
         self.relocate_idle_tasks(&workers, now);
         if !self.has_unplaced_tasks(&candidates, now) {
             self.move_evacuated_task(&workers, now);
@@ -532,7 +534,7 @@
         Some(self.attempt_after(last))
     }
 
-    fn attempt_after(&self, last: AttemptNumber) -> AttemptNumber {
+    pub(super) fn attempt_after(&self, last: AttemptNumber) -> AttemptNumber {
         let base = (self.epoch.saturating_sub(1) as u32).saturating_mul(super::ATTEMPTS_PER_EPOCH);
         last.max(base) + 1
     }
@@ -547,7 +549,7 @@
         let worker = &mut self.workers[worker_key];
         worker.reserve(key, stage);
         let run = Run::new(worker_key, worker.session);
-        let last = self.task(key).map_or(0, |task| task.progress.attempt);
+        let last = self.task(key).map_or(0, Task::last_attempt);
         let attempt = attempt.unwrap_or_else(|| self.attempt_after(last));
         if let Some(task) = self.task_mut(key) {
             task.run = Some(run);
--- a/crates/teaseltrack/src/cell/reliability.rs
+++ b/crates/teaseltrack/src/cell/reliability.rs
@@ -104,6 +104,9 @@
     pub(super) fn note_completion(&mut self, key: WorkerKey, task_key: TaskKey, now: Instant) {
         self.workers[key].outcomes.done += 1.0;
         let Some(run_time) = self.measured_run_time(key, task_key) else { return };
+        if let Some(task) = self.task_mut(task_key) {
+            task.run_time = Some(run_time);
+        }
         if let Some(expected) = self.sibling_run_time(task_key) {
             let ratio = slowdown_ratio(run_time, expected);
             let worker = &mut self.workers[key];
--- a/crates/teaseltrack/tests/cell/evacuations.rs
+++ b/crates/teaseltrack/tests/cell/evacuations.rs
@@ -29,7 +29,7 @@
 fn fleet(instance_count: usize) -> Fleet {
     let mut fleet = Fleet::new(instance_count, 1).with_zones(&["a", "b"]);
     for instance in &mut fleet.instances {
-        instance.percent = 100;
+        instance.percent = Some(100);
     }
     fleet.run_steps(6);
     fleet
--- a/crates/teaseltrack/tests/util.rs
+++ b/crates/teaseltrack/tests/util.rs
@@ -5,7 +5,7 @@
 
 use proptest::{prelude::ProptestConfig, test_runner::RngSeed};
 use teaseltrack::cell::{
-    CellSettings, health::HealthSettings, interference::InterferenceSettings,
+    CellSettings, copies::CopySettings, health::HealthSettings, interference::InterferenceSettings,
     planning::PlanningSettings, preemption::PreemptionSettings, quarantine::QuarantineSettings,
 };
 
@@ -78,6 +78,14 @@
         max_stages_per_round: 4,
         max_stops_per_round: 8,
     },
+    copies: CopySettings {
+        search_interval: Duration::from_millis(100),
+        min_observation: Duration::from_millis(250),
+        min_gain: 1.25,
+        start_delay: Duration::from_millis(200),
+        max_cpu_share: 0.05,
+        free_cpu_share: 0.06,
+    },
     interference: InterferenceSettings {
         half_life_s: 20.0,
         max_sample_interval: Duration::from_millis(1_500),
