Revert "Slow images with negligible interference on full workers near peak load"

Conclusion: reverted; what adds up on a full worker would need a limit on their sum, weighed against the work that it delays.

--- a/crates/teaseltrack/src/cell/interference.rs
+++ b/crates/teaseltrack/src/cell/interference.rs
@@ -36,13 +36,10 @@
 };
 /// Expected growth of a pair without samples.
 const UNOBSERVED_GROWTH: f64 = PRIOR.interfering_share * PRIOR.interfering.mean;
-/// Expected growth below which interference counts as negligible. Placement ignores such images:
-/// avoiding them would exclude them from most workers most of the time. Pacing covers what they
-/// cause together on a full worker; see [`RESIDUAL_GROWTH`].
+/// Expected growth below which interference counts as negligible. Negligible images can still push
+/// a tail over its target at peak load; the pause for tails that stay over their target covers
+/// that. Avoiding them here would exclude them from most workers most of the time.
 const NEGLIGIBLE_GROWTH: f64 = 0.3;
-/// Growth that pacing assumes for images with negligible interference. Each of them slows a serving
-/// task a little, and together they can push a tail over its target near peak load.
-pub const RESIDUAL_GROWTH: f64 = 0.25;
 /// Minimum change of a growth that is published to agents; relative for growths above 1.
 const GROWTH_UPDATE_STEP: f64 = 0.25;
 /// Expected growth from which an image counts as interfering: one standard deviation below the
@@ -123,16 +120,6 @@
         found.map_or(UNOBSERVED_GROWTH, |index| self.pairs[index].utilization_growth)
     }
 
-    /// Growth for pacing: at least [`RESIDUAL_GROWTH`].
-    pub fn paced_growth(&self, serving: &str, best_effort: &str) -> f64 {
-        self.utilization_growth(serving, best_effort).max(RESIDUAL_GROWTH)
-    }
-
-    /// Whether the interference of the pair counts as negligible.
-    pub fn is_negligible(&self, serving: &str, best_effort: &str) -> bool {
-        self.utilization_growth(serving, best_effort) < NEGLIGIBLE_GROWTH
-    }
-
     /// Whether the pair can be classified neither as interfering nor as negligible.
     pub fn is_inconclusive(&self, serving: &str, best_effort: &str) -> bool {
         let growth = self.utilization_growth(serving, best_effort);
--- a/crates/teaseltrack/src/cell/pacing.rs
+++ b/crates/teaseltrack/src/cell/pacing.rs
@@ -5,11 +5,9 @@
 //! best-effort tasks: first to the images that interfere least, then within an image to unpaused
 //! tasks before paused ones, and to the tasks that are closest to completion, since a few tasks at
 //! full pace finish sooner than many slow ones. A tail over its target immediately sets the pace of
-//! the images that may interfere with it to 0. Images with negligible interference are slowed only
-//! as far as the serving task would stay below its target with less of them: what they use together
-//! on a full worker adds up. If a tail stays over its target, all best-effort tasks are paused for a
-//! while, so that the protection of serving tasks doesn't depend on the owner's interference
-//! estimates.
+//! the images that may interfere with it to 0. If a tail stays over its target, all best-effort
+//! tasks are paused for a while, so that the protection of serving tasks doesn't depend on the
+//! owner's interference estimates.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -62,25 +60,6 @@
     pub percent: u32,
 }
 
-/// Relative growth of a serving image's utilization that best-effort tasks may cause in total.
-#[derive(Clone, Copy, Debug)]
-struct Headroom {
-    /// Limit for interfering images; 0 while a tail is over its target.
-    interfering: f64,
-    /// Limit for images with negligible interference; infinite while a tail would be over its target
-    /// without any best-effort task, since slowing them wouldn't help.
-    negligible: f64,
-}
-
-impl Headroom {
-    fn min(self, other: Self) -> Self {
-        Self {
-            interfering: self.interfering.min(other.interfering),
-            negligible: self.negligible.min(other.negligible),
-        }
-    }
-}
-
 /// Best-effort task to which a pace is allocated.
 struct PaceDemand<'a> {
     run: &'a RunningTask,
@@ -255,12 +234,12 @@
         usage
     }
 
-    /// Headrooms by serving image.
+    /// Relative growth of utilization that best-effort tasks may cause in total, by serving image.
     fn headrooms(
         &mut self,
         running: &[RunningTask],
         usage: &ImageUsage,
-    ) -> BTreeMap<ImageName, Headroom> {
+    ) -> BTreeMap<ImageName, f64> {
         // The averaging window of the tails still covers part of the previous usage, so the higher
         // of the two usages counts.
         let mut recent_usage = usage.clone();
@@ -272,20 +251,17 @@
         let mut base_utilizations = HashMap::new();
         for run in running {
             let Some((image, tail)) = self.serving_tail(run) else { continue };
-            let growths = recent_usage
-                .iter()
-                .map(|(other, share)| self.estimates.paced_growth(&image, other) * share);
-            let newest = tail.utilization() / (1.0 + growths.sum::<f64>());
+            let newest =
+                tail.utilization() / (1.0 + self.estimates.total_growth(&image, &recent_usage));
             let previous = self.base_utilizations.get(&run.task).copied().unwrap_or(newest);
             let smoothed = previous + self.settings.smoothing_factor * (newest - previous);
             let base_utilization = newest.max(smoothed);
             base_utilizations.insert(run.task.clone(), base_utilization);
             let at_setpoint = tail.utilization_at(self.settings.setpoint);
-            let remaining = (at_setpoint / base_utilization - 1.0).max(0.0);
-            let is_over_by_itself = base_utilization >= tail.utilization_at(1.0);
-            let headroom = Headroom {
-                interfering: if tail.exceeds_target() { 0.0 } else { remaining },
-                negligible: if is_over_by_itself { f64::INFINITY } else { remaining },
+            let headroom = if tail.exceeds_target() {
+                0.0
+            } else {
+                (at_setpoint / base_utilization - 1.0).max(0.0)
             };
             let min_headroom = headrooms.entry(image).or_insert(headroom);
             *min_headroom = headroom.min(*min_headroom);
@@ -309,7 +285,7 @@
     }
 
     /// Allocates the headroom of the serving tasks to best-effort tasks.
-    fn allocate(&mut self, running: &[RunningTask], mut headrooms: BTreeMap<ImageName, Headroom>) {
+    fn allocate(&mut self, running: &[RunningTask], mut headrooms: BTreeMap<ImageName, f64>) {
         let mut demands: BTreeMap<ImageName, Vec<PaceDemand<'_>>> = BTreeMap::new();
         for run in running {
             let Some(image) = self.best_effort_image(run) else { continue };
@@ -332,34 +308,34 @@
                 (!demand.is_unpaused, FULL_PERCENT.saturating_sub(demand.run.percent))
             });
             let allowed_share = self.allowed_share(&image, &headrooms);
-            let mut used_share = 0.0;
+            let mut remaining_share = allowed_share;
             for demand in tasks {
-                let remaining_share = allowed_share - used_share;
                 let pace = (remaining_share / demand.full_pace_share.max(1e-6)).clamp(0.0, 1.0);
                 let percent = self.pace_percent(pace);
-                used_share += demand.full_pace_share * f64::from(percent) / f64::from(FULL_PERCENT);
+                remaining_share -=
+                    demand.full_pace_share * f64::from(percent) / f64::from(FULL_PERCENT);
                 self.allocated_percents.insert(demand.run.task.clone(), percent);
             }
-            for (serving, headroom) in &mut headrooms {
-                let growth = self.estimates.paced_growth(serving, &image) * used_share;
-                headroom.interfering -= growth;
-                headroom.negligible -= growth;
+            // An image with an infinite share interferes with no serving image and uses up no
+            // headroom.
+            if allowed_share.is_finite() {
+                for (serving, headroom) in &mut headrooms {
+                    *headroom -= self.estimates.utilization_growth(serving, &image)
+                        * (allowed_share - remaining_share);
+                }
             }
         }
     }
 
-    /// Share of the worker that an image may use; infinite if no serving image limits it.
-    fn allowed_share(&self, image: &str, headrooms: &BTreeMap<ImageName, Headroom>) -> f64 {
+    /// Share of the worker that an image may use; infinite if it interferes with no image here.
+    fn allowed_share(&self, image: &str, headrooms: &BTreeMap<ImageName, f64>) -> f64 {
         headrooms
             .iter()
             .map(|(serving, headroom)| {
-                let limit = if self.estimates.is_negligible(serving, image) {
-                    headroom.negligible
-                } else {
-                    headroom.interfering
-                };
-                limit.max(0.0) / self.estimates.paced_growth(serving, image)
+                (self.estimates.utilization_growth(serving, image), headroom)
             })
+            .filter(|(growth, _)| *growth > 0.0)
+            .map(|(growth, headroom)| headroom.max(0.0) / growth)
             .fold(f64::INFINITY, f64::min)
     }
 
