Reject jobs that would be late at the cost of others

Callers saw that every valid job was accepted, however long the backlog: while more work arrives than the workers complete, nearly all jobs of a burst were late, and none was refused.

The owner predicts a new job's finish from the work ahead of it in scheduling order and the measured rate of completions, and rejects it past one and a half times its objective. A rejection is a row under the submission's key, so that no earlier try can store the job afterwards. Entries ask only while the owner has announced a backlog.

--- a/crates/teaseltrack-cell/src/calls.rs
+++ b/crates/teaseltrack-cell/src/calls.rs
@@ -14,6 +14,7 @@
 };
 use teaseltrack::{
     cell::{
+        admission::{AdmissionDecision, JobOutline},
         job::{JobId, QueueName},
         partition::CellId,
         protocol::{Report, ReportResponse},
@@ -49,6 +50,8 @@
     Quote(CellId, ServiceName, Vec<StageDemand>, oneshot::Sender<Option<Quote>>),
     /// A query for the number of pending jobs of a queue.
     PendingCount(QueueName, oneshot::Sender<Option<u64>>),
+    /// A request for a decision on a new job, to the owner of the given cell.
+    Admission(CellId, Box<JobOutline>, oneshot::Sender<Option<AdmissionDecision>>),
 }
 
 /// Last known owner of the cell; may be outdated.
@@ -113,6 +116,15 @@
     async fn pending_count(self, _: context::Context, queue: QueueName) -> Option<u64> {
         self.call_owner(|reply| InboundCall::PendingCount(queue, reply)).await.flatten()
     }
+
+    async fn admission(
+        self,
+        _: context::Context,
+        cell: CellId,
+        job: JobOutline,
+    ) -> Option<AdmissionDecision> {
+        self.call_owner(|reply| InboundCall::Admission(cell, Box::new(job), reply)).await.flatten()
+    }
 }
 
 /// Serves connections until `closing` is cancelled.
@@ -186,6 +198,18 @@
         self.response_or_reset(address, timeout(CALL_TIMEOUT, call).await).flatten()
     }
 
+    /// Decision on a new job; `None` without a response from the owner in time.
+    pub async fn admission(
+        &self,
+        address: SocketAddr,
+        cell: CellId,
+        job: JobOutline,
+    ) -> Option<AdmissionDecision> {
+        let client = self.client(address).await?;
+        let call = client.admission(context_with_timeout(QUOTE_TIMEOUT), cell, job);
+        self.response_or_reset(address, timeout(QUOTE_TIMEOUT, call).await).flatten()
+    }
+
     async fn client(&self, address: SocketAddr) -> Option<CellControlClient> {
         if let Some((connected_address, client)) = &*self.lock()
             && *connected_address == address
--- a/crates/teaseltrack-cell/src/constants.rs
+++ b/crates/teaseltrack-cell/src/constants.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use teaseltrack::cell::{
-    CellSettings, health::HealthSettings, interference::InterferenceSettings,
-    ownership::OwnershipSettings, pacing::PacingSettings, partition::PartitionLimits,
-    planning::PlanningSettings, quarantine::QuarantineSettings,
+    CellSettings, admission::AdmissionSettings, health::HealthSettings,
+    interference::InterferenceSettings, ownership::OwnershipSettings, pacing::PacingSettings,
+    partition::PartitionLimits, planning::PlanningSettings, quarantine::QuarantineSettings,
 };
 
 /// Maximum lease granted to a worker, unless the platform's limit is shorter. Covers a takeover and
@@ -65,6 +65,15 @@
 /// Timeout of a request for a quote, without which a job goes to a cell by its hash: short compared
 /// with a caller's timeout, long compared with the response time of an owner.
 pub const QUOTE_TIMEOUT: Duration = Duration::from_millis(150);
+/// Interval at which an entry asks a cell whether work is waiting, while it submits jobs to it.
+pub const BACKLOG_CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time for which an entry asks before each submission after an owner has announced a backlog.
+pub const BACKLOG_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Time after an owner's announcement of a backlog in which rejected callers may return.
+pub const REJECTED_RETURN_TIME: Duration = Duration::from_secs(60);
+/// Interval at which an entry reads the version of the jobs table meanwhile: less than the shortest
+/// time after which a rejected caller returns.
+pub const VERSION_READ_INTERVAL: Duration = Duration::from_millis(500);
 /// Waiting time after which an owner looks for another cell with room for a long-running task: its
 /// own cell's reserve for batch tasks is available by then.
 pub const DELEGATION_WAIT: Duration = Duration::from_millis(1_300);
@@ -155,6 +164,19 @@
     variance_inflation: 1.5,
 };
 
+/// Admission. A burst that ends within seconds rejects nothing. A class keeps a tenth of its requests,
+/// and more than half of the share that the others have.
+const ADMISSION: AdmissionSettings = AdmissionSettings {
+    min_backlog_time: Duration::from_millis(3_000),
+    rate_half_life: Duration::from_millis(3_000),
+    min_backlog: Duration::from_millis(500),
+    min_reporting_share: 0.8,
+    max_finish: 1.5,
+    min_accepted_share: 0.1,
+    min_relative_share: 0.6,
+    share_half_life: Duration::from_secs(10),
+};
+
 /// Settings of an owner, given the platform's limit on leases.
 pub fn cell_settings(max_lease: Duration) -> CellSettings {
     CellSettings {
@@ -168,5 +190,6 @@
         planning: PLANNING,
         quarantine: QUARANTINE,
         interference: INTERFERENCE,
+        admission: ADMISSION,
     }
 }
--- a/crates/teaseltrack-cell/src/entry.rs
+++ b/crates/teaseltrack-cell/src/entry.rs
@@ -1,11 +1,15 @@
 //! Operations of an entry on callers' jobs.
 //!
-//! A job is accepted once its row is stored, and cancelled once the row of its cancellation is
-//! stored. States are read from the owner, or from the store if the owner doesn't respond or
+//! A job is accepted once its row is stored, rejected once the row of its rejection is stored, and
+//! cancelled once the row of its cancellation is stored. States are read from the owner, or from the store if the owner doesn't respond or
 //! doesn't have the job.
 
 use std::{
     net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -14,58 +18,42 @@
 use slog::{Logger, info, warn};
 use teaseltrack::{
     cell::{
-        job::{InvalidJob, JobId, JobSpec, Queue, QueueName},
+        admission::JobOutline,
+        job::{JobId, JobSpec, Queue, QueueName},
         ownership::OwnerRecord,
         partition::{CellId, Partition},
         progress::{JobProgress, JobState},
         quote::{Quote, StageDemand},
     },
     clock::SharedClock,
+    ids::ZoneName,
 };
 use teaseltrack_daemon::metrics::Metrics;
-use teaseltrack_platform::store::{
-    CommitOutcome, Condition, Store, StoreError, Transaction, Write,
-};
+use teaseltrack_platform::store::{Condition, Store, StoreError, Transaction, Write};
 use teaseltrack_wire::cell::JobLookup;
 use tokio::{
     sync::watch,
-    time::{sleep, timeout_at},
+    time::{sleep, timeout, timeout_at},
 };
 
 use crate::{
     calls::{CellClients, KnownOwner, KnownOwners},
-    constants::{MAX_CHANGES_WAIT, RETRY_DELAY},
+    constants::{MAX_CHANGES_WAIT, QUOTE_TIMEOUT, RETRY_DELAY, VERSION_READ_INTERVAL},
+    entry::{
+        backlogs::{KnownBacklogs, SubmissionMode},
+        submission::{read_submission, store_rejection, store_submission},
+    },
     partition::wait_for_partition,
     rows::{
-        OWNERS_TABLE, Submission, cancellation_key, owner_notice_key, parse_owner_notice_key,
-        progress_key, submission_key,
+        JOBS_TABLE, OWNERS_TABLE, Submission, SubmissionRow, cancellation_key, owner_notice_key,
+        parse_owner_notice_key, progress_key, submission_key,
     },
 };
 
-/// Outcome of a submission.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum SubmitOutcome {
-    /// The job is stored.
-    Accepted,
-    /// The specification is invalid; a retry can't succeed.
-    Invalid(InvalidJob),
-    /// The job is not stored and won't be.
-    Refused,
-    /// The job may or may not be stored.
-    Unknown,
-}
+pub use crate::entry::submission::SubmitOutcome;
 
-impl SubmitOutcome {
-    /// Name in metrics.
-    fn name(&self) -> &'static str {
-        match self {
-            Self::Accepted => "accepted",
-            Self::Invalid(_) => "invalid",
-            Self::Refused => "refused",
-            Self::Unknown => "unknown",
-        }
-    }
-}
+pub mod backlogs;
+pub mod submission;
 
 /// Outcome of a cancellation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -109,6 +97,12 @@
     pub clock: SharedClock,
     /// Partition of the fleet into cells; `None` until it is known.
     pub partition: watch::Receiver<Option<Partition>>,
+    /// Availability zone of the entry and of its callers.
+    pub zone: ZoneName,
+    /// Last known backlogs.
+    pub backlogs: KnownBacklogs,
+    /// Version of the jobs table that a response of the store has shown.
+    pub seen_version: Arc<AtomicU64>,
     /// Clients for calls to the owners.
     pub clients: CellClients,
     /// Last known owners.
@@ -135,36 +129,62 @@
             warn!(self.logger, "fleet not partitioned yet; job refused"; "request_id" => job);
             return SubmitOutcome::Refused;
         };
-        let key = submission_key(job);
-        let transaction = Transaction {
-            id: job.clone(),
-            conditions: vec![Condition { key: key.clone(), version: 0 }],
-            writes: vec![Write::put(key, &Submission { spec, queue: queue.clone(), cell })],
-        };
-        // Number of calls that may have stored the job, including the one in flight.
-        let mut in_doubt_calls = 0_u32;
-        let retry_loop = async {
-            loop {
-                in_doubt_calls += 1;
-                match self.store.commit(transaction.clone()).await {
-                    Ok(CommitOutcome::Committed { .. } | CommitOutcome::Conflict { .. }) => return,
-                    Err(StoreError::Refused { .. }) => in_doubt_calls -= 1,
-                    Err(_) => {}
-                }
-                sleep(RETRY_DELAY).await;
-            }
-        };
-        let outcome = match timeout_at(deadline.into(), retry_loop).await {
-            Ok(()) => SubmitOutcome::Accepted,
-            Err(_) if in_doubt_calls > 0 => SubmitOutcome::Unknown,
-            Err(_) => SubmitOutcome::Refused,
-        };
+        let outcome = self.submit_to(cell, job, spec, queue, deadline).await;
         self.metrics.count_tagged("submissions", "outcome", outcome.name());
         info!(self.logger, "job submitted"; "request_id" => job, "queue" => &queue.name,
             "cell" => cell, "outcome" => ?outcome);
         outcome
     }
 
+    /// Stores the job or its rejection, as the cell's owner decides.
+    async fn submit_to(
+        &self,
+        cell: CellId,
+        job: &JobId,
+        spec: JobSpec,
+        queue: &Queue,
+        deadline: Instant,
+    ) -> SubmitOutcome {
+        // Read before anything else: it orders the request after the rejections seen so far.
+        let seen_version = self.seen_version.load(Ordering::Relaxed);
+        let now = self.clock.now();
+        let timeout = deadline.saturating_duration_since(now);
+        let retry_after_s = match JobOutline::of(job, &spec, queue, &self.zone, timeout) {
+            Some(outline) => self.ask_owner(cell, outline, now).await,
+            None => None,
+        };
+        let Some(retry_after_s) = retry_after_s else {
+            let submission = Submission { spec, queue: queue.clone(), cell };
+            return store_submission(&self.store, job, &submission, seen_version, deadline).await;
+        };
+        store_rejection(&self.store, job, retry_after_s, deadline).await
+    }
+
+    /// Time in seconds after which a rejected caller may return; `None` if the job is accepted, as it
+    /// is without a backlog and without a response.
+    async fn ask_owner(&self, cell: CellId, outline: JobOutline, now: Instant) -> Option<u64> {
+        let mode = self.backlogs.next_mode(cell, now);
+        if mode == SubmissionMode::Store {
+            return None;
+        }
+        let address = self.owner_address(cell)?;
+        let (client, backlogs) = (self.clients.of(cell), self.backlogs.clone());
+        let outline = JobOutline { is_binding: mode == SubmissionMode::Ask, ..outline };
+        let asking = async move {
+            let decision = timeout(QUOTE_TIMEOUT, client.admission(address, cell, outline));
+            let decision = decision.await.ok().flatten()?;
+            if decision.is_backlogged {
+                backlogs.note_backlog(cell, now);
+            }
+            decision.retry_after_s
+        };
+        if mode == SubmissionMode::Ask {
+            return asking.await;
+        }
+        tokio::spawn(asking);
+        None
+    }
+
     /// Stores the cancellation of a job.
     pub async fn cancel(&self, job: &JobId, deadline: Instant) -> CancelOutcome {
         let retry_loop = async {
@@ -189,6 +209,9 @@
     async fn try_cancel(&self, job: &JobId) -> Result<CancelOutcome, StoreError> {
         let key = submission_key(job);
         let Some(row) = self.store.read(&key).await? else { return Ok(CancelOutcome::NoSuchJob) };
+        if let SubmissionRow::Rejected(_) = SubmissionRow::parse(&row)? {
+            return Ok(CancelOutcome::NoSuchJob);
+        }
         let cancellation = cancellation_key(job);
         let transaction = Transaction {
             id: cancellation.clone(),
@@ -304,8 +327,11 @@
 
     /// Returns the stored state; a job without a progress row is queued.
     async fn state_from_store(&self, job: &JobId) -> Result<Option<JobState>, StoreError> {
-        let Some(row) = self.store.read(&submission_key(job)).await? else { return Ok(None) };
-        let submission: Submission = row.parse()?;
+        let (_, Some(SubmissionRow::Accepted(submission))) =
+            read_submission(&self.store, job).await?
+        else {
+            return Ok(None);
+        };
         if self.store.read(&cancellation_key(job)).await?.is_some() {
             return Ok(Some(JobState::Cancelled));
         }
@@ -317,6 +343,24 @@
     }
 }
 
+/// Reads the version of the jobs table while rejected callers may return, so that their requests are
+/// known to be later than the rejections.
+pub async fn follow_versions(jobs: JobApi) {
+    loop {
+        sleep(VERSION_READ_INTERVAL).await;
+        if !jobs.backlogs.may_have_rejected(jobs.clock.now()) {
+            continue;
+        }
+        match jobs.store.version(JOBS_TABLE).await {
+            Ok(version) => {
+                jobs.seen_version.fetch_max(version, Ordering::Relaxed);
+            }
+            Err(error) => warn!(jobs.logger, "failed to read the version of the jobs table";
+                "error" => %error),
+        }
+    }
+}
+
 /// Waits for the partition, publishes it, and then follows changes of the cells' owners and
 /// publishes them.
 pub async fn follow_cells(
--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -15,6 +15,7 @@
 use teaseltrack::{
     cell::{
         Cell, CellEvent, CellSettings,
+        admission::{AdmissionDecision, AdmissionReason, JobOutline},
         job::QueueConfiguration,
         ownership::OwnershipSettings,
         partition::CellId,
@@ -305,9 +306,29 @@
             InboundCall::PendingCount(queue, reply) => {
                 reply.send(Some(self.cell.pending_count(&queue) as u64)).ok();
             }
+            InboundCall::Admission(cell, job, reply) => {
+                let is_owned = cell == self.context.cell_id;
+                reply.send(is_owned.then(|| self.decide_admission(&job))).ok();
+            }
         }
     }
 
+    fn decide_admission(&mut self, job: &JobOutline) -> AdmissionDecision {
+        let decision = self.cell.decide_admission(job, self.context.clock.now());
+        let OwnerContext { logger, metrics, .. } = &self.context;
+        metrics.count_tagged("admissions", "reason", decision.reason.name());
+        if matches!(decision.reason, AdmissionReason::TooLate | AdmissionReason::ClassShare) {
+            info!(logger, "job would be finished too late"; "request_id" => &job.job,
+                "queue" => &job.queue, "caller_zone" => &job.zone,
+                "reason" => decision.reason.name(),
+                "predicted_finish_ms" => decision.predicted_finish_ms,
+                "predicted_wait_ms" => decision.predicted_wait_ms,
+                "latest_finish_ms" => decision.latest_finish_ms,
+                "retry_after_s" => decision.retry_after_s);
+        }
+        decision
+    }
+
     fn handle_report(&mut self, report: Report, reply: oneshot::Sender<ReportResponse>) {
         let now = self.context.clock.now();
         let may_grant = now < self.renewed_at + self.context.ownership.grant_period;
@@ -449,6 +470,9 @@
         metrics.gauge("jobs_open", self.cell.open_count() as u64);
         metrics.gauge("tasks_on_silent_workers", self.cell.silent_task_count() as u64);
         metrics.gauge("configuration_version", self.cell.configuration_version());
+        for (queue, wait) in self.cell.predicted_waits() {
+            metrics.gauge_tagged("predicted_wait_ms", "queue", queue, wait.as_millis() as u64);
+        }
         for event in self.cell.take_events() {
             metrics.count_tagged("cell_events", "kind", event.name());
             match event {
--- a/crates/teaseltrack-cell/src/owner/loader.rs
+++ b/crates/teaseltrack-cell/src/owner/loader.rs
@@ -23,8 +23,8 @@
 use crate::{
     constants::{MAX_CHANGES_WAIT, RETRY_DELAY},
     rows::{
-        JOB_PARTS, JOBS_TABLE, JobRowKey, Submission, cancellation_key, key_name, parse_job_key,
-        progress_prefix, stored_job, worker_prefix,
+        JOB_PARTS, JOBS_TABLE, JobRowKey, Submission, SubmissionRow, cancellation_key, key_name,
+        parse_job_key, progress_prefix, stored_job, worker_prefix,
     },
 };
 
@@ -223,9 +223,16 @@
                 grouped.delegations.extend(delegation);
             }
             JobRowKey::Submission(job) => {
-                let submission: Option<Submission> = parse_row(row, logger);
-                if let Some(submission) = submission.filter(|submission| submission.cell == cell) {
-                    grouped.submissions.push((job, submission));
+                let submission = match SubmissionRow::parse(row) {
+                    Ok(SubmissionRow::Accepted(submission)) => submission,
+                    Ok(SubmissionRow::Rejected(_)) => continue,
+                    Err(error) => {
+                        warn!(logger, "invalid row skipped"; "error" => %error);
+                        continue;
+                    }
+                };
+                if submission.cell == cell {
+                    grouped.submissions.push((job, *submission));
                 }
             }
         }
--- a/crates/teaseltrack-cell/src/rows.rs
+++ b/crates/teaseltrack-cell/src/rows.rs
@@ -18,6 +18,7 @@
     },
     ids::{InstanceId, ZoneName},
 };
+use teaseltrack_platform::store::{Row, StoreError};
 
 /// Table of submissions and cancellations.
 pub const JOBS_TABLE: &str = "jobs";
@@ -91,6 +92,37 @@
     pub cell: CellId,
 }
 
+/// Value of the row of a rejected job, under the key of a submission. An earlier build can't parse
+/// it as a submission and skips it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rejection {
+    /// Identifies the try that wrote the row.
+    pub rejected: String,
+}
+
+/// Row under the key of a submission.
+#[derive(Clone, Debug, PartialEq)]
+pub enum SubmissionRow {
+    /// The job is accepted.
+    Accepted(Box<Submission>),
+    /// All tries that have been answered were rejected.
+    Rejected(Rejection),
+}
+
+impl SubmissionRow {
+    /// Parses a row.
+    ///
+    /// # Errors
+    ///
+    /// The row is neither a submission nor a rejection.
+    pub fn parse(row: &Row) -> Result<Self, StoreError> {
+        match row.parse() {
+            Ok(submission) => Ok(Self::Accepted(Box::new(submission))),
+            Err(error) => row.parse().map(Self::Rejected).map_err(|_| error),
+        }
+    }
+}
+
 /// Value of an instance's row.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InstanceRow {
--- a/crates/teaseltrack-cell/tests/calls.rs
+++ b/crates/teaseltrack-cell/tests/calls.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use teaseltrack::{
     cell::{
+        admission::{AdmissionDecision, AdmissionReason, JobOutline},
         job::Stage,
         protocol::{StartOrder, TaskName},
         quote::{Quote, StageDemand},
@@ -54,6 +55,44 @@
     closing.cancel();
 }
 
+#[tokio::test]
+async fn admission_reaches_the_owner_and_returns_its_decision() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (mailbox, mut calls) = mpsc::channel(1);
+    let (_owner, owner) = watch::channel(Some(mailbox));
+    let (_known, known_owner) = watch::channel(KnownOwner::default());
+    let closing = CancellationToken::new();
+    tokio::spawn(serve_calls(listener, CallServer { owner, known_owner }, closing.clone()));
+    let job = JobOutline { queue: "queue".to_owned(), timeout_ms: 3_000, ..JobOutline::default() };
+    let accepted = AdmissionDecision {
+        reason: AdmissionReason::InTime,
+        retry_after_s: None,
+        is_backlogged: true,
+        predicted_finish_ms: 900,
+        predicted_wait_ms: 100,
+        latest_finish_ms: 1_500,
+    };
+    let rejected =
+        AdmissionDecision { reason: AdmissionReason::TooLate, retry_after_s: Some(2), ..accepted };
+    let expected = job.clone();
+    tokio::spawn(async move {
+        for decision in [accepted, rejected] {
+            let Some(InboundCall::Admission(cell, received, reply)) = calls.recv().await else {
+                panic!("not a request for a decision");
+            };
+            assert_eq!((cell, *received), (3, expected.clone()));
+            reply.send(Some(decision)).unwrap();
+        }
+        // Keeps the mailbox open until the response has been read.
+        tokio::time::sleep(Duration::from_secs(5)).await;
+    });
+    let client = CellClient::default();
+    assert_eq!(client.admission(address, 3, job.clone()).await, Some(accepted));
+    assert_eq!(client.admission(address, 3, job).await, Some(rejected));
+    closing.cancel();
+}
+
 /// Start order without the planned capacity.
 #[derive(Serialize)]
 struct EarlierStartOrder {
--- a/crates/teaseltrack-cell/tests/util.rs
+++ b/crates/teaseltrack-cell/tests/util.rs
@@ -43,6 +43,16 @@
         self.history.iter().filter(|change| change.key == key).count()
     }
 
+    /// All writes of a row, in order.
+    #[allow(dead_code, reason = "not all test programs use it")]
+    pub fn writes(&self, key: &str) -> impl Iterator<Item = Row> {
+        self.history.iter().filter(move |change| change.key == key).map(|change| Row {
+            key: change.key.clone(),
+            version: change.version,
+            value: change.value.clone().unwrap_or_default(),
+        })
+    }
+
     fn commit(&mut self, transaction: Transaction) -> Result<StoreReply, StoreError> {
         for condition in transaction.conditions {
             let version = self.values.get(&condition.key).map_or(0, |row| row.version);
@@ -78,7 +88,8 @@
         })
     }
 
-    fn call(&mut self, call: StoreCall) -> Result<StoreReply, StoreError> {
+    /// Executes a call.
+    pub fn call(&mut self, call: StoreCall) -> Result<StoreReply, StoreError> {
         match call {
             StoreCall::Read { key } => Ok(self.rows(|other| other == key)),
             StoreCall::List { prefix, after, .. } => {
--- a/crates/teaseltrack-wire/src/cell.rs
+++ b/crates/teaseltrack-wire/src/cell.rs
@@ -2,6 +2,7 @@
 
 use teaseltrack::{
     cell::{
+        admission::{AdmissionDecision, JobOutline},
         job::{JobId, QueueName},
         partition::CellId,
         progress::JobState,
@@ -38,4 +39,6 @@
     /// Returns the number of jobs of a queue without a started task; `None` from a process that
     /// isn't the owner.
     async fn pending_count(queue: QueueName) -> Option<u64>;
+    /// Decides on a new job; `None` from a process that isn't the owner of the cell.
+    async fn admission(cell: CellId, job: JobOutline) -> Option<AdmissionDecision>;
 }
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     cell::{
+        admission::{Admission, AdmissionSettings},
         delegation::Delegation,
         interference::{ImageUsage, InterferenceModel, InterferenceSettings},
         job::{JobId, JobSpec, Queue, QueueConfiguration, Stage},
@@ -40,6 +41,7 @@
     ids::{AttemptNumber, Epoch, InstanceId},
 };
 
+pub mod admission;
 mod commits;
 pub mod delegation;
 mod durations;
@@ -103,6 +105,8 @@
     pub quarantine: quarantine::QuarantineSettings,
     /// Estimation of the interference between images.
     pub interference: InterferenceSettings,
+    /// Rejection of jobs that would be finished too late.
+    pub admission: AdmissionSettings,
 }
 
 impl CellSettings {
@@ -388,6 +392,7 @@
     maintained_at: Option<Instant>,
     regrouped_at: Option<Instant>,
     relocated_at: Option<Instant>,
+    admission: Admission,
 }
 
 impl Cell {
@@ -410,6 +415,7 @@
             maintained_at: None,
             regrouped_at: None,
             relocated_at: None,
+            admission: Admission::default(),
             settings,
             epoch,
             session_count: 0,
@@ -471,6 +477,7 @@
         let mut tasks = progress.occurrences.iter().flatten().flatten();
         let has_begun = tasks.any(|task| task.phase == TaskPhase::Done || task.ended_attempt > 0);
         let accepted_at = now.checked_sub(stored.age).unwrap_or(now);
+        let accepted_at = self.first_requested_at(&stored.id).unwrap_or(accepted_at);
         let key = self.jobs.insert(Job {
             id: stored.id.clone(),
             spec: Arc::new(stored.spec),
@@ -494,6 +501,7 @@
         if stored.is_cancelled {
             self.cancel_job(key);
         }
+        self.add_open_work(key, now);
         self.needs_plan = true;
     }
 
@@ -648,6 +656,7 @@
             self.interference.update_estimates(now.duration_since(maintained_at), now);
             self.stop_stalled_runs(now);
             self.decay_slowdowns(now.duration_since(maintained_at));
+            self.update_backlogs(now);
             // Back-offs, waiting times and due occurrences change what planning decides without any
             // report.
             self.needs_plan = true;
@@ -1040,7 +1049,7 @@
         self.jobs[task_key.job].has_begun = true;
         self.needs_plan = true;
         match end.cause {
-            EndCause::Done => self.complete_task(task_key),
+            EndCause::Done => self.complete_task(task_key, now),
             EndCause::Failed if is_new => self.record_failure(task_key),
             EndCause::Failed
             | EndCause::Stopped
@@ -1051,7 +1060,7 @@
         self.finalize_if_done(task_key.job);
     }
 
-    fn complete_task(&mut self, key: TaskKey) {
+    fn complete_task(&mut self, key: TaskKey, now: Instant) {
         let stage = &self.jobs[key.job].spec.stages[key.stage as usize];
         if stage.is_long_running {
             return;
@@ -1061,6 +1070,9 @@
         for index in members {
             let member = TaskKey { index, ..key };
             self.stop_run(member);
+            if self.task(member).is_some_and(|task| task.progress.phase != TaskPhase::Done) {
+                self.record_completion(key.job, key.stage as usize, now);
+            }
             if let Some(task) = self.task_mut(member) {
                 task.progress.phase = TaskPhase::Done;
                 task.progress.checkpoint.clear();
--- a/crates/teaseltrack/src/cell/job.rs
+++ b/crates/teaseltrack/src/cell/job.rs
@@ -1,5 +1,7 @@
 //! Jobs of dependent stages, and the queues to which they are submitted.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
@@ -186,6 +188,19 @@
     pub objective_ms: u64,
 }
 
+impl Queue {
+    /// Whether the operator has stated when a job of the queue should be completed.
+    pub fn has_objective(&self) -> bool {
+        self.stretch > 0.0 || self.objective_ms > 0
+    }
+
+    /// Objective for the completion time of a job, from its acceptance.
+    pub fn objective(&self, critical_path_ms: u64) -> Duration {
+        let stretched_ms = self.stretch.max(1.0) * critical_path_ms as f64;
+        Duration::from_millis((stretched_ms as u64).saturating_add(self.objective_ms))
+    }
+}
+
 /// The active queue configuration.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct QueueConfiguration {
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -71,7 +71,7 @@
 }
 
 /// Kind of a stage's tasks, in scheduling order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(super) enum TaskKind {
     Batch,
     Serving,
@@ -93,18 +93,20 @@
 /// How far a job is past its completion-time objective, in scheduling order: late jobs must not
 /// delay jobs that can still meet their objective. Serving stages always count as on time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Lateness {
+pub(super) enum Lateness {
     OnTime,
     Late,
     LongOverdue,
 }
 
+/// Scheduling order of a stage: kind, lateness, queue priority, and deadline or, for best-effort
+/// stages, time of acceptance plus the delay for remaining work; the lowest comes first.
+pub(super) type Rank = (TaskKind, Lateness, u32, Instant);
+
 /// Stage with tasks that wait to be assigned.
 #[derive(Clone, Debug)]
 pub(super) struct Candidate {
-    /// Kind, lateness, queue priority, and deadline or, for best-effort stages, time of acceptance
-    /// plus the delay for remaining work; the lowest comes first.
-    rank: (TaskKind, Lateness, u32, Instant),
+    rank: Rank,
     /// Key of the task with index 0, which identifies the stage.
     pub(super) first_task: TaskKey,
     /// Indexes of the waiting tasks that needn't be isolated.
@@ -312,10 +314,9 @@
         candidates
     }
 
-    fn rank(&self, key: JobKey, stage: &Stage, now: Instant) -> (TaskKind, Lateness, u32, Instant) {
+    pub(super) fn rank(&self, key: JobKey, stage: &Stage, now: Instant) -> Rank {
         let job = &self.jobs[key];
-        let stretched_ms = job.queue.stretch.max(1.0) * job.spec.critical_path_ms() as f64;
-        let objective = Duration::from_millis(stretched_ms as u64 + job.queue.objective_ms);
+        let objective = job.queue.objective(job.spec.critical_path_ms());
         let deadline = job.accepted_at + objective;
         let long_overdue_at =
             job.accepted_at + objective.mul_f64(self.settings.planning.long_overdue_factor);
@@ -355,6 +356,11 @@
         let stages = job.spec.stages.iter().enumerate();
         let core_ms: u64 =
             stages.map(|(stage_index, stage)| remaining_core_ms(stage_index, stage)).sum();
+        self.work_delay(core_ms)
+    }
+
+    /// Delay of a best-effort job with the given remaining work.
+    pub(super) fn work_delay(&self, core_ms: u64) -> Duration {
         let cell_milli: u64 = self
             .workers
             .values()
@@ -529,7 +535,7 @@
     }
 }
 
-fn is_ready(occurrence: &Occurrence, stage: &Stage) -> bool {
+pub(super) fn is_ready(occurrence: &Occurrence, stage: &Stage) -> bool {
     let is_done = |dependency: &usize| {
         occurrence.stages[*dependency].iter().all(|task| task.progress.phase == TaskPhase::Done)
     };
--- a/crates/teaseltrack/tests/util.rs
+++ b/crates/teaseltrack/tests/util.rs
@@ -5,8 +5,8 @@
 
 use proptest::{prelude::ProptestConfig, test_runner::RngSeed};
 use teaseltrack::cell::{
-    CellSettings, health::HealthSettings, interference::InterferenceSettings,
-    planning::PlanningSettings, quarantine::QuarantineSettings,
+    CellSettings, admission::AdmissionSettings, health::HealthSettings,
+    interference::InterferenceSettings, planning::PlanningSettings, quarantine::QuarantineSettings,
 };
 
 /// Seed of all property tests, so that CI runs are reproducible.
@@ -71,4 +71,14 @@
         min_evidence: 10.0,
         variance_inflation: 1.5,
     },
+    admission: AdmissionSettings {
+        min_backlog_time: Duration::from_millis(3_000),
+        rate_half_life: Duration::from_millis(3_000),
+        min_backlog: Duration::from_millis(500),
+        min_reporting_share: 0.8,
+        max_finish: 1.5,
+        min_accepted_share: 0.1,
+        min_relative_share: 0.6,
+        share_half_life: Duration::from_secs(10),
+    },
 };
