Detect backlogs by delayed jobs and keep their rates

A backlog now means that a third of the new jobs wait and that more work waits than was completed in half a second; a rate stays valid for 8 s without waiting work, because rejections end the waiting; a queue's share is no longer compared with that of other queues; constrained jobs neither count nor are rejected. Ruled out: one half in place of a third changes nothing under the loads tried (85% of the new jobs wait).

--- a/crates/teaseltrack-cell/src/constants.rs
+++ b/crates/teaseltrack-cell/src/constants.rs
@@ -165,9 +165,10 @@
 };
 
 /// Admission. A burst that ends within seconds rejects nothing. A class keeps a tenth of its requests,
-/// and more than half of the share that the others have.
+/// and more than half of the share that the others of its queue have.
 const ADMISSION: AdmissionSettings = AdmissionSettings {
-    min_backlog_time: Duration::from_millis(3_000),
+    min_backlog_time: Duration::from_millis(2_000),
+    max_pause: Duration::from_millis(8_000),
     rate_half_life: Duration::from_millis(3_000),
     min_backlog: Duration::from_millis(500),
     min_reporting_share: 0.8,
--- a/crates/teaseltrack/src/cell/admission.rs
+++ b/crates/teaseltrack/src/cell/admission.rs
@@ -12,6 +12,7 @@
 use std::{
     cmp::Ordering,
     collections::{HashMap, VecDeque},
+    f64::consts::LN_2,
     time::{Duration, Instant},
 };
 
@@ -21,7 +22,7 @@
 use crate::{
     cell::{
         Cell, JobKey,
-        job::{JobId, JobSpec, Queue, QueueName},
+        job::{JobId, JobSpec, Queue, QueueName, Stage},
         planning::{Lateness, Rank, TaskKind, is_ready},
         progress::TaskPhase,
     },
@@ -36,6 +37,12 @@
 const LARGEST_QUANTILE: f64 = 0.9;
 /// Share of a queue's requests that are smaller than the largest tenth and the fifth below it.
 const LARGE_QUANTILE: f64 = 0.7;
+/// Time in which a job starts if nothing is ahead of it.
+const START_TIME: Duration = Duration::from_millis(250);
+/// Age of the oldest jobs that show whether new jobs wait.
+const NEW_JOB_TIME: Duration = Duration::from_secs(4);
+/// Number of new jobs without which they don't show it.
+const MIN_NEW_JOBS: usize = 3;
 /// Time after its expected return for which a rejected job is remembered.
 const RETURN_TIMEOUT: Duration = Duration::from_secs(10);
 /// Minimum time that a retry needs for its response.
@@ -46,10 +53,11 @@
 pub struct AdmissionSettings {
     /// Time for which work must have been waiting before the rate of completions is trusted.
     pub min_backlog_time: Duration,
+    /// Time without waiting work after which the rate is no longer trusted. Rejections make such pauses.
+    pub max_pause: Duration,
     /// Half-life of completions in that rate.
     pub rate_half_life: Duration,
-    /// Waiting work that counts as a backlog, as the time for which it would occupy the CPU that the
-    /// service's workers have for its kind.
+    /// Waiting work that counts as a backlog, as the time in which as much has been completed of late.
     pub min_backlog: Duration,
     /// Share of a service's workers that must have reported recently.
     pub min_reporting_share: f64,
@@ -57,8 +65,7 @@
     pub max_finish: f64,
     /// Share of the first requests for jobs of each class that is accepted in any case.
     pub min_accepted_share: f64,
-    /// Minimum ratio of a class's accepted share to that of its queue, and of a queue's to that of its
-    /// service.
+    /// Minimum ratio of a class's accepted share to that of its queue.
     pub min_relative_share: f64,
     /// Half-life of requests in these shares.
     pub share_half_life: Duration,
@@ -88,7 +95,7 @@
 
 impl JobOutline {
     /// Outline of a job; `None` if such a job is never rejected: its queue has no objective, it has a
-    /// schedule, or it has long-running tasks.
+    /// schedule, or it doesn't just wait for the work ahead of it.
     pub fn of(
         job: &JobId,
         spec: &JobSpec,
@@ -96,7 +103,8 @@
         zone: &ZoneName,
         timeout: Duration,
     ) -> Option<Self> {
-        if !queue.has_objective() || spec.schedule.is_some() || spec.is_long_running() {
+        let is_constrained = spec.stages.iter().any(is_constrained);
+        if !queue.has_objective() || spec.schedule.is_some() || is_constrained {
             return None;
         }
         let core_ms = |is_best_effort: bool| {
@@ -206,6 +214,7 @@
 #[derive(Clone, Copy, Debug)]
 struct OpenWork {
     rank: Rank,
+    accepted_at: Instant,
     /// Work of tasks that wait to be assigned.
     waiting_core_ms: u64,
     /// Work of stages that others must precede.
@@ -219,12 +228,43 @@
 struct Backlog {
     work: Vec<OpenWork>,
     waiting_since: Option<Instant>,
+    /// Last time at which work was waiting.
+    waited_at: Option<Instant>,
+    /// Work completed of late, whether or not more was waiting.
+    recently_completed: DecayingSum,
+    /// Work completed since `waiting_since`, while more was waiting.
     completed: DecayingSum,
     elapsed_s: DecayingSum,
+    /// Last addition to `elapsed_s`, the time in which `completed` was; `None` while no work is waiting.
     measured_at: Option<Instant>,
 }
 
 impl Backlog {
+    /// Whether work is waiting for other work to be completed. Some jobs may wait for something else,
+    /// such as a worker with which they don't interfere; then most new jobs start at once, and the
+    /// rate of completions is that of arrivals.
+    fn is_waiting(&self, settings: &AdmissionSettings, now: Instant) -> bool {
+        let useful = self.work.iter().filter(|work| work.rank.1 != Lateness::LongOverdue);
+        let waiting_core_ms: u64 = useful.map(|work| work.waiting_core_ms).sum();
+        let half_life = settings.rate_half_life;
+        let mean_life_s = half_life.as_secs_f64() / LN_2;
+        let recent_rate = self.recently_completed.at(half_life, now) / mean_life_s;
+        let is_new = |work: &&OpenWork| {
+            let age = now.saturating_duration_since(work.accepted_at);
+            age >= START_TIME && age < NEW_JOB_TIME
+        };
+        let new_count = self.work.iter().filter(is_new).count();
+        let is_delayed = |work: &&OpenWork| work.waiting_core_ms > 0;
+        let delayed_count = self.work.iter().filter(is_new).filter(is_delayed).count();
+        // If most jobs are rejected, there are few new ones; a backlog then goes on but doesn't begin.
+        let are_new_delayed = if new_count < MIN_NEW_JOBS {
+            self.waiting_since.is_some()
+        } else {
+            3 * delayed_count >= new_count
+        };
+        are_new_delayed && waiting_core_ms as f64 > settings.min_backlog.as_secs_f64() * recent_rate
+    }
+
     /// Core-milliseconds completed in a second; `None` if work hasn't been waiting for long enough.
     fn rate(&self, settings: &AdmissionSettings, now: Instant) -> Option<f64> {
         let has_waited = self
@@ -308,7 +348,6 @@
 pub(super) struct Admission {
     backlogs: HashMap<(ServiceName, TaskKind), Backlog>,
     sizes: HashMap<QueueName, VecDeque<u64>>,
-    services: HashMap<ServiceName, Share>,
     queues: HashMap<QueueName, Share>,
     classes: HashMap<(QueueName, ZoneName, SizeClass), Share>,
     returns: HashMap<JobId, ExpectedReturn>,
@@ -379,8 +418,7 @@
             return decision;
         }
         let half_life = self.settings.admission.share_half_life;
-        let Admission { services, queues, classes, .. } = &mut self.admission;
-        services.entry(queue.service.clone()).or_default().add(!is_rejected, half_life, now);
+        let Admission { queues, classes, .. } = &mut self.admission;
         queues.entry(queue.name.clone()).or_default().add(!is_rejected, half_life, now);
         classes.entry(class_key).or_default().add(!is_rejected, half_life, now);
         decision
@@ -489,15 +527,12 @@
     ) -> bool {
         let settings = self.settings.admission;
         let half_life = settings.share_half_life;
-        let Admission { services, queues, classes, .. } = &self.admission;
+        let Admission { queues, classes, .. } = &self.admission;
         let class_share = classes.get(class).copied().unwrap_or_default();
         let queue_share = queues.get(&queue.name).copied().unwrap_or_default();
-        let service_share = services.get(&queue.service).copied().unwrap_or_default();
         let class_after = class_share.after_rejection(half_life, now);
-        let queue_after = queue_share.after_rejection(half_life, now);
         let min_class = settings.min_relative_share * queue_share.value(half_life, now);
-        let min_queue = settings.min_relative_share * service_share.value(half_life, now);
-        class_after < settings.min_accepted_share.max(min_class) || queue_after < min_queue
+        class_after < settings.min_accepted_share.max(min_class)
     }
 
     /// Seconds after which a rejected caller may return: once the excess of the prediction and the
@@ -576,10 +611,11 @@
         let key = (queue.service.clone(), TaskKind::of(&spec.stages[stage]));
         let core_ms = self.expected_core_ms(job, stage);
         let half_life = self.settings.admission.rate_half_life;
-        if let Some(backlog) = self.admission.backlogs.get_mut(&key)
-            && backlog.waiting_since.is_some()
-        {
-            backlog.completed.add(core_ms, half_life, now);
+        if let Some(backlog) = self.admission.backlogs.get_mut(&key) {
+            backlog.recently_completed.add(core_ms, half_life, now);
+            if backlog.measured_at.is_some() {
+                backlog.completed.add(core_ms, half_life, now);
+            }
         }
     }
 
@@ -596,17 +632,18 @@
             self.add_open_work(self.open_jobs[index], now);
         }
         let settings = self.settings.admission;
-        let keys: Vec<(ServiceName, TaskKind)> = self.admission.backlogs.keys().cloned().collect();
-        for key in keys {
-            let spare_milli = self.service_spare_milli(&key.0, key.1);
-            let Some(backlog) = self.admission.backlogs.get_mut(&key) else { continue };
-            let waiting_core_ms: u64 = backlog.work.iter().map(|work| work.waiting_core_ms).sum();
-            let min_core_ms = settings.min_backlog.as_secs_f64() * spare_milli as f64;
-            if waiting_core_ms as f64 <= min_core_ms {
-                *backlog =
-                    Backlog { work: std::mem::take(&mut backlog.work), ..Backlog::default() };
+        for backlog in self.admission.backlogs.values_mut() {
+            if !backlog.is_waiting(&settings, now) {
+                backlog.measured_at = None;
+                let waited_at = backlog.waited_at;
+                if waited_at.is_none_or(|at| now.duration_since(at) >= settings.max_pause) {
+                    backlog.waiting_since = None;
+                    backlog.completed = DecayingSum::default();
+                    backlog.elapsed_s = DecayingSum::default();
+                }
                 continue;
             }
+            backlog.waited_at = Some(now);
             backlog.waiting_since.get_or_insert(now);
             let measured_at = backlog.measured_at.replace(now);
             let elapsed = measured_at.map_or(Duration::ZERO, |at| now.duration_since(at));
@@ -614,12 +651,11 @@
         }
         let half_life = settings.share_half_life;
         let is_recent = |share: &Share| share.requested.at(half_life, now) > 0.01;
-        let Admission { queues, classes, services, backlogs, predicted_waits, returns, .. } =
+        let Admission { queues, classes, backlogs, predicted_waits, returns, .. } =
             &mut self.admission;
         returns.retain(|_, expected| now < expected.at + RETURN_TIMEOUT);
         queues.retain(|_, share| is_recent(share));
         classes.retain(|_, share| is_recent(share));
-        services.retain(|_, share| is_recent(share));
         if backlogs.values().all(|backlog| backlog.waiting_since.is_none()) {
             predicted_waits.clear();
         }
@@ -641,10 +677,12 @@
         let job = &self.jobs[key];
         let stages = job.spec.stages.iter().enumerate();
         let mut open: Option<OpenWork> = None;
-        for (index, stage) in stages.filter(|(_, stage)| TaskKind::of(stage) == kind) {
+        let is_counted = |stage: &Stage| TaskKind::of(stage) == kind && !is_constrained(stage);
+        for (index, stage) in stages.filter(|(_, stage)| is_counted(stage)) {
             let each = self.expected_core_ms(key, index);
             let open = open.get_or_insert_with(|| OpenWork {
                 rank: self.rank(key, stage, now),
+                accepted_at: job.accepted_at,
                 waiting_core_ms: 0,
                 later_core_ms: 0,
                 running_core_ms: 0,
@@ -675,24 +713,6 @@
         let cpu_milli = self.jobs[job].spec.stages[stage].resources.cpu_milli;
         run_time_ms * cpu_milli as f64 / 1_000.0
     }
-
-    /// CPU that the workers of a service have for a kind of task, in millicores.
-    fn service_spare_milli(&self, service: &str, kind: TaskKind) -> u64 {
-        let utilization = self.settings.planning.serving_utilization;
-        let workers = self.workers.values();
-        let spare = workers.filter_map(|worker| {
-            let status = worker.status.as_ref().filter(|status| status.service == service)?;
-            let used_milli = match kind {
-                TaskKind::BestEffort => {
-                    worker.demand.batch_milli
-                        + (worker.demand.serving_milli as f64 * utilization) as u64
-                }
-                TaskKind::Batch | TaskKind::Serving => worker.demand.serving_milli,
-            };
-            Some(status.capacity.cpu_milli.saturating_sub(used_milli))
-        });
-        spare.sum()
-    }
 }
 
 impl OpenWork {
@@ -703,6 +723,16 @@
     }
 }
 
+/// Whether tasks of a stage wait for more than the work ahead of them: for some of the workers, for
+/// several at once, or, if they are long-running, for room.
+fn is_constrained(stage: &Stage) -> bool {
+    stage.is_long_running
+        || stage.is_gang
+        || stage.required_label.is_some()
+        || stage.max_per_worker.is_some()
+        || stage.resources.accelerators > 0
+}
+
 fn seconds(value: f64) -> Duration {
     Duration::try_from_secs_f64(value).unwrap_or(Duration::MAX / 4)
 }
