--- a/crates/teaseltrack-cell/src/entry.rs
+++ b/crates/teaseltrack-cell/src/entry.rs
@@ -169,10 +169,14 @@
         }
         let address = self.owner_address(cell)?;
         let (client, backlogs) = (self.clients.of(cell), self.backlogs.clone());
+        let metrics = self.metrics.clone();
         let outline = JobOutline { is_binding: mode == SubmissionMode::Ask, ..outline };
         let asking = async move {
             let decision = timeout(QUOTE_TIMEOUT, client.admission(address, cell, outline));
-            let decision = decision.await.ok().flatten()?;
+            let Some(decision) = decision.await.ok().flatten() else {
+                metrics.count("admissions_unanswered");
+                return None;
+            };
             if decision.is_backlogged {
                 backlogs.note_backlog(cell, now);
             }
--- a/crates/teaseltrack/src/cell/admission.rs
+++ b/crates/teaseltrack/src/cell/admission.rs
@@ -1,11 +1,10 @@
-//! Admission: whether a new job could still be of use to its caller.
+//! Admission: whether a new job can be finished in time.
 //!
 //! The finish of a new job is predicted from the work ahead of it and from the rate at which work of
 //! its kind has been completed while more of it was waiting. Work is measured in expected run times
 //! on both sides, so that an error that all of them share cancels out.
 //!
-//! A job is rejected if its result would be worthless while other jobs can still be on time.
-//! Anything that makes the prediction doubtful leads to acceptance, and a share of each kind of
+//! A job is rejected if it would be late at the cost of jobs that can still be on time. Anything that makes the prediction doubtful leads to acceptance, and a share of each kind of
 //! request is accepted in any case. `docs/design/admission.md` describes the protocol between
 //! entries, store and owner.
 
