Reject only jobs of no use, while no CPU is free

Cause: plans were rejected at one and a half times their objective, when their callers could still gain, and while CPU was free; the owner's CPU was the bottleneck (0.130 to 0.133 of 0.15 cores).

The bound is now three times the objective, past which jobs are scheduled last, and nothing is rejected while over a fifth of the CPU is free.

--- a/crates/teaseltrack-cell/src/constants.rs
+++ b/crates/teaseltrack-cell/src/constants.rs
@@ -164,7 +164,7 @@
     variance_inflation: 1.5,
 };
 
-/// Admission. A burst that ends within seconds rejects nothing. A class keeps a tenth of its requests,
+/// Admission. After three times its objective, a job is scheduled last, and of no use to its caller. A burst that ends within seconds rejects nothing. A class keeps a tenth of its requests,
 /// and more than half of the share that the others of its queue have.
 const ADMISSION: AdmissionSettings = AdmissionSettings {
     min_backlog_time: Duration::from_millis(2_000),
@@ -172,7 +172,8 @@
     rate_half_life: Duration::from_millis(3_000),
     min_backlog: Duration::from_millis(500),
     min_reporting_share: 0.8,
-    max_finish: 1.5,
+    max_free_share: 0.2,
+    max_finish: 3.0,
     min_accepted_share: 0.1,
     min_relative_share: 0.6,
     share_half_life: Duration::from_secs(10),
--- a/crates/teaseltrack/src/cell/admission.rs
+++ b/crates/teaseltrack/src/cell/admission.rs
@@ -60,6 +60,8 @@
     pub min_backlog: Duration,
     /// Share of a service's workers that must have reported recently.
     pub min_reporting_share: f64,
+    /// Share of a service's CPU; nothing is rejected while more than this is free.
+    pub max_free_share: f64,
     /// Multiple of its objective within which a job must be expected to finish.
     pub max_finish: f64,
     /// Share of the first requests for jobs of each class that is accepted in any case.
@@ -150,6 +152,8 @@
     NotConfigured,
     /// No work of the job's kind has been waiting for long enough.
     NoBacklog,
+    /// The service's workers have CPU to spare; work waits for something else.
+    FreeCapacity,
     /// Too few workers of the service report.
     StaleReports,
     /// The job is expected to finish early enough.
@@ -170,6 +174,7 @@
             Self::Known => "known",
             Self::NotConfigured => "not_configured",
             Self::NoBacklog => "no_backlog",
+            Self::FreeCapacity => "free_capacity",
             Self::StaleReports => "stale_reports",
             Self::InTime => "in_time",
             Self::NoContention => "no_contention",
@@ -450,6 +455,7 @@
         let latest_finish = objective.mul_f64(settings.max_finish);
         let critical_path = Duration::from_millis(job.critical_path_ms);
         let mut is_predicted = false;
+        let mut has_free_capacity = false;
         let mut is_contended = false;
         let (mut wait, mut finish) = (Duration::ZERO, critical_path);
         for kind in [TaskKind::Batch, TaskKind::BestEffort] {
@@ -470,12 +476,15 @@
                 ahead = backlog.core_ms_ahead_of(&rank);
             }
             is_predicted = true;
+            has_free_capacity |= self.free_share(&queue.service, kind) > settings.max_free_share;
             is_contended |= backlog.work.iter().any(|work| work.rank.1 == Lateness::OnTime);
             wait = wait.max(drain(ahead));
             finish = finish.max(finish_behind(ahead));
         }
         let reason = if !is_predicted {
             AdmissionReason::NoBacklog
+        } else if has_free_capacity {
+            AdmissionReason::FreeCapacity
         } else if !self.are_reports_recent(&queue.service, now) {
             AdmissionReason::StaleReports
         } else if age + finish <= latest_finish {
@@ -517,6 +526,28 @@
         reporting_count > 0 && reporting_count as f64 >= min_count
     }
 
+    /// Share of a service's CPU that is free for tasks of a kind.
+    fn free_share(&self, service: &str, kind: TaskKind) -> f64 {
+        let utilization = self.settings.planning.serving_utilization;
+        let (mut free_milli, mut capacity_milli) = (0.0, 0.0);
+        for worker in self.workers.values() {
+            let status = worker.status.as_ref().filter(|status| status.service == service);
+            let Some(status) = status else { continue };
+            let demand = worker.demand;
+            let used_milli = match kind {
+                TaskKind::BestEffort => {
+                    let serving_milli = demand.serving_milli as f64 * utilization;
+                    (demand.batch_milli + demand.best_effort_milli) as f64 + serving_milli
+                }
+                TaskKind::Batch | TaskKind::Serving => worker.reserved.cpu_milli as f64,
+            };
+            let worker_milli = status.capacity.cpu_milli as f64;
+            capacity_milli += worker_milli;
+            free_milli += (worker_milli - used_milli).max(0.0);
+        }
+        free_milli / f64::max(capacity_milli, 1.0)
+    }
+
     /// Whether a class would fall behind if its next request were rejected.
     fn is_owed(
         &self,
