--- a/crates/teaseltrack/src/cell/admission.rs
+++ b/crates/teaseltrack/src/cell/admission.rs
@@ -4,7 +4,8 @@
 //! its kind has been completed while more of it was waiting. Work is measured in expected run times
 //! on both sides, so that an error that all of them share cancels out.
 //!
-//! A job is rejected if it would be late at the cost of jobs that can still be on time. Anything that makes the prediction doubtful leads to acceptance, and a share of each kind of
+//! A job is rejected if it would be of no use, at the cost of jobs that can still be on time.
+//! Anything that makes the prediction doubtful leads to acceptance, and a share of each kind of
 //! request is accepted in any case. `docs/design/admission.md` describes the protocol between
 //! entries, store and owner.
 
@@ -162,7 +163,7 @@
     NoContention,
     /// The class of the request has been rejected often enough.
     ClassShare,
-    /// The job would be late, at the cost of jobs that can still be on time.
+    /// The job would be too late, at the cost of jobs that can still be on time.
     TooLate,
 }
 
