Withdraw unsent copies from an evacuated zone, and stop only runs on the worker that needs room

Cause, found in the review of the merge of copies: both parts looked at the run that a task holds first, which may be on another worker than the one in question. A request to evacuate the zone of a copy that wasn't sent yet left it to its agent to refuse, and pre-emption could stop a run on a worker whose room it didn't need.

Change: the run on the worker decides. The test fails with the guard of the evacuation taken out; pre-emption has none, as all copies so far are of the highest priority.

--- a/crates/teaseltrack/src/cell/evacuation.rs
+++ b/crates/teaseltrack/src/cell/evacuation.rs
@@ -138,17 +138,18 @@
     /// Reclaims the zone's assignments whose start order hasn't been sent. A commit in flight that
     /// contains such an assignment sends none.
     fn withdraw_unsent_starts(&mut self, zone: &str) {
-        let unsent: Vec<TaskKey> = self
+        let unsent: Vec<(WorkerKey, TaskKey)> = self
             .workers
-            .values()
-            .filter(|worker| worker.is_in_zone(zone))
-            .flat_map(|worker| worker.tasks.iter().copied())
-            .filter(|task| {
-                let run = self.task(*task).and_then(|task| task.run.as_ref());
+            .iter()
+            .filter(|(_, worker)| worker.is_in_zone(zone))
+            .flat_map(|(key, worker)| worker.tasks.iter().map(move |task| (key, *task)))
+            .filter(|(worker, task)| {
+                let run = self.task(*task).and_then(|task| task.run_on(*worker));
                 run.is_some_and(|run| !run.is_ordered && !run.is_listed)
             })
             .collect();
-        for task in unsent {
+        for (worker, task) in unsent {
+            self.select_run(task, worker);
             self.reclaim_unstarted_task(task, EVACUATED);
         }
     }
--- a/crates/teaseltrack/src/cell/preemption.rs
+++ b/crates/teaseltrack/src/cell/preemption.rs
@@ -254,7 +254,7 @@
             // Only a run that holds something that is short is worth a stop.
             .filter(|task| has_common(&reserved_resources(self.stage(**task)), &excess))
             .filter_map(|task| {
-                let victim = self.victim(*task, newcomer.priority, now)?;
+                let victim = self.victim((*task, worker_key), newcomer.priority, now)?;
                 let cost = cost_of_stop(&victim, newcomer, absence, now);
                 let freed = reserved_resources(self.stage(*task));
                 Some((cost, *task, victim.remaining, freed))
@@ -276,12 +276,17 @@
         capacity.can_fit(&needed.minus(&freed)).then_some(room)
     }
 
-    /// The run of a task, if it may be stopped for a job of the given priority.
-    fn victim(&self, key: TaskKey, newcomer_priority: u32, now: Instant) -> Option<Victim> {
+    /// The run of a task on a worker, if it may be stopped for a job of the given priority.
+    fn victim(
+        &self,
+        (key, worker): (TaskKey, WorkerKey),
+        newcomer_priority: u32,
+        now: Instant,
+    ) -> Option<Victim> {
         let settings = self.settings.preemption;
         let stage = self.stage(key);
         let task = self.task(key)?;
-        let run = task.run.as_ref()?;
+        let run = task.run.as_ref().filter(|run| run.worker == worker)?;
         let is_cooling_down =
             task.preempted_at.is_some_and(|at| now.duration_since(at) < settings.cooldown);
         let is_allowed = self.jobs[key.job].queue.priority > newcomer_priority
--- a/crates/teaseltrack/tests/cell/copies.rs
+++ b/crates/teaseltrack/tests/cell/copies.rs
@@ -7,6 +7,7 @@
 use teaseltrack::cell::{
     CellEvent,
     copies::{ObservedProgress, expected_copy_time},
+    evacuation::Evacuations,
     job::Stage,
     progress::{JobState, TaskPhase, TaskProgress},
     protocol::{EndCause, RefusedStart, Report, TaskName},
@@ -42,7 +43,10 @@
 
 /// Three workers and a speculative task that takes 20 s on one of them.
 fn fleet_with_slow_run(task_count: u32) -> (Fleet, usize) {
-    let mut fleet = Fleet::new(3, 1);
+    submit_slow_run(Fleet::new(3, 1), task_count)
+}
+
+fn submit_slow_run(mut fleet: Fleet, task_count: u32) -> (Fleet, usize) {
     fleet.run_steps(4);
     fleet.submit(stored_job(JOB, vec![speculative(task_count)]));
     fleet.run_steps(3);
@@ -477,6 +481,25 @@
 }
 
 /// Load: the worker of a run, or of its copy, is lost for good.
+/// Guards against a request to evacuate the zone of an unsent copy that ends the other run instead.
+#[test]
+fn evacuation_withdraws_an_unsent_copy_and_leaves_the_original() {
+    let (mut fleet, original) = submit_slow_run(Fleet::new(3, 1).with_zones(&["a", "b", "c"]), 1);
+    let copy = await_assigned_copy(&mut fleet);
+    let zones = BTreeSet::from([fleet.instances[copy].zone.clone()]);
+    let evacuations = Evacuations { version: 1, zones, current_at: fleet.now };
+    fleet.cell.apply_evacuations(evacuations, fleet.now);
+    let reclaimed: Vec<CellEvent> = fleet.cell.take_events();
+    let is_of_copy = |event: &CellEvent| match event {
+        CellEvent::Reclaimed { worker, .. } => {
+            Some(worker.starts_with(&fleet.instances[copy].name))
+        }
+        _ => None,
+    };
+    assert_eq!(reclaimed.iter().filter_map(is_of_copy).collect::<Vec<bool>>(), [true]);
+    assert!(fleet.instances[original].running.contains_key(&name(0)));
+}
+
 #[parameterized(
     original = { true },
     copy = { false },
