Prefer workers by their speed only from a doubling on

Cause: preference by steps of half a doubling comes before colocation and free CPU, and what a worker's runs take differs by as much from task to task.

Change: speed counts from half the usual on; failures and losses count as before. All tests of the cell pass, those of slow, failing and flapping workers among them.

--- a/crates/teaseltrack/src/cell/reliability.rs
+++ b/crates/teaseltrack/src/cell/reliability.rs
@@ -32,6 +32,8 @@
 const MIN_LISTED_TIME: Duration = Duration::from_millis(400);
 /// Maximum ratio of expected to observed progress.
 const MAX_SLOWDOWN: f64 = 16.0;
+/// Slowdown from which others are preferred to a worker for its speed.
+const MIN_DOUBTED_SLOWDOWN: f64 = 2.0;
 /// Half-lives after which losses are forgotten.
 const LOSS_HALF_LIVES: u32 = 8;
 /// Run times below this count as this, so that short runs yield no extreme ratios.
@@ -65,9 +67,13 @@
         self.slowdown.max(1.0) * retries.max(1.0) * distrust
     }
 
-    /// Expected slowdown in steps of half a doubling; 0 for a worker that is about sound.
+    /// How far others are preferred to the worker: its expected slowdown in steps of half a doubling; 0
+    /// for a worker that is about sound. A small difference in speed doesn't count, since the run times
+    /// of a stage's tasks differ by as much.
     pub(super) fn doubt(&self, settings: &HealthSettings) -> i64 {
-        (2.0 * self.expected_slowdown(settings).log2()) as i64
+        let has_common_speed = self.slowdown < MIN_DOUBTED_SLOWDOWN;
+        let speed = if has_common_speed { self.slowdown.max(1.0) } else { 1.0 };
+        (2.0 * (self.expected_slowdown(settings) / speed).log2()) as i64
     }
 }
 
