Prefer sound workers by failures and losses for batch tasks only

Cause: serving and best-effort tasks depend on their neighbours; a preference by what failed recently came before colocation and free CPU for them too.

Change: batch tasks keep the preference; for others only a worker that is slower by half counts, as before these parts. All tests of the crate pass.

--- a/crates/teaseltrack/src/cell/reliability.rs
+++ b/crates/teaseltrack/src/cell/reliability.rs
@@ -15,6 +15,7 @@
         Cell, CellEvent, Run, WorkerKey,
         durations::half_life_factor,
         health::HealthSettings,
+        planning::TaskKind,
         worker::{TaskKey, Worker},
     },
     ids::InstanceId,
@@ -34,6 +35,8 @@
 const MAX_SLOWDOWN: f64 = 16.0;
 /// Slowdown from which others are preferred to a worker for its speed.
 const MIN_DOUBTED_SLOWDOWN: f64 = 2.0;
+/// Doubt about a slow worker, for tasks whose neighbours matter more.
+const SLOW_DOUBT: i64 = 2;
 /// Half-lives after which losses are forgotten.
 const LOSS_HALF_LIVES: u32 = 8;
 /// Run times below this count as this, so that short runs yield no extreme ratios.
@@ -71,10 +74,22 @@
     /// for a worker that is about sound. A small difference in speed doesn't count, since the run times
     /// of a stage's tasks differ by as much.
     pub(super) fn doubt(&self, settings: &HealthSettings) -> i64 {
-        let has_common_speed = self.slowdown < MIN_DOUBTED_SLOWDOWN;
-        let speed = if has_common_speed { self.slowdown.max(1.0) } else { 1.0 };
+        let speed = if self.is_slow() { 1.0 } else { self.slowdown.max(1.0) };
         (2.0 * (self.expected_slowdown(settings) / speed).log2()) as i64
     }
+
+    /// How far others are preferred to the worker for tasks of a kind. Serving and best-effort tasks
+    /// depend more on their neighbours than on the worker, unless it is slow.
+    pub(super) fn doubt_for(&self, kind: TaskKind, settings: &HealthSettings) -> i64 {
+        match kind {
+            TaskKind::Batch => self.doubt(settings),
+            TaskKind::Serving | TaskKind::BestEffort => SLOW_DOUBT * i64::from(self.is_slow()),
+        }
+    }
+
+    fn is_slow(&self) -> bool {
+        self.slowdown > MIN_DOUBTED_SLOWDOWN
+    }
 }
 
 impl Cell {
--- a/crates/teaseltrack/src/cell/scoring.rs
+++ b/crates/teaseltrack/src/cell/scoring.rs
@@ -215,7 +215,7 @@
             });
         let preference = LOCALITY_PREFERENCE * i64::from(is_data_local)
             - AVOIDANCE_PREFERENCE * i64::from(is_avoided)
-            - worker.doubt(&self.settings.health)
+            - worker.doubt_for(TaskKind::of(stage), &self.settings.health)
             - i64::from(self.is_warming_up(worker));
         Some(PlacementScore { preference, colocation, cpu_milli })
     }
