Let failures and losses decide after colocation

Cause: a batch task that avoids a worker for one recent failure takes the room beside other neighbours, and what best-effort work can use there goes with it.

Change: failures and losses decide between workers with the same preference and colocation; slow workers lose preference as before. All tests of the crate pass, those of failing and flapping workers among them.

--- a/crates/teaseltrack/src/cell/reliability.rs
+++ b/crates/teaseltrack/src/cell/reliability.rs
@@ -15,7 +15,6 @@
         Cell, CellEvent, Run, WorkerKey,
         durations::half_life_factor,
         health::HealthSettings,
-        planning::TaskKind,
         worker::{TaskKey, Worker},
     },
     ids::InstanceId,
@@ -35,8 +34,6 @@
 const MAX_SLOWDOWN: f64 = 16.0;
 /// Slowdown from which others are preferred to a worker for its speed.
 const MIN_DOUBTED_SLOWDOWN: f64 = 2.0;
-/// Doubt about a slow worker, for tasks whose neighbours matter more.
-const SLOW_DOUBT: i64 = 2;
 /// Half-lives after which losses are forgotten.
 const LOSS_HALF_LIVES: u32 = 8;
 /// Run times below this count as this, so that short runs yield no extreme ratios.
@@ -78,16 +75,8 @@
         (2.0 * (self.expected_slowdown(settings) / speed).log2()) as i64
     }
 
-    /// How far others are preferred to the worker for tasks of a kind. Serving and best-effort tasks
-    /// depend more on their neighbours than on the worker, unless it is slow.
-    pub(super) fn doubt_for(&self, kind: TaskKind, settings: &HealthSettings) -> i64 {
-        match kind {
-            TaskKind::Batch => self.doubt(settings),
-            TaskKind::Serving | TaskKind::BestEffort => SLOW_DOUBT * i64::from(self.is_slow()),
-        }
-    }
-
-    fn is_slow(&self) -> bool {
+    /// Whether its runs take much longer than on other workers.
+    pub(super) fn is_slow(&self) -> bool {
         self.slowdown > MIN_DOUBTED_SLOWDOWN
     }
 }
--- a/crates/teaseltrack/src/cell/scoring.rs
+++ b/crates/teaseltrack/src/cell/scoring.rs
@@ -15,17 +15,21 @@
 
 /// Preference for a worker near the task's data: remote data takes about twice as long.
 const LOCALITY_PREFERENCE: i64 = 2;
+/// Penalty of a worker on which runs take much longer.
+const SLOWNESS_PENALTY: i64 = 2;
 /// Penalty of a worker that the task avoids.
 const AVOIDANCE_PREFERENCE: i64 = 4;
 
 /// Score of a worker for a task; the highest is chosen. Fields are compared in order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct PlacementScore {
-    /// Data locality, less the doubt about the worker and a penalty for one that the task avoids, in
-    /// steps of half a doubling of the run time.
+    /// Data locality, less penalties for a slow worker and for one that the task avoids, in steps of half
+    /// a doubling of the run time.
     preference: i64,
     /// Colocation with serving tasks.
     pub(super) colocation: Colocation,
+    /// For a batch task, the negated doubt about the worker, in steps of half a doubling of the run time.
+    reliability: i64,
     /// In millicores: for a batch task the CPU that remains free, for a serving task the same
     /// negated, so that workers are filled up, and for a best-effort task the CPU that it may use.
     pub(super) cpu_milli: i64,
@@ -215,9 +219,14 @@
             });
         let preference = LOCALITY_PREFERENCE * i64::from(is_data_local)
             - AVOIDANCE_PREFERENCE * i64::from(is_avoided)
-            - worker.doubt_for(TaskKind::of(stage), &self.settings.health)
+            - SLOWNESS_PENALTY * i64::from(worker.is_slow())
             - i64::from(self.is_warming_up(worker));
-        Some(PlacementScore { preference, colocation, cpu_milli })
+        // Serving and best-effort tasks depend on their neighbours more than on the worker.
+        let reliability = match TaskKind::of(stage) {
+            TaskKind::Batch => -worker.doubt(&self.settings.health),
+            TaskKind::Serving | TaskKind::BestEffort => 0,
+        };
+        Some(PlacementScore { preference, colocation, reliability, cpu_milli })
     }
 
     /// Colocation of a serving task with the serving tasks on a worker.
