Report why long-running tasks wait for a worker

The owner now logs the task that has waited longest, with the number of workers by obstacle, every 2 s, and exports how many wait and for how long.

--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -257,6 +257,7 @@
                 _ = ticks.tick() => {
                     self.cell.tick(self.context.clock.now());
                     self.record_evacuations();
+                    self.record_waiting_tasks();
                     self.search_cells();
                 }
                 found = task_result(&mut self.searching) => {
@@ -481,6 +482,13 @@
         metrics.gauge("evacuation_ms", evacuation_time.as_millis() as u64);
     }
 
+    fn record_waiting_tasks(&self) {
+        let OwnerContext { metrics, clock, .. } = &self.context;
+        let (count, longest) = self.cell.waiting_serving_tasks(clock.now());
+        metrics.gauge("serving_tasks_waiting", count as u64);
+        metrics.gauge("serving_task_wait_ms", longest.as_millis() as u64);
+    }
+
     /// Logs the cell's events and records them in metrics, with the gauges of the cell.
     fn record_events(&mut self) {
         let OwnerContext { logger, metrics, .. } = &self.context;
@@ -559,6 +567,19 @@
                         "worker" => worker, "tasks" => task_count,
                         "lease_remaining_ms" => lease_remaining.as_millis() as u64);
                 }
+                CellEvent::Unplaced { task, waited, count, required, free, obstacles } => {
+                    warn!(logger, "long-running tasks wait for a worker";
+                        "request_id" => &task.job, "task" => %task,
+                        "waited_ms" => waited.as_millis() as u64, "waiting" => count,
+                        "cpu_milli" => required.cpu_milli, "memory_mib" => required.memory_mib,
+                        "free_cpu_milli" => free.cpu_milli, "free_memory_mib" => free.memory_mib,
+                        "workers_ineligible" => obstacles.ineligible,
+                        "workers_isolated" => obstacles.isolated,
+                        "workers_constrained" => obstacles.constrained,
+                        "workers_without_cpu" => obstacles.cpu,
+                        "workers_without_memory" => obstacles.memory,
+                        "workers_held" => obstacles.held, "workers_usable" => obstacles.none);
+                }
                 CellEvent::State { job, state } => {
                     info!(logger, "job ended"; "request_id" => job, "state" => ?state);
                 }
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -27,6 +27,7 @@
         evacuation::{EvacuationSettings, EvacuationState},
         interference::{ImageUsage, InterferenceModel, InterferenceSettings},
         job::{JobId, JobSpec, Queue, QueueConfiguration, Stage},
+        obstacles::Obstacles,
         partition::CellId,
         progress::{
             JobProgress, JobState, OccurrenceProgress, TaskPhase, TaskProgress, WorkerIncarnation,
@@ -41,6 +42,7 @@
         worker::{TaskKey, Worker},
     },
     ids::{AttemptNumber, Epoch, InstanceId, ZoneName},
+    placement::Resources,
 };
 
 mod commits;
@@ -52,6 +54,7 @@
 pub mod interference;
 pub mod job;
 pub mod loss;
+pub mod obstacles;
 pub mod ownership;
 pub mod pacing;
 pub mod partition;
@@ -398,6 +401,21 @@
         /// Time until its lease has expired for certain.
         lease_remaining: Duration,
     },
+    /// Serving tasks wait to be placed; reported for the one that has waited longest.
+    Unplaced {
+        /// Name of the task.
+        task: TaskName,
+        /// Time for which it has waited under this owner.
+        waited: Duration,
+        /// Number of serving tasks that wait.
+        count: usize,
+        /// What it requests.
+        required: Resources,
+        /// What is free on the eligible worker with the most free CPU.
+        free: Resources,
+        /// What keeps the workers from running it.
+        obstacles: Obstacles,
+    },
     /// A job reached a final state.
     State {
         /// Identifier of the job.
@@ -471,6 +489,7 @@
             Self::Suspected { is_given_up: true, .. } => "task_given_up",
             Self::Suspected { .. } => "task_suspected",
             Self::Silent { .. } => "worker_silent",
+            Self::Unplaced { .. } => "task_unplaced",
             Self::State { state, .. } => state.name(),
             Self::EvacuationStarted { .. } => "evacuation_started",
             Self::EvacuationEmptied { .. } => "evacuation_emptied",
@@ -522,6 +541,7 @@
     relocated_at: Option<Instant>,
     preemption_checked_at: Option<Instant>,
     copies_searched_at: Option<Instant>,
+    obstacles_reported_at: Option<Instant>,
 }
 
 impl Cell {
@@ -549,6 +569,7 @@
             relocated_at: None,
             preemption_checked_at: None,
             copies_searched_at: None,
+            obstacles_reported_at: None,
             settings,
             epoch,
             session_count: 0,
--- /dev/null
+++ b/crates/teaseltrack/src/cell/obstacles.rs
@@ -0,0 +1,128 @@
+//! Why serving tasks wait: what keeps each worker from running a task that was placed nowhere.
+//!
+//! Serving tasks wait last among the tasks that reserve CPU, and nothing ends to make room for them.
+//! The reasons are reported for the task that has waited longest, so that an operator can tell a
+//! full service from capacity that isn't used.
+
+use std::time::{Duration, Instant};
+
+use crate::cell::{
+    Cell, CellEvent, WorkerKey,
+    planning::{Candidate, TaskKind},
+    worker::{TaskKey, reserved_resources},
+};
+
+/// Waiting time from which a serving task is reported.
+const MIN_REPORTED_WAIT: Duration = Duration::from_millis(1_500);
+/// Time between two reports.
+const REPORT_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Numbers of a service's workers by what keeps them from running a task; each worker counts once.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Obstacles {
+    /// Draining, unreachable, silent, not reconciled, evacuated, or in a back-off.
+    pub ineligible: u32,
+    /// Kept for tasks that may crash their worker, or running one.
+    pub isolated: u32,
+    /// Without a required label, or with as many tasks of the stage as are allowed.
+    pub constrained: u32,
+    /// Without enough free CPU.
+    pub cpu: u32,
+    /// With enough free CPU, but not memory or accelerators.
+    pub memory: u32,
+    /// With enough capacity, which is held for other tasks.
+    pub held: u32,
+    /// Able to run the task.
+    pub none: u32,
+}
+
+impl Cell {
+    /// Number of serving tasks that wait to be placed, and the longest time that one has waited under
+    /// this owner.
+    pub fn waiting_serving_tasks(&self, now: Instant) -> (usize, Duration) {
+        let waiting = self.serving_waits(now);
+        (waiting.len(), waiting.iter().map(|(wait, _)| *wait).max().unwrap_or_default())
+    }
+
+    /// Reports the serving task that has waited longest, with the obstacles to its placement.
+    pub(super) fn report_obstacles(
+        &mut self,
+        candidates: &[Candidate],
+        open_workers: &[WorkerKey],
+        eligible_workers: &[WorkerKey],
+        now: Instant,
+    ) {
+        let is_due =
+            self.obstacles_reported_at.is_none_or(|at| now.duration_since(at) >= REPORT_INTERVAL);
+        if !is_due || !candidates.iter().any(|candidate| candidate.kind() == TaskKind::Serving) {
+            return;
+        }
+        let waiting = self.serving_waits(now);
+        let longest = waiting.iter().max_by_key(|(wait, _)| *wait);
+        let Some(&(waited, key)) = longest.filter(|(wait, _)| *wait >= MIN_REPORTED_WAIT) else {
+            return;
+        };
+        let Some(task) = self.name_of(key) else { return };
+        self.obstacles_reported_at = Some(now);
+        let free = eligible_workers.iter().map(|worker| self.workers[*worker].available());
+        self.events.push(CellEvent::Unplaced {
+            task,
+            waited,
+            count: waiting.len(),
+            required: self.stage(key).resources,
+            free: free.max_by_key(|free| free.cpu_milli).unwrap_or_default(),
+            obstacles: self.obstacles(key, open_workers, eligible_workers),
+        });
+    }
+
+    fn serving_waits(&self, now: Instant) -> Vec<(Duration, TaskKey)> {
+        let open = self.open_jobs.iter().filter(|key| {
+            let job = &self.jobs[**key];
+            !job.state.is_final() && job.spec.is_long_running()
+        });
+        let tasks = open.flat_map(|key| self.task_keys(*key));
+        tasks
+            .filter(|key| self.stage(*key).is_long_running)
+            .filter_map(|key| {
+                let since = self.task(key).filter(|task| task.is_waiting())?.waiting_since?;
+                Some((now.duration_since(since), key))
+            })
+            .collect()
+    }
+
+    fn obstacles(
+        &self,
+        key: TaskKey,
+        open_workers: &[WorkerKey],
+        eligible_workers: &[WorkerKey],
+    ) -> Obstacles {
+        let mut obstacles = Obstacles::default();
+        let stage = self.stage(key);
+        let service = &self.jobs[key.job].queue.service;
+        let required = reserved_resources(stage);
+        for (worker_key, worker) in &self.workers {
+            let Some(status) = worker.status.as_ref().filter(|status| status.service == *service)
+            else {
+                continue;
+            };
+            let reserved = worker.reserved.plus(&required);
+            let count = if !eligible_workers.contains(&worker_key) {
+                &mut obstacles.ineligible
+            } else if !open_workers.contains(&worker_key) {
+                &mut obstacles.isolated
+            } else if !self.meets_constraints(worker, service, (key, stage)) {
+                &mut obstacles.constrained
+            } else if reserved.cpu_milli > status.capacity.cpu_milli {
+                &mut obstacles.cpu
+            } else if !status.capacity.can_fit(&reserved) {
+                &mut obstacles.memory
+            } else if !worker.can_fit_beside_held_rooms(key, &required) {
+                &mut obstacles.held
+            } else {
+                &mut obstacles.none
+            };
+            *count += 1;
+        }
+        obstacles
+    }
+}
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -108,6 +108,13 @@
     pub(super) first_task: TaskKey,
 }
 
+impl Candidate {
+    /// Kind of the stage's tasks.
+    pub(super) fn kind(&self) -> TaskKind {
+        self.rank.kind
+    }
+}
+
 /// Task sizes that fitted on no worker in the current planning round; tasks of the same or a larger
 /// size are skipped.
 #[derive(Debug, Default)]
@@ -189,6 +196,7 @@
             self.relieve_starvation(candidate, &workers, now);
         }
         self.preempt(&candidates, &workers, now);
+        self.report_obstacles(&candidates, &workers, &eligible_workers, now);
         self.copy_slow_runs(&candidates, &workers, now);
         self.relocate_idle_tasks(&workers, now);
         if !self.has_unplaced_tasks(&candidates, now) {
