--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -576,6 +576,7 @@
                         "workers_ineligible" => obstacles.ineligible,
                         "workers_isolated" => obstacles.isolated,
                         "workers_constrained" => obstacles.constrained,
+                        "workers_with_batch" => obstacles.batch,
                         "workers_without_cpu" => obstacles.cpu,
                         "workers_without_memory" => obstacles.memory,
                         "workers_held" => obstacles.held, "workers_usable" => obstacles.none);
--- a/crates/teaseltrack/src/cell/obstacles.rs
+++ b/crates/teaseltrack/src/cell/obstacles.rs
@@ -26,7 +26,9 @@
     pub isolated: u32,
     /// Without a required label, or with as many tasks of the stage as are allowed.
     pub constrained: u32,
-    /// Without enough free CPU.
+    /// With enough CPU but for batch tasks, which end soon and are replaced by others.
+    pub batch: u32,
+    /// Without enough CPU beside its serving tasks.
     pub cpu: u32,
     /// With enough free CPU, but not memory or accelerators.
     pub memory: u32,
@@ -112,8 +114,12 @@
                 &mut obstacles.isolated
             } else if !self.meets_constraints(worker, service, (key, stage)) {
                 &mut obstacles.constrained
-            } else if reserved.cpu_milli > status.capacity.cpu_milli {
+            } else if reserved.cpu_milli.saturating_sub(worker.demand.batch_milli)
+                > status.capacity.cpu_milli
+            {
                 &mut obstacles.cpu
+            } else if reserved.cpu_milli > status.capacity.cpu_milli {
+                &mut obstacles.batch
             } else if !status.capacity.can_fit(&reserved) {
                 &mut obstacles.memory
             } else if !worker.can_fit_beside_held_rooms(key, &required) {
