Failing tests: long-running tasks starve beside a stream of batch tasks

Two workers; the one with both tasks of a long-running job is lost for good, and the other has CPU for them beside its batch tasks, of which more arrive than it can run. Neither runs again within 9 s, with one owner or with two changes of it.

--- a/crates/teaseltrack/tests/cell/main.rs
+++ b/crates/teaseltrack/tests/cell/main.rs
@@ -9,6 +9,7 @@
 mod preemption;
 mod quarantine;
 mod reliability;
+mod serving_waits;
 #[path = "../util.rs"]
 mod util;
 
