Shard owners and their manager take the time from the clock that is passed in

Callers saw nothing. The manager's checks, the retries of stop orders, the refresh of the capacity hints and the commit's metric read the process's clock directly, so that no test could drive a manager in simulated time. They use the context's clock now, which is the same clock in the daemon.

--- a/crates/teaseltrack-agent/src/tasks/owner.rs
+++ b/crates/teaseltrack-agent/src/tasks/owner.rs
@@ -294,7 +294,7 @@
         let is_due = |ticks: u32| is_tick && tick.is_multiple_of(ticks);
         self.process_inbox(&mut round).await;
         if is_due(MAINTENANCE_TICKS) {
-            self.placer.refresh_hints().await;
+            self.placer.refresh_hints(self.context.clock.now()).await;
         }
         self.park_and_unpark(&mut round);
         if !round.is_releasing && self.state.waiting_count() > 0 {
@@ -367,7 +367,8 @@
             if self.stream.head().owner.as_ref() != Some(&self.context.owner) {
                 return Err(ShardLost);
             }
-            self.context.metrics.time("shard_commit", started_at.elapsed());
+            let elapsed = self.context.clock.now().duration_since(started_at);
+            self.context.metrics.time("shard_commit", elapsed);
             self.context.metrics.gauge("shard_commit_decisions", count as u64);
         }
         for reply in replies {
--- a/crates/teaseltrack-agent/src/tasks/owner/orders.rs
+++ b/crates/teaseltrack-agent/src/tasks/owner/orders.rs
@@ -1,10 +1,6 @@
 //! Sending start and stop orders to agents after their decisions are committed.
 
-use std::{
-    collections::BTreeMap,
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use teaseltrack::{
     ids::InstanceId,
@@ -91,10 +87,10 @@
         let (context, cancellation) = (self.context.clone(), self.orders_cancellation.clone());
         let retry_deadline = match &orders {
             Orders::Start(_) => None,
-            Orders::Stop(_) => Some(Instant::now() + STOP_RETRY_TIMEOUT),
+            Orders::Stop(_) => Some(self.context.clock.now() + STOP_RETRY_TIMEOUT),
         };
         tokio::spawn(async move {
-            while retry_deadline.is_none_or(|at| Instant::now() < at) {
+            while retry_deadline.is_none_or(|at| context.clock.now() < at) {
                 let address = resolve_address(&context.node, &instance);
                 if let Some(address) = address
                     && try_send(&context.clients, address, &owner, &orders).await.is_ok()
--- a/crates/teaseltrack-agent/src/tasks/placer.rs
+++ b/crates/teaseltrack-agent/src/tasks/placer.rs
@@ -109,7 +109,7 @@
     }
 
     /// Queries the free capacity of a few random agents to keep the hints up to date.
-    pub async fn refresh_hints(&mut self) {
+    pub async fn refresh_hints(&mut self, now: Instant) {
         let members = self.node.members();
         let agents: Vec<&Member> =
             members.iter().filter(|member| member.role == Role::Agent).collect();
@@ -119,7 +119,6 @@
             .sample(&mut rand::rng(), count)
             .map(|agent| (agent.instance.clone(), Vec::new()))
             .collect();
-        let now = Instant::now();
         self.reserve_all(chosen, now).await;
     }
 
--- a/crates/teaseltrack-agent/src/tasks/shard_manager.rs
+++ b/crates/teaseltrack-agent/src/tasks/shard_manager.rs
@@ -101,7 +101,7 @@
     pub async fn run(mut self, mut receiver: mpsc::Receiver<ShardMessage>) {
         // An agent that has just started doesn't know enough members to compute the preference
         // order.
-        let mut next_check_at = Instant::now() + START_GRACE;
+        let mut next_check_at = self.context.clock.now() + START_GRACE;
         loop {
             tokio::select! {
                 message = receiver.recv() => match message {
@@ -114,8 +114,8 @@
                     None => return,
                 },
                 () = sleep_until(next_check_at.into()) => {
-                    next_check_at =
-                        Instant::now() + CHECK_PERIOD.mul_f64(rand::rng().random_range(0.8..1.2));
+                    let period = CHECK_PERIOD.mul_f64(rand::rng().random_range(0.8..1.2));
+                    next_check_at = self.context.clock.now() + period;
                     if let Err(error) = self.check_shards().await {
                         debug!(self.logger, "shard check failed"; "error" => %error);
                     }
@@ -179,10 +179,10 @@
     }
 
     async fn check_shard(&mut self, shard: ShardNumber, rank: usize) -> Result<(), StoreError> {
-        let is_known_live = self
-            .cached_owners
-            .get(&shard)
-            .is_some_and(|entry| entry.read_at.elapsed() < CACHE_TTL && self.is_live(&entry.owner));
+        let now = self.context.clock.now();
+        let is_known_live = self.cached_owners.get(&shard).is_some_and(|entry| {
+            now.duration_since(entry.read_at) < CACHE_TTL && self.is_live(&entry.owner)
+        });
         if is_known_live {
             return Ok(());
         }
@@ -190,11 +190,11 @@
         let head: StreamHead = row.as_ref().map(Row::parse).transpose()?.unwrap_or_default();
         if let Some(owner) = head.owner.filter(|owner| self.is_live(owner)) {
             self.ownerless_since.remove(&shard);
-            self.cached_owners.insert(shard, CachedOwner { owner, read_at: Instant::now() });
+            self.cached_owners.insert(shard, CachedOwner { owner, read_at: now });
             return Ok(());
         }
-        let since = *self.ownerless_since.entry(shard).or_insert_with(Instant::now);
-        if rank == 0 || since.elapsed() >= SECONDARY_TAKEOVER_DELAY {
+        let since = *self.ownerless_since.entry(shard).or_insert(now);
+        if rank == 0 || now.duration_since(since) >= SECONDARY_TAKEOVER_DELAY {
             self.ownerless_since.remove(&shard);
             self.start_owner(shard);
         }
