A shard's new owner continues its predecessors' wait for a lost instance's lease

Callers would have seen tasks of a lost instance stay where they were while the shard's owner changed more often than the lease takes to lapse.

Cause: the lease watches were in the owner's memory, so that each owner started the wait anew.

Change: an owner records, in a row of the shard's own, the version of each lease's row that it waits for and for how long it has seen it unchanged. Its successor continues from there. The candidates for the shard read the record, every 5 s while it is empty and every second otherwise, and measure along, so that the time of a take-over counts as well. A watch is kept while its instance still looks like a member to a new owner. The first check is at the owner's first tick.

A version of a row is never used twice, so that "this version was unchanged for this long" stays true. The lease's row is still read, and the mark is still conditional on its version, before anything is reclaimed. - The owner ends before the record: the successor has the one before it, or what a candidate has measured. - The owner ends between the record and the reclaim: nothing but the record has happened; the successor reclaims. - An answer is lost: the next check, a second later, writes again; a record that takes effect late replaces a newer one until then. - The record is stale: it is too short, or about an earlier version and ignored. A replaced owner can't write, by the head's version. - Outage of the store: at most 2 s of the time between two answered reads counts, as before, also for candidates. - Another build: it ignores the row; unknown fields are ignored, and a row that can't be parsed counts as empty.

Found on the way: a watch began when its first read was sent, although the row may have been written until the answer; each change of the owner would have added that. It begins with the answer now.

The two tests now begin the loss once the fleet's agents own their shards, with the same limit: the start of the fleet, 2 s and more, is no part of it.

What remains: without a candidate that has read the record (all candidates lost at once, or new), the gap between two owners doesn't count.

--- a/crates/teaseltrack-agent/src/tasks/owner.rs
+++ b/crates/teaseltrack-agent/src/tasks/owner.rs
@@ -6,7 +6,7 @@
 //! per round regardless of how many tasks start. If the head of the stream was changed by another
 //! process, the shard is lost and its state is discarded.
 
-mod leases;
+pub(super) mod leases;
 mod orders;
 mod placement;
 
@@ -21,7 +21,7 @@
     clock::SharedClock,
     ids::{InstanceId, ShardNumber},
     journal::{EntryBody, Owner, SEGMENT_ENTRIES},
-    lease::LeaseWatch,
+    lease::{LeaseWatches, SilenceRow},
     outcome::ErrorKind,
     shard::{ShardState, stream_of},
     task::{Decision, TaskId},
@@ -99,6 +99,9 @@
     pub shard: ShardNumber,
     /// Dependencies shared by all owners.
     pub context: Arc<OwnerContext>,
+    /// What this agent has measured, before it owned the shard, of the leases that earlier owners
+    /// wait for.
+    pub lease_watches: LeaseWatches,
     /// Receiver of messages.
     pub receiver: mpsc::Receiver<OwnerMessage>,
 }
@@ -125,7 +128,9 @@
     state: ShardState,
     archive: Archive,
     placer: Placer,
-    lease_watches: BTreeMap<InstanceId, LeaseWatch>,
+    lease_watches: LeaseWatches,
+    /// The lease watches as last recorded for the next owner.
+    recorded_silence: SilenceRow,
     preempted_at: Option<Instant>,
     is_inbox_due: bool,
     tick: u32,
@@ -137,9 +142,9 @@
 
 /// Acquires the shard and owns it until it is lost or released.
 pub async fn run_owner(task: ShardOwnerTask) {
-    let ShardOwnerTask { shard, context, mut receiver } = task;
+    let ShardOwnerTask { shard, context, lease_watches, mut receiver } = task;
     let logger = context.logger.clone();
-    let Some(mut owned) = OwnedShard::acquire(shard, context).await else {
+    let Some(mut owned) = OwnedShard::acquire(shard, context, lease_watches).await else {
         info!(logger, "shard not acquired"; "shard" => shard);
         return;
     };
@@ -177,7 +182,11 @@
 impl OwnedShard {
     /// Writes this agent into the shard's head and loads the state; `None` if the write failed,
     /// usually because another agent wrote first.
-    async fn acquire(shard: ShardNumber, context: Arc<OwnerContext>) -> Option<Self> {
+    async fn acquire(
+        shard: ShardNumber,
+        context: Arc<OwnerContext>,
+        mut lease_watches: LeaseWatches,
+    ) -> Option<Self> {
         let name = stream_of(shard);
         let mut stream = loop {
             match Stream::open(&context.store, &name).await {
@@ -209,8 +218,12 @@
                 }
             }
         };
+        // An earlier owner can't record anything after the change of the head.
+        let recorded_silence =
+            leases::adopt_recorded_silence(&context, shard, &mut lease_watches).await;
         info!(context.logger, "shard acquired"; "shard" => shard, "epoch" => stream.head().epoch,
-            "jobs" => loaded.state.jobs().len(), "entries" => loaded.sequence);
+            "jobs" => loaded.state.jobs().len(), "entries" => loaded.sequence,
+            "watched_leases" => lease_watches.len());
         let orders_cancellation = CancellationToken::new();
         let placer = Placer::new(context.node.clone(), context.clients.clone());
         Some(Self {
@@ -220,7 +233,8 @@
             state: loaded.state,
             archive: loaded.archive,
             placer,
-            lease_watches: BTreeMap::new(),
+            lease_watches,
+            recorded_silence,
             preempted_at: None,
             is_inbox_due: true,
             tick: 0,
@@ -301,8 +315,11 @@
             self.place(&mut round).await;
         }
         self.commit(round).await?;
-        if is_due(MAINTENANCE_TICKS) {
+        // The first tick counts as well: an owner may be replaced before its first maintenance.
+        if is_due(MAINTENANCE_TICKS) || (is_tick && tick == 1) {
             self.check_leases().await?;
+        }
+        if is_due(MAINTENANCE_TICKS) {
             self.archive().await;
         }
         if is_due(HEAD_CHECK_TICKS) {
--- a/crates/teaseltrack-agent/src/tasks/owner/leases.rs
+++ b/crates/teaseltrack-agent/src/tasks/owner/leases.rs
@@ -1,28 +1,52 @@
 //! Reclaiming attempts from instances whose lease has ended.
+//!
+//! An owner records for how long it has seen the leases unchanged that it waits for, conditional on
+//! the shard's head, and its successor continues from there. The candidates for the shard read the
+//! record while the owner lives, so that the time of a takeover counts as well.
 
 use std::{
     collections::BTreeSet,
     time::{Duration, Instant},
 };
 
-use slog::warn;
+use slog::{info, warn};
 use teaseltrack::{
-    ids::InstanceId,
+    ids::{InstanceId, ShardNumber},
     journal::EntryBody,
-    lease::{LeaseRow, LeaseState, LeaseWatch},
+    lease::{LeaseRow, LeaseState, LeaseWatches, SilenceRow},
     task::{Decision, TaskId},
 };
 use teaseltrack_platform::{
     keys,
-    store::{Condition, Row, StoreError, Write},
-    stream::AppendOutcome,
+    store::{CommitOutcome, Condition, Row, StoreError, Transaction, Write},
+    stream::{AppendOutcome, read_with_retries, transaction_id},
 };
 
-use crate::tasks::owner::{OwnedShard, ShardLost};
+use crate::tasks::owner::{OwnedShard, OwnerContext, ShardLost};
 
 /// Maximum number of leases read individually; a larger number is read by listing all leases.
 const MAX_SINGLE_READS: usize = 8;
 
+/// Continues the measurements that earlier owners of the shard have recorded; returns the record.
+pub(super) async fn adopt_recorded_silence(
+    context: &OwnerContext,
+    shard: ShardNumber,
+    watches: &mut LeaseWatches,
+) -> SilenceRow {
+    let row = read_with_retries(&context.store, &keys::silence(shard)).await;
+    let received_at = context.clock.now();
+    let recorded = parse_silence(row.as_ref());
+    // The read may have been repeated for long, so that only its answer has a known time.
+    watches.adopt(&recorded, received_at, received_at);
+    recorded
+}
+
+/// Parses a shard's record of leases; one that is missing or can't be parsed is empty, which only
+/// makes the wait longer.
+pub fn parse_silence(row: Option<&Row>) -> SilenceRow {
+    row.and_then(|row| row.parse().ok()).unwrap_or_default()
+}
+
 impl OwnedShard {
     /// Reclaims the attempts of instances whose lease was released, has lapsed or has a new
     /// incarnation.
@@ -38,11 +62,41 @@
             })
             .cloned()
             .collect();
-        self.lease_watches.retain(|instance, _| instances_to_check.contains(instance));
+        // A lease keeps its watch while its instance is a member: a new owner may not know yet that
+        // the instance is lost.
+        let state = &self.state;
+        self.lease_watches.retain(|instance| state.placed_on(instance).next().is_some());
         let sent_at = self.context.clock.now();
         let Ok(rows) = self.read_leases(&instances_to_check).await else { return Ok(()) };
+        let received_at = self.context.clock.now();
         for row in rows {
-            self.check_lease(row, sent_at).await?;
+            self.check_lease(row, sent_at, received_at).await?;
+        }
+        self.record_silence().await
+    }
+
+    /// Records the lease watches for the next owner if they have changed.
+    ///
+    /// A failed write may or may not have taken effect, and is followed by another one at the next
+    /// check. A record that is written late replaces a newer one for no longer than that.
+    async fn record_silence(&mut self) -> Result<(), ShardLost> {
+        let silence = self.lease_watches.record();
+        if silence == self.recorded_silence {
+            return Ok(());
+        }
+        let head_key = keys::head(self.stream.name());
+        let transaction = Transaction {
+            id: transaction_id(&self.context.owner.instance),
+            conditions: vec![Condition { key: head_key, version: self.stream.version() }],
+            writes: vec![Write::put(keys::silence(self.shard), &silence)],
+        };
+        match self.context.store.commit(transaction).await {
+            Ok(CommitOutcome::Committed { .. }) => self.recorded_silence = silence,
+            Ok(CommitOutcome::Conflict { .. }) => return Err(ShardLost),
+            Err(error) => {
+                warn!(self.context.logger, "failed to record the watched leases";
+                    "shard" => self.shard, "error" => %error);
+            }
         }
         Ok(())
     }
@@ -69,14 +123,20 @@
         })
     }
 
-    async fn check_lease(&mut self, row: Row, sent_at: Instant) -> Result<(), ShardLost> {
+    async fn check_lease(
+        &mut self,
+        row: Row,
+        sent_at: Instant,
+        received_at: Instant,
+    ) -> Result<(), ShardLost> {
         let Ok(lease) = row.parse::<LeaseRow>() else { return Ok(()) };
         let instance = lease.instance.clone();
-        let watch = self
-            .lease_watches
-            .entry(instance.clone())
-            .or_insert_with(|| LeaseWatch::new(row.version, sent_at));
-        watch.observe(row.version, sent_at);
+        let is_first = self.lease_watches.get(&instance).is_none();
+        let watch = self.lease_watches.observe(&instance, row.version, sent_at, received_at);
+        if is_first {
+            info!(self.context.logger, "watching the lease of an instance"; "shard" => self.shard,
+                "instance" => &instance, "ttl_ms" => lease.ttl_ms);
+        }
         let is_ended = lease.state != LeaseState::Held;
         let is_lapsed = !is_ended && watch.is_lapsed(Duration::from_millis(lease.ttl_ms));
         let last_ended_incarnation =
--- a/crates/teaseltrack-agent/src/tasks/shard_manager.rs
+++ b/crates/teaseltrack-agent/src/tasks/shard_manager.rs
@@ -16,6 +16,7 @@
 use teaseltrack::{
     ids::{InstanceId, ShardNumber},
     journal::{Owner, StreamHead},
+    lease::LeaseWatches,
     membership::Role,
     outcome::ErrorKind,
     shard::{SHARD_COUNT, preferred_owners, stream_of},
@@ -31,7 +32,9 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::tasks::owner::{OwnerContext, OwnerMessage, ShardOwnerTask, run_owner};
+use crate::tasks::owner::{
+    OwnerContext, OwnerMessage, ShardOwnerTask, leases::parse_silence, run_owner,
+};
 
 /// Capacity of the shard manager's message channel.
 pub const CHANNEL_CAPACITY: usize = 1_024;
@@ -40,7 +43,7 @@
 /// Time after which the second agent in the preference order acquires an ownerless shard.
 const SECONDARY_TAKEOVER_DELAY: Duration = Duration::from_secs(5);
 /// Time for which the cached owner of a shard is trusted, while it is a member, before the head is
-/// read again.
+/// read again; the same for a record of leases that is empty.
 const CACHE_TTL: Duration = Duration::from_secs(5);
 /// Delay after startup before an agent acquires shards.
 const START_GRACE: Duration = Duration::from_secs(2);
@@ -70,6 +73,8 @@
     /// Shards that this agent may acquire, with its rank in their preference order among `agents`.
     candidacies: Vec<(ShardNumber, usize)>,
     agents: Vec<InstanceId>,
+    /// Leases that other owners wait for, by the shards that this agent may acquire.
+    observed_silences: BTreeMap<ShardNumber, ObservedSilence>,
 }
 
 /// Live owner of a shard, as last read from its head.
@@ -78,6 +83,12 @@
     read_at: Instant,
 }
 
+/// Leases that a shard's owner waits for, as last read from its record.
+struct ObservedSilence {
+    watches: LeaseWatches,
+    read_at: Instant,
+}
+
 struct OwnerHandle {
     sender: mpsc::Sender<OwnerMessage>,
     ended: CancellationToken,
@@ -94,6 +105,7 @@
             cached_owners: BTreeMap::new(),
             candidacies: Vec::new(),
             agents: Vec::new(),
+            observed_silences: BTreeMap::new(),
         }
     }
 
@@ -150,6 +162,7 @@
         self.update_candidacies();
         for (shard, rank) in self.candidacies.clone() {
             if !self.owned.contains_key(&shard) {
+                self.observe_silence(shard).await?;
                 self.check_shard(shard, rank).await?;
             }
         }
@@ -176,6 +189,34 @@
             })
             .collect();
         self.agents = agents;
+        let candidacies = &self.candidacies;
+        self.observed_silences
+            .retain(|shard, _| candidacies.iter().any(|(other, _)| other == shard));
+    }
+
+    /// Measures along with the shard's owner for how long the leases that it waits for are
+    /// unchanged, so that the time of a takeover counts.
+    async fn observe_silence(&mut self, shard: ShardNumber) -> Result<(), StoreError> {
+        let sent_at = self.context.clock.now();
+        let is_known_empty = self.observed_silences.get(&shard).is_some_and(|observed| {
+            observed.watches.is_empty() && sent_at.duration_since(observed.read_at) < CACHE_TTL
+        });
+        if is_known_empty {
+            return Ok(());
+        }
+        let row = self.context.store.read(&keys::silence(shard)).await?;
+        let received_at = self.context.clock.now();
+        let silence = parse_silence(row.as_ref());
+        let observed = self.observed_silences.entry(shard).or_insert_with(|| ObservedSilence {
+            watches: LeaseWatches::default(),
+            read_at: sent_at,
+        });
+        observed.read_at = sent_at;
+        observed
+            .watches
+            .retain(|instance| silence.leases.iter().any(|lease| lease.instance == instance));
+        observed.watches.adopt(&silence, sent_at, received_at);
+        Ok(())
     }
 
     async fn check_shard(&mut self, shard: ShardNumber, rank: usize) -> Result<(), StoreError> {
@@ -212,8 +253,10 @@
         let ended = CancellationToken::new();
         let guard = ended.clone().drop_guard();
         let context = self.context.clone();
+        let observed = self.observed_silences.remove(&shard);
+        let lease_watches = observed.map(|observed| observed.watches).unwrap_or_default();
         tokio::spawn(async move {
-            run_owner(ShardOwnerTask { shard, context, receiver }).await;
+            run_owner(ShardOwnerTask { shard, context, lease_watches, receiver }).await;
             drop(guard);
         });
         self.owned.insert(shard, OwnerHandle { sender, ended });
--- a/crates/teaseltrack-agent/tests/shard_owners.rs
+++ b/crates/teaseltrack-agent/tests/shard_owners.rs
@@ -2,9 +2,14 @@
 
 mod util;
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use tokio::time::{Instant, sleep};
+use teaseltrack::lease::LeaseWatches;
+use teaseltrack_agent::tasks::owner::{ShardOwnerTask, run_owner};
+use tokio::{
+    sync::mpsc,
+    time::{Instant, sleep},
+};
 
 use crate::util::Fleet;
 
@@ -21,6 +26,12 @@
     TTL + TTL / 4
 }
 
+/// Renews the instance's lease for the last time, once the fleet's agents own their shards.
+async fn lose_instance(fleet: &Fleet) {
+    sleep(TAKE_OVER).await;
+    fleet.renew_lease().await;
+}
+
 /// Kills the shard's owner each time it has owned the shard for `period`, until the task is taken
 /// back or `limit` is over; returns the time that it took, and the number of owners that were
 /// killed. `is_joined` says whether a new agent joins at the end of each owner.
@@ -60,6 +71,7 @@
     for number in 0..12 {
         fleet.start_agent(&format!("agent-{number}")).await;
     }
+    lose_instance(&fleet).await;
     let limit = lapse_time() + TAKE_OVER;
     let (reclaimed_after, kill_count) =
         replace_owners(&mut fleet, Duration::from_secs(10), limit, false).await;
@@ -72,6 +84,7 @@
 async fn reclaim_within_one_lease_of_observed_time_with_new_processes() {
     let mut fleet = Fleet::new(TTL).await;
     fleet.start_agent("agent").await;
+    lose_instance(&fleet).await;
     // Only the time of the take-overs isn't observed by any owner.
     let limit = 2 * lapse_time();
     let (reclaimed_after, kill_count) =
@@ -112,3 +125,76 @@
     assert_eq!(kill_count, 0);
     assert!(reclaimed_after.is_some_and(|time| time > lapse_time()), "after {reclaimed_after:?}");
 }
+
+/// Runs owners that know nothing but the shard's rows, one after the other without a gap, each for
+/// `period`; returns the time until the task was taken back, if that is within `limit`.
+async fn run_owners(
+    fleet: &Fleet,
+    period: Duration,
+    limit: Duration,
+    lost_responses: u32,
+) -> Option<Duration> {
+    let started_at = Instant::now();
+    for number in 0.. {
+        let (sender, receiver) = mpsc::channel(1);
+        let context = Arc::new(fleet.owner_context(&format!("owner-{number}")));
+        let lease_watches = LeaseWatches::default();
+        let task = ShardOwnerTask { shard: fleet.shard(), context, lease_watches, receiver };
+        let owner = tokio::spawn(run_owner(task));
+        let owned_since = Instant::now();
+        while owned_since.elapsed() < period {
+            sleep(STEP).await;
+            if started_at.elapsed() > limit {
+                return None;
+            }
+            if fleet.is_reclaimed().await {
+                return Some(started_at.elapsed());
+            }
+        }
+        fleet.rows.lock().unwrap().lost_responses = lost_responses;
+        owner.abort();
+        drop(sender);
+    }
+    None
+}
+
+// Failure: an owner didn't continue the wait that its predecessor had recorded.
+#[tokio::test(start_paused = true)]
+async fn owner_continues_the_recorded_wait() {
+    let fleet = Fleet::new(TTL).await;
+    let limit = lapse_time() + TAKE_OVER;
+    let reclaimed_after = run_owners(&fleet, Duration::from_secs(20), limit, 0).await;
+    assert!(reclaimed_after.is_some_and(|time| time > lapse_time()), "after {reclaimed_after:?}");
+}
+
+// Failure: an owner whose first commits were answered by nothing lost the recorded wait.
+#[tokio::test(start_paused = true)]
+async fn owner_continues_the_recorded_wait_after_lost_responses() {
+    let fleet = Fleet::new(TTL).await;
+    let limit = lapse_time() + TAKE_OVER;
+    let reclaimed_after = run_owners(&fleet, Duration::from_secs(20), limit, 3).await;
+    assert!(reclaimed_after.is_some_and(|time| time > lapse_time()), "after {reclaimed_after:?}");
+}
+
+// Failure: time in which no instance could renew its lease counted as silence of one.
+#[tokio::test(start_paused = true)]
+async fn reclaim_not_for_an_outage_of_the_store() {
+    let mut fleet = Fleet::new(TTL).await;
+    for number in 0..12 {
+        fleet.start_agent(&format!("agent-{number}")).await;
+    }
+    sleep(Duration::from_secs(30)).await;
+    fleet.rows.lock().unwrap().is_unavailable = true;
+    for _ in 0..4 {
+        sleep(Duration::from_secs(30)).await;
+        if let Some(owner) = fleet.owner() {
+            fleet.kill_agent(&owner).await;
+        }
+    }
+    fleet.rows.lock().unwrap().is_unavailable = false;
+    sleep(Duration::from_secs(10)).await;
+    assert!(!fleet.is_reclaimed().await, "the holder had no time to renew its lease");
+    fleet.renew_lease().await;
+    sleep(TTL).await;
+    assert!(!fleet.is_reclaimed().await, "reclaimed after a renewal");
+}
--- a/crates/teaseltrack-agent/tests/util.rs
+++ b/crates/teaseltrack-agent/tests/util.rs
@@ -65,17 +65,11 @@
     version: u64,
     /// Whether calls fail without taking effect.
     pub is_unavailable: bool,
-    /// Number of calls.
-    pub call_count: u64,
+    /// Number of responses to commits still to lose.
+    pub lost_responses: u32,
 }
 
 impl Rows {
-    /// Value of a row.
-    #[allow(dead_code, reason = "not all tests use it")]
-    pub fn value(&self, key: &str) -> Option<&str> {
-        self.values.get(key).map(|row| row.value.as_str())
-    }
-
     fn commit(&mut self, transaction: Transaction) -> CommitOutcome {
         for condition in transaction.conditions {
             let version = self.values.get(&condition.key).map_or(0, |row| row.version);
@@ -95,7 +89,6 @@
     }
 
     fn call(&mut self, call: StoreCall) -> Result<StoreReply, StoreError> {
-        self.call_count += 1;
         if self.is_unavailable {
             return Err(StoreError::Unavailable { message: "outage".to_owned() });
         }
@@ -107,7 +100,14 @@
                 let is_listed = |row: &&Row| row.key.starts_with(&prefix) && row.key > after;
                 StoreReply::Rows(self.values.values().filter(is_listed).cloned().collect())
             }
-            StoreCall::Commit(transaction) => StoreReply::Commit(self.commit(transaction)),
+            StoreCall::Commit(transaction) => {
+                let outcome = self.commit(transaction);
+                if self.lost_responses > 0 {
+                    self.lost_responses -= 1;
+                    return Err(StoreError::Unavailable { message: "response lost".to_owned() });
+                }
+                StoreReply::Commit(outcome)
+            }
             other => panic!("unexpected call: {other:?}"),
         })
     }
@@ -205,28 +205,34 @@
         self.store.commit(transaction).await.unwrap();
     }
 
-    /// Starts an agent that knows all other agents, and that they know.
-    pub async fn start_agent(&mut self, instance: &str) {
+    /// What an owner of the given instance needs; it is no member of the fleet.
+    pub fn owner_context(&self, instance: &str) -> OwnerContext {
         let (peers_ahead, _) = mpsc::channel(1);
         let logger = Logger::root(Discard, o!());
         let node = spawn_node(member(instance), self.clock.clone(), logger.clone(), peers_ahead);
-        let members = self.agents.keys().map(|other| member(other)).collect();
-        node.send(NodeMessage::Merge(members)).await;
-        self.tell_all(member(instance)).await;
-        let context = OwnerContext {
-            logger: logger.clone(),
+        OwnerContext {
+            logger,
             metrics: Metrics::scrape_only(),
             clock: self.clock.clone(),
             store: self.store.clone(),
-            node: node.clone(),
+            node,
             clients: ControlClients::new(Arc::<ByteCount>::default()),
             owner: Owner {
                 instance: instance.to_owned(),
                 holder: 1,
                 control_address: String::new(),
             },
-        };
-        let manager = ShardManager::new(logger, Arc::new(context));
+        }
+    }
+
+    /// Starts an agent that knows all other agents, and that they know.
+    pub async fn start_agent(&mut self, instance: &str) {
+        let context = self.owner_context(instance);
+        let node = context.node.clone();
+        let members = self.agents.keys().map(|other| member(other)).collect();
+        node.send(NodeMessage::Merge(members)).await;
+        self.tell_all(member(instance)).await;
+        let manager = ShardManager::new(context.logger.clone(), Arc::new(context));
         let manager = tokio::spawn(async move {
             let (_sender, receiver) = mpsc::channel(1);
             manager.run(receiver).await;
--- a/crates/teaseltrack-platform/src/keys.rs
+++ b/crates/teaseltrack-platform/src/keys.rs
@@ -23,6 +23,11 @@
     format!("journal/{stream}/{sequence:020}")
 }
 
+/// Leases that a shard's owner waits for.
+pub fn silence(shard: ShardNumber) -> String {
+    format!("silence/{shard:04}")
+}
+
 /// Archive mark of a stream.
 pub fn archive_mark(stream: &str) -> String {
     format!("archive/{stream}")
--- a/crates/teaseltrack/src/lease.rs
+++ b/crates/teaseltrack/src/lease.rs
@@ -5,8 +5,16 @@
 //! store responded, and adds a safety margin. Before an observer reclaims work from an instance, it
 //! marks the row as lapsed in a conditional transaction, so that either the holder's renewal or the
 //! observer's mark commits, never both.
+//!
+//! An observer records what it has measured, so that its successor continues instead of starting
+//! anew. A version of the row is never used twice. That a version was unchanged for some time
+//! therefore stays true whoever reads it and however late: a stale record is too short or about an
+//! earlier version, and never too long.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -106,8 +114,128 @@
         self.observed_at = self.observed_at.max(sent_at);
     }
 
+    /// Time for which the row was unchanged.
+    pub fn unchanged_for(&self) -> Duration {
+        self.unchanged_for
+    }
+
     /// Whether the lease has expired on the holder's clock as well.
     pub fn is_lapsed(&self, ttl: Duration) -> bool {
         self.unchanged_for >= ttl + ttl / SAFETY_MARGIN_DIVISOR
     }
 }
+
+/// Time for which a version of a lease's row was unchanged, as measured by an observer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SilentLease {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Version of the lease's row.
+    pub version: u64,
+    /// Time for which that version was unchanged, in milliseconds.
+    pub unchanged_ms: u64,
+}
+
+/// Table row of the leases that the owner of a shard waits for.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct SilenceRow {
+    /// The leases, in the order of their instances.
+    pub leases: Vec<SilentLease>,
+}
+
+/// Watches over the leases of several instances.
+#[derive(Clone, Debug, Default)]
+pub struct LeaseWatches {
+    by_instance: BTreeMap<InstanceId, LeaseWatch>,
+}
+
+impl LeaseWatches {
+    /// Watch over an instance's lease.
+    pub fn get(&self, instance: &str) -> Option<&LeaseWatch> {
+        self.by_instance.get(instance)
+    }
+
+    /// Number of watched leases.
+    pub fn len(&self) -> usize {
+        self.by_instance.len()
+    }
+
+    /// Whether no lease is watched.
+    pub fn is_empty(&self) -> bool {
+        self.by_instance.is_empty()
+    }
+
+    /// Ends the watch over an instance's lease.
+    pub fn remove(&mut self, instance: &str) {
+        self.by_instance.remove(instance);
+    }
+
+    /// Ends the watches over the leases of all other instances.
+    pub fn retain(&mut self, is_watched: impl Fn(&str) -> bool) {
+        self.by_instance.retain(|instance, _| is_watched(instance));
+    }
+
+    /// Records an observation of a lease's row, whose read was sent at `sent_at` and answered by
+    /// `received_at`; returns the watch.
+    pub fn observe(
+        &mut self,
+        instance: &str,
+        version: u64,
+        sent_at: Instant,
+        received_at: Instant,
+    ) -> &LeaseWatch {
+        self.observe_mut(instance, version, sent_at, received_at)
+    }
+
+    fn observe_mut(
+        &mut self,
+        instance: &str,
+        version: u64,
+        sent_at: Instant,
+        received_at: Instant,
+    ) -> &mut LeaseWatch {
+        let watch = self
+            .by_instance
+            .entry(instance.to_owned())
+            .or_insert_with(|| LeaseWatch::new(version, received_at));
+        if watch.version == version {
+            watch.observe(version, sent_at);
+        } else {
+            // The row may have been written at any time until the answer.
+            *watch = LeaseWatch::new(version, received_at);
+        }
+        watch
+    }
+
+    /// Continues the measurements of another observer, whose row was read with a call sent at
+    /// `sent_at` and answered by `received_at`.
+    ///
+    /// Time between two reads counts for the recorded version: it is only of use if the lease's row
+    /// still has that version afterwards, and then had it all the time.
+    pub fn adopt(&mut self, row: &SilenceRow, sent_at: Instant, received_at: Instant) {
+        for lease in &row.leases {
+            let known = self.by_instance.get(&lease.instance);
+            if known.is_some_and(|watch| watch.version > lease.version) {
+                continue;
+            }
+            let recorded = Duration::from_millis(lease.unchanged_ms);
+            let watch = self.observe_mut(&lease.instance, lease.version, sent_at, received_at);
+            // The measurement may have been recorded at any time until the answer.
+            if recorded > watch.unchanged_for {
+                watch.unchanged_for = recorded;
+                watch.observed_at = received_at;
+            }
+        }
+    }
+
+    /// The measurements, for a successor.
+    pub fn record(&self) -> SilenceRow {
+        let leases = self.by_instance.iter().map(|(instance, watch)| SilentLease {
+            instance: instance.clone(),
+            version: watch.version,
+            unchanged_ms: watch.unchanged_for.as_millis() as u64,
+        });
+        SilenceRow { leases: leases.collect() }
+    }
+}
