Test: an owner looks at parked tasks only 10 s after its start

Callers would see a parked task stay parked although an instance could hold it, while the shard's owner is replaced more often than every 10 s. Cause: the interval is counted in ticks of the owner. Evidence: four owners of 5 s each, one after the other, with an instance that can hold the task: still parked after 20 s.

--- a/crates/teaseltrack-agent/tests/shard_owners.rs
+++ b/crates/teaseltrack-agent/tests/shard_owners.rs
@@ -4,10 +4,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use teaseltrack::lease::LeaseWatches;
-use teaseltrack_agent::tasks::owner::{ShardOwnerTask, run_owner};
+use teaseltrack::{lease::LeaseWatches, placement::Resources};
+use teaseltrack_agent::tasks::owner::{OwnerMessage, ShardOwnerTask, run_owner};
+use teaseltrack_wire::control::ReportBatch;
 use tokio::{
-    sync::mpsc,
+    sync::{mpsc, oneshot},
     time::{Instant, sleep},
 };
 
@@ -198,3 +199,33 @@
     sleep(TTL).await;
     assert!(!fleet.is_reclaimed().await, "reclaimed after a renewal");
 }
+
+// Failure: an owner looked at parked tasks only 10 s after its start, so that owners that were replaced
+// more often than that never placed a task that fits by now.
+#[tokio::test(start_paused = true)]
+async fn unpark_despite_owner_changes() {
+    let fleet = Fleet::new(TTL).await;
+    let job = fleet.park_task().await;
+    let capacity = Resources { cpu_milli: 64_000, memory_mib: 64_000, accelerators: 0 };
+    for number in 0..4 {
+        let (sender, receiver) = mpsc::channel(1);
+        let instance = format!("owner-{number}");
+        let context = Arc::new(fleet.owner_context(&instance));
+        let lease_watches = LeaseWatches::default();
+        let task = ShardOwnerTask { shard: fleet.shard(), context, lease_watches, receiver };
+        let owner = tokio::spawn(run_owner(task));
+        let batch = ReportBatch {
+            shard: fleet.shard(),
+            instance,
+            incarnation: 1,
+            capacity,
+            available: capacity,
+            reports: Vec::new(),
+        };
+        let (reply, _response) = oneshot::channel();
+        sender.send(OwnerMessage::Report(batch, reply)).await.unwrap();
+        sleep(Duration::from_secs(5)).await;
+        owner.abort();
+    }
+    assert!(!fleet.is_parked(&job).await, "parked for 20 s, 4 owners");
+}
--- a/crates/teaseltrack-agent/tests/util.rs
+++ b/crates/teaseltrack-agent/tests/util.rs
@@ -15,7 +15,7 @@
     membership::{Member, MemberState, Role},
     record::JobSpec,
     shard::{shard_of, stream_of},
-    task::{Decision, Placement, TaskId},
+    task::{Decision, Placement, TaskId, TaskState},
 };
 use teaseltrack_agent::tasks::{owner::OwnerContext, shard_manager::ShardManager};
 use teaseltrack_daemon::{byte_count::ByteCount, metrics::Metrics};
@@ -160,21 +160,35 @@
     /// Writes the job's task as running on the lost instance.
     async fn seed(&self) {
         let task = TaskId { job: JOB.to_owned(), index: 0 };
-        let spec = JobSpec {
-            tasks: 1,
-            cpu_milli: 1_000,
-            memory_mib: 64,
-            accelerators: 0,
-            run_ms: 3_600_000,
-            team: "team".to_owned(),
-            urgency: 3,
-        };
         let placement = Placement { instance: LOST_INSTANCE.to_owned(), incarnation: 1 };
         let decisions = vec![
-            Decision::JobAdded { job: JOB.to_owned(), revision: 1, spec },
+            Decision::JobAdded { job: JOB.to_owned(), revision: 1, spec: spec() },
             Decision::Assigned { task: task.clone(), attempt: 1, placement, reason: String::new() },
             Decision::Started { task, attempt: 1 },
         ];
+        self.append(decisions).await;
+    }
+
+    /// Adds a job to the shard whose only task is parked; returns its name.
+    pub async fn park_task(&self) -> String {
+        let is_in_shard = |name: &String| shard_of(name) == self.shard();
+        let job = (0..).map(|number| format!("parked-{number}")).find(is_in_shard).unwrap();
+        let decisions = vec![
+            Decision::JobAdded { job: job.clone(), revision: 2, spec: spec() },
+            Decision::Parked { task: TaskId { job: job.clone(), index: 0 }, reason: String::new() },
+        ];
+        self.append(decisions).await;
+        job
+    }
+
+    /// Whether the only task of a job is parked.
+    pub async fn is_parked(&self, job: &str) -> bool {
+        let loaded = load_shard(&self.store, self.shard()).await.unwrap();
+        loaded.state.task(&TaskId { job: job.to_owned(), index: 0 }).unwrap().state
+            == TaskState::Parked
+    }
+
+    async fn append(&self, decisions: Vec<Decision>) {
         let append = Append {
             author: "test".to_owned(),
             body: EntryBody::Decisions(decisions),
@@ -280,3 +294,15 @@
         target: None,
     }
 }
+
+fn spec() -> JobSpec {
+    JobSpec {
+        tasks: 1,
+        cpu_milli: 1_000,
+        memory_mib: 64,
+        accelerators: 0,
+        run_ms: 3_600_000,
+        team: "team".to_owned(),
+        urgency: 3,
+    }
+}
