A shard's new owner looks at parked tasks a second after its start

Callers would have seen a parked task stay parked, although an instance could hold it, while the shard's owner is replaced more often than every 10 s.

Cause: the interval between two looks is counted in ticks of the owner and starts anew with each. Change: the first look is at the fourth tick, in the round that first queries the capacity of other instances; then every 10 s as before.

An owner that lasts for less than a second still doesn't look.

If no instance has answered by then, all parked tasks are unparked and parked again once one has: one more time for each owner than before. Not measured.

--- a/crates/teaseltrack-agent/src/tasks/owner/placement.rs
+++ b/crates/teaseltrack-agent/src/tasks/owner/placement.rs
@@ -13,7 +13,7 @@
 };
 use teaseltrack_wire::control::{StopCause, StopOrder};
 
-use crate::tasks::owner::{OwnedShard, Round};
+use crate::tasks::owner::{MAINTENANCE_TICKS, OwnedShard, Round};
 
 /// Ticks between checks whether parked tasks have become feasible.
 const UNPARK_TICKS: u32 = 40;
@@ -37,7 +37,11 @@
             let reason = "larger than the capacity of every known instance".to_owned();
             self.decide(Decision::Parked { task, reason }, round);
         }
-        if round.is_tick && self.tick.is_multiple_of(UNPARK_TICKS) {
+        // The interval starts with each owner, so that a new one looks as soon as it has queried the
+        // capacity of other instances.
+        let is_unpark_due =
+            self.tick.is_multiple_of(UNPARK_TICKS) || self.tick == MAINTENANCE_TICKS;
+        if round.is_tick && is_unpark_due {
             for task in self.tasks_to_unpark() {
                 let reason = "an instance could hold it now".to_owned();
                 self.decide(Decision::Unparked { task, reason }, round);
