Store: one row that can't be read doesn't fail its page

What callers saw: a single row of another writer in a table that an owner or an entry reads failed the whole page, which was requested again for ever. Jobs weren't listed, submissions and cancellations weren't followed, a new owner didn't load.

Cause: the adapter decoded a response as one value.

A row of which only the value can't be read stays, with an empty value that no decoder accepts: it exists, its version can be a condition, and the requests of evacuations and cancellations, of which only the key counts, hold. Each is logged and counted once per key and version (`odd_entries`), with bounded memory.

--- a/crates/teaseltrack-platform/src/store.rs
+++ b/crates/teaseltrack-platform/src/store.rs
@@ -16,10 +16,13 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use snafu::{ResultExt, Snafu};
 use teaseltrack::{clock::SharedClock, quota::TokenBucket};
+use teaseltrack_daemon::odd_entries::OddEntries;
 use tokio::time::sleep;
 
 /// Capacity of the token buckets, in seconds of the configured rate.
 const BURST_S: f64 = 1.0;
+/// Kind of a row in the reports of odd entries.
+pub const ODD_ROW: &str = "row";
 /// Maximum number of rows in one listing.
 pub const LIST_LIMIT: usize = 500;
 
@@ -56,7 +59,7 @@
     pub key: String,
     /// Increases with every write of the row; never 0.
     pub version: u64,
-    /// Value as JSON text.
+    /// Value as JSON text; empty if the store's value can't be read.
     pub value: String,
 }
 
@@ -78,7 +81,7 @@
     pub key: String,
     /// Table version of the change.
     pub version: u64,
-    /// New value as JSON text; `None` if the row was deleted.
+    /// New value as JSON text, empty if the store's value can't be read; `None` if the row was deleted.
     pub value: Option<String>,
 }
 
@@ -250,6 +253,7 @@
     clock: SharedClock,
     buckets: Arc<Mutex<Buckets>>,
     usage: Arc<StoreUsage>,
+    odd_entries: OddEntries,
 }
 
 /// Counters of the calls sent to the store.
@@ -298,7 +302,29 @@
         let buckets =
             Buckets { writes: bucket(budget.writes_per_s), reads: bucket(budget.reads_per_s) };
         let buckets = Arc::new(Mutex::new(buckets));
-        Self { adapter, clock, buckets, usage: Arc::default() }
+        let odd_entries = OddEntries::silent();
+        Self { adapter, clock, buckets, usage: Arc::default(), odd_entries }
+    }
+
+    /// Sets the reporter of rows that can't be read.
+    pub fn with_odd_entries(self, odd_entries: OddEntries) -> Self {
+        Self { odd_entries, ..self }
+    }
+
+    /// Parses the value of a row; reports one that can't be read once for each version.
+    pub fn parse<T: DeserializeOwned>(&self, row: &Row) -> Option<T> {
+        match row.parse() {
+            Ok(value) => Some(value),
+            Err(error) => {
+                self.report_odd_row(&row.key, row.version, error);
+                None
+            }
+        }
+    }
+
+    /// Reports a row that can't be used, once for each version.
+    pub fn report_odd_row(&self, key: &str, version: u64, reason: impl fmt::Display) {
+        self.odd_entries.report(ODD_ROW, (key, version), key, reason);
     }
 
     /// Counters of the calls sent.
