Cell: numbers near the end of their type don't end the owner

What callers saw: a job with a RepeatCount of 4,294,967,295 whose occurrences were all due ended the process of the owner, for want of memory, and each owner after it. Large estimates or demands overflowed sums (a panic with overflow checks, else a small sum into which everything fits). A time near the end of its type in the owner's row made a candidate panic or wait for years. The progress of another shape than its job's ended the owner while it loaded.

Change: sums of resources, demands and estimates saturate, as do attempt numbers and the end of a lease. At most 100,000 tasks of a job's occurrences begin, which no progress record can hold. Recorded times are limited where they are restored: the predecessors' grants to two grant periods, a silent worker's lease to 120 s, a clock above its range counts as not read. `OwnerRecord::is_valid`, `JobProgress::is_valid` and `Delegation::is_valid` check epochs, shapes and counts for those who read rows.

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -1067,7 +1067,8 @@
         if !may_grant || worker_clock_ms == 0 || worker.is_silent || worker.is_recorded_silent {
             return;
         }
-        response.lease_until_ms = Some(worker_clock_ms + self.settings.lease.as_millis() as u64);
+        let lease_ms = self.settings.lease.as_millis() as u64;
+        response.lease_until_ms = Some(worker_clock_ms.saturating_add(lease_ms));
         // A repeated or late clock reading yields a lease that ends no later than one already
         // granted.
         if worker_clock_ms > worker.clock_ms {
--- a/crates/teaseltrack/src/cell/delegation.rs
+++ b/crates/teaseltrack/src/cell/delegation.rs
@@ -16,7 +16,7 @@
         job::{JobSpec, Queue, Stage},
         partition::CellId,
         planning::TaskKind,
-        progress::{TaskPhase, TaskProgress},
+        progress::{MAX_ATTEMPT, TaskPhase, TaskProgress},
         protocol::TaskName,
         worker::TaskKey,
     },
@@ -49,10 +49,11 @@
 impl Delegation {
     /// Whether the job's specification is valid and has the task.
     pub fn is_valid(&self) -> bool {
-        let occurrence_count = self.spec.schedule.map_or(1, |schedule| schedule.occurrence_count);
+        let counts = [self.attempt, self.crash_count, self.sole_crash_count];
         let stage = self.spec.stages.get(self.task.stage as usize);
         self.spec.validate().is_ok()
-            && self.task.occurrence < occurrence_count
+            && counts.into_iter().all(|count| count <= MAX_ATTEMPT)
+            && self.task.occurrence < self.spec.max_occurrence_count()
             && stage.is_some_and(|stage| self.task.index < stage.task_count)
     }
 }
--- a/crates/teaseltrack/src/cell/durations.rs
+++ b/crates/teaseltrack/src/cell/durations.rs
@@ -123,7 +123,7 @@
     pub(super) fn used_core_ms(&self, cpu_milli: u64, until_clock_ms: u64) -> f64 {
         let last_ms = self.listed_clock_ms.map_or(until_clock_ms, |(_, last_ms)| last_ms);
         let rest_ms = until_clock_ms.saturating_sub(last_ms);
-        self.used_core_ms + (self.gauge.min(cpu_milli) * rest_ms) as f64 / 1_000.0
+        self.used_core_ms + self.gauge.min(cpu_milli).saturating_mul(rest_ms) as f64 / 1_000.0
     }
 }
 
--- a/crates/teaseltrack/src/cell/health.rs
+++ b/crates/teaseltrack/src/cell/health.rs
@@ -55,7 +55,8 @@
         }
         let last_ms = self.listed_clock_ms.map_or(clock_ms, |(_, last_ms)| last_ms);
         let elapsed_ms = clock_ms.saturating_sub(last_ms);
-        self.used_core_ms += (listed.gauge.min(cpu_milli) * elapsed_ms) as f64 / 1_000.0;
+        self.used_core_ms +=
+            listed.gauge.min(cpu_milli).saturating_mul(elapsed_ms) as f64 / 1_000.0;
         if self.percent != listed.percent || self.progressed_at.is_none() || listed.gauge == 0 {
             self.progressed_at = Some(now);
         }
--- a/crates/teaseltrack/src/cell/job.rs
+++ b/crates/teaseltrack/src/cell/job.rs
@@ -13,6 +13,9 @@
 /// Maximum number of tasks of a job, over all stages; its state must fit into one progress record.
 const MAX_TASKS_PER_JOB: u64 = 1_000;
 
+/// Maximum number of tasks of a job's occurrences that have begun.
+const MAX_BEGUN_TASKS: u64 = 100_000;
+
 /// Reason why a job is invalid.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum InvalidJob {
@@ -145,6 +148,14 @@
         Ok(())
     }
 
+    /// Number of occurrences that can begin.
+    pub fn max_occurrence_count(&self) -> u32 {
+        let Some(schedule) = self.schedule else { return 1 };
+        let task_count: u64 = self.stages.iter().map(|stage| u64::from(stage.task_count)).sum();
+        let limit = (MAX_BEGUN_TASKS / task_count.max(1)).max(1);
+        schedule.occurrence_count.min(u32::try_from(limit).unwrap_or(u32::MAX))
+    }
+
     /// Whether any task runs until the job is cancelled.
     pub fn is_long_running(&self) -> bool {
         self.stages.iter().any(|stage| stage.is_long_running)
@@ -160,7 +171,7 @@
         for stage in &self.stages {
             let ready_ms =
                 stage.after.iter().map(|&dependency| path_ends_ms[dependency]).max().unwrap_or(0);
-            path_ends_ms.push(ready_ms + stage.estimate_ms);
+            path_ends_ms.push(ready_ms.saturating_add(stage.estimate_ms));
         }
         path_ends_ms.into_iter().max().unwrap_or(0)
     }
--- a/crates/teaseltrack/src/cell/ownership.rs
+++ b/crates/teaseltrack/src/cell/ownership.rs
@@ -14,6 +14,15 @@
     ids::{Epoch, InstanceId},
 };
 
+/// Highest epoch of an owner; the ranges of its attempts and sessions are numbers too.
+pub const MAX_EPOCH: Epoch = 2_000_000;
+/// Highest number of commits in an epoch.
+const MAX_SEQUENCE: u64 = 1 << 48;
+/// Longest time for which a recorded lease can go on.
+const MAX_LEASE_REMAINING: Duration = Duration::from_secs(120);
+/// Highest reading of a worker's clock, in milliseconds.
+const MAX_CLOCK_MS: u64 = 1 << 46;
+
 /// The row that names a cell's owner.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OwnerRecord {
@@ -64,22 +73,29 @@
 
     /// The silent worker, if the record was committed at `committed_by` or earlier.
     pub fn restore(self, committed_by: Instant) -> SilentWorker {
-        let remaining = Duration::from_millis(self.lease_remaining_ms);
+        let remaining = Duration::from_millis(self.lease_remaining_ms).min(MAX_LEASE_REMAINING);
         SilentWorker {
             incarnation: self.incarnation,
             lease_end: committed_by + remaining,
-            clock_ms: self.clock_ms,
+            // The worker's next reading has to be higher.
+            clock_ms: if self.clock_ms <= MAX_CLOCK_MS { self.clock_ms } else { 0 },
         }
     }
 }
 
 impl OwnerRecord {
+    /// Whether this can be the record of an owner.
+    pub fn is_valid(&self) -> bool {
+        self.epoch <= MAX_EPOCH && self.sequence <= MAX_SEQUENCE
+    }
+
     /// Latest time at which a predecessor of the owner may grant a lease, if the record was
     /// committed at `committed_by` or earlier.
     pub fn previous_grants_end(&self, committed_by: Instant, grant_period: Duration) -> Instant {
         // The first owner has no predecessor; a record without the time is that of an earlier build.
         let unknown = if self.epoch > 1 { grant_period } else { Duration::ZERO };
-        committed_by + self.previous_grants_remaining_ms.map_or(unknown, Duration::from_millis)
+        let remaining = self.previous_grants_remaining_ms.map_or(unknown, Duration::from_millis);
+        committed_by + remaining.min(grant_period * 2)
     }
 }
 
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -237,12 +237,12 @@
                 Some(schedule) if unix_now_ms < schedule.first_unix_ms => 0,
                 Some(schedule) => {
                     let elapsed_ms = unix_now_ms - schedule.first_unix_ms;
-                    let due = elapsed_ms / schedule.interval_ms.max(1) + 1;
-                    due.min(u64::from(schedule.occurrence_count))
+                    let due = (elapsed_ms / schedule.interval_ms.max(1)).saturating_add(1);
+                    due.min(u64::from(job.spec.max_occurrence_count()))
                 }
             };
             if let Some(schedule) = job.spec.schedule
-                && due < u64::from(schedule.occurrence_count)
+                && due < u64::from(job.spec.max_occurrence_count())
             {
                 let elapsed_ms = due.saturating_mul(schedule.interval_ms.max(1));
                 let due_unix_ms = schedule.first_unix_ms.saturating_add(elapsed_ms);
@@ -536,7 +536,7 @@
 
     pub(super) fn attempt_after(&self, last: AttemptNumber) -> AttemptNumber {
         let base = (self.epoch.saturating_sub(1) as u32).saturating_mul(super::ATTEMPTS_PER_EPOCH);
-        last.max(base) + 1
+        last.max(base).saturating_add(1)
     }
 
     pub(super) fn assign(
--- a/crates/teaseltrack/src/cell/progress.rs
+++ b/crates/teaseltrack/src/cell/progress.rs
@@ -6,7 +6,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{cell::partition::CellId, ids::AttemptNumber};
+use crate::{
+    cell::{job::JobSpec, partition::CellId},
+    ids::AttemptNumber,
+};
+
+/// Highest attempt number that an owner can have assigned; the epochs' ranges end below it.
+pub const MAX_ATTEMPT: AttemptNumber = 3_000_000_000;
 
 /// Identifier of a worker's incarnation; changes whenever the worker has lost its list of runs.
 pub type WorkerIncarnation = String;
@@ -108,6 +114,15 @@
     pub other_runs: Vec<RunRecord>,
 }
 
+impl TaskProgress {
+    fn has_valid_numbers(&self) -> bool {
+        let counts = [self.failure_count, self.crash_count, self.sole_crash_count];
+        let attempts = self.other_runs.iter().map(|run| run.attempt);
+        let mut numbers = attempts.chain([self.attempt, self.ended_attempt]).chain(counts);
+        numbers.all(|number| number <= MAX_ATTEMPT)
+    }
+}
+
 /// Run of a task.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunRecord {
@@ -135,3 +150,17 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub occurrences: Vec<OccurrenceProgress>,
 }
+
+impl JobProgress {
+    /// Whether this can be the state of a job with the specification.
+    pub fn is_valid(&self, spec: &JobSpec) -> bool {
+        let has_shape = |stages: &OccurrenceProgress| {
+            let task_counts = spec.stages.iter().map(|stage| stage.task_count as usize);
+            stages.iter().map(Vec::len).eq(task_counts)
+        };
+        let mut tasks = self.occurrences.iter().flatten().flatten();
+        self.occurrences.len() <= spec.max_occurrence_count() as usize
+            && self.occurrences.iter().all(has_shape)
+            && tasks.all(TaskProgress::has_valid_numbers)
+    }
+}
--- a/crates/teaseltrack/src/cell/quote.rs
+++ b/crates/teaseltrack/src/cell/quote.rs
@@ -107,8 +107,8 @@
             .filter(|(stage, task)| {
                 !stage.is_long_running && task.progress.phase != TaskPhase::Done
             })
-            .map(|(stage, _)| stage.estimate_ms * stage.resources.cpu_milli / 1_000)
-            .sum();
+            .map(|(stage, _)| stage.estimate_ms.saturating_mul(stage.resources.cpu_milli) / 1_000)
+            .fold(0, u64::saturating_add);
         let utilization = self.settings.planning.serving_utilization;
         let spare_milli: f64 = workers
             .iter()
--- a/crates/teaseltrack/src/cell/worker.rs
+++ b/crates/teaseltrack/src/cell/worker.rs
@@ -238,13 +238,15 @@
     pub fn reserve(&mut self, key: TaskKey, stage: &Stage) {
         if self.tasks.insert(key) {
             self.reserved = self.reserved.plus(&reserved_resources(stage));
-            *self.demand_of(stage) += stage.resources.cpu_milli;
+            let demand = self.demand_of(stage);
+            *demand = demand.saturating_add(stage.resources.cpu_milli);
             if stage.is_long_running {
                 *self.serving_images.entry(image_of(stage)).or_insert(0) += 1;
             } else if stage.is_best_effort {
                 let image_demand = self.best_effort_images.entry(image_of(stage)).or_default();
                 image_demand.task_count += 1;
-                image_demand.cpu_milli += stage.resources.cpu_milli;
+                image_demand.cpu_milli =
+                    image_demand.cpu_milli.saturating_add(stage.resources.cpu_milli);
                 self.are_headrooms_stale = true;
             }
         }
--- a/crates/teaseltrack/src/placement.rs
+++ b/crates/teaseltrack/src/placement.rs
@@ -54,12 +54,12 @@
             && requested.accelerators <= self.accelerators
     }
 
-    /// Sum of both.
+    /// Sum of both, saturating at the highest number.
     pub fn plus(&self, other: &Self) -> Self {
         Self {
-            cpu_milli: self.cpu_milli + other.cpu_milli,
-            memory_mib: self.memory_mib + other.memory_mib,
-            accelerators: self.accelerators + other.accelerators,
+            cpu_milli: self.cpu_milli.saturating_add(other.cpu_milli),
+            memory_mib: self.memory_mib.saturating_add(other.memory_mib),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
         }
     }
 
