Cell: rows of another writer are skipped one by one

What callers saw: one odd row of an instance kept a new fleet from being partitioned; one odd row of a cell's owner kept an entry from learning the owners of all cells at its start; an owner's row that couldn't be read left the cell without an owner for ever: candidates failed to parse it, and the owner repeated a commit that couldn't succeed. Submissions weren't validated when they were read.

Change: each decoder of rows skips what it can't read, and reports it to the store's reporter, which logs and counts a row once per version. Submissions and progress are validated. An owner whose row holds something else has lost the cell; a candidate replaces a row that can't be read after the takeover timeout, with the epoch after that in the row of the last takeover, and waits for all grants. Without a known epoch it leaves the row alone. A response of the worker without a readable list of runs isn't taken for one that lists none. The wait of a report and the validity of a start order are limited.

--- a/crates/teaseltrack-cell/src/agent.rs
+++ b/crates/teaseltrack-cell/src/agent.rs
@@ -57,6 +57,8 @@
 const EVACUATED: &str = "availability zone is being evacuated";
 /// Reason for the refusal of a start whose order has expired.
 const START_EXPIRED: &str = "start order has expired";
+/// Longest time for which a start order is valid.
+const MAX_ORDER_VALIDITY: Duration = Duration::from_secs(3_600);
 /// Maximum number of tries of a stop call; the owner repeats the order while the run is listed.
 const MAX_STOP_TRIES: u32 = 20;
 
@@ -428,6 +430,9 @@
         if let Some(listing) = response.listing {
             self.process_listing(listing, sent_at, now);
         }
+        if !self.has_listing {
+            self.next_sync_at = now + WORKER_RETRY_DELAY;
+        }
     }
 
     /// Handles a response from a later incarnation than that of the last heartbeat.
@@ -458,14 +463,15 @@
         } else if !listing.ended.is_empty() {
             self.next_sync_at = now + UNCOMMITTED_ENDS_DELAY;
         }
-        self.has_listing = true;
         self.ended = listing.ended;
+        // Without a list of the current runs, nothing is known of a run that isn't listed.
         if let Some(running) = listing.running {
+            self.has_listing = true;
             self.running = running;
+            let not_started = self.unconfirmed_starts.resolve(&self.running, &self.ended, sent_at);
+            self.needs_report |= !not_started.is_empty();
+            self.refused.extend(not_started);
         }
-        let not_started = self.unconfirmed_starts.resolve(&self.running, &self.ended, sent_at);
-        self.needs_report |= !not_started.is_empty();
-        self.refused.extend(not_started);
         let capacity = self.status.as_ref().map_or(0, |status| status.capacity.cpu_milli);
         let was_paused = self.pacer.is_paused();
         let changes = self.pacer.observe(&self.running, capacity, now);
@@ -605,7 +611,8 @@
             }
             self.evacuation.send_replace(notice);
         }
-        notice.valid_for_ms.map(|valid_for_ms| sent_at + Duration::from_millis(valid_for_ms))
+        let valid_for = notice.valid_for_ms.map(Duration::from_millis);
+        valid_for.map(|valid_for| sent_at + valid_for.min(MAX_ORDER_VALIDITY))
     }
 
     fn execute_order(&mut self, order: Order, start_by: Option<Instant>) {
--- a/crates/teaseltrack-cell/src/candidate.rs
+++ b/crates/teaseltrack-cell/src/candidate.rs
@@ -98,7 +98,8 @@
         let row = self.context.store.read(&owner_key(self.context.cell_id)).await?;
         let now = self.context.clock.now();
         let Some(row) = row else { return self.take_over(None, now, now).await };
-        let record: OwnerRecord = row.parse()?;
+        let record = self.context.store.parse(&row).filter(OwnerRecord::is_valid);
+        let Some(record) = record else { return self.replace_unreadable(row, monitor, now).await };
         self.update_known_owner(&record);
         monitor.observe(row.version, now);
         if record.is_released {
@@ -135,6 +136,32 @@
         self.take_over(Some((record, row)), since, grants_end).await
     }
 
+    /// Takes over the cell from an owner whose row has been overwritten by something that can't be
+    /// read. The row of its takeover has its epoch; its predecessors are unknown.
+    async fn replace_unreadable(
+        &self,
+        row: Row,
+        monitor: &mut OwnershipMonitor,
+        now: Instant,
+    ) -> Result<Option<Committer>, StoreError> {
+        let OwnerContext { store, cell_id, ownership, .. } = &self.context;
+        monitor.observe(row.version, now);
+        let Some(since) = monitor.unchanged_since(ownership.takeover_timeout, now) else {
+            return Ok(None);
+        };
+        let notice = store.read(&owner_notice_key(*cell_id)).await?;
+        let notice: Option<OwnerRecord> = notice.and_then(|notice| store.parse(&notice));
+        let noted_epoch = notice.filter(OwnerRecord::is_valid).map_or(0, |notice| notice.epoch);
+        let epoch = noted_epoch.max(self.known_owner.borrow().epoch);
+        if epoch == 0 {
+            store.report_odd_row(&row.key, row.version, "the epoch of the owner is unknown");
+            return Ok(None);
+        }
+        let record = OwnerRecord { epoch, ..OwnerRecord::default() };
+        let grants_end = since + ownership.grant_period;
+        self.take_over(Some((record, row)), since, grants_end).await
+    }
+
     fn update_known_owner(&self, record: &OwnerRecord) {
         let Ok(address) = record.address.parse() else { return };
         let known = KnownOwner { epoch: record.epoch, address: Some(address) };
--- a/crates/teaseltrack-cell/src/entry.rs
+++ b/crates/teaseltrack-cell/src/entry.rs
@@ -24,7 +24,7 @@
 };
 use teaseltrack_daemon::metrics::Metrics;
 use teaseltrack_platform::store::{
-    CommitOutcome, Condition, Store, StoreError, Transaction, Write,
+    CommitOutcome, Condition, Row, Store, StoreError, Transaction, Write,
 };
 use teaseltrack_wire::cell::JobLookup;
 use tokio::{
@@ -330,7 +330,7 @@
     partition_sender.send_replace(Some(partition));
     let mut after: Option<u64> = None;
     loop {
-        match next_owners(&store, &cells, after, &sender, &logger).await {
+        match next_owners(&store, &cells, after, &sender).await {
             Ok(version) => after = version,
             Err(error) => {
                 warn!(logger, "failed to follow the cells' owners; retrying"; "error" => %error);
@@ -345,13 +345,12 @@
     cells: &[CellId],
     after: Option<u64>,
     sender: &watch::Sender<KnownOwners>,
-    logger: &Logger,
 ) -> Result<Option<u64>, StoreError> {
     let Some(after) = after else {
         let version = store.version(OWNERS_TABLE).await?;
         for &cell in cells {
             if let Some(row) = store.read(&owner_notice_key(cell)).await? {
-                update_known_owner(cell, &row.parse()?, sender);
+                update_known_owner(cell, &row, store, sender);
             }
         }
         return Ok(Some(version));
@@ -360,28 +359,32 @@
     if page.is_history_lost {
         return Ok(None);
     }
-    for change in &page.changes {
-        let Some(value) = &change.value else { continue };
-        match (parse_owner_notice_key(&change.key), serde_json::from_str::<OwnerRecord>(value)) {
-            (Some(cell), Ok(record)) => update_known_owner(cell, &record, sender),
-            (None, _) => warn!(logger, "row of an owner has an invalid key"; "key" => &change.key),
-            (_, Err(error)) => warn!(logger, "invalid row of an owner ignored";
-                "key" => &change.key, "error" => %error),
+    let is_empty = page.changes.is_empty();
+    for change in page.changes {
+        let Some(value) = change.value else { continue };
+        let row = Row { key: change.key, version: change.version, value };
+        match parse_owner_notice_key(&row.key) {
+            Some(cell) => update_known_owner(cell, &row, store, sender),
+            None => store.report_odd_row(&row.key, row.version, "not the key of an owner"),
         }
     }
-    if page.version <= after && page.changes.is_empty() {
+    if page.version <= after && is_empty {
         sleep(Duration::from_millis(5)).await;
     }
     Ok(Some(page.version.max(after)))
 }
 
-fn update_known_owner(cell: CellId, record: &OwnerRecord, sender: &watch::Sender<KnownOwners>) {
-    let address = record.address.parse().ok();
+fn update_known_owner(cell: CellId, row: &Row, store: &Store, sender: &watch::Sender<KnownOwners>) {
+    let Some(record) = store.parse::<OwnerRecord>(row) else { return };
+    let (Ok(address), true) = (record.address.parse(), record.is_valid()) else {
+        store.report_odd_row(&row.key, row.version, "no address or epoch of an owner");
+        return;
+    };
     sender.send_if_modified(|owners| {
         let known = owners.entry(cell).or_default();
         let is_newer = record.epoch > known.epoch;
         if is_newer {
-            *known = KnownOwner { epoch: record.epoch, address };
+            *known = KnownOwner { epoch: record.epoch, address: Some(address) };
         }
         is_newer
     });
--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -37,7 +37,8 @@
 use crate::{
     calls::{CellClients, InboundCall},
     constants::{
-        DELEGATION_WAIT, MAX_COMMIT_ROWS, OWNER_TICK_INTERVAL, RENEWAL_INTERVAL, STORE_LOST_TIMEOUT,
+        DELEGATION_WAIT, MAX_COMMIT_ROWS, OWNER_TICK_INTERVAL, RENEWAL_INTERVAL, REPORT_WAIT,
+        STORE_LOST_TIMEOUT,
     },
     evacuation::{OperatorSenders, OperatorSource, follow_operator},
     owner::{
@@ -332,7 +333,7 @@
     fn handle_report(&mut self, report: Report, reply: oneshot::Sender<ReportResponse>) {
         let now = self.context.clock.now();
         let may_grant = now < self.renewed_at + self.context.ownership.grant_period;
-        let wait = Duration::from_millis(report.wait_ms);
+        let wait = Duration::from_millis(report.wait_ms).min(REPORT_WAIT);
         let (agent, session) = (report.agent.clone(), report.session);
         let (accepted_order, forgot_until) = (report.accepted_order, report.forgot_until);
         let mut response = self.cell.handle_report(report, may_grant, now);
--- a/crates/teaseltrack-cell/src/owner/committer.rs
+++ b/crates/teaseltrack-cell/src/owner/committer.rs
@@ -141,7 +141,8 @@
             return Ok(Some(version));
         }
         let Some(row) = self.store.read(&owner_key(self.cell)).await? else { return Ok(None) };
-        let stored: OwnerRecord = row.parse()?;
-        Ok((stored == *next).then_some(row.version))
+        // A record that can't be read isn't the one of this owner.
+        let stored: Option<OwnerRecord> = self.store.parse(&row);
+        Ok((stored.as_ref() == Some(next)).then_some(row.version))
     }
 }
--- a/crates/teaseltrack-cell/src/owner/delegator.rs
+++ b/crates/teaseltrack-cell/src/owner/delegator.rs
@@ -73,7 +73,8 @@
     clients: &CellClients,
 ) -> Result<Option<Quote>, StoreError> {
     let Some(row) = store.read(&owner_notice_key(cell)).await? else { return Ok(None) };
-    let record: OwnerRecord = row.parse()?;
+    let record: Option<OwnerRecord> = store.parse(&row);
+    let Some(record) = record else { return Ok(None) };
     let Ok(address) = record.address.parse() else { return Ok(None) };
     Ok(clients.of(cell).quote(address, cell, service.to_owned(), vec![stage]).await)
 }
--- a/crates/teaseltrack-cell/src/owner/loader.rs
+++ b/crates/teaseltrack-cell/src/owner/loader.rs
@@ -24,7 +24,7 @@
     constants::{MAX_CHANGES_WAIT, RETRY_DELAY},
     rows::{
         JOB_PARTS, JOBS_TABLE, JobRowKey, Submission, cancellation_key, key_name, parse_job_key,
-        progress_prefix, stored_job, worker_prefix,
+        progress_key, progress_prefix, stored_job, worker_prefix,
     },
 };
 
@@ -77,21 +77,27 @@
     logger: &Logger,
 ) -> Result<LoadedCell, StoreError> {
     let (version, rows) = list_jobs(store).await?;
-    let mut progress: HashMap<JobId, JobProgress> = HashMap::new();
+    let mut progress: HashMap<JobId, (u64, JobProgress)> = HashMap::new();
     for row in store.list_all(&progress_prefix(cell)).await? {
-        if let Some(stored_progress) = parse_row(&row, logger) {
-            progress.insert(key_name(&row.key).to_owned(), stored_progress);
+        if let Some(stored_progress) = store.parse(&row) {
+            progress.insert(key_name(&row.key).to_owned(), (row.version, stored_progress));
         }
     }
     let mut workers = Vec::new();
     for row in store.list_all(&worker_prefix(cell)).await? {
-        workers
-            .extend(parse_row(&row, logger).map(|worker| (key_name(&row.key).to_owned(), worker)));
+        workers.extend(store.parse(&row).map(|worker| (key_name(&row.key).to_owned(), worker)));
     }
-    let JobRows { submissions, cancelled, delegations } = group_rows(cell, &rows, logger);
+    let JobRows { submissions, cancelled, delegations } = group_rows(cell, &rows, store, logger);
     let now_ms = unix_ms(wall_now());
-    let mut restore = |id: JobId, submission| {
-        let stored_progress = progress.remove(&id);
+    let mut restore = |id: JobId, submission: Submission| {
+        let stored_progress = progress.remove(&id).and_then(|(version, stored)| {
+            let is_valid = stored.is_valid(&submission.spec);
+            if !is_valid {
+                let key = progress_key(cell, &id);
+                store.report_odd_row(&key, version, "not the progress of the job");
+            }
+            is_valid.then_some(stored)
+        });
         let is_cancelled = cancelled.contains(&id);
         stored_job(id, submission, stored_progress, is_cancelled, now_ms)
     };
@@ -119,7 +125,7 @@
         let grouped = match next_rows(&store, after).await {
             Ok((version, rows)) => {
                 after = version;
-                group_rows(cell, &rows, &logger)
+                group_rows(cell, &rows, &store, &logger)
             }
             Err(error) => {
                 warn!(logger, "failed to follow submissions; retrying"; "error" => %error);
@@ -205,7 +211,7 @@
 }
 
 /// Submissions and delegations to the cell, and all cancellations: their rows don't name the cell.
-fn group_rows(cell: CellId, rows: &[Row], logger: &Logger) -> JobRows {
+fn group_rows(cell: CellId, rows: &[Row], store: &Store, logger: &Logger) -> JobRows {
     let mut grouped =
         JobRows { submissions: Vec::new(), cancelled: HashSet::new(), delegations: Vec::new() };
     for row in rows {
@@ -214,18 +220,21 @@
                 grouped.cancelled.insert(job);
             }
             JobRowKey::Delegation => {
-                let delegation: Option<Delegation> = parse_row(row, logger);
+                let delegation: Option<Delegation> = store.parse(row);
                 let delegation = delegation.filter(|found| found.cell == cell);
                 if delegation.as_ref().is_some_and(|found| !found.is_valid()) {
-                    warn!(logger, "invalid delegation skipped"; "key" => &row.key);
+                    store.report_odd_row(&row.key, row.version, "not a valid delegation");
                     continue;
                 }
                 grouped.delegations.extend(delegation);
             }
             JobRowKey::Submission(job) => {
-                let submission: Option<Submission> = parse_row(row, logger);
-                if let Some(submission) = submission.filter(|submission| submission.cell == cell) {
-                    grouped.submissions.push((job, submission));
+                let submission: Option<Submission> = store.parse(row);
+                let submission = submission.filter(|submission| submission.cell == cell);
+                let Some(submission) = submission else { continue };
+                match submission.spec.validate() {
+                    Ok(()) => grouped.submissions.push((job, submission)),
+                    Err(error) => store.report_odd_row(&row.key, row.version, error),
                 }
             }
         }
@@ -235,13 +244,3 @@
     }
     grouped
 }
-
-fn parse_row<T: serde::de::DeserializeOwned>(row: &Row, logger: &Logger) -> Option<T> {
-    match row.parse() {
-        Ok(value) => Some(value),
-        Err(error) => {
-            warn!(logger, "invalid row skipped"; "error" => %error);
-            None
-        }
-    }
-}
--- a/crates/teaseltrack-cell/src/partition.rs
+++ b/crates/teaseltrack-cell/src/partition.rs
@@ -123,8 +123,10 @@
     let mut counts = BTreeMap::new();
     for part in INSTANCE_PARTS {
         for row in store.list_all(&instance_prefix(part)).await? {
-            let instance: InstanceRow = row.parse()?;
-            *counts.entry(instance.zone).or_insert(0) += 1;
+            let instance: Option<InstanceRow> = store.parse(&row);
+            if let Some(instance) = instance {
+                *counts.entry(instance.zone).or_insert(0) += 1;
+            }
         }
     }
     Ok(counts)
