--- a/crates/teaseltrack-cell/tests/agent.rs
+++ b/crates/teaseltrack-cell/tests/agent.rs
@@ -12,7 +12,8 @@
     cell::{
         evacuation::EvacuationNotice,
         protocol::{
-            Order, Report, ReportResponse, StartOrder, TaskName, WorkerListing, WorkerStatus,
+            EndCause, EndedTask, Order, Report, ReportResponse, StartOrder, TaskName,
+            WorkerListing, WorkerStatus,
         },
     },
     clock::SystemClock,
@@ -434,3 +435,32 @@
     }
     assert!((1..20).contains(&start_count), "{start_count} starts");
 }
+
+/// Guards against tasks that are started again beside their runs: a response of the worker without a
+/// readable list of runs was reported as one that lists none.
+#[tokio::test]
+async fn report_has_no_list_of_runs_before_the_worker_has_sent_one() {
+    let mut owner = TestOwner::start(response(5, 0)).await;
+    let end = EndedTask {
+        number: 1,
+        task: task(0),
+        attempt: 1,
+        cause: EndCause::Done,
+        checkpoint: String::new(),
+    };
+    let listing = Some(WorkerListing { running: None, ended: vec![end] });
+    let worker: WorkerAdapter = Arc::new(move |_| {
+        let response = WorkerResponse { listing: listing.clone(), ..worker_response(1) };
+        Box::pin(async move {
+            sleep(Duration::from_millis(20)).await;
+            Ok(response)
+        })
+    });
+    let agent = TestAgent::start(owner.known_owner.clone(), |_| worker);
+    agent.send(heartbeat(1)).await;
+    for _ in 0..4 {
+        let report = owner.report(|report| report.listing.is_some()).await;
+        let listing = report.listing.expect("expected");
+        assert_eq!((listing.running, listing.ended.len()), (None, 1));
+    }
+}
--- a/crates/teaseltrack/tests/number_limits.rs
+++ b/crates/teaseltrack/tests/number_limits.rs
@@ -16,7 +16,7 @@
 
 const GRANT_PERIOD: Duration = Duration::from_secs(4);
 
-/// Guards against a panic of a new owner, and against one that starts no task for years.
+/// Guards against a new owner that starts no task for years.
 #[parameterized(
     end_of_the_type = { u64::MAX, 8_000 },
     a_year = { 31_536_000_000, 8_000 },
@@ -31,8 +31,8 @@
     assert_eq!(end.duration_since(now), Duration::from_millis(expected_ms));
 }
 
-/// Guards against a panic of a new owner, against a worker that is waited for for years, and against one
-/// that gets no lease since none of its readings is higher than the recorded one.
+/// Guards against a worker that is waited for for years, and against one that gets no lease since none of
+/// its readings is higher than the recorded one.
 #[parameterized(
     end_of_the_type = { u64::MAX, u64::MAX, 120_000, 0 },
     a_year = { 31_536_000_000, 1 << 47, 120_000, 0 },
