--- a/crates/teaseltrack/tests/cell/fleet.rs
+++ b/crates/teaseltrack/tests/cell/fleet.rs
@@ -148,6 +148,8 @@
     pub earlier_capacities: Vec<(u64, Resources)>,
     pub next_heartbeat_ms: u64,
     pub zone: String,
+    pub labels: Vec<String>,
+    pub is_draining: bool,
     pub is_cold: bool,
     /// Completed share of all runs as listed, if it doesn't follow from the time that they have run.
     pub percent: Option<u32>,
@@ -211,6 +213,8 @@
                 service: "service".to_owned(),
                 capacity: self.announced_capacity,
                 zone: self.zone.clone(),
+                labels: self.labels.clone(),
+                is_draining: self.is_draining,
                 is_cold: self.is_cold,
                 ..WorkerStatus::default()
             }),
--- a/crates/teaseltrack/tests/cell/main.rs
+++ b/crates/teaseltrack/tests/cell/main.rs
@@ -5,6 +5,7 @@
 mod evacuations;
 mod fleet;
 mod owner_changes;
+mod owner_series;
 mod placement;
 mod preemption;
 mod quarantine;
