--- a/crates/teaseltrack/tests/cell/owner_series.rs
+++ b/crates/teaseltrack/tests/cell/owner_series.rs
@@ -15,7 +15,7 @@
     job::Stage,
     ownership::SilentWorkerRecord,
     progress::{RunRecord, TaskPhase, TaskProgress},
-    protocol::{Order, TaskName},
+    protocol::{EndCause, TaskName},
     quote::StageDemand,
 };
 use teaseltrack::placement::Resources;
@@ -214,6 +214,15 @@
     fn lose(&mut self) {
         self.lost_at = self.fleet.now;
         let index = self.lost;
+        let stages = &self.fleet.jobs[SERVING_JOB].spec.stages;
+        if stages[0].is_gang {
+            // The members of a gang end with the one that is lost.
+            for name in self.names() {
+                for other in (0..self.fleet.instances.len()).filter(|other| *other != index) {
+                    self.fleet.instances[other].end(&name, EndCause::Broken);
+                }
+            }
+        }
         match self.fate {
             Fate::GoneAgentAlive | Fate::GoneAgentRestarts => {
                 self.fleet.down_step_count = u32::MAX;
@@ -519,3 +528,157 @@
     }
     println!("{count} plays");
 }
+
+#[test]
+fn show() {
+    let list = vec![
+        (900, Change::Restart, LastCommit::Applied),
+        (8_000, Change::OtherMachine, LastCommit::Applied),
+        (8_000, Change::Restart, LastCommit::Applied),
+    ];
+    for wait in [Wait::Gang, Wait::Running] {
+        let (series, _, late) = play(wait, Fate::GoneAgentAlive, &list);
+        println!("{wait:?} late {late:?} lost at {:?}", series.lost_at - series.began);
+        for line in &series.log {
+            println!("  {line}");
+        }
+        println!("free {:?}", series.free_milli());
+        for instance in &series.fleet.instances {
+            println!("  {} {:?} down {}", instance.name, instance.running, instance.down_steps);
+        }
+    }
+}
+
+fn incident(first: Change, second: Change, third: Change, commit: LastCommit) -> Vec<(u64, Change, LastCommit)> {
+    vec![(900, first, commit), (8_000, second, commit), (7_500, third, commit), (3_300, Change::Restart, commit)]
+}
+
+#[test]
+fn explore_incident() {
+    let all = [Change::Restart, Change::OtherMachine, Change::Release, Change::LostResponse];
+    let mut count = 0;
+    for wait in [Wait::Running, Wait::Unsent, Wait::Ordered, Wait::Suspect(1), Wait::Suspect(3), Wait::Gang, Wait::Reserve, Wait::Label, Wait::OnePerWorker, Wait::Evacuated, Wait::OtherRun, Wait::Copies] {
+        for fate in [Fate::GoneAgentAlive, Fate::GoneAgentRestarts, Fate::Hangs, Fate::DrainsThenGone, Fate::Restarts(65), Fate::RestartsWithAgent(65)] {
+            let mut worst = (Duration::ZERO, String::new());
+            for first in all { for second in all { for third in all { for commit in [LastCommit::Answered, LastCommit::Applied, LastCommit::Lost] {
+                count += 1;
+                let mut series = prepare(wait, fate);
+                series.lose();
+                let mut first_at = None;
+                let list = incident(first, second, third, commit);
+                for (after_ms, change, commit) in list {
+                    let end = series.fleet.now + Duration::from_millis(after_ms);
+                    while series.fleet.now < end {
+                        series.step();
+                        if series.idle.is_empty() { first_at.get_or_insert(series.fleet.now); }
+                    }
+                    if first_at.is_some() { break; }
+                    series.change_owner(change, commit);
+                }
+                let waited = first_at.unwrap_or(series.fleet.now) - series.lost_at;
+                if waited > worst.0 { worst = (waited, format!("{first:?} {second:?} {third:?} {commit:?} {}", first_at.is_some())); }
+            }}}}
+            println!("WORST {wait:?} {fate:?} {worst:?}");
+        }
+    }
+    println!("{count} plays");
+}
+
+fn run_random(seed: u64, min_interval_ms: u64) -> Result<(), String> {
+    use rand::{RngExt, SeedableRng};
+    let mut faults = rand_chacha::ChaCha8Rng::seed_from_u64(seed + 5_000);
+    let mut series = Series::new(Wait::Running, Fate::GoneAgentAlive);
+    series.fleet.rng = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
+    series.fleet.max_run_ms = 1_500;
+    series.fleet.max_stop_ms = 400;
+    let mut gone = Vec::new();
+    let mut round = 0_u64;
+    for phase in 0..3 {
+        let mut changed_at = series.fleet.now;
+        for _ in 0..300 {
+            series.step();
+            round += 1;
+            if round % 15 == 0 {
+                let mut job = stored_job(&format!("1{round:015x}"), vec![match faults.random_range(0..5) {
+                    0 => Stage { is_gang: true, ..stage(3) },
+                    1 => Stage { is_best_effort: true, ..stage(2) },
+                    2 => speculative(2),
+                    _ => stage(faults.random_range(1..4)),
+                }]);
+                job.queue.priority = faults.random_range(0..3);
+                series.fleet.submit(job);
+            }
+            let index = faults.random_range(0..6);
+            let now = series.fleet.now;
+            match faults.random_range(0..200) {
+                0..=3 if now >= changed_at + Duration::from_millis(min_interval_ms) => {
+                    let change = [Change::Restart, Change::OtherMachine, Change::Release, Change::LostResponse][faults.random_range(0..4)];
+                    let commit = [LastCommit::Answered, LastCommit::Applied, LastCommit::Lost][faults.random_range(0..3)];
+                    series.change_owner(change, commit);
+                    changed_at = series.fleet.now;
+                    if faults.random_range(0..2) == 0 { series.fleet.restart_agent(faults.random_range(0..6)); }
+                }
+                4 if gone.len() < 2 && !gone.contains(&index) && series.fleet.instances[index].down_steps == 0 => {
+                    gone.push(index);
+                    series.log.push(format!("{:?} gone {index}", now - series.began));
+                    series.fleet.down_step_count = u32::MAX;
+                    series.fleet.crash_worker(index);
+                }
+                5 if !gone.contains(&index) => {
+                    series.fleet.down_step_count = faults.random_range(5..80);
+                    series.log.push(format!("{:?} crash {index}", now - series.began));
+                    series.fleet.crash_worker(index);
+                    if faults.random_range(0..2) == 0 { series.fleet.restart_agent(index); }
+                }
+                6 => series.fleet.restart_agent(index),
+                7 => series.fleet.instances[index].is_disconnected = true,
+                8..=12 => series.fleet.instances[index].is_disconnected = false,
+                13 if !gone.contains(&index) => {
+                    let clock_ms = series.fleet.instances[index].clock_ms;
+                    series.fleet.instances[index].last_clock_ms = Some(clock_ms);
+                }
+                14..=19 => series.fleet.instances[index].last_clock_ms = None,
+                20 if !gone.contains(&index) => series.fleet.instances[index].is_draining = true,
+                21..=28 => series.fleet.instances[index].is_draining = false,
+                29 => if let Some(store) = &mut series.fleet.slow_store { store.max_delay_ms = [50, 100, 600][faults.random_range(0..3)]; }
+                _ => {}
+            }
+        }
+        if let Some(store) = &mut series.fleet.slow_store { store.max_delay_ms = 100; }
+        for instance in &mut series.fleet.instances { instance.is_draining = false; instance.is_disconnected = false; instance.last_clock_ms = None; }
+        let calm_at = series.fleet.now;
+        series.run_for(Duration::from_secs(9));
+        let _ = calm_at;
+        for name in series.names() {
+            if series.running_on(&name).is_none() {
+                return Err(format!("seed {seed} phase {phase}: {name} waits for {:?}\n{}", series.fleet.now - series.idle[&name], series.log[series.log.len().saturating_sub(40)..].join("\n")));
+            }
+        }
+        series.run_for(Duration::from_secs(6));
+        let mut least = u64::MAX;
+        let mut last = (0, 0);
+        for _ in 0..40 {
+            series.step();
+            last = series.free_milli();
+            least = least.min(last.0.abs_diff(last.1));
+        }
+        if least > 500 {
+            return Err(format!("seed {seed} phase {phase}: free {last:?} differs by {least} at least\n{}", series.log[series.log.len().saturating_sub(40)..].join("\n")));
+        }
+    }
+    Ok(())
+}
+
+#[test]
+fn explore_random() {
+    let count: u64 = std::env::var("SERIES_SEEDS").ok().and_then(|v| v.parse().ok()).unwrap_or(50);
+    let min: u64 = std::env::var("SERIES_INTERVAL").ok().and_then(|v| v.parse().ok()).unwrap_or(2000);
+    for seed in 0..count {
+        let result = std::panic::catch_unwind(|| run_random(seed, min));
+        match result {
+            Ok(Ok(())) => {}
+            Ok(Err(text)) => println!("FAIL {text}"),
+            Err(_) => println!("FAIL panic seed {seed}"),
+        }
+    }
+}
