--- a/crates/teaseltrack/tests/cell/owner_series.rs
+++ b/crates/teaseltrack/tests/cell/owner_series.rs
@@ -718,3 +718,88 @@
         assert!(held_milli < 100, "seed {seed}: {held_milli} millicores are held without a run");
     }
 }
+
+/// Guards against long-running tasks that wait for a lost worker's lease anew with each owner, because
+/// each ends before it has recorded the worker as silent.
+#[parameterized(
+    running = { Wait::Running, Fate::GoneAgentAlive, &[300, 900, 1_300] },
+    running_agent_gone = { Wait::Running, Fate::GoneWithAgent, &[300, 900, 1_300] },
+    running_agent_restarts = { Wait::Running, Fate::GoneAgentRestarts, &[300, 900, 1_300] },
+    running_agent_late = { Wait::Running, Fate::GoneAgentLate, &[2_000, 4_000, 8_000] },
+    running_hangs = { Wait::Running, Fate::Hangs, &[300, 900, 1_300] },
+    running_restarts = { Wait::Running, Fate::Restarts(65), &[300, 900, 1_300] },
+    running_drains = { Wait::Running, Fate::DrainsThenGone, &[300, 900, 1_300] },
+    unsent = { Wait::Unsent, Fate::GoneAgentAlive, &[300, 900, 1_300] },
+    ordered = { Wait::Ordered, Fate::GoneAgentAlive, &[300, 900, 1_300] },
+    suspect = { Wait::Suspect(1), Fate::GoneAgentAlive, &[300, 900, 1_300] },
+    gang = { Wait::Gang, Fate::GoneAgentAlive, &[300, 900, 1_300] },
+    reserve = { Wait::Reserve, Fate::GoneAgentAlive, &[300, 900, 1_300] },
+    evacuated = { Wait::Evacuated, Fate::GoneAgentAlive, &[300, 900, 1_300] },
+)]
+fn take_over_does_not_extend_the_wait_in_a_series_of_brief_owners(
+    wait: Wait,
+    fate: Fate,
+    intervals_ms: &[u64],
+) {
+    assert_eq!(late_plays(wait, fate, 900, intervals_ms), Vec::<String>::new());
+}
+
+/// Guards against long-running tasks that are never reclaimed from a worker that nobody can call: its
+/// heartbeats still bring new readings of its clock, for which the owner counts the lease as extended.
+#[parameterized(
+    one_owner = { &[] },
+    series = { &[900, 8_000, 7_500] },
+)]
+fn tick_reclaims_tasks_of_an_unreachable_worker_that_sends_heartbeats(changes_ms: &[u64]) {
+    let mut series = prepare(Wait::Running, Fate::Hangs);
+    series.lose();
+    let mut changes = changes_ms.iter();
+    let mut next_change = changes.next();
+    while series.fleet.now < series.deadline() || next_change.is_some() {
+        let clock_ms = series.fleet.instances[series.lost].clock_ms;
+        series.fleet.instances[series.lost].last_clock_ms = Some(clock_ms);
+        series.step();
+        let elapsed = series.fleet.now - series.changed_at.max(series.lost_at);
+        if next_change.is_some_and(|after_ms| elapsed >= Duration::from_millis(*after_ms)) {
+            series.change_owner(Change::Restart, LastCommit::Applied);
+            next_change = changes.next();
+        }
+    }
+    let waited = series.fleet.now - series.lost_at;
+    assert!(series.all_run(), "{:?} wait after {waited:?}", series.idle.keys());
+}
+
+/// Guards against a worker that the next owner waits for anew, because a commit has removed it from the
+/// list of silent workers although tasks that it stores are still assigned to it.
+#[test]
+fn next_commit_lists_a_silent_worker_until_its_tasks_are_stored_as_reclaimed() {
+    let mut fleet = Fleet::new(2, 1);
+    for index in 0..3 {
+        fleet.submit(stored_job(&format!("{index:016x}"), vec![long_running(1)]));
+    }
+    fleet.run_steps(20);
+    let lost = usize::from(fleet.instances[0].running.is_empty());
+    assert_eq!(fleet.instances[lost].running.len(), 3, "serving tasks are packed");
+    fleet.instances[lost].is_disconnected = true;
+    fleet.run_steps(60);
+    assert_eq!(fleet.silent_workers.len(), 1);
+    fleet.now += Duration::from_secs(4);
+    fleet.cell.tick(fleet.now);
+    let batch = fleet.cell.next_commit(2).expect("reclaimed tasks are committed");
+    assert_eq!(batch.rows.len(), 2);
+    assert_eq!(
+        batch.silent_workers.len(),
+        1,
+        "the store still assigns the third task to the worker"
+    );
+}
+
+/// Guards against a wait of over 9 s for a worker that is lost shortly before or after its owner: the
+/// next owner assumes grants for 4 s and then a lease.
+#[parameterized(
+    lost_before_a_take_over = { 52 },
+    lost_after_a_take_over = { 108 },
+)]
+fn take_over_reclaims_tasks_in_time_from_a_worker_lost_beside_its_owner(seed: u64) {
+    run_random_series(seed);
+}
