No lease for a worker that nobody can call

Callers would see a long-running task that never runs again although there is room: nobody can call its worker, but the worker's heartbeats arrive.

Cause: grant_lease took each new reading of the worker's clock as a sign of life. The agent raises the reading with heartbeats too, so that silence ended, and the lease counted as extended, for as long as heartbeats came. A lease can't reach such a worker: it is passed on with sync calls, which fail.

Change: a report that says that the worker is unreachable neither ends silence nor extends the lease, and gets none. The first lease isn't affected: an agent takes its worker for reachable until a call has failed. Once a sync call succeeds, the report says so and brings a new reading. The lease that the agent still has then, and passes on, is one that the owner has counted since its grant. Read, in agent.rs; the agent isn't changed.

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -700,7 +700,7 @@
     /// leases.
     pub fn handle_report(
         &mut self,
-        report: Report,
+        mut report: Report,
         may_grant: bool,
         now: Instant,
     ) -> ReportResponse {
@@ -716,7 +716,7 @@
             response.session = self.workers[key].session;
             response.first_order = 1;
             response.evacuation = self.evacuation_notice(key, now);
-            self.grant_lease(key, report.worker_clock_ms, may_grant, now, &mut response);
+            self.grant_lease(key, &report, may_grant, now, &mut response);
             return response;
         }
         let worker = &mut self.workers[key];
@@ -726,19 +726,19 @@
             self.needs_plan = true;
         }
         worker.acknowledge_orders(report.accepted_order);
-        for refused in report.refused {
-            self.process_refusal(key, &refused, now);
+        for refused in &report.refused {
+            self.process_refusal(key, refused, now);
         }
-        if let Some(listing) = report.listing {
+        if let Some(listing) = report.listing.take() {
             if let Some(running) = &listing.running {
                 self.observe_interference(key, running, now);
             }
             self.process_listing(key, listing, report.worker_clock_ms, now);
         }
-        if let Some(estimates) = report.interference {
+        if let Some(estimates) = report.interference.take() {
             self.interference.adopt_estimates(estimates);
         }
-        self.grant_lease(key, report.worker_clock_ms, may_grant, now, &mut response);
+        self.grant_lease(key, &report, may_grant, now, &mut response);
         let worker = &self.workers[key];
         response.session = worker.session;
         response.forget_until = worker.committed_end;
@@ -1049,14 +1049,20 @@
         false
     }
 
+    /// Grants a lease for a reading of the worker's clock. An agent that can't call its worker can't
+    /// pass on a lease either, and its worker's heartbeats may bring new readings for ever.
     fn grant_lease(
         &mut self,
         key: WorkerKey,
-        worker_clock_ms: u64,
+        report: &Report,
         may_grant: bool,
         now: Instant,
         response: &mut ReportResponse,
     ) {
+        if !report.is_worker_reachable {
+            return;
+        }
+        let worker_clock_ms = report.worker_clock_ms;
         let worst_case_lease = self.settings.worst_case_lease();
         let worker = &mut self.workers[key];
         if worker_clock_ms > worker.reported_clock_ms {
--- a/crates/teaseltrack/tests/cell/owner_changes.rs
+++ b/crates/teaseltrack/tests/cell/owner_changes.rs
@@ -157,6 +157,19 @@
     assert!(response.lease_until_ms.is_some());
 }
 
+/// Guards against a lease for a worker that nobody can call, and against none once it responds again.
+#[test]
+fn grant_lease_of_an_unreachable_worker_follows_its_return() {
+    let mut fleet = busy_fleet();
+    let clock_ms = fleet.instances[0].clock_ms + 100;
+    let reachable = Report { worker_clock_ms: clock_ms, ..fleet.instances[0].report() };
+    let unreachable = Report { is_worker_reachable: false, ..reachable.clone() };
+    let response = fleet.cell.handle_report(unreachable, true, fleet.now);
+    assert_eq!(response.lease_until_ms, None);
+    let response = fleet.cell.handle_report(reachable, true, fleet.now);
+    assert!(response.lease_until_ms.is_some_and(|until_ms| until_ms > clock_ms));
+}
+
 /// Guards against a run that a new owner doesn't know of, because the start order of an assignment
 /// was sent on the commit of an earlier one to the same worker.
 #[test]
