Agents report the leases that they know of, so that an owner needn't assume the latest possible ones

Callers would see long-running tasks without a run for longer than the platform's 9 s after a loss and 7 s after a change of the owner, if owners follow each other faster than they record silent workers (1.2 s).

Cause: an owner that ends before it has recorded a worker leaves nothing to its successor, which assumes grants until the latest possible time and waits for a lease after that, anew with each owner. The agent of the lost worker is alive and knows better: leases reach the worker through it only.

Change: a report states the latest end, on the worker's clock, of any lease that the agent knows of, and the age of the reading of the clock in the same report. For a report under a session of its own, the owner limits the wait to (end - reading) * (1 + drift) + margin - age. The safety argument is in the head of silence.rs. Two values instead of one time: with the drift applied after the age is subtracted, the wait would be too short by the drift of the age. The owner counts the readings that it has granted leases for itself, since those may be in transit.

Before that response nothing is stated.

Calls encode a report as an array. An owner of an earlier build fails on a longer one (rmp counts the elements; test), which would leave agents without an owner during an upgrade. Owners therefore state in their row, which has field names, that they read it; agents leave the field out otherwise, so that the report has the earlier length. Reports of earlier agents are read as without it.

--- a/crates/teaseltrack-cell/src/agent.rs
+++ b/crates/teaseltrack-cell/src/agent.rs
@@ -18,8 +18,8 @@
         partition::CellId,
         progress::WorkerIncarnation,
         protocol::{
-            EndedTask, Order, RefusedStart, Report, ReportResponse, RunningTask, SessionToken,
-            StartOrder, TaskName, WorkerListing, WorkerStatus,
+            EndedTask, KnownLeases, Order, RefusedStart, Report, ReportResponse, RunningTask,
+            SessionToken, StartOrder, TaskName, WorkerListing, WorkerStatus,
         },
     },
     clock::SharedClock,
@@ -37,7 +37,7 @@
     agent::unconfirmed_starts::UnconfirmedStarts,
     calls::{CellClient, KnownOwner},
     constants::{
-        CALL_TIMEOUT, FULL_REPORT_INTERVAL, PACING, REPORT_WAIT, RETRY_DELAY, SYNC_WAIT,
+        CALL_TIMEOUT, FULL_REPORT_INTERVAL, MAX_LEASE, PACING, REPORT_WAIT, RETRY_DELAY, SYNC_WAIT,
         WORKER_CALL_TIMEOUT,
     },
     worker_port::{AddressedCall, WorkerAdapter, WorkerCall, WorkerError, WorkerResponse},
@@ -165,6 +165,11 @@
     /// Number of the last heartbeat of the incarnation.
     heartbeat_number: Option<u64>,
     clock_ms: u64,
+    /// Time at which `clock_ms` was received.
+    clock_received_at: Instant,
+    /// Latest end of a lease that an earlier process of this agent may have passed on; `None` until
+    /// the worker has responded to this one.
+    earlier_leases_until_ms: Option<u64>,
     epoch: u64,
     session: SessionToken,
     lease_until_ms: Option<u64>,
@@ -227,6 +232,8 @@
             incarnation: WorkerIncarnation::new(),
             heartbeat_number: None,
             clock_ms: 0,
+            clock_received_at: now,
+            earlier_leases_until_ms: None,
             epoch: 0,
             session: 0,
             lease_until_ms: None,
@@ -332,9 +339,7 @@
             return;
         }
         self.heartbeat_number = Some(number);
-        if let Some(clock_ms) = clock_ms {
-            self.clock_ms = self.clock_ms.max(clock_ms);
-        }
+        self.note_clock(clock_ms);
         if self.status.as_ref() != Some(&status) {
             if status.is_draining {
                 info!(self.context.logger, "worker is draining"; "worker" => &self.incarnation,
@@ -346,10 +351,20 @@
         }
     }
 
+    /// Keeps the highest reading of the worker's clock.
+    fn note_clock(&mut self, clock_ms: Option<u64>) {
+        if let Some(clock_ms) = clock_ms.filter(|clock_ms| *clock_ms > self.clock_ms) {
+            self.clock_ms = clock_ms;
+            self.clock_received_at = self.context.clock.now();
+        }
+    }
+
     fn start_incarnation(&mut self, incarnation: WorkerIncarnation) {
         self.incarnation = incarnation;
         self.heartbeat_number = None;
         self.clock_ms = 0;
+        self.clock_received_at = self.context.clock.now();
+        self.earlier_leases_until_ms = None;
         self.session = 0;
         self.lease_until_ms = None;
         self.forget_until = 0;
@@ -423,7 +438,12 @@
             self.is_reachable = true;
             self.needs_report = true;
         }
-        self.clock_ms = self.clock_ms.max(response.clock_ms.unwrap_or(0));
+        self.note_clock(response.clock_ms);
+        // An earlier process had leases for earlier readings only.
+        if let Some(clock_ms) = response.clock_ms.filter(|_| response.started_unix_ms.is_some()) {
+            let until_ms = clock_ms + MAX_LEASE.as_millis() as u64;
+            self.earlier_leases_until_ms.get_or_insert(until_ms);
+        }
         self.next_sync_at = now;
         if let Some(listing) = response.listing {
             self.process_listing(listing, sent_at, now);
@@ -514,7 +534,18 @@
             interference_version: self.pacer.estimates().version,
             interference: estimates,
             wait_ms: if is_full { 0 } else { REPORT_WAIT.as_millis() as u64 },
+            known_leases: self.known_leases(now),
+        }
+    }
+
+    /// The leases of the worker, if they are all known and the owner can read them.
+    fn known_leases(&self, now: Instant) -> Option<KnownLeases> {
+        if !self.context.known_owner.borrow().reads_known_leases {
+            return None;
         }
+        let lease_until_ms = self.earlier_leases_until_ms?.max(self.lease_until_ms.unwrap_or(0));
+        let reading_age = now.saturating_duration_since(self.clock_received_at);
+        Some(KnownLeases { lease_until_ms, reading_age_ms: reading_age.as_millis() as u64 })
     }
 
     fn send_report(&self, owner: std::net::SocketAddr, report: Report) {
@@ -665,7 +696,7 @@
         }
         match result {
             Ok(response) => {
-                self.clock_ms = self.clock_ms.max(response.clock_ms.unwrap_or(0));
+                self.note_clock(response.clock_ms);
             }
             Err(WorkerError::Refused { reason }) if reason == "old" => {
                 // The worker refuses the attempt as outdated; a later listing shows whether it ran.
--- a/crates/teaseltrack-cell/src/calls.rs
+++ b/crates/teaseltrack-cell/src/calls.rs
@@ -58,6 +58,10 @@
     pub epoch: u64,
     /// Address of the owner's internal port.
     pub address: Option<SocketAddr>,
+    /// Whether the owner reads reports with [`KnownLeases`].
+    ///
+    /// [`KnownLeases`]: teaseltrack::cell::protocol::KnownLeases
+    pub reads_known_leases: bool,
 }
 
 /// Last known owners of all cells; a cell without a known owner may be missing.
--- a/crates/teaseltrack-cell/src/candidate.rs
+++ b/crates/teaseltrack-cell/src/candidate.rs
@@ -137,7 +137,11 @@
 
     fn update_known_owner(&self, record: &OwnerRecord) {
         let Ok(address) = record.address.parse() else { return };
-        let known = KnownOwner { epoch: record.epoch, address: Some(address) };
+        let known = KnownOwner {
+            epoch: record.epoch,
+            address: Some(address),
+            reads_known_leases: record.reads_known_leases,
+        };
         self.known_owner.send_if_modified(|current| {
             let is_newer = known.epoch > current.epoch;
             if is_newer {
@@ -169,6 +173,7 @@
             started_unix_ms: self.started_unix_ms,
             sequence: 0,
             is_released: false,
+            reads_known_leases: true,
             previous_grants_remaining_ms: Some(recorded_remaining_ms(previous_grants_end, sent_at)),
             silent_workers: silent_workers
                 .iter()
--- a/crates/teaseltrack-cell/src/entry.rs
+++ b/crates/teaseltrack-cell/src/entry.rs
@@ -381,7 +381,8 @@
         let known = owners.entry(cell).or_default();
         let is_newer = record.epoch > known.epoch;
         if is_newer {
-            *known = KnownOwner { epoch: record.epoch, address };
+            let reads_known_leases = record.reads_known_leases;
+            *known = KnownOwner { epoch: record.epoch, address, reads_known_leases };
         }
         is_newer
     });
--- a/crates/teaseltrack-cell/tests/agent.rs
+++ b/crates/teaseltrack-cell/tests/agent.rs
@@ -143,9 +143,13 @@
 
 impl TestOwner {
     async fn start(response: ReportResponse) -> Self {
+        Self::start_build(response, true).await
+    }
+
+    async fn start_build(response: ReportResponse, reads_known_leases: bool) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = Some(listener.local_addr().unwrap());
-        let (_, known_owner) = watch::channel(KnownOwner { epoch: 1, address });
+        let (_, known_owner) = watch::channel(KnownOwner { epoch: 1, address, reads_known_leases });
         let (mailbox, mut calls) = mpsc::channel(16);
         let (mailbox, owner) = watch::channel(Some(mailbox));
         let server = CallServer { owner, known_owner: known_owner.clone() };
@@ -306,6 +310,55 @@
     owner.report(|report| reported_capacity(report) == Some(SMALL_CAPACITY)).await;
 }
 
+/// Guards against a lease that the owner takes for expired too early, since the agent has reported before it
+/// knew what an earlier process of it had, or without one that it has got.
+#[tokio::test]
+async fn build_report_states_the_known_leases_once_the_worker_has_responded() {
+    let granted = ReportResponse { lease_until_ms: Some(100_000), ..response(5, 0) };
+    let mut owner = TestOwner::start(granted).await;
+    let (responses, permitted) = watch::channel(false);
+    let worker = Arc::new(move |_| {
+        let mut permitted = permitted.clone();
+        let responding: BoxFuture<'static, _> = Box::pin(async move {
+            sleep(Duration::from_millis(20)).await;
+            permitted.wait_for(|is_permitted| *is_permitted).await.ok();
+            Ok(worker_response(1))
+        });
+        responding
+    });
+    let agent = TestAgent::start(owner.known_owner.clone(), |_| worker);
+    agent.send(heartbeat(1)).await;
+    for _ in 0..3 {
+        let report = owner.report(|report| report.session == 5).await;
+        assert_eq!(report.known_leases, None);
+    }
+    responses.send_replace(true);
+    let report = owner.report(|report| report.known_leases.is_some()).await;
+    assert_eq!(report.known_leases.map(|known| known.lease_until_ms), Some(100_000));
+    // The worker's clock stands still.
+    let age_ms = |report: &Report| report.known_leases.map_or(0, |known| known.reading_age_ms);
+    let first_age_ms = age_ms(&report);
+    owner.report(|report| age_ms(report) > first_age_ms + 100).await;
+    // Another incarnation has leases of its own.
+    agent.send(heartbeat(2)).await;
+    let report = owner.report(|report| report.session == 0).await;
+    assert_eq!(report.known_leases, None);
+}
+
+/// Guards against reports that an owner of an earlier build can't read.
+#[tokio::test]
+async fn build_report_leaves_the_known_leases_out_for_an_earlier_owner() {
+    let granted = ReportResponse { lease_until_ms: Some(100_000), ..response(5, 0) };
+    let mut owner = TestOwner::start_build(granted, false).await;
+    let (calls, _) = mpsc::unbounded_channel();
+    let agent = TestAgent::start(owner.known_owner.clone(), |_| worker(calls));
+    agent.send(heartbeat(1)).await;
+    for _ in 0..3 {
+        let report = owner.report(|report| report.listing.is_some()).await;
+        assert_eq!(report.known_leases, None);
+    }
+}
+
 /// Guards against a start over the capacity by an order that was sent before the owner learned of a
 /// smaller one.
 #[tokio::test]
--- a/crates/teaseltrack-cell/tests/calls.rs
+++ b/crates/teaseltrack-cell/tests/calls.rs
@@ -5,8 +5,11 @@
 use serde::{Deserialize, Serialize};
 use teaseltrack::{
     cell::{
+        interference::InterferenceEstimates,
         job::Stage,
-        protocol::{StartOrder, TaskName},
+        protocol::{
+            KnownLeases, RefusedStart, Report, StartOrder, TaskName, WorkerListing, WorkerStatus,
+        },
         quote::{Quote, StageDemand},
     },
     placement::Resources,
@@ -84,3 +87,48 @@
     let order: StartOrder = decode(&encode(&earlier)).expect("earlier order is read");
     assert_eq!((order.attempt, order.planned_capacity), (3, Resources::default()));
 }
+
+/// Report without the known leases.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct EarlierReport {
+    cell: u64,
+    agent: String,
+    started_unix_ms: u64,
+    address: String,
+    session: u64,
+    status: Option<WorkerStatus>,
+    worker_clock_ms: u64,
+    is_worker_reachable: bool,
+    listing: Option<WorkerListing>,
+    refused: Vec<RefusedStart>,
+    accepted_order: u64,
+    forgot_until: u64,
+    interference_version: u64,
+    interference: Option<InterferenceEstimates>,
+    wait_ms: u64,
+}
+
+/// Guards against agents that have no owner during an upgrade.
+#[test]
+fn report_is_read_by_earlier_and_later_owners() {
+    let report = Report {
+        agent: "agent".to_owned(),
+        worker_clock_ms: 4_000,
+        wait_ms: 600,
+        known_leases: None,
+        ..Report::default()
+    };
+    let earlier: EarlierReport = decode(&encode(&report)).expect("later report is read");
+    assert_eq!((earlier.worker_clock_ms, earlier.wait_ms), (4_000, 600));
+    let later: Report = decode(&encode(&earlier)).expect("earlier report is read");
+    assert_eq!(later, report);
+}
+
+/// Shows why a report to an owner of an earlier build leaves the known leases out.
+#[test]
+fn report_with_known_leases_is_read_by_later_owners_only() {
+    let known_leases = Some(KnownLeases { lease_until_ms: 9_000, reading_age_ms: 300 });
+    let report = Report { known_leases, ..Report::default() };
+    assert_eq!(decode::<Report>(&encode(&report)).expect("later report is read"), report);
+    decode::<EarlierReport>(&encode(&report)).expect_err("earlier owners read no longer report");
+}
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -739,6 +739,7 @@
             self.interference.adopt_estimates(estimates);
         }
         self.grant_lease(key, &report, may_grant, now, &mut response);
+        self.limit_lease_end(key, &report, now);
         let worker = &self.workers[key];
         response.session = worker.session;
         response.forget_until = worker.committed_end;
--- a/crates/teaseltrack/src/cell/ownership.rs
+++ b/crates/teaseltrack/src/cell/ownership.rs
@@ -34,6 +34,11 @@
     /// predecessor that doesn't know that it was replaced may outlast its successor.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub previous_grants_remaining_ms: Option<u64>,
+    /// Whether the owner reads reports with [`KnownLeases`].
+    ///
+    /// [`KnownLeases`]: crate::cell::protocol::KnownLeases
+    #[serde(default)]
+    pub reads_known_leases: bool,
     /// Workers that get no lease from any owner until they are removed from this list.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub silent_workers: Vec<SilentWorkerRecord>,
--- a/crates/teaseltrack/src/cell/protocol.rs
+++ b/crates/teaseltrack/src/cell/protocol.rs
@@ -154,6 +154,16 @@
     pub ended: Vec<EndedTask>,
 }
 
+/// What an agent knows of the leases of its worker's incarnation.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownLeases {
+    /// No lease that this agent or an earlier process of it has from any owner ends later on the
+    /// worker's clock.
+    pub lease_until_ms: u64,
+    /// Time since the agent received the reading of the worker's clock that it reports.
+    pub reading_age_ms: u64,
+}
+
 /// Report of an agent to the owner.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
@@ -191,6 +201,10 @@
     pub interference: Option<InterferenceEstimates>,
     /// Maximum time to wait for orders, in milliseconds.
     pub wait_ms: u64,
+    /// The leases of the worker; `None` until the worker has responded to the agent's process. Left
+    /// out for an owner of an earlier build, which can't read a longer report.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub known_leases: Option<KnownLeases>,
 }
 
 /// Order to start a task.
--- a/crates/teaseltrack/src/cell/silence.rs
+++ b/crates/teaseltrack/src/cell/silence.rs
@@ -5,10 +5,25 @@
 //! waited for that long anew, a series of owners would never start the tasks again. An owner
 //! therefore records silent workers in its row, with the ends of their leases, and grants a recorded
 //! worker no lease until a commit has removed it from the row.
+//!
+//! An owner that ends before it has recorded a worker leaves nothing to its successor. The worker's
+//! agent knows more ([`crate::cell::protocol::KnownLeases`]): leases reach the worker through its agent only. A reading of the
+//! worker's clock proves that the clock had at least that reading when the agent received it, however
+//! late. A lease therefore ends, in real time, at most its distance from the reading, times the drift,
+//! after that receipt ([`Cell::limit_lease_end`]). This holds for all leases:
+//! - Those from earlier owners are in the agent's report, since an agent that reports under a session
+//!   of this owner obeys no earlier epoch any more.
+//! - Those that this owner has granted may still be in transit to the agent, so that they count from the
+//!   readings that they were granted for.
+//! - Those of an earlier process of the agent were granted for readings that precede the first response
+//!   of the worker to the present one. A later process finds the owner in the store, and so obeys none
+//!   that precedes this one.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use crate::cell::{Cell, CellEvent, WorkerKey, progress::WorkerIncarnation, worker::Worker};
+use crate::cell::{
+    Cell, CellEvent, WorkerKey, progress::WorkerIncarnation, protocol::Report, worker::Worker,
+};
 
 /// Worker that no owner grants a lease to until it is removed from the owner's row.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -62,6 +77,23 @@
         }
     }
 
+    /// Limits the wait for the worker's lease by what its agent knows, for a report under a session of
+    /// this owner.
+    pub(super) fn limit_lease_end(&mut self, key: WorkerKey, report: &Report, now: Instant) {
+        let Some(known) = report.known_leases else { return };
+        let worker = &mut self.workers[key];
+        let Some(lease_end) = worker.lease_end else { return };
+        let lease_ms = self.settings.lease.as_millis() as u64;
+        let granted_until_ms = if worker.clock_ms > 0 { worker.clock_ms + lease_ms } else { 0 };
+        let until_ms = known.lease_until_ms.max(granted_until_ms);
+        let remaining_ms = until_ms.saturating_sub(report.worker_clock_ms);
+        // Longer than any wait for a lease.
+        let remaining = Duration::from_millis(remaining_ms.min(u64::from(u32::MAX)));
+        let wait = remaining.mul_f64(1.0 + self.settings.clock_drift) + self.settings.lease_margin;
+        let age = Duration::from_millis(known.reading_age_ms);
+        worker.lease_end = Some(lease_end.min(now + wait.saturating_sub(age)));
+    }
+
     /// Whether the list in the owner's row is outdated.
     pub(super) fn has_silence_changes(&self) -> bool {
         self.workers.values().any(|worker| worker.is_recorded_silent != is_listed(worker))
--- a/crates/teaseltrack/tests/cell/fleet.rs
+++ b/crates/teaseltrack/tests/cell/fleet.rs
@@ -9,7 +9,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    mem::replace,
+    mem::{replace, take},
     time::{Duration, Instant},
 };
 
@@ -23,8 +23,8 @@
         ownership::SilentWorkerRecord,
         progress::{JobProgress, WorkerRecord},
         protocol::{
-            EndCause, EndedTask, Order, RefusedStart, Report, ReportResponse, RunningTask,
-            StartOrder, TaskName, WorkerListing, WorkerStatus,
+            EndCause, EndedTask, KnownLeases, Order, RefusedStart, Report, ReportResponse,
+            RunningTask, StartOrder, TaskName, WorkerListing, WorkerStatus,
         },
         silence::SilentWorker,
         worker::reserved_resources,
@@ -133,6 +133,12 @@
     pub follows_previous: bool,
     /// Last reading of the clock of a worker that doesn't respond to its agent any more.
     pub last_clock_ms: Option<u64>,
+    /// Time on the agent's clock.
+    pub agent_clock_ms: u64,
+    /// Highest reading of the worker's clock that the agent has, and when it received it.
+    pub reading: (u64, u64),
+    /// Latest end of a lease that the agent knows of; `None` until the worker has responded to it.
+    pub known_until_ms: Option<u64>,
     pub is_disconnected: bool,
     /// Time at which the worker crashes.
     pub crash_at_ms: Option<u64>,
@@ -226,9 +232,34 @@
             }),
             refused: self.refused.clone(),
             accepted_order: self.accepted_order,
+            known_leases: self.known_until_ms.map(|lease_until_ms| KnownLeases {
+                lease_until_ms,
+                reading_age_ms: self.agent_clock_ms - self.reading.1,
+            }),
             ..Report::default()
         }
     }
+
+    /// Lets the agent receive a reading of the clock: that of a response or a heartbeat, or the last
+    /// one again.
+    fn read_clock(&mut self) {
+        let clock_ms = self.last_clock_ms.unwrap_or(self.clock_ms);
+        if clock_ms > self.reading.0 {
+            self.reading = (clock_ms, self.agent_clock_ms);
+        }
+    }
+
+    /// Ends a hang; the agent gets a listing with its next call.
+    pub fn answer_again(&mut self) {
+        if self.last_clock_ms.take().is_some() {
+            self.has_listing = self.session != 0;
+        }
+    }
+
+    /// Lets the agent know of a lease.
+    fn know_lease(&mut self, until_ms: u64) {
+        self.known_until_ms = self.known_until_ms.map(|known_ms| known_ms.max(until_ms));
+    }
 }
 
 /// Commit of a slow store.
@@ -254,6 +285,22 @@
     pub previous: Option<(Cell, Instant)>,
 }
 
+/// Response in transit to an agent.
+pub struct LateResponse {
+    pub arrives_at: Instant,
+    pub index: usize,
+    /// Incarnations of the worker and of the agent's process that have reported.
+    pub reporter: (u64, u64),
+    pub response: ReportResponse,
+}
+
+/// Network on which responses may be lost, or late and then overtaken by others. A worker that doesn't
+/// respond may still execute calls.
+pub struct SlowNetwork {
+    pub rng: ChaCha8Rng,
+    pub in_transit: Vec<LateResponse>,
+}
+
 /// Time from the acknowledgement of an evacuation until nothing starts any more.
 pub const EVACUATION_BOUND: Duration = Duration::from_secs(5);
 
@@ -308,6 +355,7 @@
     pub down_step_count: u32,
     pub max_run_ms: u64,
     pub slow_store: Option<SlowStore>,
+    pub slow_network: Option<SlowNetwork>,
 }
 
 impl Fleet {
@@ -350,9 +398,16 @@
             in_flight: None,
             max_run_ms: 1_500,
             slow_store: None,
+            slow_network: None,
         }
     }
 
+    /// Responses to agents may be lost, or late by up to 3 s.
+    pub fn with_slow_network(self, seed: u64) -> Self {
+        let rng = ChaCha8Rng::seed_from_u64(seed + 2_000);
+        Self { slow_network: Some(SlowNetwork { rng, in_transit: Vec::new() }), ..self }
+    }
+
     /// Commits take up to `max_delay_ms` until they are applied, and as long until the response.
     pub fn with_slow_store(self, max_delay_ms: u64) -> Self {
         let slow_store = SlowStore {
@@ -582,7 +637,7 @@
         }
         let report = self.instances[index].report();
         let response = previous.handle_report(report, now < *granted_until, now);
-        self.handle_response(index, response);
+        self.send_response(index, response);
         true
     }
 
@@ -590,6 +645,7 @@
         self.now += STEP;
         self.unix_now_ms += STEP.as_millis() as u64;
         self.read_requests();
+        self.receive_late_responses();
         for index in 0..self.instances.len() {
             self.run_worker(index);
             let is_due = self.slow_store.is_none() || self.rng.random_bool(0.25);
@@ -612,6 +668,7 @@
 
     pub fn run_worker(&mut self, index: usize) {
         let instance = &mut self.instances[index];
+        instance.agent_clock_ms += STEP.as_millis() as u64;
         if instance.down_steps > 0 {
             instance.down_steps -= 1;
             if instance.down_steps == 0 {
@@ -626,6 +683,7 @@
         // With a slow store, clocks are slow by the maximum drift.
         let drift_ms = if self.slow_store.is_some() { 1 } else { 0 };
         instance.clock_ms += STEP.as_millis() as u64 - drift_ms;
+        instance.read_clock();
         let clock_ms = instance.clock_ms;
         if clock_ms >= instance.next_heartbeat_ms {
             instance.announced_capacity = instance.capacity;
@@ -676,7 +734,47 @@
         }
         let report = self.instances[index].report();
         let response = self.cell.handle_report(report, self.may_grant, self.now);
-        self.handle_response(index, response);
+        self.send_response(index, response);
+    }
+
+    fn send_response(&mut self, index: usize, response: ReportResponse) {
+        let Some(network) = &mut self.slow_network else {
+            return self.handle_response(index, response);
+        };
+        let delay = match network.rng.random_range(0..20) {
+            0 => return,
+            1..=3 => Duration::from_millis(network.rng.random_range(0..3_000)),
+            _ => return self.handle_response(index, response),
+        };
+        let instance = &self.instances[index];
+        network.in_transit.push(LateResponse {
+            arrives_at: self.now + delay,
+            index,
+            reporter: (instance.incarnation, instance.agent_incarnation),
+            response,
+        });
+    }
+
+    fn receive_late_responses(&mut self) {
+        let Some(network) = &mut self.slow_network else { return };
+        let now = self.now;
+        let (due, later) =
+            network.in_transit.drain(..).partition(|late: &LateResponse| late.arrives_at <= now);
+        network.in_transit = later;
+        let due: Vec<LateResponse> = due;
+        for LateResponse { index, reporter, response, .. } in due {
+            let instance = &mut self.instances[index];
+            if reporter != (instance.incarnation, instance.agent_incarnation) {
+                continue;
+            }
+            // The refusals since the report are still to be reported.
+            let (session, refused) = (instance.session, take(&mut instance.refused));
+            self.handle_response(index, response);
+            let instance = &mut self.instances[index];
+            if instance.session == session {
+                instance.refused.splice(0..0, refused);
+            }
+        }
     }
 
     pub fn handle_response(&mut self, index: usize, response: ReportResponse) {
@@ -692,12 +790,24 @@
             instance.fence = instance.fence.max(response.session);
             instance.accepted_order = 0;
             instance.has_listing = is_responsive;
+            // The first response shows that earlier processes of the agent have had no later lease.
+            if is_responsive && instance.known_until_ms.is_none() {
+                let lease_ms = self.settings.lease.as_millis() as u64;
+                instance.known_until_ms = Some(instance.clock_ms + lease_ms);
+            }
             return;
         }
         if response.session != instance.session {
             return;
         }
-        if let Some(until_ms) = response.lease_until_ms.filter(|_| is_responsive) {
+        if let Some(until_ms) = response.lease_until_ms {
+            instance.know_lease(until_ms);
+        }
+        // A call without a response may have been executed.
+        let is_executed = instance.down_steps == 0
+            && self.slow_network.as_mut().is_some_and(|network| network.rng.random_bool(0.5));
+        let is_passed_on = is_responsive || is_executed;
+        if let Some(until_ms) = response.lease_until_ms.filter(|_| is_passed_on) {
             instance.lease_until_ms = instance.lease_until_ms.max(until_ms);
         }
         for end in instance.ended.iter().filter(|end| end.number <= response.forget_until) {
@@ -921,6 +1031,8 @@
         instance.settle_capacity(instance.capacity);
         (instance.session, instance.fence, instance.accepted_order) = (0, 0, 0);
         (instance.clock_ms, instance.lease_until_ms) = (1_000, 0);
+        (instance.reading, instance.known_until_ms) = ((0, 0), None);
+        instance.last_clock_ms = None;
         instance.next_heartbeat_ms = 0;
         instance.has_listing = false;
         instance.refused.clear();
@@ -930,6 +1042,7 @@
         let instance = &mut self.instances[index];
         instance.agent_incarnation += 1;
         (instance.session, instance.accepted_order) = (0, 0);
+        instance.known_until_ms = None;
         instance.has_listing = false;
         instance.refused.clear();
     }
--- a/crates/teaseltrack/tests/cell/owner_changes.rs
+++ b/crates/teaseltrack/tests/cell/owner_changes.rs
@@ -6,11 +6,11 @@
     CellEvent,
     job::Stage,
     progress::JobState,
-    protocol::{EndCause, Report, WorkerListing},
+    protocol::{EndCause, KnownLeases, Report, WorkerListing},
 };
 use yare::parameterized;
 
-use crate::fleet::{Fleet, stage, stored_job};
+use crate::fleet::{Fleet, Instance, stage, stored_job};
 use crate::util::CELL_SETTINGS;
 
 /// Two workers, both with running tasks of a job with eight tasks.
@@ -170,6 +170,80 @@
     assert!(response.lease_until_ms.is_some_and(|until_ms| until_ms > clock_ms));
 }
 
+/// Time after the loss of the first worker at which a new owner reclaims its tasks, in steps. The new
+/// owner gets the given reports, with the time since the worker's last reading.
+fn steps_until_reclaim(reports: impl Fn(&Fleet) -> Vec<Report>) -> u64 {
+    let mut fleet = busy_fleet();
+    fleet.down_step_count = u32::MAX;
+    fleet.crash_worker(0);
+    fleet.run_steps(10);
+    fleet.replace_owner();
+    // The agent gets a session, and reports under it.
+    fleet.exchange_report(0);
+    fleet.instances[0].is_disconnected = true;
+    for report in reports(&fleet) {
+        fleet.cell.handle_report(report, true, fleet.now);
+    }
+    for step_count in 10.. {
+        let events = fleet.cell.take_events();
+        if events.iter().any(|event| matches!(event, CellEvent::Reclaimed { .. })) {
+            return step_count;
+        }
+        fleet.step();
+    }
+    unreachable!("tasks are reclaimed");
+}
+
+/// Guards against a wait for grants of an earlier owner that the worker's agent knows of.
+#[test]
+fn limit_lease_end_reclaims_tasks_at_the_end_of_the_lease_that_the_agent_knows() {
+    let step_count = steps_until_reclaim(|fleet| vec![fleet.instances[0].report()]);
+    // A lease of 5 s from the last reading, 2% of drift and a margin of 0.3 s.
+    assert!((108..=110).contains(&step_count), "{step_count} steps");
+}
+
+/// Guards against a second run: an earlier owner may still serve the agent, or the agent may not know
+/// all leases, or there is one in transit to it, or its report doesn't belong to the session.
+#[parameterized(
+    unknown = { |fleet| vec![Report { known_leases: None, ..fleet.instances[0].report() }] },
+    no_session = { |fleet| vec![Report { session: 0, ..fleet.instances[0].report() }] },
+    earlier_session = { |fleet| vec![Report { session: 1, ..fleet.instances[0].report() }] },
+)]
+fn limit_lease_end_waits_for_all_grants_without_knowledge(reports: fn(&Fleet) -> Vec<Report>) {
+    let step_count = steps_until_reclaim(reports);
+    // 4 s of grants after the change, and a lease of 5.4 s.
+    assert!(step_count >= 10 + 188, "{step_count} steps");
+}
+
+/// Guards against a second run under a lease that is in transit to the agent.
+#[test]
+fn limit_lease_end_waits_for_a_lease_in_transit() {
+    let step_count = steps_until_reclaim(|fleet| {
+        let report = fleet.instances[0].report();
+        let known = report.known_leases.map(|known| KnownLeases { reading_age_ms: 0, ..known });
+        let newer = Report {
+            worker_clock_ms: report.worker_clock_ms + 400,
+            is_worker_reachable: true,
+            known_leases: known,
+            ..report.clone()
+        };
+        // The agent has sent the other report before.
+        vec![newer, report]
+    });
+    // 0.4 s more than without it.
+    assert!((116..=119).contains(&step_count), "{step_count} steps");
+}
+
+/// Guards against a panic or a wait without end by a report with odd numbers.
+#[test]
+fn limit_lease_end_never_extends_a_wait() {
+    let step_count = steps_until_reclaim(|fleet| {
+        let odd = Some(KnownLeases { lease_until_ms: u64::MAX, reading_age_ms: 0 });
+        vec![Report { known_leases: odd, ..fleet.instances[0].report() }]
+    });
+    assert!((198..=202).contains(&step_count), "{step_count} steps");
+}
+
 /// Guards against a run that a new owner doesn't know of, because the start order of an assignment
 /// was sent on the commit of an earlier one to the same worker.
 #[test]
@@ -263,14 +337,32 @@
     // More seeds by hand: the number of them for each case.
     let seed_count = std::env::var("TAKEOVER_SEEDS").ok().and_then(|value| value.parse().ok());
     let seeds = seed_count.map_or(seed..seed + 1, |count: u64| seed * count..(seed + 1) * count);
-    seeds.for_each(run_with_slow_store);
+    seeds.for_each(|seed| run_with_slow_store(seed, false));
 }
 
-fn run_with_slow_store(seed: u64) {
+/// Guards against a second run under a lease that was in transit to its agent, which has reported
+/// earlier ones only, or that a worker has got without a response.
+#[parameterized(
+    seed_1 = { 1 },
+    seed_2 = { 2 },
+    seed_3 = { 3 },
+    seed_4 = { 4 },
+)]
+fn take_over_upholds_invariants_with_late_responses(seed: u64) {
+    // More seeds by hand: the number of them for each case.
+    let seed_count = std::env::var("TAKEOVER_SEEDS").ok().and_then(|value| value.parse().ok());
+    let seeds = seed_count.map_or(seed..seed + 1, |count: u64| seed * count..(seed + 1) * count);
+    seeds.for_each(|seed| run_with_slow_store(seed, true));
+}
+
+fn run_with_slow_store(seed: u64, has_late_responses: bool) {
     let mut faults = ChaCha8Rng::seed_from_u64(seed + 1_000);
     let max_delay_ms = [100, 600, 1_500, 2_500][faults.random_range(0..4)];
     println!("seed {seed}, commits are delayed by up to {max_delay_ms} ms");
     let mut fleet = Fleet::new(5, seed).with_slow_store(max_delay_ms);
+    if has_late_responses {
+        fleet = fleet.with_slow_network(seed);
+    }
     for round in 0_u64..2_500 {
         if round % 40 == 0 && round < 1_000 {
             let second = Stage { after: vec![0], ..stage(faults.random_range(1..5)) };
@@ -284,9 +376,18 @@
                 store.max_delay_ms = 100;
             }
             fleet.instances.iter_mut().for_each(|instance| instance.is_disconnected = false);
+            fleet.instances.iter_mut().for_each(Instance::answer_again);
             continue;
         }
         let index = faults.random_range(0..5);
+        if has_late_responses {
+            let instance = &mut fleet.instances[index];
+            match faults.random_range(0..100) {
+                0 => instance.last_clock_ms = Some(instance.clock_ms),
+                1..=5 => instance.answer_again(),
+                _ => {}
+            }
+        }
         match faults.random_range(0..300) {
             0..=2 => fleet.restart_owner(),
             3..=5 => {
--- a/crates/teaseltrack/tests/cell/owner_series.rs
+++ b/crates/teaseltrack/tests/cell/owner_series.rs
@@ -292,14 +292,6 @@
         self.observe();
     }
 
-    /// Ends a hang; the agent gets a listing with its next call.
-    fn answer_again(&mut self, index: usize) {
-        let instance = &mut self.fleet.instances[index];
-        if instance.last_clock_ms.take().is_some() {
-            instance.has_listing = instance.session != 0;
-        }
-    }
-
     fn change_owner(&mut self, change: Change, last_commit: LastCommit) {
         if last_commit == LastCommit::Answered {
             for _ in 0..10 {
@@ -656,7 +648,7 @@
                 let clock_ms = self.fleet.instances[index].clock_ms;
                 self.fleet.instances[index].last_clock_ms = Some(clock_ms);
             }
-            14..=19 => self.answer_again(index),
+            14..=19 => self.fleet.instances[index].answer_again(),
             20 if !is_gone => self.fleet.instances[index].is_draining = true,
             21..=28 => self.fleet.instances[index].is_draining = false,
             29 => self.set_store_delay([50, 100, 600][faults.random_range(0..3)]),
@@ -680,7 +672,7 @@
     fn settle(&mut self) {
         self.set_store_delay(100);
         for index in 0..self.fleet.instances.len() {
-            self.answer_again(index);
+            self.fleet.instances[index].answer_again();
             let instance = &mut self.fleet.instances[index];
             (instance.is_draining, instance.is_disconnected) = (false, false);
         }
