First reading of a silent worker's clock counts as a repeated one

Callers would see tasks of a lost worker wait anew after a change of the owner: the worker is taken off the list of silent workers.

Cause: an owner that marks a worker as silent before any agent has reported it records the reading 0. The agent's first, late report repeats an old reading, which is higher than 0, and so ended the silence.

Change: while a worker is silent and no reading of its clock is known, a reading only sets what later ones are compared with. A worker that is alive brings a higher one with its next sync call or heartbeat; it gets its lease by one reading later. Readings of an unreachable worker count for the comparison, too.

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -1060,14 +1060,17 @@
         now: Instant,
         response: &mut ReportResponse,
     ) {
-        if !report.is_worker_reachable {
-            return;
-        }
         let worker_clock_ms = report.worker_clock_ms;
         let worst_case_lease = self.settings.worst_case_lease();
         let worker = &mut self.workers[key];
-        if worker_clock_ms > worker.reported_clock_ms {
-            worker.reported_clock_ms = worker_clock_ms;
+        // The first reading since the worker fell silent may repeat one that an earlier owner has had.
+        let is_comparable = !worker.is_silent || worker.reported_clock_ms > 0;
+        let is_new = worker_clock_ms > worker.reported_clock_ms && is_comparable;
+        worker.reported_clock_ms = worker.reported_clock_ms.max(worker_clock_ms);
+        if !report.is_worker_reachable {
+            return;
+        }
+        if is_new {
             worker.clock_reported_at = now;
             worker.is_silent = false;
         }
--- a/crates/teaseltrack/tests/cell/owner_changes.rs
+++ b/crates/teaseltrack/tests/cell/owner_changes.rs
@@ -157,6 +157,27 @@
     assert!(response.lease_until_ms.is_some());
 }
 
+/// Guards against a new wait for a lost worker, since the first report of its agent, which the owner gets
+/// late, repeats a reading of its clock that the owner hasn't seen.
+#[test]
+fn grant_lease_takes_the_first_reading_of_a_silent_worker_for_a_repeated_one() {
+    let mut fleet = busy_fleet();
+    fleet.instances[0].is_disconnected = true;
+    fleet.replace_owner();
+    fleet.run_steps(30);
+    assert_eq!(fleet.silent_workers.len(), 1);
+    let report = fleet.instances[0].report();
+    for _ in 0..3 {
+        fleet.cell.handle_report(report.clone(), true, fleet.now);
+        fleet.commit();
+        assert_eq!(fleet.silent_workers.len(), 1, "the reading may be old");
+    }
+    let newer = Report { worker_clock_ms: report.worker_clock_ms + 100, ..report };
+    fleet.cell.handle_report(newer, true, fleet.now);
+    fleet.commit();
+    assert_eq!(fleet.silent_workers, Vec::new());
+}
+
 /// Guards against a lease for a worker that nobody can call, and against none once it responds again.
 #[test]
 fn grant_lease_of_an_unreachable_worker_follows_its_return() {
