Silent workers stay listed until the tasks reclaimed from them are stored as such

Callers would see tasks of a lost worker wait anew after a change of the owner that follows soon after their reclaim.

Cause: the list of silent workers in the owner's row asks for the tasks of a worker, which the reclaim has emptied. With more jobs to store than a batch has rows, the first batch removed the worker from the list while rows that wait for a later batch still assigned tasks to it. The next owner waited for its lease from the start.

Change: a batch that doesn't contain all changed jobs repeats the entries of the last list whose worker hasn't reported since. A worker that reports again is removed by the next batch, whichever it is, since it gets no lease until then. The kept entries' leases have expired: a listed worker gets none.

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -512,6 +512,8 @@
     previous_leases_end: Instant,
     /// Workers that were silent for the previous owner.
     silent_workers: HashMap<WorkerIncarnation, SilentWorker>,
+    /// Silent workers in the last version of the owner's row, or in the commit in flight.
+    listed_silent_workers: Vec<SilentWorker>,
     interference: InterferenceModel,
     evacuation: EvacuationState,
     histories: Histories,
@@ -540,6 +542,7 @@
             id,
             previous_leases_end: previous_grants_end + settings.worst_case_lease(),
             silent_workers: HashMap::new(),
+            listed_silent_workers: Vec::new(),
             interference: InterferenceModel::new(settings.interference),
             evacuation: EvacuationState::default(),
             histories: Histories::default(),
--- a/crates/teaseltrack/src/cell/commits.rs
+++ b/crates/teaseltrack/src/cell/commits.rs
@@ -35,13 +35,14 @@
         let workers = self.list_unrecorded_workers(max_rows);
         let max_rows = max_rows - workers.len();
         let dirty: Vec<JobKey> = self.dirty_jobs().collect();
-        let mut effects =
-            PendingEffects { returned: self.returned_workers(), ..Default::default() };
-        let silent_workers = self.list_silent_workers();
+        let are_all_jobs_stored = dirty.len() <= max_rows;
+        let silent_workers = self.list_silent_workers(are_all_jobs_stored);
+        let returned = self.returned_workers(&silent_workers);
+        let mut effects = PendingEffects { returned, ..Default::default() };
         let mut batch = CommitBatch { workers, silent_workers, ..Default::default() };
         // A worker discards the record of an ended run once the end is committed, so ends are
         // confirmed only by a batch that contains the progress of all dirty jobs.
-        if dirty.len() <= max_rows {
+        if are_all_jobs_stored {
             effects.ends =
                 self.workers.iter().map(|(key, worker)| (key, worker.processed_end)).collect();
         }
--- a/crates/teaseltrack/src/cell/silence.rs
+++ b/crates/teaseltrack/src/cell/silence.rs
@@ -41,6 +41,7 @@
     /// Adopts the silent workers that the previous owner has recorded; must precede
     /// [`Cell::admit`].
     pub fn adopt_silent_workers(&mut self, silent_workers: Vec<SilentWorker>) {
+        self.listed_silent_workers.clone_from(&silent_workers);
         self.silent_workers
             .extend(silent_workers.into_iter().map(|silent| (silent.incarnation.clone(), silent)));
     }
@@ -101,7 +102,10 @@
 
     /// Silent workers for the owner's row. From now on they count as recorded, since the commit may
     /// take effect at any time.
-    pub(super) fn list_silent_workers(&mut self) -> Vec<SilentWorker> {
+    ///
+    /// Unless `are_all_jobs_stored` by the commit, rows may still assign tasks to a worker that they were
+    /// reclaimed from. It stays listed, as long as it doesn't report again.
+    pub(super) fn list_silent_workers(&mut self, are_all_jobs_stored: bool) -> Vec<SilentWorker> {
         let mut silent_workers = Vec::new();
         for worker in self.workers.values_mut().filter(|worker| is_listed(worker)) {
             worker.is_recorded_silent = true;
@@ -111,11 +115,25 @@
                 clock_ms: worker.reported_clock_ms,
             }));
         }
+        let listed = std::mem::take(&mut self.listed_silent_workers);
+        if !are_all_jobs_stored {
+            let worker_of = |silent: &SilentWorker| {
+                self.by_incarnation.get(&silent.incarnation).map(|key| &self.workers[*key])
+            };
+            let is_kept = |silent: &SilentWorker| {
+                worker_of(silent).is_none_or(|worker| worker.is_silent && !is_listed(worker))
+            };
+            silent_workers.extend(listed.into_iter().filter(is_kept));
+        }
+        self.listed_silent_workers.clone_from(&silent_workers);
         silent_workers
     }
 
-    /// Workers that the owner's row may list as silent, and that needn't be listed any more.
-    pub(super) fn returned_workers(&self) -> Vec<WorkerKey> {
+    /// Workers that the owner's row may list as silent, and that the new list lacks.
+    pub(super) fn returned_workers(&self, silent_workers: &[SilentWorker]) -> Vec<WorkerKey> {
+        let is_listed = |worker: &Worker| {
+            silent_workers.iter().any(|silent| silent.incarnation == worker.incarnation)
+        };
         let returned = self
             .workers
             .iter()
--- a/crates/teaseltrack/tests/cell/owner_series.rs
+++ b/crates/teaseltrack/tests/cell/owner_series.rs
@@ -786,6 +786,42 @@
     );
 }
 
+/// Guards against a worker that stays on the list, and gets no lease, because batches never contain all
+/// jobs or because its tasks were reclaimed.
+#[parameterized(
+    reports_again = { true, 1 },
+    all_stored = { false, 50 },
+)]
+fn next_commit_removes_a_silent_worker_from_the_list(reports_again: bool, max_rows: usize) {
+    let mut fleet = Fleet::new(2, 1);
+    for index in 0..3 {
+        fleet.submit(stored_job(&format!("{index:016x}"), vec![long_running(1)]));
+    }
+    fleet.run_steps(20);
+    let lost = usize::from(fleet.instances[0].running.is_empty());
+    assert_eq!(fleet.instances[lost].running.len(), 3, "serving tasks are packed");
+    fleet.instances[lost].is_disconnected = true;
+    fleet.run_steps(60);
+    assert_eq!(fleet.silent_workers.len(), 1);
+    fleet.now += Duration::from_secs(4);
+    fleet.cell.tick(fleet.now);
+    let batch = fleet.cell.next_commit(1).expect("reclaimed tasks are committed");
+    assert_eq!(batch.silent_workers.len(), 1);
+    fleet.cell.commit_succeeded();
+    if reports_again {
+        fleet.instances[lost].clock_ms += 5_000;
+        let report = fleet.instances[lost].report();
+        let response = fleet.cell.handle_report(report, true, fleet.now);
+        assert_eq!(response.lease_until_ms, None, "the row still lists the worker");
+    }
+    let batch = fleet.cell.next_commit(max_rows).expect("more tasks are committed");
+    assert_eq!(batch.silent_workers, Vec::new());
+    fleet.cell.commit_succeeded();
+    let report = fleet.instances[lost].report();
+    let response = fleet.cell.handle_report(report, true, fleet.now);
+    assert!(response.lease_until_ms.is_some());
+}
+
 /// Guards against a wait of over 9 s for a worker that is lost shortly before or after its owner: the
 /// next owner assumes grants for 4 s and then a lease.
 #[parameterized(
