--- a/crates/teaseltrack-cell/src/entry.rs
+++ b/crates/teaseltrack-cell/src/entry.rs
@@ -384,7 +384,8 @@
         let known = owners.entry(cell).or_default();
         let is_newer = record.epoch > known.epoch;
         if is_newer {
-            *known = KnownOwner { epoch: record.epoch, address: Some(address) };
+            let reads_known_leases = record.reads_known_leases;
+            *known = KnownOwner { epoch: record.epoch, address: Some(address), reads_known_leases };
         }
         is_newer
     });
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -532,6 +532,8 @@
     previous_leases_end: Instant,
     /// Workers that were silent for the previous owner.
     silent_workers: HashMap<WorkerIncarnation, SilentWorker>,
+    /// Silent workers in the last version of the owner's row, or in the commit in flight.
+    listed_silent_workers: Vec<SilentWorker>,
     interference: InterferenceModel,
     evacuation: EvacuationState,
     histories: Histories,
@@ -561,6 +563,7 @@
             id,
             previous_leases_end: previous_grants_end + settings.worst_case_lease(),
             silent_workers: HashMap::new(),
+            listed_silent_workers: Vec::new(),
             interference: InterferenceModel::new(settings.interference),
             evacuation: EvacuationState::default(),
             histories: Histories::default(),
@@ -722,7 +725,7 @@
     /// leases.
     pub fn handle_report(
         &mut self,
-        report: Report,
+        mut report: Report,
         may_grant: bool,
         now: Instant,
     ) -> ReportResponse {
@@ -738,7 +741,7 @@
             response.session = self.workers[key].session;
             response.first_order = 1;
             response.evacuation = self.evacuation_notice(key, now);
-            self.grant_lease(key, report.worker_clock_ms, may_grant, now, &mut response);
+            self.grant_lease(key, &report, may_grant, now, &mut response);
             return response;
         }
         let worker = &mut self.workers[key];
@@ -748,19 +751,20 @@
             self.needs_plan = true;
         }
         worker.acknowledge_orders(report.accepted_order);
-        for refused in report.refused {
-            self.process_refusal(key, &refused, now);
+        for refused in &report.refused {
+            self.process_refusal(key, refused, now);
         }
-        if let Some(listing) = report.listing {
+        if let Some(listing) = report.listing.take() {
             if let Some(running) = &listing.running {
                 self.observe_interference(key, running, now);
             }
             self.process_listing(key, listing, report.worker_clock_ms, now);
         }
-        if let Some(estimates) = report.interference {
+        if let Some(estimates) = report.interference.take() {
             self.interference.adopt_estimates(estimates);
         }
-        self.grant_lease(key, report.worker_clock_ms, may_grant, now, &mut response);
+        self.grant_lease(key, &report, may_grant, now, &mut response);
+        self.limit_lease_end(key, &report, now);
         let worker = &self.workers[key];
         response.session = worker.session;
         response.forget_until = worker.committed_end;
@@ -1071,18 +1075,27 @@
         false
     }
 
+    /// Grants a lease for a reading of the worker's clock. An agent that can't call its worker can't
+    /// pass on a lease either, and its worker's heartbeats may bring new readings for ever.
     fn grant_lease(
         &mut self,
         key: WorkerKey,
-        worker_clock_ms: u64,
+        report: &Report,
         may_grant: bool,
         now: Instant,
         response: &mut ReportResponse,
     ) {
+        let worker_clock_ms = report.worker_clock_ms;
         let worst_case_lease = self.settings.worst_case_lease();
         let worker = &mut self.workers[key];
-        if worker_clock_ms > worker.reported_clock_ms {
-            worker.reported_clock_ms = worker_clock_ms;
+        // The first reading since the worker fell silent may repeat one that an earlier owner has had.
+        let is_comparable = !worker.is_silent || worker.reported_clock_ms > 0;
+        let is_new = worker_clock_ms > worker.reported_clock_ms && is_comparable;
+        worker.reported_clock_ms = worker.reported_clock_ms.max(worker_clock_ms);
+        if !report.is_worker_reachable {
+            return;
+        }
+        if is_new {
             worker.clock_reported_at = now;
             worker.is_silent = false;
         }
--- a/crates/teaseltrack/src/cell/silence.rs
+++ b/crates/teaseltrack/src/cell/silence.rs
@@ -5,10 +5,27 @@
 //! waited for that long anew, a series of owners would never start the tasks again. An owner
 //! therefore records silent workers in its row, with the ends of their leases, and grants a recorded
 //! worker no lease until a commit has removed it from the row.
+//!
+//! An owner that ends before it has recorded a worker leaves nothing to its successor. The worker's
+//! agent knows more ([`KnownLeases`]): leases reach the worker through its agent only. A reading of
+//! the worker's clock proves that the clock had at least that reading when the agent received it,
+//! however late. A lease therefore ends, in real time, at most its distance from the reading, times the drift,
+//! after that receipt ([`Cell::limit_lease_end`]). This holds for all leases:
+//! - Those from earlier owners are in the agent's report, since an agent that reports under a session
+//!   of this owner obeys no earlier epoch any more.
+//! - Those that this owner has granted may still be in transit to the agent, so that they count from the
+//!   readings that they were granted for.
+//! - Those of an earlier process of the agent were granted for readings that precede the first response
+//!   of the worker to the present one. A later process finds the owner in the store, and so obeys none
+//!   that precedes this one.
+//!
+//! [`KnownLeases`]: crate::cell::protocol::KnownLeases
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use crate::cell::{Cell, CellEvent, WorkerKey, progress::WorkerIncarnation, worker::Worker};
+use crate::cell::{
+    Cell, CellEvent, WorkerKey, progress::WorkerIncarnation, protocol::Report, worker::Worker,
+};
 
 /// Worker that no owner grants a lease to until it is removed from the owner's row.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -26,6 +43,7 @@
     /// Adopts the silent workers that the previous owner has recorded; must precede
     /// [`Cell::admit`].
     pub fn adopt_silent_workers(&mut self, silent_workers: Vec<SilentWorker>) {
+        self.listed_silent_workers.clone_from(&silent_workers);
         self.silent_workers
             .extend(silent_workers.into_iter().map(|silent| (silent.incarnation.clone(), silent)));
     }
@@ -62,6 +80,24 @@
         }
     }
 
+    /// Limits the wait for the worker's lease by what its agent knows, for a report under a session of
+    /// this owner.
+    pub(super) fn limit_lease_end(&mut self, key: WorkerKey, report: &Report, now: Instant) {
+        let Some(known) = report.known_leases else { return };
+        let worker = &mut self.workers[key];
+        let Some(lease_end) = worker.lease_end else { return };
+        let lease_ms = self.settings.lease.as_millis() as u64;
+        let granted_until_ms =
+            if worker.clock_ms > 0 { worker.clock_ms.saturating_add(lease_ms) } else { 0 };
+        let until_ms = known.lease_until_ms.max(granted_until_ms);
+        let remaining_ms = until_ms.saturating_sub(report.worker_clock_ms);
+        // Longer than any wait for a lease.
+        let remaining = Duration::from_millis(remaining_ms.min(u64::from(u32::MAX)));
+        let wait = remaining.mul_f64(1.0 + self.settings.clock_drift) + self.settings.lease_margin;
+        let age = Duration::from_millis(known.reading_age_ms);
+        worker.lease_end = Some(lease_end.min(now + wait.saturating_sub(age)));
+    }
+
     /// Whether the list in the owner's row is outdated.
     pub(super) fn has_silence_changes(&self) -> bool {
         self.workers.values().any(|worker| worker.is_recorded_silent != is_listed(worker))
@@ -69,7 +105,10 @@
 
     /// Silent workers for the owner's row. From now on they count as recorded, since the commit may
     /// take effect at any time.
-    pub(super) fn list_silent_workers(&mut self) -> Vec<SilentWorker> {
+    ///
+    /// Unless `are_all_jobs_stored` by the commit, rows may still assign tasks to a worker that they were
+    /// reclaimed from. It stays listed, as long as it doesn't report again.
+    pub(super) fn list_silent_workers(&mut self, are_all_jobs_stored: bool) -> Vec<SilentWorker> {
         let mut silent_workers = Vec::new();
         for worker in self.workers.values_mut().filter(|worker| is_listed(worker)) {
             worker.is_recorded_silent = true;
@@ -79,11 +118,25 @@
                 clock_ms: worker.reported_clock_ms,
             }));
         }
+        let listed = std::mem::take(&mut self.listed_silent_workers);
+        if !are_all_jobs_stored {
+            let worker_of = |silent: &SilentWorker| {
+                self.by_incarnation.get(&silent.incarnation).map(|key| &self.workers[*key])
+            };
+            let is_kept = |silent: &SilentWorker| {
+                worker_of(silent).is_none_or(|worker| worker.is_silent && !is_listed(worker))
+            };
+            silent_workers.extend(listed.into_iter().filter(is_kept));
+        }
+        self.listed_silent_workers.clone_from(&silent_workers);
         silent_workers
     }
 
-    /// Workers that the owner's row may list as silent, and that needn't be listed any more.
-    pub(super) fn returned_workers(&self) -> Vec<WorkerKey> {
+    /// Workers that the owner's row may list as silent, and that the new list lacks.
+    pub(super) fn returned_workers(&self, silent_workers: &[SilentWorker]) -> Vec<WorkerKey> {
+        let is_listed = |worker: &Worker| {
+            silent_workers.iter().any(|silent| silent.incarnation == worker.incarnation)
+        };
         let returned = self
             .workers
             .iter()
