Bound the search for room to hold, and count it by service

Found in review of the held room. A round now stops after four stages in vain. The share of workers with held room counted all services together, so that a small service could have all of its workers held; it counts each service by itself. An urgent job may pre-empt on a worker whose room is held for a less urgent one.

--- a/crates/teaseltrack/src/cell/preemption.rs
+++ b/crates/teaseltrack/src/cell/preemption.rs
@@ -231,7 +231,8 @@
     ) -> Option<RoomPlan> {
         let worker = &self.workers[worker_key];
         let service = &self.jobs[key.job].queue.service;
-        if !worker.held_rooms.is_empty() || !self.meets_constraints(worker, service, (key, stage)) {
+        let is_held = worker.held_rooms.iter().any(|held| held.priority <= newcomer.priority);
+        if is_held || !self.meets_constraints(worker, service, (key, stage)) {
             return None;
         }
         let planned: Vec<&RoomPlan> =
--- a/crates/teaseltrack/src/cell/serving_room.rs
+++ b/crates/teaseltrack/src/cell/serving_room.rs
@@ -7,7 +7,7 @@
 //! lower priority starts in it, and the batch tasks that run there end by themselves.
 //!
 //! The share of a worker's CPU that serving tasks leave to batch tasks isn't held, and room is held
-//! on a part of the workers at a time, so that batch tasks go on elsewhere.
+//! on a part of a service's workers at a time, so that batch tasks go on elsewhere.
 
 use std::time::{Duration, Instant};
 
@@ -21,6 +21,9 @@
     placement::Resources,
 };
 
+/// Number of stages for which no worker was found after which a planning round looks for no more.
+const MAX_FAILED_STAGES: usize = 4;
+
 impl Cell {
     /// Holds room for the serving tasks that have waited long enough, in the order of the candidates.
     pub(super) fn hold_serving_rooms(
@@ -30,9 +33,12 @@
         now: Instant,
     ) {
         let settings = self.settings.planning;
-        let limit = (workers.len() as f64 * settings.max_held_share).ceil() as usize;
         let serving = candidates.iter().filter(|candidate| candidate.kind() == TaskKind::Serving);
+        let mut failed_count = 0;
         for candidate in serving {
+            if failed_count >= MAX_FAILED_STAGES {
+                return;
+            }
             let spec = self.jobs[candidate.first_task.job].spec.clone();
             let stage = &spec.stages[candidate.first_task.stage as usize];
             if stage.is_gang {
@@ -43,10 +49,17 @@
                 .filter(|key| self.has_waited(*key, settings.reserve_wait, now))
                 .filter(|key| !self.has_room(*key, workers))
                 .collect();
+            if waiting.is_empty() {
+                continue;
+            }
+            let workers =
+                self.workers_of(&self.jobs[candidate.first_task.job].queue.service, workers);
+            let limit = (workers.len() as f64 * settings.max_held_share).ceil() as usize;
             for key in waiting {
                 let held_count = workers.iter().filter(|key| self.holds_room(**key)).count();
-                let Some(worker) = self.worker_to_hold((key, stage), workers, held_count < limit)
+                let Some(worker) = self.worker_to_hold((key, stage), &workers, held_count < limit)
                 else {
+                    failed_count += 1;
                     break;
                 };
                 let held = HeldRoom {
@@ -60,6 +73,13 @@
         }
     }
 
+    fn workers_of(&self, service: &str, workers: &[WorkerKey]) -> Vec<WorkerKey> {
+        let is_of_service = |key: &WorkerKey| {
+            self.workers[*key].status.as_ref().is_some_and(|status| status.service == service)
+        };
+        workers.iter().copied().filter(is_of_service).collect()
+    }
+
     fn holds_room(&self, worker: WorkerKey) -> bool {
         !self.workers[worker].held_rooms.is_empty()
     }
