--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -170,9 +170,9 @@
 impl Cell {
     /// Runs a planning round: begins due occurrences, stops serving tasks on draining workers,
     /// isolates tasks that may have crashed a worker, assigns the other waiting tasks, gives a task to
-    /// each starved best-effort job, holds room for serving tasks, stops runs for waiting jobs of higher priority, starts copies of
-    /// slow runs, and, unless serving tasks were waiting, moves one out of an evacuated zone or regroups
-    /// them. Start orders are sent after the next commit. Assigns nothing while the requested
+    /// each starved best-effort job, holds room for serving tasks, stops runs for waiting jobs of higher
+    /// priority, starts copies of slow runs, and, unless serving tasks were waiting, moves one out of an
+    /// evacuated zone or regroups them. Start orders are sent after the next commit. Assigns nothing while the requested
     /// evacuations aren't known.
     pub fn plan(&mut self, unix_now_ms: u64, now: Instant) {
         self.needs_plan = false;
--- a/crates/teaseltrack/src/cell/silence.rs
+++ b/crates/teaseltrack/src/cell/silence.rs
@@ -9,8 +9,8 @@
 //! An owner that ends before it has recorded a worker leaves nothing to its successor. The worker's
 //! agent knows more ([`KnownLeases`]): leases reach the worker through its agent only. A reading of
 //! the worker's clock proves that the clock had at least that reading when the agent received it,
-//! however late. A lease therefore ends, in real time, at most its distance from the reading, times the drift,
-//! after that receipt ([`Cell::limit_lease_end`]). This holds for all leases:
+//! however late. A lease therefore ends, in real time, at most its distance from the reading, times
+//! the drift, after that receipt ([`Cell::limit_lease_end`]). This holds for all leases:
 //! - Those from earlier owners are in the agent's report, since an agent that reports under a session
 //!   of this owner obeys no earlier epoch any more.
 //! - Those that this owner has granted may still be in transit to the agent, so that they count from the
