Promise rooms to cells that hand over tasks

What callers saw: long-running tasks that wait in the wrong cell.

Cause: the search for room used the quotes for new jobs. These ignore the label that a task requires, and the tasks of its stage that run in the other cell, so that a task was handed over to a cell that can't run it. Nothing kept two cells from handing tasks over to the same room. Cells were asked one after the other, stage by stage, four stages at a time, so that a cell without an owner delayed all of them.

Change: cell::room_promises. The owner asks all other cells at the same time, in one call each, for rooms for up to 32 waiting stages, in turn if there are more. A cell counts the rooms on workers that are usable now, beside what is held, promised or needed by its own new tasks, and promises them for half a second, the time of a hand-over. Searches start every 200 ms at most, and those without success are logged and counted. A cell whose owner is of an earlier build doesn't answer; tasks aren't handed over to it meanwhile.

Evidence, on the code before with its quotes: promise_rooms_promises_a_room_once hands 2 tasks over to one room; promise_rooms_requires_the_label makes 4 hand-overs of 2 tasks; promise_rooms_counts_the_tasks_of_the_stage makes 10 of 2. All pass now.

--- a/crates/teaseltrack-cell/src/calls.rs
+++ b/crates/teaseltrack-cell/src/calls.rs
@@ -18,6 +18,7 @@
         partition::CellId,
         protocol::{Report, ReportResponse},
         quote::{Quote, StageDemand},
+        room_promises::RoomRequest,
     },
     ids::ServiceName,
 };
@@ -49,6 +50,8 @@
     Quote(CellId, ServiceName, Vec<StageDemand>, oneshot::Sender<Option<Quote>>),
     /// A query for the number of pending jobs of a queue.
     PendingCount(QueueName, oneshot::Sender<Option<u64>>),
+    /// A request for rooms for waiting tasks, to the owner of the given cell.
+    PromiseRooms(CellId, Vec<RoomRequest>, oneshot::Sender<Option<Vec<u32>>>),
 }
 
 /// Last known owner of the cell; may be outdated.
@@ -117,6 +120,15 @@
     async fn pending_count(self, _: context::Context, queue: QueueName) -> Option<u64> {
         self.call_owner(|reply| InboundCall::PendingCount(queue, reply)).await.flatten()
     }
+
+    async fn promise_rooms(
+        self,
+        _: context::Context,
+        cell: CellId,
+        requests: Vec<RoomRequest>,
+    ) -> Option<Vec<u32>> {
+        self.call_owner(|reply| InboundCall::PromiseRooms(cell, requests, reply)).await.flatten()
+    }
 }
 
 /// Serves connections until `closing` is cancelled.
@@ -190,6 +202,19 @@
         self.response_or_reset(address, timeout(CALL_TIMEOUT, call).await).flatten()
     }
 
+    /// Rooms that a cell's owner promises for each request; `None` without a response from the owner in
+    /// time.
+    pub async fn promise_rooms(
+        &self,
+        address: SocketAddr,
+        cell: CellId,
+        requests: Vec<RoomRequest>,
+    ) -> Option<Vec<u32>> {
+        let client = self.client(address).await?;
+        let call = client.promise_rooms(context_with_timeout(QUOTE_TIMEOUT), cell, requests);
+        self.response_or_reset(address, timeout(QUOTE_TIMEOUT, call).await).flatten()
+    }
+
     async fn client(&self, address: SocketAddr) -> Option<CellControlClient> {
         if let Some((connected_address, client)) = &*self.lock()
             && *connected_address == address
--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -19,7 +19,7 @@
         job::QueueConfiguration,
         ownership::OwnershipSettings,
         partition::CellId,
-        protocol::{Report, ReportResponse, TaskName},
+        protocol::{Report, ReportResponse},
     },
     clock::{SharedClock, unix_ms},
     ids::InstanceId,
@@ -43,7 +43,7 @@
     evacuation::{OperatorSenders, OperatorSource, follow_operator},
     owner::{
         committer::{Committer, OwnershipLost},
-        delegator::{find_cells, next_stages, store_delegations},
+        delegator::{FoundCells, find_cells, next_stages, store_delegations},
         loader::{JobChanges, LoadedCell, follow_jobs, load},
     },
 };
@@ -61,6 +61,11 @@
 /// commit: short compared with the time in which a worker must be emptied.
 const MAX_PLAN_DELAY: Duration = Duration::from_millis(50);
 
+/// Minimum time between the starts of two searches for room in other cells.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(200);
+/// Minimum time between two log entries of searches without success.
+const SEARCH_LOG_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Maximum share of the owner's time spent on planning; the rest is for reports and commits.
 const MAX_PLANNING_SHARE: f64 = 0.4;
 
@@ -105,7 +110,7 @@
 /// Commit in flight; returns the committer with the result.
 type CommitTask = JoinHandle<(Committer, Result<(), OwnershipLost>)>;
 /// Search for cells with room for waiting tasks in progress.
-type SearchTask = JoinHandle<Vec<(TaskName, CellId)>>;
+type SearchTask = JoinHandle<FoundCells>;
 
 /// Receiving ends of the owner's channels.
 struct Receivers {
@@ -127,6 +132,8 @@
     clients: CellClients,
     searching: Option<SearchTask>,
     search_count: usize,
+    next_search_at: Instant,
+    search_logged_at: Option<Instant>,
     is_stopping: bool,
 }
 
@@ -191,6 +198,8 @@
         clients: CellClients::default(),
         searching: None,
         search_count: 0,
+        next_search_at: next_plan_at,
+        search_logged_at: None,
         is_stopping: false,
     };
     let receivers = Receivers { calls, job_changes, configuration, evacuations };
@@ -263,10 +272,7 @@
                 }
                 found = task_result(&mut self.searching) => {
                     self.searching = None;
-                    let now = self.context.clock.now();
-                    for (task, cell) in found.unwrap_or_default() {
-                        self.cell.delegate(&task, cell, now);
-                    }
+                    self.delegate(found.unwrap_or_default());
                 }
                 Ok(()) = receivers.configuration.changed() => {
                     let active = receivers.configuration.borrow_and_update().as_deref().cloned();
@@ -329,6 +335,12 @@
             InboundCall::PendingCount(queue, reply) => {
                 reply.send(Some(self.cell.pending_count(&queue) as u64)).ok();
             }
+            InboundCall::PromiseRooms(cell, requests, reply) => {
+                let now = self.context.clock.now();
+                let is_owned = cell == self.context.cell_id && !self.is_stopping;
+                let rooms = is_owned.then(|| self.cell.promise_rooms(&requests, now));
+                reply.send(rooms).ok();
+            }
         }
     }
 
@@ -371,7 +383,12 @@
         if self.context.cell_count < 2 || self.searching.is_some() || self.is_stopping {
             return;
         }
-        let unplaced = self.cell.unplaced_tasks(DELEGATION_WAIT, self.context.clock.now());
+        let now = self.context.clock.now();
+        if now < self.next_search_at {
+            return;
+        }
+        self.next_search_at = now + SEARCH_INTERVAL;
+        let unplaced = self.cell.unplaced_tasks(DELEGATION_WAIT, now);
         if unplaced.is_empty() {
             return;
         }
@@ -386,6 +403,29 @@
         self.searching = Some(tokio::spawn(search));
     }
 
+    /// Hands over tasks to the cells that have promised room for them.
+    fn delegate(&mut self, found: FoundCells) {
+        let OwnerContext { logger, metrics, clock, cell_count, .. } = &self.context;
+        let now = clock.now();
+        let FoundCells { tasks, sought_count, response_count } = found;
+        let found_count = tasks.len();
+        for (task, cell) in tasks {
+            self.cell.delegate(&task, cell, now);
+        }
+        if found_count > 0 {
+            metrics.count("searches_with_room");
+        } else {
+            metrics.count("searches_without_room");
+        }
+        let is_due = self.search_logged_at.is_none_or(|at| now >= at + SEARCH_LOG_INTERVAL);
+        if found_count < sought_count && is_due {
+            self.search_logged_at = Some(now);
+            info!(logger, "other cells have too little room for waiting long-running tasks";
+                "tasks" => sought_count, "with_room" => found_count,
+                "cells" => cell_count - 1, "cells_responded" => response_count);
+        }
+    }
+
     fn store_delegations(&mut self) {
         let delegations = self.cell.take_delegations();
         if !delegations.is_empty() {
--- a/crates/teaseltrack-cell/src/owner/delegator.rs
+++ b/crates/teaseltrack-cell/src/owner/delegator.rs
@@ -2,13 +2,14 @@
 
 use std::time::Duration;
 
+use futures::future::join_all;
 use slog::{Logger, debug, info, warn};
 use teaseltrack::cell::{
     delegation::{Delegation, UnplacedTasks},
     ownership::OwnerRecord,
     partition::CellId,
     protocol::TaskName,
-    quote::{Quote, StageDemand},
+    room_promises::{RoomRequest, distribute},
 };
 use teaseltrack_platform::store::{
     CommitOutcome, Condition, Store, StoreError, Transaction, Write,
@@ -22,10 +23,21 @@
 };
 
 /// Maximum number of stages for which cells are searched at a time.
-pub const MAX_SEARCHED_STAGES: usize = 4;
+pub const MAX_SEARCHED_STAGES: usize = 32;
 /// Maximum delay between two tries to store a delegation.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Result of a search.
+#[derive(Clone, Debug, Default)]
+pub struct FoundCells {
+    /// Tasks with the cells that have promised room for them.
+    pub tasks: Vec<(TaskName, CellId)>,
+    /// Number of tasks for which room was sought.
+    pub sought_count: usize,
+    /// Number of cells that responded.
+    pub response_count: usize,
+}
+
 /// Stages for the next search, in turn: those for which the last searches found no room must not
 /// keep the others waiting.
 pub fn next_stages(mut unplaced: Vec<UnplacedTasks>, search_number: usize) -> Vec<UnplacedTasks> {
@@ -37,48 +49,43 @@
     unplaced
 }
 
-/// Finds cells for waiting tasks among `cells`; tasks without room anywhere are left out.
+/// Asks all of `cells` at the same time for room for waiting tasks, so that one without a response
+/// doesn't delay the others. Tasks without room anywhere are left out of the result.
 pub async fn find_cells(
     cells: Vec<CellId>,
     unplaced: Vec<UnplacedTasks>,
     store: Store,
     clients: CellClients,
     logger: Logger,
-) -> Vec<(TaskName, CellId)> {
-    let mut found = Vec::new();
-    for UnplacedTasks { service, stage, mut tasks } in unplaced {
-        for &cell in &cells {
-            if tasks.is_empty() {
-                break;
-            }
-            let stage = StageDemand { task_count: tasks.len() as u32, ..StageDemand::of(&stage) };
-            match quote_of(cell, &service, stage, &store, &clients).await {
-                Ok(Some(quote)) => {
-                    let placeable =
-                        tasks.len() - (quote.unplaceable_count as usize).min(tasks.len());
-                    found.extend(tasks.drain(..placeable).map(|task| (task, cell)));
-                }
-                Ok(None) => {}
-                Err(error) => warn!(logger, "failed to read a cell's owner"; "cell" => cell,
-                    "error" => %error),
+) -> FoundCells {
+    let requests: Vec<RoomRequest> = unplaced.iter().filter_map(RoomRequest::of).collect();
+    let responses = cells.into_iter().map(async |cell| {
+        match rooms_of(cell, requests.clone(), &store, &clients).await {
+            Ok(rooms) => Some((cell, rooms?)),
+            Err(error) => {
+                warn!(logger, "failed to read a cell's owner"; "cell" => cell, "error" => %error);
+                None
             }
         }
-    }
-    found
+    });
+    let rooms: Vec<(CellId, Vec<u32>)> = join_all(responses).await.into_iter().flatten().collect();
+    let sought_count = unplaced.iter().map(|unplaced| unplaced.tasks.len()).sum();
+    let response_count = rooms.len();
+    FoundCells { tasks: distribute(unplaced, &rooms), sought_count, response_count }
 }
 
-async fn quote_of(
+/// Rooms that a cell promises for each request; `None` without a response from its owner.
+async fn rooms_of(
     cell: CellId,
-    service: &str,
-    stage: StageDemand,
+    requests: Vec<RoomRequest>,
     store: &Store,
     clients: &CellClients,
-) -> Result<Option<Quote>, StoreError> {
+) -> Result<Option<Vec<u32>>, StoreError> {
     let Some(row) = store.read(&owner_notice_key(cell)).await? else { return Ok(None) };
     let record: Option<OwnerRecord> = store.parse(&row);
     let Some(record) = record else { return Ok(None) };
     let Ok(address) = record.address.parse() else { return Ok(None) };
-    Ok(clients.of(cell).quote(address, cell, service.to_owned(), vec![stage]).await)
+    Ok(clients.of(cell).promise_rooms(address, cell, requests).await)
 }
 
 /// Stores committed delegations; retries until each, or a later hand-over of the same task, is known
--- a/crates/teaseltrack-cell/tests/calls.rs
+++ b/crates/teaseltrack-cell/tests/calls.rs
@@ -11,6 +11,7 @@
             KnownLeases, RefusedStart, Report, StartOrder, TaskName, WorkerListing, WorkerStatus,
         },
         quote::{Quote, StageDemand},
+        room_promises::RoomRequest,
     },
     placement::Resources,
 };
@@ -38,6 +39,7 @@
     let stages = [
         Stage { task_count: 24, resources, is_long_running: true, ..Stage::default() },
         Stage { task_count: 3, max_per_worker: Some(2), resources, ..Stage::default() },
+        Stage { required_label: Some("ssd".to_owned()), ..Stage::default() },
     ];
     let demands: Vec<StageDemand> = stages.iter().map(StageDemand::of).collect();
     let expected = demands.clone();
@@ -57,6 +59,41 @@
     closing.cancel();
 }
 
+#[tokio::test]
+async fn promise_rooms_reaches_the_owner_with_all_fields() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (mailbox, mut calls) = mpsc::channel(1);
+    let (_owner, owner) = watch::channel(Some(mailbox));
+    let (_known, known_owner) = watch::channel(KnownOwner::default());
+    let closing = CancellationToken::new();
+    tokio::spawn(serve_calls(listener, CallServer { owner, known_owner }, closing.clone()));
+    let stage = Stage { task_count: 5, is_long_running: true, ..Stage::default() };
+    let labelled = Stage { required_label: Some("ssd".to_owned()), ..stage.clone() };
+    let requests = [stage, labelled].map(|stage| RoomRequest {
+        service: "service".to_owned(),
+        priority: 3,
+        job: "00000000000000aa".to_owned(),
+        occurrence: 1,
+        stage: 2,
+        demand: StageDemand::of(&stage),
+    });
+    let expected = requests.to_vec();
+    tokio::spawn(async move {
+        let Some(InboundCall::PromiseRooms(cell, received, reply)) = calls.recv().await else {
+            panic!("not a request for rooms");
+        };
+        assert_eq!((cell, received), (3, expected));
+        reply.send(Some(vec![4, 0])).unwrap();
+        // Keeps the mailbox open until the response has been read.
+        tokio::time::sleep(Duration::from_secs(5)).await;
+    });
+    let client = CellClient::default();
+    let rooms = client.promise_rooms(address, 3, requests.to_vec()).await;
+    assert_eq!(rooms, Some(vec![4, 0]));
+    closing.cancel();
+}
+
 /// Start order without the planned capacity.
 #[derive(Serialize)]
 struct EarlierStartOrder {
--- a/crates/teaseltrack-cell/tests/delegation.rs
+++ b/crates/teaseltrack-cell/tests/delegation.rs
@@ -57,6 +57,7 @@
     let unplaced: Vec<UnplacedTasks> = (0..count)
         .map(|index| UnplacedTasks {
             service: "service".to_owned(),
+            priority: 0,
             stage: Stage::default(),
             tasks: vec![delegation(index).task],
         })
--- a/crates/teaseltrack-wire/src/cell.rs
+++ b/crates/teaseltrack-wire/src/cell.rs
@@ -7,6 +7,7 @@
         progress::JobState,
         protocol::{Report, ReportResponse},
         quote::{Quote, StageDemand},
+        room_promises::RoomRequest,
     },
     ids::ServiceName,
 };
@@ -38,4 +39,7 @@
     /// Returns the number of jobs of a queue without a started task; `None` from a process that
     /// isn't the owner.
     async fn pending_count(queue: QueueName) -> Option<u64>;
+    /// Promises rooms for waiting tasks of other cells and returns their number for each request;
+    /// `None` from a process that isn't the owner of the cell.
+    async fn promise_rooms(cell: CellId, requests: Vec<RoomRequest>) -> Option<Vec<u32>>;
 }
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -37,6 +37,7 @@
             EndCause, EndedTask, Order, RefusedStart, Report, ReportResponse, RunningTask,
             SessionToken, TaskName, WorkerListing, WorkerStatus,
         },
+        room_promises::RoomPromise,
         silence::SilentWorker,
         tail_model::Tail,
         worker::{TaskKey, Worker},
@@ -67,6 +68,7 @@
 pub mod regrouping;
 pub mod reliability;
 pub mod relocation;
+pub mod room_promises;
 pub mod scoring;
 mod serving_room;
 pub mod silence;
@@ -524,6 +526,8 @@
     stored_workers: HashMap<InstanceId, WorkerRecord>,
     pending_effects: Option<PendingEffects>,
     committed_delegations: Vec<Delegation>,
+    /// Rooms that other cells have been told of.
+    room_promises: Vec<RoomPromise>,
     needs_plan: bool,
     /// Whether any task may be a suspect.
     may_have_suspects: bool,
@@ -590,6 +594,7 @@
             stored_workers: HashMap::new(),
             pending_effects: None,
             committed_delegations: Vec::new(),
+            room_promises: Vec::new(),
             needs_plan: true,
             may_have_suspects: true,
             headrooms_version: 0,
--- a/crates/teaseltrack/src/cell/delegation.rs
+++ b/crates/teaseltrack/src/cell/delegation.rs
@@ -99,6 +99,8 @@
 pub struct UnplacedTasks {
     /// Service whose workers can run them.
     pub service: ServiceName,
+    /// Priority of their queue.
+    pub priority: u32,
     /// The stage, with the number of waiting tasks as its task count.
     pub stage: Stage,
     /// The tasks.
@@ -138,7 +140,13 @@
                     continue;
                 }
                 let stage = Stage { task_count: tasks.len() as u32, ..stage.clone() };
-                unplaced.push(UnplacedTasks { service: job.queue.service.clone(), stage, tasks });
+                let Queue { service, priority, .. } = &job.queue;
+                unplaced.push(UnplacedTasks {
+                    service: service.clone(),
+                    priority: *priority,
+                    stage,
+                    tasks,
+                });
             }
         }
         unplaced
@@ -191,6 +199,8 @@
         if is_known || !matches!(task.progress.phase, TaskPhase::Delegated(_)) {
             return;
         }
+        self.end_room_promise(&delegation.task);
+        let Some(task) = self.task_mut(task_key) else { return };
         let waited = Duration::from_millis(delegation.wait.waited_ms);
         task.waiting_since = Some(now.checked_sub(waited).unwrap_or(now));
         task.received_at = Some(now);
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -304,7 +304,7 @@
             .any(|candidate| self.waiting_tasks(candidate.first_task, false, now).next().is_some())
     }
 
-    fn eligible_workers(&self, now: Instant) -> Vec<WorkerKey> {
+    pub(super) fn eligible_workers(&self, now: Instant) -> Vec<WorkerKey> {
         if !self.knows_evacuations(now) {
             return Vec::new();
         }
@@ -607,7 +607,7 @@
     }
 }
 
-fn is_ready(occurrence: &Occurrence, stage: &Stage) -> bool {
+pub(super) fn is_ready(occurrence: &Occurrence, stage: &Stage) -> bool {
     let is_done = |dependency: &usize| {
         occurrence.stages[*dependency].iter().all(|task| task.progress.phase == TaskPhase::Done)
     };
--- a/crates/teaseltrack/src/cell/quote.rs
+++ b/crates/teaseltrack/src/cell/quote.rs
@@ -11,8 +11,9 @@
     cell::{
         Cell, JobKey, Task,
         job::Stage,
-        planning::TaskKind,
+        planning::{TaskKind, is_ready},
         progress::TaskPhase,
+        protocol::WorkerStatus,
         worker::{Worker, reserved_resources},
     },
     placement::Resources,
@@ -20,7 +21,7 @@
 
 /// What a stage requires, for a quote. Unlike [`Stage`], it leaves out no field when serialized, as
 /// formats without field names need.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StageDemand {
     /// Number of tasks.
     pub task_count: u32,
@@ -30,6 +31,10 @@
     pub is_long_running: bool,
     /// Maximum number of tasks on one worker.
     pub max_per_worker: Option<u32>,
+    /// Label that a worker must have. Comes last and is left out if there is none, so that owners of
+    /// earlier builds can read the rest.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub required_label: Option<String>,
 }
 
 impl StageDemand {
@@ -40,8 +45,16 @@
             reserved: reserved_resources(stage),
             is_long_running: stage.is_long_running,
             max_per_worker: stage.max_per_worker,
+            required_label: stage.required_label.clone(),
         }
     }
+
+    /// Whether a worker without any tasks could run a task of the stage.
+    fn is_met_by(&self, status: &WorkerStatus) -> bool {
+        let has_label =
+            self.required_label.as_ref().is_none_or(|label| status.labels.contains(label));
+        has_label && status.capacity.can_fit(&self.reserved)
+    }
 }
 
 /// How soon a cell could run a job; the lowest quote is the best.
@@ -72,7 +85,8 @@
             .iter()
             .filter(|stage| stage.is_long_running)
             .map(|stage| {
-                let rooms = workers.iter().map(|worker| worker.room_for(stage));
+                let rooms =
+                    workers.iter().map(|worker| worker.room_for(stage, &Resources::default()));
                 let room = rooms.fold(0, u32::saturating_add);
                 stage.task_count.saturating_sub(room.saturating_sub(waiting_count))
             })
@@ -84,18 +98,25 @@
         Quote { unplaceable_count, reserved_permille, backlog_ms }
     }
 
-    /// Number of serving tasks that have waited for less than `reserve_wait`.
-    fn new_serving_count(&self, service: &str, now: Instant) -> u32 {
+    /// Number of serving tasks that have waited for less than `reserve_wait`, or were handed over to
+    /// this cell within that time.
+    pub(super) fn new_serving_count(&self, service: &str, now: Instant) -> u32 {
         let reserve_wait = self.settings.planning.reserve_wait;
         let is_new = |task: &Task| {
-            let since = task.waiting_since;
-            since.is_none_or(|since| now.duration_since(since) < reserve_wait)
+            let since = task.received_at.or(task.waiting_since);
+            since.is_none_or(|since| now.saturating_duration_since(since) < reserve_wait)
         };
-        let jobs = self.unfinished_jobs().filter(|key| self.jobs[*key].queue.service == service);
-        let waiting = jobs.flat_map(|key| self.tasks_of(key)).filter(|(stage, task)| {
-            TaskKind::of(stage) == TaskKind::Serving && task.is_waiting() && is_new(task)
+        let jobs = self.unfinished_jobs().map(|key| &self.jobs[key]);
+        let waiting = jobs.filter(|job| job.queue.service == service).flat_map(|job| {
+            job.occurrences.iter().flat_map(|occurrence| {
+                let stages = job.spec.stages.iter().zip(&occurrence.stages);
+                stages
+                    .filter(|(stage, _)| TaskKind::of(stage) == TaskKind::Serving)
+                    .filter(|(stage, _)| is_ready(occurrence, stage))
+                    .flat_map(|(_, tasks)| tasks)
+            })
         });
-        waiting.count() as u32
+        waiting.filter(|task| task.is_waiting() && is_new(task)).count() as u32
     }
 
     /// Time in which the workers would finish all accepted work with the CPU that serving tasks
@@ -146,13 +167,14 @@
                 .is_some_and(|status| status.service == service && !status.is_draining)
     }
 
-    /// Number of tasks of a stage that fit into the free capacity.
-    fn room_for(&self, stage: &StageDemand) -> u32 {
-        let Resources { cpu_milli, memory_mib, accelerators } = self.available();
+    /// Number of tasks of a stage that fit into the free capacity, beside what is `taken`.
+    pub(super) fn room_for(&self, stage: &StageDemand, taken: &Resources) -> u32 {
         let required = stage.reserved;
-        if !self.can_fit(&required) {
+        let is_met = self.status.as_ref().is_some_and(|status| stage.is_met_by(status));
+        if !is_met || !self.can_fit(&required.plus(taken)) {
             return 0;
         }
+        let Resources { cpu_milli, memory_mib, accelerators } = self.available().minus(taken);
         let fits = |free: u64, each: u64| free.checked_div(each).unwrap_or(u64::MAX);
         let room = fits(cpu_milli, required.cpu_milli)
             .min(fits(memory_mib, required.memory_mib))
--- /dev/null
+++ b/crates/teaseltrack/src/cell/room_promises.rs
@@ -0,0 +1,209 @@
+//! Rooms for long-running tasks that wait in other cells.
+//!
+//! The owner of a cell in which tasks wait asks the owners of the other cells how many of them each
+//! can run, and hands over as many. A room is promised for as long as a hand-over takes, so that it
+//! isn't offered to a second cell meanwhile. Promises don't bind planning: a task that finds its
+//! room taken is handed over again.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use serde::{Deserialize, Serialize};
+use slotmap::SecondaryMap;
+
+use crate::{
+    cell::{
+        Cell, WorkerKey,
+        delegation::UnplacedTasks,
+        job::JobId,
+        partition::CellId,
+        protocol::TaskName,
+        quote::StageDemand,
+        worker::{TaskKey, Worker},
+    },
+    ids::ServiceName,
+    placement::Resources,
+};
+
+/// Time for which a room is promised.
+const PROMISE_TIME: Duration = Duration::from_millis(500);
+
+/// Request for rooms for the waiting tasks of a stage. Leaves out no field when serialized, as
+/// formats without field names need.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoomRequest {
+    /// Service whose workers can run the tasks.
+    pub service: ServiceName,
+    /// Priority of their queue.
+    pub priority: u32,
+    /// Job of the stage.
+    pub job: JobId,
+    /// Number of the occurrence, from 0.
+    pub occurrence: u32,
+    /// Number of the stage, from 0.
+    pub stage: u32,
+    /// What the waiting tasks require.
+    pub demand: StageDemand,
+}
+
+impl RoomRequest {
+    /// Request for the tasks; `None` if there are none.
+    pub fn of(unplaced: &UnplacedTasks) -> Option<Self> {
+        let TaskName { job, occurrence, stage, .. } = unplaced.tasks.first()?.clone();
+        Some(Self {
+            service: unplaced.service.clone(),
+            priority: unplaced.priority,
+            job,
+            occurrence,
+            stage,
+            demand: StageDemand::of(&unplaced.stage),
+        })
+    }
+
+    fn is_for(&self, promise: &RoomPromise) -> bool {
+        (&self.job, self.occurrence, self.stage)
+            == (&promise.job, promise.occurrence, promise.stage)
+    }
+}
+
+/// Room on a worker that another cell was told of.
+#[derive(Clone, Debug)]
+pub(super) struct RoomPromise {
+    job: JobId,
+    occurrence: u32,
+    stage: u32,
+    worker: WorkerKey,
+    required: Resources,
+    until: Instant,
+}
+
+impl Cell {
+    /// Promises rooms for the tasks of other cells and returns their number for each request, at most
+    /// its task count. A repeated request gets no room that was promised before: tasks for it may be
+    /// on the way.
+    pub fn promise_rooms(&mut self, requests: &[RoomRequest], now: Instant) -> Vec<u32> {
+        self.room_promises.retain(|promise| promise.until > now);
+        let mut promised: SecondaryMap<WorkerKey, Resources> = SecondaryMap::new();
+        for promise in &self.room_promises {
+            add_promised(&mut promised, promise.worker, &promise.required);
+        }
+        let mut workers = self.open_workers(now);
+        // As in planning, workers are filled up, so that others keep room for larger tasks.
+        workers.sort_by_key(|key| (self.workers[*key].available().cpu_milli, *key));
+        // The cell's own tasks that planning hasn't had the time to place come first.
+        let mut own_counts: HashMap<&str, u32> = HashMap::new();
+        requests
+            .iter()
+            .map(|request| {
+                let service = request.service.as_str();
+                let own = own_counts
+                    .entry(service)
+                    .or_insert_with(|| self.new_serving_count(service, now));
+                let rooms = self.rooms(request, &workers, &promised, *own);
+                for worker in &rooms {
+                    add_promised(&mut promised, *worker, &request.demand.reserved);
+                }
+                let promises = rooms.iter().map(|worker| RoomPromise {
+                    job: request.job.clone(),
+                    occurrence: request.occurrence,
+                    stage: request.stage,
+                    worker: *worker,
+                    required: request.demand.reserved,
+                    until: now + PROMISE_TIME,
+                });
+                self.room_promises.extend(promises);
+                rooms.len() as u32
+            })
+            .collect()
+    }
+
+    /// Workers with room for tasks of the request beside what is promised, once for each task, after
+    /// `own_count` rooms that are left to the cell's own tasks.
+    fn rooms(
+        &self,
+        request: &RoomRequest,
+        workers: &[WorkerKey],
+        promised: &SecondaryMap<WorkerKey, Resources>,
+        own_count: u32,
+    ) -> Vec<WorkerKey> {
+        let wanted = own_count.saturating_add(request.demand.task_count) as usize;
+        let job = self.by_id.get(&request.job).copied();
+        let mut rooms = Vec::new();
+        for &key in workers {
+            let worker = &self.workers[key];
+            let running = job.map_or(0, |job| {
+                let RoomRequest { occurrence, stage, .. } = *request;
+                worker.stage_task_count(TaskKey { job, occurrence, stage, index: 0 })
+            });
+            let is_coming =
+                |promise: &&RoomPromise| promise.worker == key && request.is_for(promise);
+            let coming = self.room_promises.iter().filter(is_coming).count() as u32;
+            let max_count = request.demand.max_per_worker.unwrap_or(u32::MAX);
+            let limit = max_count.saturating_sub(running.saturating_add(coming));
+            let reserved = promised.get(key).copied().unwrap_or_default();
+            let count = worker.room_beside(request, reserved).min(limit) as usize;
+            rooms.extend(std::iter::repeat_n(key, count.min(wanted - rooms.len())));
+        }
+        rooms.split_off(rooms.len().min(own_count as usize))
+    }
+
+    /// Eligible workers that aren't kept for suspects and aren't warming up.
+    fn open_workers(&self, now: Instant) -> Vec<WorkerKey> {
+        let is_open = |key: &WorkerKey| {
+            let worker = &self.workers[*key];
+            !worker.is_quarantined && !self.is_cold_limit_reached(worker)
+        };
+        self.eligible_workers(now).into_iter().filter(is_open).collect()
+    }
+
+    /// Ends the promise of the room for a task that was handed over to this cell.
+    pub(super) fn end_room_promise(&mut self, task: &TaskName) {
+        let is_for = |promise: &RoomPromise| {
+            (&promise.job, promise.occurrence, promise.stage)
+                == (&task.job, task.occurrence, task.stage)
+        };
+        if let Some(index) = self.room_promises.iter().position(is_for) {
+            self.room_promises.swap_remove(index);
+        }
+    }
+}
+
+/// Distributes waiting tasks over the rooms that cells have promised for each stage.
+pub fn distribute(
+    unplaced: Vec<UnplacedTasks>,
+    rooms: &[(CellId, Vec<u32>)],
+) -> Vec<(TaskName, CellId)> {
+    let mut found = Vec::new();
+    for (index, UnplacedTasks { mut tasks, .. }) in unplaced.into_iter().enumerate() {
+        for (cell, counts) in rooms {
+            let room = counts.get(index).map_or(0, |count| *count as usize).min(tasks.len());
+            found.extend(tasks.drain(..room).map(|task| (task, *cell)));
+        }
+    }
+    found
+}
+
+fn add_promised(
+    promised: &mut SecondaryMap<WorkerKey, Resources>,
+    worker: WorkerKey,
+    required: &Resources,
+) {
+    let sum = promised.get(worker).copied().unwrap_or_default().plus(required);
+    promised.insert(worker, sum);
+}
+
+impl Worker {
+    /// Number of tasks of the request that fit beside promised and held rooms.
+    fn room_beside(&self, request: &RoomRequest, promised: Resources) -> u32 {
+        let is_of_service =
+            self.status.as_ref().is_some_and(|status| status.service == request.service);
+        if !is_of_service {
+            return 0;
+        }
+        let held = self.held_rooms.iter().filter(|held| held.priority <= request.priority);
+        let taken = held.fold(promised, |sum, held| sum.plus(&held.required));
+        self.room_for(&request.demand, &taken)
+    }
+}
--- a/crates/teaseltrack/tests/cell/owner_series.rs
+++ b/crates/teaseltrack/tests/cell/owner_series.rs
@@ -381,6 +381,7 @@
             reserved: Resources { cpu_milli: 1, memory_mib: 0, accelerators: 0 },
             is_long_running: true,
             max_per_worker: None,
+            required_label: None,
         };
         let quote = self.fleet.cell.quote(&[demand], "service", self.fleet.now);
         let seen = u64::from(task_count - quote.unplaceable_count);
--- a/crates/teaseltrack/tests/delegation/hand_overs.rs
+++ b/crates/teaseltrack/tests/delegation/hand_overs.rs
@@ -2,10 +2,10 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use teaseltrack::cell::{StoredJob, protocol::EndCause};
+use teaseltrack::cell::{StoredJob, job::Stage, protocol::EndCause};
 use yare::parameterized;
 
-use crate::model::{MAX_WAIT_BESIDE_ROOM, Model, capacity, job, task};
+use crate::model::{MAX_WAIT_BESIDE_ROOM, Model, capacity, job, job_of, stage, task};
 
 const JOB: &str = "0000000000000001";
 const OTHER_JOB: &str = "0000000000000002";
@@ -124,6 +124,59 @@
     assert_eq!((model.running(0), model.running(1), model.running(2)), (0, 3, 0));
 }
 
+/// Load pattern: two full cells in which tasks wait, and one room in a third cell.
+#[test]
+fn promise_rooms_promises_a_room_once() {
+    let mut model = Model::with_cells(3);
+    model.submit_to(0, job(JOB, 5));
+    model.submit_to(1, job(OTHER_JOB, 5));
+    model.submit_to(2, job(THIRD_JOB, 3));
+    model.run_steps_with_searches(30);
+    assert_eq!(model.running(2), 4);
+    assert_eq!(model.received.len(), 1, "a second task would wait in the third cell");
+}
+
+/// Guards against a promise that outlasts the task that it was made for.
+#[test]
+fn promise_rooms_offers_a_room_again_once_unused() {
+    let mut model = Model::with_cells(3);
+    model.submit_to(0, job(JOB, 5));
+    model.submit_to(2, job(THIRD_JOB, 3));
+    for _ in 0..15 {
+        model.step();
+        model.search_cells(0);
+    }
+    model.unstored.clear();
+    model.cancel(JOB);
+    model.submit_to(1, job(OTHER_JOB, 5));
+    model.run_steps_with_searches(30);
+    assert_eq!((model.running(1), model.running(2)), (4, 4));
+}
+
+/// Guards against a task that is handed over to a cell whose workers have as many tasks of its stage as
+/// they may have.
+#[test]
+fn promise_rooms_counts_the_tasks_of_the_stage() {
+    let mut model = Model::with_cells(2);
+    let spread = Stage { max_per_worker: Some(2), ..stage(5) };
+    model.submit(job_of(JOB, vec![spread]));
+    model.run_steps_with_searches(60);
+    assert_eq!((model.running(0), model.running(1)), (2, 2));
+    assert_eq!(model.received.len(), 2, "the fifth task has no room anywhere");
+}
+
+/// Guards against a task that is handed over to a cell without the label that it requires.
+#[test]
+fn promise_rooms_requires_the_label() {
+    let mut model = Model::with_cells(3);
+    model.sites[2].instance.labels = vec!["ssd".to_owned()];
+    let labelled = Stage { required_label: Some("ssd".to_owned()), ..stage(2) };
+    model.submit(job_of(JOB, vec![labelled]));
+    model.run_steps_with_searches(30);
+    assert_eq!((model.running(1), model.running(2)), (0, 2));
+    assert_eq!(model.received.len(), 2);
+}
+
 /// Faults of a step in the random series.
 fn inject_fault(model: &mut Model, rng: &mut ChaCha8Rng) {
     let index = rng.random_range(0..model.sites.len());
--- a/crates/teaseltrack/tests/delegation/model.rs
+++ b/crates/teaseltrack/tests/delegation/model.rs
@@ -19,7 +19,7 @@
         protocol::{
             EndCause, EndedTask, Order, Report, RunningTask, TaskName, WorkerListing, WorkerStatus,
         },
-        quote::StageDemand,
+        room_promises::{RoomRequest, distribute},
     },
     placement::Resources,
 };
@@ -216,19 +216,16 @@
 
     /// Delegates tasks that have waited long enough to cells with room.
     pub fn search_cells(&mut self, index: usize) {
-        for unplaced in self.sites[index].cell.unplaced_tasks(WAIT, self.now) {
-            let mut tasks = unplaced.tasks;
-            for step in 1..self.sites.len() {
-                let other = (index + step) % self.sites.len();
-                let task_count = tasks.len() as u32;
-                let stage = StageDemand { task_count, ..StageDemand::of(&unplaced.stage) };
-                let cell = &self.sites[other].cell;
-                let quote = cell.quote(&[stage], &unplaced.service, self.now);
-                let placeable = tasks.len() - quote.unplaceable_count as usize;
-                for task in tasks.drain(..placeable) {
-                    self.sites[index].cell.delegate(&task, other as CellId, self.now);
-                }
-            }
+        let unplaced = self.sites[index].cell.unplaced_tasks(WAIT, self.now);
+        let requests: Vec<RoomRequest> = unplaced.iter().filter_map(RoomRequest::of).collect();
+        let count = self.sites.len();
+        let mut rooms = Vec::new();
+        for other in (1..count).map(|step| (index + step) % count) {
+            let cell = &mut self.sites[other].cell;
+            rooms.push((other as CellId, cell.promise_rooms(&requests, self.now)));
+        }
+        for (task, cell) in distribute(unplaced, &rooms) {
+            self.sites[index].cell.delegate(&task, cell, self.now);
         }
     }
 
