Hand over the tasks of a cell without usable workers

What callers saw: nothing was reported; found by the random series of hand-overs, in which a task waited for 3.4 s while another cell had room.

Cause: a planning round ends early while no worker is eligible (all on probation, lost, draining or in an evacuated availability zone), before it notes which tasks wait, and only tasks that are noted as waiting are handed over.

Change: each round notes since when long-running tasks that are ready have had no worker. waiting_since, which decides on the reserve for batch tasks, is unchanged.

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -176,9 +176,11 @@
     copy: Option<TaskCopy>,
     /// Number of the last attempt that was started as a copy by this owner; 0 for none.
     last_copy_attempt: AttemptNumber,
-    /// Time at which planning first tried to place the task, in this cell or in one that has handed it
-    /// over since; cleared when its run ends.
+    /// Time at which planning first tried to place the task; cleared when its run ends.
     waiting_since: Option<Instant>,
+    /// Time since which the serving task has no worker, in this cell or in one that has handed it over
+    /// since; cleared when its run ends.
+    unplaced_since: Option<Instant>,
     /// Time at which the waiting task was handed over to this cell.
     received_at: Option<Instant>,
     /// Whether the last crash under the task preceded the first listing of its run.
@@ -1402,6 +1404,7 @@
         let task = &mut job.occurrences[key.occurrence as usize].stages[key.stage as usize]
             [key.index as usize];
         task.waiting_since = None;
+        task.unplaced_since = None;
         task.received_at = None;
         if let Some(run) = task.run.take()
             && let Some(worker) = self.workers.get_mut(run.worker)
--- a/crates/teaseltrack/src/cell/delegation.rs
+++ b/crates/teaseltrack/src/cell/delegation.rs
@@ -71,7 +71,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct TaskWait {
-    /// Time since planning first tried to place the task, in milliseconds.
+    /// Time since the task has been without a worker, in milliseconds.
     pub waited_ms: u64,
 }
 
@@ -116,7 +116,7 @@
                 since.is_some_and(|since| now.saturating_duration_since(since) >= wait)
             };
             task.is_waiting()
-                && has_waited(task.waiting_since, wait)
+                && has_waited(task.unplaced_since, wait)
                 && (task.received_at.is_none() || has_waited(task.received_at, MIN_STAY))
         };
         let mut unplaced = Vec::new();
@@ -202,7 +202,9 @@
         self.end_room_promise(&delegation.task);
         let Some(task) = self.task_mut(task_key) else { return };
         let waited = Duration::from_millis(delegation.wait.waited_ms);
-        task.waiting_since = Some(now.checked_sub(waited).unwrap_or(now));
+        task.unplaced_since = Some(now.checked_sub(waited).unwrap_or(now));
+        // The task has waited long enough to use the reserve for batch tasks.
+        task.waiting_since = task.unplaced_since;
         task.received_at = Some(now);
         task.progress.phase = TaskPhase::Waiting;
         task.progress.attempt = task.progress.attempt.max(delegation.attempt);
@@ -270,7 +272,7 @@
 impl Task {
     /// Wait so far; zero before the first planning round.
     fn wait(&self, now: Instant) -> TaskWait {
-        let waited = self.waiting_since.map(|since| now.saturating_duration_since(since));
+        let waited = self.unplaced_since.map(|since| now.saturating_duration_since(since));
         TaskWait { waited_ms: waited.unwrap_or_default().as_millis() as u64 }
     }
 }
--- a/crates/teaseltrack/src/cell/obstacles.rs
+++ b/crates/teaseltrack/src/cell/obstacles.rs
@@ -86,7 +86,7 @@
         tasks
             .filter(|key| self.stage(*key).is_long_running)
             .filter_map(|key| {
-                let since = self.task(key).filter(|task| task.is_waiting())?.waiting_since?;
+                let since = self.task(key).filter(|task| task.is_waiting())?.unplaced_since?;
                 Some((now.duration_since(since), key))
             })
             .collect()
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -182,11 +182,12 @@
         self.vacate_draining_workers();
         self.expire_recent_assignments(now);
         self.release_held_rooms(now);
+        let mut candidates = self.candidates(now);
+        self.note_unplaced(&candidates, now);
         let eligible_workers = self.eligible_workers(now);
         if eligible_workers.is_empty() {
             return;
         }
-        let mut candidates = self.candidates(now);
         self.promote_starved_job(&mut candidates, now);
         candidates.sort_by_key(|candidate| candidate.rank);
         let is_serving_waiting =
@@ -304,6 +305,19 @@
             .any(|candidate| self.waiting_tasks(candidate.first_task, false, now).next().is_some())
     }
 
+    /// Notes since when serving tasks have no worker, also while none is eligible, so that the tasks are
+    /// handed over to other cells.
+    fn note_unplaced(&mut self, candidates: &[Candidate], now: Instant) {
+        let serving = candidates.iter().filter(|candidate| candidate.kind() == TaskKind::Serving);
+        for candidate in serving {
+            let TaskKey { job, occurrence, stage, .. } = candidate.first_task;
+            let tasks = &mut self.jobs[job].occurrences[occurrence as usize].stages[stage as usize];
+            for task in tasks.iter_mut().filter(|task| task.is_waiting()) {
+                task.unplaced_since.get_or_insert(now);
+            }
+        }
+    }
+
     pub(super) fn eligible_workers(&self, now: Instant) -> Vec<WorkerKey> {
         if !self.knows_evacuations(now) {
             return Vec::new();
--- a/crates/teaseltrack/tests/delegation/hand_overs.rs
+++ b/crates/teaseltrack/tests/delegation/hand_overs.rs
@@ -177,6 +177,25 @@
     assert_eq!(model.received.len(), 2);
 }
 
+/// Guards against tasks that wait without end in a cell that has no usable worker, because planning
+/// stops before it notes that they wait.
+#[parameterized(
+    before_its_first_worker = { false },
+    after_its_last_worker = { true },
+)]
+fn unplaced_tasks_include_those_of_a_cell_without_workers(had_worker: bool) {
+    let mut model = Model::with_cells(2);
+    if had_worker {
+        model.run_steps(10);
+    }
+    model.sites[0].instance.is_silent = true;
+    model.run_steps(15);
+    model.submit(job(JOB, 2));
+    model.run_steps_with_searches(30);
+    assert_short_waits(&model);
+    assert_eq!(model.running(1), 2);
+}
+
 /// Faults of a step in the random series.
 fn inject_fault(model: &mut Model, rng: &mut ChaCha8Rng) {
     let index = rng.random_range(0..model.sites.len());
@@ -250,6 +269,8 @@
 /// over, owners change, and rows arrive late, out of order or again.
 #[parameterized(
     two_cells = { 2 },
+    three_cells = { 3 },
+    five_cells = { 5 },
 )]
 fn hand_overs_keep_one_run_and_short_waits(cell_count: u32) {
     let count = std::env::var("HAND_OVER_SEEDS").ok().and_then(|text| text.parse().ok());
