Hand over long-running gangs as a whole

What callers saw: nothing was reported; read while looking for other tasks without a way out of their cell.

Cause: gangs were exempt from delegation. Besides, a planning round that can place a part of a gang takes that part back and so started its wait anew, each time.

Change: a gang of which all members wait is handed over to a cell that promises room for all of them; the members are placed there once all have arrived. An assignment that is taken back in its round doesn't end the wait.

Evidence: unplaced_tasks_include_a_gang_as_a_whole runs no member without the change.

--- a/crates/teaseltrack/src/cell/delegation.rs
+++ b/crates/teaseltrack/src/cell/delegation.rs
@@ -108,8 +108,8 @@
 }
 
 impl Cell {
-    /// Long-running tasks that have waited for at least `wait` and may be handed over, by stage. Gangs
-    /// are exempt, because their members must run in one cell.
+    /// Long-running tasks that have waited for at least `wait` and may be handed over, by stage. The
+    /// members of a gang are handed over together, since they must run in one cell.
     pub fn unplaced_tasks(&self, wait: Duration, now: Instant) -> Vec<UnplacedTasks> {
         let may_leave = |task: &Task| {
             let has_waited = |since: Option<Instant>, wait: Duration| {
@@ -128,7 +128,7 @@
                 continue;
             }
             for (first_task, stage) in self.stages_of(key) {
-                if TaskKind::of(stage) != TaskKind::Serving || stage.is_gang {
+                if TaskKind::of(stage) != TaskKind::Serving {
                     continue;
                 }
                 let tasks: Vec<TaskName> = (0..stage.task_count)
@@ -136,7 +136,8 @@
                     .filter(|task_key| self.task(*task_key).is_some_and(may_leave))
                     .filter_map(|task_key| self.name_of(task_key))
                     .collect();
-                if tasks.is_empty() {
+                let is_complete = tasks.len() == stage.task_count as usize;
+                if tasks.is_empty() || (stage.is_gang && !is_complete) {
                     continue;
                 }
                 let stage = Stage { task_count: tasks.len() as u32, ..stage.clone() };
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -585,8 +585,15 @@
         }
     }
 
+    /// Takes back an assignment of this planning round; the task goes on waiting.
     fn revert_assignment(&mut self, key: TaskKey) {
+        let Some(waiting) = self.task(key).cloned() else { return };
         self.release_run(key);
+        if let Some(task) = self.task_mut(key) {
+            task.waiting_since = waiting.waiting_since;
+            task.unplaced_since = waiting.unplaced_since;
+            task.received_at = waiting.received_at;
+        }
     }
 
     /// Adds an assignment to the next commit.
--- a/crates/teaseltrack/src/cell/room_promises.rs
+++ b/crates/teaseltrack/src/cell/room_promises.rs
@@ -170,15 +170,19 @@
     }
 }
 
-/// Distributes waiting tasks over the rooms that cells have promised for each stage.
+/// Distributes waiting tasks over the rooms that cells have promised for each stage. The members of a
+/// gang go to the first cell that has room for all of them.
 pub fn distribute(
     unplaced: Vec<UnplacedTasks>,
     rooms: &[(CellId, Vec<u32>)],
 ) -> Vec<(TaskName, CellId)> {
     let mut found = Vec::new();
-    for (index, UnplacedTasks { mut tasks, .. }) in unplaced.into_iter().enumerate() {
+    for (index, UnplacedTasks { stage, mut tasks, .. }) in unplaced.into_iter().enumerate() {
         for (cell, counts) in rooms {
             let room = counts.get(index).map_or(0, |count| *count as usize).min(tasks.len());
+            if stage.is_gang && room < tasks.len() {
+                continue;
+            }
             found.extend(tasks.drain(..room).map(|task| (task, *cell)));
         }
     }
--- a/crates/teaseltrack/tests/delegation/hand_overs.rs
+++ b/crates/teaseltrack/tests/delegation/hand_overs.rs
@@ -177,6 +177,18 @@
     assert_eq!(model.received.len(), 2);
 }
 
+/// Guards against a long-running gang that waits in its cell, since each round starts its wait anew.
+#[test]
+fn unplaced_tasks_include_a_gang_as_a_whole() {
+    let mut model = Model::with_cells(3);
+    model.submit_to(0, job(OTHER_JOB, 2));
+    model.submit_to(1, job(THIRD_JOB, 2));
+    model.run_steps(5);
+    model.submit_to(0, job_of(JOB, vec![Stage { is_gang: true, ..stage(3) }]));
+    model.run_steps_with_searches(30);
+    assert_eq!((model.running(0), model.running(1), model.running(2)), (2, 2, 3));
+}
+
 /// Guards against tasks that wait without end in a cell that has no usable worker, because planning
 /// stops before it notes that they wait.
 #[parameterized(
