Place delegated tasks of a later stage

What callers saw: nothing was reported; read while looking for other tasks without a way out of their cell.

Cause: a cell places a task once the stages that its stage depends on are done, and the cell that was delegated a task knows no other task of the job. A long-running task behind a batch stage was handed over and never ran there.

Change: only tasks of stages that are ready are handed over, so the tasks of another cell's job are ready.

--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -357,7 +357,7 @@
         for (occurrence_index, occurrence) in job.occurrences.iter().enumerate() {
             for (stage_index, stage) in job.spec.stages.iter().enumerate() {
                 let tasks = &occurrence.stages[stage_index];
-                if !tasks.iter().any(Task::is_waiting) || !is_ready(occurrence, stage) {
+                if !tasks.iter().any(Task::is_waiting) || !job.is_ready(occurrence, stage) {
                     continue;
                 }
                 if stage.is_gang && !tasks.iter().all(Task::is_waiting) {
@@ -622,15 +622,17 @@
         self.occurrences.iter().any(|occurrence| {
             let mut stages = occurrence.stages.iter().zip(&self.spec.stages);
             stages.any(|(tasks, stage)| {
-                tasks.iter().any(Task::is_waiting) && is_ready(occurrence, stage)
+                tasks.iter().any(Task::is_waiting) && self.is_ready(occurrence, stage)
             })
         })
     }
-}
 
-pub(super) fn is_ready(occurrence: &Occurrence, stage: &Stage) -> bool {
-    let is_done = |dependency: &usize| {
-        occurrence.stages[*dependency].iter().all(|task| task.progress.phase == TaskPhase::Done)
-    };
-    stage.after.iter().all(is_done)
+    /// Whether the stages that a stage depends on are done. Only tasks of stages that are ready are
+    /// handed over, and the other cell doesn't know the tasks of earlier stages.
+    pub(super) fn is_ready(&self, occurrence: &Occurrence, stage: &Stage) -> bool {
+        let is_done = |dependency: &usize| {
+            occurrence.stages[*dependency].iter().all(|task| task.progress.phase == TaskPhase::Done)
+        };
+        self.is_partial || stage.after.iter().all(is_done)
+    }
 }
--- a/crates/teaseltrack/src/cell/quote.rs
+++ b/crates/teaseltrack/src/cell/quote.rs
@@ -11,7 +11,7 @@
     cell::{
         Cell, JobKey, Task,
         job::Stage,
-        planning::{TaskKind, is_ready},
+        planning::TaskKind,
         progress::TaskPhase,
         protocol::WorkerStatus,
         worker::{Worker, reserved_resources},
@@ -112,7 +112,7 @@
                 let stages = job.spec.stages.iter().zip(&occurrence.stages);
                 stages
                     .filter(|(stage, _)| TaskKind::of(stage) == TaskKind::Serving)
-                    .filter(|(stage, _)| is_ready(occurrence, stage))
+                    .filter(|(stage, _)| job.is_ready(occurrence, stage))
                     .flat_map(|(_, tasks)| tasks)
             })
         });
--- a/crates/teaseltrack/tests/delegation/hand_overs.rs
+++ b/crates/teaseltrack/tests/delegation/hand_overs.rs
@@ -189,6 +189,22 @@
     assert_eq!((model.running(0), model.running(1), model.running(2)), (2, 2, 3));
 }
 
+/// Guards against a task that never becomes ready in its new cell, which doesn't run the stages before
+/// its own.
+#[test]
+fn plan_places_a_delegated_task_of_a_later_stage() {
+    let mut model = Model::with_cells(2);
+    let batch = Stage { is_long_running: false, ..stage(1) };
+    let mut stages = vec![batch, Stage { after: vec![0], ..stage(5) }];
+    stages[0].estimate_ms = 100;
+    model.submit(job_of(JOB, stages));
+    model.run_steps(5);
+    let attempt = model.sites[0].instance.running[&task(JOB, 0)];
+    model.end(0, &task(JOB, 0), attempt, EndCause::Done);
+    model.run_steps_with_searches(40);
+    assert_eq!((model.running(0), model.running(1)), (4, 1));
+}
+
 /// Guards against tasks that wait without end in a cell that has no usable worker, because planning
 /// stops before it notes that they wait.
 #[parameterized(
