Show waits beside room by cell

What operators saw: the longest wait of a long-running task under the present owner of a cell, which starts anew with each hand-over, in a gauge without a label, which kept its last value after the process had lost the cell.

Change: a hand-over takes along the time since another cell was first found to have room for the task. serving_task_wait_beside_room_ms{cell} is the longest such wait; serving_tasks_waiting and serving_task_wait_ms have the label as well, count over hand-overs, and are reset when the process stops owning the cell.

Evidence: waiting_serving_tasks_include_the_wait_before_a_hand_over.

--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -17,6 +17,7 @@
         Cell, CellEvent, CellSettings,
         evacuation::Evacuations,
         job::QueueConfiguration,
+        obstacles::ServingWaits,
         ownership::OwnershipSettings,
         partition::CellId,
         protocol::{Report, ReportResponse},
@@ -96,6 +97,18 @@
     pub metrics: Metrics,
 }
 
+impl OwnerContext {
+    /// Sets the gauges of waiting long-running tasks, by cell.
+    fn record_serving_waits(&self, waits: ServingWaits) {
+        let ServingWaits { count, longest, longest_beside_room } = waits;
+        let cell = self.cell_id.to_string();
+        let gauge = |name, value| self.metrics.gauge_tagged(name, "cell", &cell, value);
+        gauge("serving_tasks_waiting", count as u64);
+        gauge("serving_task_wait_ms", longest.as_millis() as u64);
+        gauge("serving_task_wait_beside_room_ms", longest_beside_room.as_millis() as u64);
+    }
+}
+
 /// Report whose response is delayed until there is a pending update for its agent (long poll).
 #[derive(Debug)]
 struct ParkedReport {
@@ -205,6 +218,8 @@
     let receivers = Receivers { calls, job_changes, configuration, evacuations };
     owner.run(committer, receivers, closing).await;
     owner.context.mailbox.send_replace(None);
+    // The next owner reports its own.
+    owner.context.record_serving_waits(ServingWaits::default());
     job_follower.abort();
     operator_follower.abort();
 }
@@ -526,10 +541,8 @@
     }
 
     fn record_waiting_tasks(&self) {
-        let OwnerContext { metrics, clock, .. } = &self.context;
-        let (count, longest) = self.cell.waiting_serving_tasks(clock.now());
-        metrics.gauge("serving_tasks_waiting", count as u64);
-        metrics.gauge("serving_task_wait_ms", longest.as_millis() as u64);
+        let waits = self.cell.waiting_serving_tasks(self.context.clock.now());
+        self.context.record_serving_waits(waits);
     }
 
     /// Logs the cell's events and records them in metrics, with the gauges of the cell.
--- a/crates/teaseltrack-cell/tests/odd_entries.rs
+++ b/crates/teaseltrack-cell/tests/odd_entries.rs
@@ -98,7 +98,7 @@
         checkpoint: "saved".to_owned(),
         crash_count: 1,
         sole_crash_count: 1,
-        wait: TaskWait { waited_ms: 1_500 },
+        wait: TaskWait { waited_ms: 1_500, beside_room_ms: 100 },
         spec: spec(),
         queue: Queue::default(),
     }
--- a/crates/teaseltrack-daemon/src/metrics.rs
+++ b/crates/teaseltrack-daemon/src/metrics.rs
@@ -61,6 +61,7 @@
     counters: HashMap<String, Counter>,
     tagged_counters: HashMap<String, Family<Labels, Counter>>,
     gauges: HashMap<String, Gauge>,
+    tagged_gauges: HashMap<String, Family<Labels, Gauge>>,
     histograms: HashMap<String, Histogram>,
 }
 
@@ -113,6 +114,15 @@
         self.lock_exposition().gauge(name).set(i64::try_from(value).unwrap_or(i64::MAX));
     }
 
+    /// Sets a gauge with one label.
+    pub fn gauge_tagged(&self, name: &str, tag: &str, tag_value: &str, value: u64) {
+        self.client.gauge_with_tags(name, value).with_tag(tag, tag_value).send();
+        let labels = vec![(tag.to_owned(), tag_value.to_owned())];
+        let mut exposition = self.lock_exposition();
+        let gauge = exposition.tagged_gauge(name).get_or_create(&labels);
+        gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+    }
+
     /// Records a duration; exposed as a histogram in seconds.
     pub fn time(&self, name: &str, duration: Duration) {
         drop(self.client.time(name, duration));
@@ -160,6 +170,14 @@
         })
     }
 
+    fn tagged_gauge(&mut self, name: &str) -> &Family<Labels, Gauge> {
+        self.tagged_gauges.entry(name.to_owned()).or_insert_with(|| {
+            let family = Family::default();
+            self.registry.register(full_name(name), HELP, family.clone());
+            family
+        })
+    }
+
     fn histogram(&mut self, name: &str) -> &Histogram {
         self.histograms.entry(name.to_owned()).or_insert_with(|| {
             let histogram = Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS));
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -181,6 +181,8 @@
     /// Time since which the serving task has no worker, in this cell or in one that has handed it over
     /// since; cleared when its run ends.
     unplaced_since: Option<Instant>,
+    /// Time since which another cell is known to have had room for the waiting task.
+    room_found_at: Option<Instant>,
     /// Time at which the waiting task was handed over to this cell.
     received_at: Option<Instant>,
     /// Whether the last crash under the task preceded the first listing of its run.
@@ -1405,6 +1407,7 @@
             [key.index as usize];
         task.waiting_since = None;
         task.unplaced_since = None;
+        task.room_found_at = None;
         task.received_at = None;
         if let Some(run) = task.run.take()
             && let Some(worker) = self.workers.get_mut(run.worker)
--- a/crates/teaseltrack/src/cell/delegation.rs
+++ b/crates/teaseltrack/src/cell/delegation.rs
@@ -73,6 +73,8 @@
 pub struct TaskWait {
     /// Time since the task has been without a worker, in milliseconds.
     pub waited_ms: u64,
+    /// Time since another cell was found to have room for it, in milliseconds.
+    pub beside_room_ms: u64,
 }
 
 /// Hand-over to commit, with the wait of the task.
@@ -161,6 +163,7 @@
         let Some(task) = self.task_mut(key).filter(|task| is_open && task.is_waiting()) else {
             return;
         };
+        task.room_found_at.get_or_insert(now);
         let wait = task.wait(now);
         task.progress.phase = TaskPhase::Delegated(cell);
         task.progress.hand_over = task.progress.hand_over.saturating_add(1);
@@ -202,10 +205,12 @@
         }
         self.end_room_promise(&delegation.task);
         let Some(task) = self.task_mut(task_key) else { return };
-        let waited = Duration::from_millis(delegation.wait.waited_ms);
-        task.unplaced_since = Some(now.checked_sub(waited).unwrap_or(now));
+        let TaskWait { waited_ms, beside_room_ms } = delegation.wait;
+        let before = |waited_ms| now.checked_sub(Duration::from_millis(waited_ms)).unwrap_or(now);
+        task.unplaced_since = Some(before(waited_ms));
         // The task has waited long enough to use the reserve for batch tasks.
         task.waiting_since = task.unplaced_since;
+        task.room_found_at = Some(before(beside_room_ms));
         task.received_at = Some(now);
         task.progress.phase = TaskPhase::Waiting;
         task.progress.attempt = task.progress.attempt.max(delegation.attempt);
@@ -273,8 +278,13 @@
 impl Task {
     /// Wait so far; zero before the first planning round.
     fn wait(&self, now: Instant) -> TaskWait {
-        let waited = self.unplaced_since.map(|since| now.saturating_duration_since(since));
-        TaskWait { waited_ms: waited.unwrap_or_default().as_millis() as u64 }
+        let elapsed_ms = |since: Option<Instant>| {
+            since.map_or(0, |since| now.saturating_duration_since(since).as_millis() as u64)
+        };
+        TaskWait {
+            waited_ms: elapsed_ms(self.unplaced_since),
+            beside_room_ms: elapsed_ms(self.room_found_at),
+        }
     }
 }
 
--- a/crates/teaseltrack/src/cell/obstacles.rs
+++ b/crates/teaseltrack/src/cell/obstacles.rs
@@ -38,12 +38,30 @@
     pub none: u32,
 }
 
+/// Serving tasks that wait to be placed. The times include waits in cells that have handed the tasks
+/// over, but not those under earlier owners.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServingWaits {
+    /// Number of tasks.
+    pub count: usize,
+    /// Longest wait.
+    pub longest: Duration,
+    /// Longest wait since another cell was found to have room for the task.
+    pub longest_beside_room: Duration,
+}
+
 impl Cell {
-    /// Number of serving tasks that wait to be placed, and the longest time that one has waited under
-    /// this owner.
-    pub fn waiting_serving_tasks(&self, now: Instant) -> (usize, Duration) {
+    /// Serving tasks that wait to be placed.
+    pub fn waiting_serving_tasks(&self, now: Instant) -> ServingWaits {
         let waiting = self.serving_waits(now);
-        (waiting.len(), waiting.iter().map(|(wait, _)| *wait).max().unwrap_or_default())
+        let room_found = waiting.iter().filter_map(|(_, key)| self.task(*key)?.room_found_at);
+        ServingWaits {
+            count: waiting.len(),
+            longest: waiting.iter().map(|(wait, _)| *wait).max().unwrap_or_default(),
+            longest_beside_room: room_found
+                .min()
+                .map_or(Duration::ZERO, |since| now.saturating_duration_since(since)),
+        }
     }
 
     /// Reports the serving task that has waited longest, with the obstacles to its placement.
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -592,6 +592,7 @@
         if let Some(task) = self.task_mut(key) {
             task.waiting_since = waiting.waiting_since;
             task.unplaced_since = waiting.unplaced_since;
+            task.room_found_at = waiting.room_found_at;
             task.received_at = waiting.received_at;
         }
     }
--- a/crates/teaseltrack/tests/delegation/hand_overs.rs
+++ b/crates/teaseltrack/tests/delegation/hand_overs.rs
@@ -1,5 +1,7 @@
 //! Tasks that are handed over more than once, and how long they wait beside room.
 
+use std::time::Duration;
+
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use teaseltrack::cell::{StoredJob, job::Stage, protocol::EndCause};
@@ -124,6 +126,23 @@
     assert_eq!((model.running(0), model.running(1), model.running(2)), (0, 3, 0));
 }
 
+/// Guards against a wait that starts anew with each hand-over and never shows.
+#[test]
+fn waiting_serving_tasks_include_the_wait_before_a_hand_over() {
+    let mut model = delegated_task_without_room(3);
+    model.submit_to(2, job(THIRD_JOB, 4));
+    model.run_steps(20);
+    model.sites[1].cell.delegate(&task(JOB, 4), 2, model.now);
+    model.run_steps(1);
+    model.store_all_delegations();
+    model.run_steps(10);
+    let waits = model.sites[2].cell.waiting_serving_tasks(model.now);
+    assert_eq!(waits.count, 1);
+    assert!(waits.longest >= Duration::from_secs(2), "{waits:?}");
+    assert!(waits.longest_beside_room >= Duration::from_secs(1), "{waits:?}");
+    assert!(waits.longest_beside_room < waits.longest, "{waits:?}");
+}
+
 /// Load pattern: two full cells in which tasks wait, and one room in a third cell.
 #[test]
 fn promise_rooms_promises_a_room_once() {
