Quote batch tasks that no worker of a cell can run

What callers saw: nothing was reported; read while looking for other tasks without a way out of their cell.

Cause: the entry chooses a cell by its backlog for batch jobs. Whether any worker of the cell has the label that a stage requires, or is large enough, wasn't part of the quote, and batch tasks never leave their cell.

Change: such tasks count as unplaceable, so that the other one of the job's two cells is chosen, or else any other cell. A job that no cell can run goes where it went before.

Evidence: quote_counts_batch_tasks_that_no_worker_can_run quotes 0 of 3 tasks without the change.

--- a/crates/teaseltrack-cell/src/entry.rs
+++ b/crates/teaseltrack-cell/src/entry.rs
@@ -238,8 +238,8 @@
 
     /// Cell with the best quote for a job; `None` until the partition is known. It is one of two
     /// cells by the job's hash, where the job's state is then found without a search and where
-    /// entries that choose at the same time rarely meet. A long-running job goes to any other cell
-    /// if neither has room for all of its tasks.
+    /// entries that choose at the same time rarely meet. A job goes to any other cell if neither can
+    /// run all of its tasks, or, for a long-running job, if neither has room for them or responds.
     async fn choose_cell(&self, job: &JobId, spec: &JobSpec, queue: &Queue) -> Option<CellId> {
         let partition = self.partition.borrow().clone()?;
         let choices = partition.cells_of_job(job);
@@ -247,7 +247,8 @@
             return Some(choices[0]);
         }
         let mut best = self.best_quote(choices.to_vec(), spec, queue).await;
-        if best.is_none_or(|(quote, _)| quote.unplaceable_count > 0) && spec.is_long_running() {
+        let has_unplaceable = |(quote, _): (Quote, CellId)| quote.unplaceable_count > 0;
+        if best.map_or(spec.is_long_running(), has_unplaceable) {
             let others = partition.cell_ids().filter(|cell| !choices.contains(cell)).collect();
             let other = self.best_quote(others, spec, queue).await;
             best = best.into_iter().chain(other).min();
--- a/crates/teaseltrack/src/cell/quote.rs
+++ b/crates/teaseltrack/src/cell/quote.rs
@@ -1,7 +1,7 @@
 //! Quotes: how soon a cell could run a job, for the choice of a cell.
 //!
 //! A long-running job needs room for all of its tasks at once, for as long as it runs. All other
-//! jobs wait for the work that is ahead of them.
+//! jobs wait for the work that is ahead of them, if the cell has workers that can run them.
 
 use std::time::{Duration, Instant};
 
@@ -61,7 +61,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Quote {
-    /// Number of long-running tasks of the job for which the cell has no room.
+    /// Number of tasks of the job that no worker of the cell could run even without other tasks, and
+    /// of long-running ones for which there is no room now.
     pub unplaceable_count: u32,
     /// Share of the cell's CPU that is reserved, in permille, if the job has long-running tasks;
     /// otherwise 0.
@@ -83,14 +84,18 @@
         let waiting_count = self.new_serving_count(service, now);
         let unplaceable_count = stages
             .iter()
-            .filter(|stage| stage.is_long_running)
             .map(|stage| {
+                let mut statuses = workers.iter().filter_map(|worker| worker.status.as_ref());
+                if !stage.is_long_running {
+                    let is_possible = statuses.any(|status| stage.is_met_by(status));
+                    return if is_possible { 0 } else { stage.task_count };
+                }
                 let rooms =
                     workers.iter().map(|worker| worker.room_for(stage, &Resources::default()));
                 let room = rooms.fold(0, u32::saturating_add);
                 stage.task_count.saturating_sub(room.saturating_sub(waiting_count))
             })
-            .sum();
+            .fold(0, u32::saturating_add);
         let is_serving = stages.iter().any(|stage| stage.is_long_running);
         let reserved_permille =
             if is_serving { (1_000.0 * self.reserved_share(service)) as u32 } else { 0 };
--- a/crates/teaseltrack/tests/sharing.rs
+++ b/crates/teaseltrack/tests/sharing.rs
@@ -436,6 +436,22 @@
     assert_eq!(fleet.cell.quote(&demands(&stages), "service", fleet.now).unplaceable_count, 0);
 }
 
+/// Guards against a batch job that is accepted for a cell whose workers can't run it, since they lack
+/// the label or are too small, and whose tasks can't leave that cell.
+#[test]
+fn quote_counts_batch_tasks_that_no_worker_can_run() {
+    let fleet = Fleet::new(2);
+    let batch = Stage { is_long_running: false, ..serving("a", 3) };
+    let unplaceable = |stage: &Stage| {
+        let quote = fleet.cell.quote(&[StageDemand::of(stage)], "service", fleet.now);
+        quote.unplaceable_count
+    };
+    assert_eq!(unplaceable(&batch), 0);
+    assert_eq!(unplaceable(&Stage { required_label: Some("ssd".to_owned()), ..batch.clone() }), 3);
+    let huge = Resources { cpu_milli: 65_000, memory_mib: 1, accelerators: 0 };
+    assert_eq!(unplaceable(&Stage { resources: huge, ..batch }), 3);
+}
+
 /// Load pattern: a burst of batch jobs at one cell. Its quote grows with the accepted work, so that
 /// the next jobs go elsewhere.
 #[test]
