Replace delegations that no cell accepts

What callers saw: nothing was reported; found in review.

Cause: a stored row that parses but isn't valid, such as one whose number is out of range, counted as a later hand-over, so that nothing replaced it, while no cell accepts it. Its task had no owner for good.

Change: such a row counts as none.

Evidence: store_delegations_replaces_a_row_that_no_cell_accepts failed before.

--- a/crates/teaseltrack-cell/src/owner/delegator.rs
+++ b/crates/teaseltrack-cell/src/owner/delegator.rs
@@ -145,7 +145,8 @@
     let Some(row) = store.read(&delegation_key(&delegation.task)).await? else {
         return Ok(Some(0));
     };
-    let stored: Option<Delegation> = store.parse(&row);
+    // No cell accepts a row that isn't valid.
+    let stored: Option<Delegation> = store.parse(&row).filter(Delegation::is_valid);
     let is_replaced = stored.is_none_or(|stored| stored.hand_over < delegation.hand_over);
     Ok(is_replaced.then_some(row.version))
 }
--- a/crates/teaseltrack-cell/tests/delegation.rs
+++ b/crates/teaseltrack-cell/tests/delegation.rs
@@ -113,6 +113,20 @@
     assert_eq!(stored.parse::<Delegation>().unwrap(), delegation(0));
 }
 
+/// Guards against a row that no cell accepts, since its number is out of range, and that no later
+/// hand-over can replace.
+#[tokio::test(start_paused = true)]
+async fn store_delegations_replaces_a_row_that_no_cell_accepts() {
+    let rows = submitted();
+    let key = delegation_key(&delegation(0).task);
+    let odd = Delegation { hand_over: u32::MAX, ..delegation(0) };
+    assert!(!odd.is_valid());
+    rows.lock().unwrap().put(&key, &serde_json::to_string(&odd).unwrap());
+    store_delegations(vec![delegation(0)], store(&rows), silent()).await;
+    let stored = store(&rows).read(&key).await.unwrap().unwrap();
+    assert_eq!(stored.parse::<Delegation>().unwrap(), delegation(0));
+}
+
 /// Guards against a task that comes back to the cell of its job and finds it listed as another cell's.
 #[tokio::test(start_paused = true)]
 async fn load_keeps_the_job_of_a_task_that_was_handed_back() {
