Promise a gang room for all of its members or none

What callers saw: nothing was reported; found in review.

Cause: a request for rooms didn't tell that the stage is a gang. A gang that fits in no cell was promised what there was, couldn't use it, and asked again and again, so that single tasks of other cells got no room.

Change: requests tell, and a cell with too little room for all members promises none.

Evidence: promise_rooms_leaves_rooms_that_a_gang_cannot_use failed before.

--- a/crates/teaseltrack-cell/tests/calls.rs
+++ b/crates/teaseltrack-cell/tests/calls.rs
@@ -76,6 +76,7 @@
         job: "00000000000000aa".to_owned(),
         occurrence: 1,
         stage: 2,
+        is_gang: true,
         demand: StageDemand::of(&stage),
     });
     let expected = requests.to_vec();
--- a/crates/teaseltrack/src/cell/room_promises.rs
+++ b/crates/teaseltrack/src/cell/room_promises.rs
@@ -44,6 +44,8 @@
     pub occurrence: u32,
     /// Number of the stage, from 0.
     pub stage: u32,
+    /// Whether only room for all tasks is of use.
+    pub is_gang: bool,
     /// What the waiting tasks require.
     pub demand: StageDemand,
 }
@@ -58,6 +60,7 @@
             job,
             occurrence,
             stage,
+            is_gang: unplaced.stage.is_gang,
             demand: StageDemand::of(&unplaced.stage),
         })
     }
@@ -120,7 +123,7 @@
     }
 
     /// Workers with room for tasks of the request beside what is promised, once for each task, after
-    /// `own_count` rooms that are left to the cell's own tasks.
+    /// `own_count` rooms that are left to the cell's own tasks; none for a part of a gang.
     fn rooms(
         &self,
         request: &RoomRequest,
@@ -146,7 +149,9 @@
             let count = worker.room_beside(request, reserved).min(limit) as usize;
             rooms.extend(std::iter::repeat_n(key, count.min(wanted - rooms.len())));
         }
-        rooms.split_off(rooms.len().min(own_count as usize))
+        let rooms = rooms.split_off(rooms.len().min(own_count as usize));
+        let is_useful = !request.is_gang || rooms.len() == request.demand.task_count as usize;
+        if is_useful { rooms } else { Vec::new() }
     }
 
     /// Eligible workers that aren't kept for suspects and aren't warming up.
--- a/crates/teaseltrack/tests/delegation/hand_overs.rs
+++ b/crates/teaseltrack/tests/delegation/hand_overs.rs
@@ -155,6 +155,27 @@
     assert_eq!(model.received.len(), 1, "a second task would wait in the third cell");
 }
 
+/// Guards against a gang that fits in no cell and whose promises, of which it can use none, keep the
+/// room from single tasks of other cells.
+#[test]
+fn promise_rooms_leaves_rooms_that_a_gang_cannot_use() {
+    let mut model = Model::with_cells(3);
+    model.sites[2].instance.capacity = capacity(2);
+    let gang = Stage { is_gang: true, ..stage(3) };
+    model.submit(job("0000000000000004", 4));
+    model.submit_to(1, job(THIRD_JOB, 4));
+    model.run_steps(5);
+    model.submit(job_of(JOB, vec![gang]));
+    model.run_steps(25);
+    model.submit_to(1, job(OTHER_JOB, 1));
+    model.run_steps(25);
+    assert_eq!((model.running(0), model.running(1), model.running(2)), (4, 4, 0));
+    model.search_cells(0);
+    model.search_cells(1);
+    model.run_steps(1);
+    assert_eq!(model.unstored.len(), 1, "the single task is handed over to cell 2");
+}
+
 /// Guards against a promise that outlasts the task that it was made for.
 #[test]
 fn promise_rooms_offers_a_room_again_once_unused() {
