Store delegations past one that fails

What callers saw: nothing was reported; found in review.

Cause: the delegations of a commit were stored one after the other, each tried until it was stored. A row that the store never accepts kept the ones after it from their new cells, while the cell had committed that it no longer owns their tasks.

Change: the others are stored first, and failed ones are tried again in rounds.

Evidence: store_delegations_passes_over_one_that_fails failed before.

--- a/crates/teaseltrack-cell/src/owner/delegator.rs
+++ b/crates/teaseltrack-cell/src/owner/delegator.rs
@@ -89,30 +89,37 @@
 }
 
 /// Stores committed delegations; retries until each, or a later hand-over of the same task, is known
-/// to be stored.
+/// to be stored. One that can't be stored doesn't delay the others.
 pub async fn store_delegations(delegations: Vec<Delegation>, store: Store, logger: Logger) {
-    for delegation in delegations {
-        let mut delay = RETRY_DELAY;
-        let is_new = loop {
+    let mut unstored = delegations;
+    let mut delay = RETRY_DELAY;
+    loop {
+        let mut failed = Vec::new();
+        for delegation in unstored {
+            let Delegation { task, cell, hand_over, wait, .. } = &delegation;
             match try_store(&delegation, &store).await {
-                Ok(is_new) => break is_new,
+                Ok(true) => {
+                    info!(logger, "task delegated"; "request_id" => &task.job, "task" => %task,
+                        "to_cell" => cell, "hand_over" => hand_over,
+                        "waited_ms" => wait.waited_ms);
+                }
+                Ok(false) => {
+                    debug!(logger, "delegation was stored before"; "request_id" => &task.job,
+                        "task" => %task, "to_cell" => cell, "hand_over" => hand_over);
+                }
                 Err(error) => {
                     warn!(logger, "failed to store a delegation; retrying";
-                        "request_id" => &delegation.task.job, "task" => %delegation.task,
-                        "error" => %error);
-                    sleep(delay).await;
-                    delay = (delay * 2).min(MAX_RETRY_DELAY);
+                        "request_id" => &task.job, "task" => %task, "error" => %error);
+                    failed.push(delegation);
                 }
             }
-        };
-        let Delegation { task, cell, hand_over, wait, .. } = &delegation;
-        if is_new {
-            info!(logger, "task delegated"; "request_id" => &task.job, "task" => %task,
-                "to_cell" => cell, "hand_over" => hand_over, "waited_ms" => wait.waited_ms);
-        } else {
-            debug!(logger, "delegation was stored before"; "request_id" => &task.job,
-                "task" => %task, "to_cell" => cell, "hand_over" => hand_over);
         }
+        if failed.is_empty() {
+            return;
+        }
+        unstored = failed;
+        sleep(delay).await;
+        delay = (delay * 2).min(MAX_RETRY_DELAY);
     }
 }
 
--- a/crates/teaseltrack-cell/tests/delegation.rs
+++ b/crates/teaseltrack-cell/tests/delegation.rs
@@ -102,6 +102,18 @@
     assert_eq!(rows.lock().unwrap().write_count(&key), 3);
 }
 
+/// Guards against a row that the store never accepts and that keeps the delegations after it back.
+#[tokio::test(start_paused = true)]
+async fn store_delegations_passes_over_one_that_fails() {
+    let rows = submitted();
+    let (refused, accepted) = (delegation_key(&delegation(0).task), delegation(1));
+    rows.lock().unwrap().refused_key = Some(refused);
+    let delegations = vec![delegation(0), accepted.clone()];
+    let storing = store_delegations(delegations, store(&rows), silent());
+    assert!(timeout(Duration::from_secs(5), storing).await.is_err(), "the first is tried again");
+    assert_eq!(rows.lock().unwrap().write_count(&delegation_key(&accepted.task)), 1);
+}
+
 /// Guards against an odd row that keeps a task from every cell.
 #[tokio::test(start_paused = true)]
 async fn store_delegations_replaces_a_row_that_is_no_delegation() {
--- a/crates/teaseltrack-cell/tests/util.rs
+++ b/crates/teaseltrack-cell/tests/util.rs
@@ -26,6 +26,8 @@
     pub lost_responses: u32,
     /// Number of calls other than commits still to fail.
     pub failing_reads: u32,
+    /// Row to which no transaction is accepted.
+    pub refused_key: Option<String>,
 }
 
 impl Rows {
@@ -65,6 +67,9 @@
     }
 
     fn commit(&mut self, transaction: Transaction) -> Result<StoreReply, StoreError> {
+        if transaction.writes.iter().any(|write| Some(&write.key) == self.refused_key.as_ref()) {
+            return Err(StoreError::Unavailable { message: "row refused".to_owned() });
+        }
         for condition in transaction.conditions {
             let version = self.values.get(&condition.key).map_or(0, |row| row.version);
             if version != condition.version {
