Failing tests: a job fails while its tasks run in two cells

What callers would see: a job that never ends, with tasks that are neither run nor given up. A task that crashes its workers is given up by the cell that it was handed over to, and that cell ends the job for itself alone: its other tasks of the job are stopped for good, and the job's own cell still shows the job as active. The other way round, tasks that were handed over run on after their job has failed in its own cell.

Cause, as read: `attribute_crash` calls `finish` on the job of the cell at hand, and no row tells another cell that a job has failed.

The tests of teaseltrack-cell pass.

--- a/crates/teaseltrack/tests/delegation/main.rs
+++ b/crates/teaseltrack/tests/delegation/main.rs
@@ -1,5 +1,6 @@
 //! Delegation of long-running tasks between cells.
 
+mod given_up;
 mod hand_overs;
 mod model;
 #[path = "../util.rs"]
--- a/crates/teaseltrack/tests/delegation/model.rs
+++ b/crates/teaseltrack/tests/delegation/model.rs
@@ -78,6 +78,8 @@
     /// Whether the agent has stopped reporting.
     pub is_silent: bool,
     pub running: BTreeMap<TaskName, u32>,
+    /// Start of the worker's current incarnation.
+    started_unix_ms: u64,
     session: u64,
     accepted_order: u64,
     clock_ms: u64,
@@ -103,6 +105,7 @@
                 labels: Vec::new(),
                 is_silent: false,
                 running: BTreeMap::new(),
+                started_unix_ms: 1,
                 session: 0,
                 accepted_order: 0,
                 clock_ms: 0,
@@ -319,7 +322,7 @@
             session: instance.session,
             status: Some(WorkerStatus {
                 worker: format!("worker-{id}"),
-                started_unix_ms: 1,
+                started_unix_ms: instance.started_unix_ms,
                 service: "service".to_owned(),
                 capacity: instance.capacity,
                 labels: instance.labels.clone(),
@@ -382,6 +385,17 @@
         }
     }
 
+    /// Restarts a cell's worker without its runs; its agent goes on.
+    pub fn crash_worker(&mut self, index: usize) {
+        let instance = &mut self.sites[index].instance;
+        instance.started_unix_ms += 1;
+        instance.running.clear();
+        instance.ended.clear();
+        instance.end_count = 0;
+        instance.session = 0;
+        instance.accepted_order = 0;
+    }
+
     pub fn is_running(&self, task: &TaskName) -> bool {
         self.sites.iter().any(|site| site.instance.running.contains_key(task))
     }
