Tests and guards that the review of hand-overs asked for

Found in review: no test noticed when a task could leave its new cell at once, when a promise outlived the arrival of its task, when rooms weren't left to a cell's own new tasks, or when the entry asked no further cell. A wait from a row had no limit. Members of a gang could be handed over while another one no longer waited. A job that has ended in a cell could be promised room there. A task that planning hasn't reached counted as new without end.

Change: tests for the first four; the rule of the entry is a function of its own. Waits of a row are limited to an hour, gangs leave together or not at all, ended jobs get no room, and tasks count as new by the time since which they have no worker.

--- a/crates/teaseltrack-cell/src/entry.rs
+++ b/crates/teaseltrack-cell/src/entry.rs
@@ -247,8 +247,8 @@
             return Some(choices[0]);
         }
         let mut best = self.best_quote(choices.to_vec(), spec, queue).await;
-        let has_unplaceable = |(quote, _): (Quote, CellId)| quote.unplaceable_count > 0;
-        if best.map_or(spec.is_long_running(), has_unplaceable) {
+        let best_quote = best.as_ref().map(|(quote, _)| quote);
+        if Quote::needs_other_cells(best_quote, spec.is_long_running()) {
             let others = partition.cell_ids().filter(|cell| !choices.contains(cell)).collect();
             let other = self.best_quote(others, spec, queue).await;
             best = best.into_iter().chain(other).min();
--- a/crates/teaseltrack/src/cell/delegation.rs
+++ b/crates/teaseltrack/src/cell/delegation.rs
@@ -29,6 +29,8 @@
     ids::{AttemptNumber, ServiceName},
 };
 
+/// Longest wait that is taken over from a row.
+const MAX_WAIT: Duration = Duration::from_secs(3_600);
 /// Time for which a cell keeps a task that was handed over to it, so that it can place the task.
 const MIN_STAY: Duration = Duration::from_millis(500);
 
@@ -160,6 +162,7 @@
     pub fn delegate(&mut self, name: &TaskName, cell: CellId, now: Instant) {
         let Some(key) = self.key_of(name) else { return };
         let is_open = !self.jobs[key.job].state.is_final() && cell != self.id;
+        let is_open = is_open && self.may_leave_gang(key, cell);
         let Some(task) = self.task_mut(key).filter(|task| is_open && task.is_waiting()) else {
             return;
         };
@@ -172,6 +175,18 @@
         job.uncommitted_hand_overs.push(UncommittedHandOver { task: key, wait });
     }
 
+    /// Whether the task isn't in a gang, or all other members wait or leave for the same cell.
+    fn may_leave_gang(&self, key: TaskKey, cell: CellId) -> bool {
+        let stage = self.stage(key);
+        let mut members = (0..stage.task_count).map(|index| TaskKey { index, ..key });
+        !stage.is_gang
+            || members.all(|member| {
+                self.task(member).is_some_and(|task| {
+                    task.is_waiting() || task.progress.phase == TaskPhase::Delegated(cell)
+                })
+            })
+    }
+
     /// Returns and clears the delegations to store. Some may be stored already.
     pub fn take_delegations(&mut self) -> Vec<Delegation> {
         std::mem::take(&mut self.committed_delegations)
@@ -206,7 +221,9 @@
         self.end_room_promise(&delegation.task);
         let Some(task) = self.task_mut(task_key) else { return };
         let TaskWait { waited_ms, beside_room_ms } = delegation.wait;
-        let before = |waited_ms| now.checked_sub(Duration::from_millis(waited_ms)).unwrap_or(now);
+        let before = |waited_ms| {
+            now.checked_sub(Duration::from_millis(waited_ms).min(MAX_WAIT)).unwrap_or(now)
+        };
         task.unplaced_since = Some(before(waited_ms));
         // The task has waited long enough to use the reserve for batch tasks.
         task.waiting_since = task.unplaced_since;
--- a/crates/teaseltrack/src/cell/quote.rs
+++ b/crates/teaseltrack/src/cell/quote.rs
@@ -71,6 +71,14 @@
     pub backlog_ms: u64,
 }
 
+impl Quote {
+    /// Whether the entry asks further cells for quotes, given the best quote so far: if that leaves out
+    /// tasks or, for a long-running job, if there is none.
+    pub fn needs_other_cells(best: Option<&Self>, is_long_running: bool) -> bool {
+        best.map_or(is_long_running, |quote| quote.unplaceable_count > 0)
+    }
+}
+
 impl Cell {
     /// Quote for a job with the given stages. Serving tasks that have just begun to wait count as
     /// placed first; those that have waited for longer don't fit into the free capacity.
@@ -108,7 +116,7 @@
     pub(super) fn new_serving_count(&self, service: &str, now: Instant) -> u32 {
         let reserve_wait = self.settings.planning.reserve_wait;
         let is_new = |task: &Task| {
-            let since = task.received_at.or(task.waiting_since);
+            let since = task.received_at.or(task.waiting_since).or(task.unplaced_since);
             since.is_none_or(|since| now.saturating_duration_since(since) < reserve_wait)
         };
         let jobs = self.unfinished_jobs().map(|key| &self.jobs[key]);
--- a/crates/teaseltrack/src/cell/room_promises.rs
+++ b/crates/teaseltrack/src/cell/room_promises.rs
@@ -133,6 +133,9 @@
     ) -> Vec<WorkerKey> {
         let wanted = own_count.saturating_add(request.demand.task_count) as usize;
         let job = self.by_id.get(&request.job).copied();
+        if job.is_some_and(|job| self.jobs[job].state.is_final()) {
+            return Vec::new();
+        }
         let mut rooms = Vec::new();
         for &key in workers {
             let worker = &self.workers[key];
--- a/crates/teaseltrack/tests/delegation/hand_overs.rs
+++ b/crates/teaseltrack/tests/delegation/hand_overs.rs
@@ -7,7 +7,7 @@
 use teaseltrack::cell::{StoredJob, job::Stage, protocol::EndCause};
 use yare::parameterized;
 
-use crate::model::{MAX_WAIT_BESIDE_ROOM, Model, capacity, job, job_of, stage, task};
+use crate::model::{MAX_WAIT_BESIDE_ROOM, Model, WAIT, capacity, job, job_of, stage, task};
 
 const JOB: &str = "0000000000000001";
 const OTHER_JOB: &str = "0000000000000002";
@@ -176,6 +176,72 @@
     assert_eq!(model.unstored.len(), 1, "the single task is handed over to cell 2");
 }
 
+/// Load pattern: a cell's own new task, which may not use the reserve for batch tasks yet, and another
+/// cell's waiting one, with one room for both.
+#[test]
+fn promise_rooms_leaves_room_to_the_cells_own_tasks() {
+    let mut model = Model::with_cells(2);
+    model.submit_to(0, job(JOB, 5));
+    model.submit_to(1, job(THIRD_JOB, 3));
+    model.run_steps(20);
+    model.submit_to(1, job(OTHER_JOB, 1));
+    model.run_steps(2);
+    assert_eq!(model.running(1), 3);
+    model.search_cells(0);
+    model.run_steps(1);
+    assert_eq!(model.unstored.len(), 0, "the room is needed by the cell's own task");
+}
+
+/// Guards against a promise that holds a second room while its task, which has arrived, takes the first.
+#[test]
+fn admit_delegation_ends_the_promise() {
+    let mut model = Model::with_cells(3);
+    model.submit_to(0, job(JOB, 5));
+    model.submit_to(1, job(OTHER_JOB, 5));
+    model.submit_to(2, job(THIRD_JOB, 2));
+    model.run_steps(20);
+    model.search_cells(0);
+    model.run_steps(1);
+    model.store_all_delegations();
+    model.run_steps(1);
+    model.search_cells(1);
+    model.run_steps(1);
+    assert_eq!(model.unstored.len(), 1, "the second room is free");
+}
+
+/// Guards against a task that leaves its new cell before that could place it.
+#[test]
+fn unplaced_tasks_leave_out_one_that_has_just_arrived() {
+    let mut model = delegated_task_without_room(3);
+    model.submit_to(2, job(THIRD_JOB, 4));
+    model.run_steps(20);
+    model.sites[1].cell.delegate(&task(JOB, 4), 2, model.now);
+    model.run_steps(1);
+    model.store_all_delegations();
+    let arrived_at = model.now;
+    let unplaced = |model: &Model| model.sites[2].cell.unplaced_tasks(WAIT, model.now).len();
+    model.run_steps(1);
+    assert_eq!(unplaced(&model), 0);
+    model.run_steps(9);
+    assert!(model.now - arrived_at < WAIT);
+    assert_eq!(unplaced(&model), 1);
+}
+
+/// Guards against a wait in a row that makes a task the oldest of all for good.
+#[test]
+fn admit_delegation_limits_the_wait_of_a_row() {
+    let mut model = delegated_task_without_room(3);
+    model.submit_to(2, job(THIRD_JOB, 4));
+    model.run_steps(20);
+    model.sites[1].cell.delegate(&task(JOB, 4), 2, model.now);
+    model.run_steps(1);
+    model.unstored[0].wait.waited_ms = u64::MAX / 2;
+    model.store_all_delegations();
+    model.run_steps(1);
+    let waits = model.sites[2].cell.waiting_serving_tasks(model.now);
+    assert!(waits.longest <= Duration::from_secs(3_601), "{waits:?}");
+}
+
 /// Guards against a promise that outlasts the task that it was made for.
 #[test]
 fn promise_rooms_offers_a_room_again_once_unused() {
--- a/crates/teaseltrack/tests/sharing.rs
+++ b/crates/teaseltrack/tests/sharing.rs
@@ -19,7 +19,7 @@
         protocol::{
             EndCause, EndedTask, Order, Report, RunningTask, TaskName, WorkerListing, WorkerStatus,
         },
-        quote::StageDemand,
+        quote::{Quote, StageDemand},
     },
     placement::Resources,
 };
@@ -452,6 +452,17 @@
     assert_eq!(unplaceable(&Stage { resources: huge, ..batch }), 3);
 }
 
+/// Guards against a job that goes to a cell that can't run it, without a look at the others.
+#[test]
+fn needs_other_cells_without_room_in_the_first_two() {
+    let quote = |unplaceable_count| Quote { unplaceable_count, ..Quote::default() };
+    assert!(Quote::needs_other_cells(Some(&quote(1)), false));
+    assert!(Quote::needs_other_cells(Some(&quote(1)), true));
+    assert!(!Quote::needs_other_cells(Some(&quote(0)), true));
+    assert!(Quote::needs_other_cells(None, true));
+    assert!(!Quote::needs_other_cells(None, false));
+}
+
 /// Load pattern: a burst of batch jobs at one cell. Its quote grows with the accepted work, so that
 /// the next jobs go elsewhere.
 #[test]
