Leave waiting_since of gangs as it was

What callers saw: nothing. Since gangs are handed over, a gang that a round can place in part kept waiting_since, so that a waiting gang could use the reserve for batch tasks sooner, also in a fleet of one cell, which is to be served as before (found in review).

Change: only the time without a worker, which decides on hand-overs, survives the round.

Evidence: unplaced_tasks_include_a_gang_as_a_whole and the other tests of delegation pass, but for the three known red ones.

--- a/crates/teaseltrack/src/cell/delegation.rs
+++ b/crates/teaseltrack/src/cell/delegation.rs
@@ -162,8 +162,8 @@
     pub fn delegate(&mut self, name: &TaskName, cell: CellId, now: Instant) {
         let Some(key) = self.key_of(name) else { return };
         let is_open = !self.jobs[key.job].state.is_final() && cell != self.id;
-        let is_open = is_open && self.may_leave_gang(key, cell);
-        let Some(task) = self.task_mut(key).filter(|task| is_open && task.is_waiting()) else {
+        let may_leave = is_open && self.may_leave_gang(key, cell);
+        let Some(task) = self.task_mut(key).filter(|task| may_leave && task.is_waiting()) else {
             return;
         };
         task.room_found_at.get_or_insert(now);
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -585,12 +585,11 @@
         }
     }
 
-    /// Takes back an assignment of this planning round; the task goes on waiting.
+    /// Takes back an assignment of this planning round; the task has been without a worker all along.
     fn revert_assignment(&mut self, key: TaskKey) {
         let Some(waiting) = self.task(key).cloned() else { return };
         self.release_run(key);
         if let Some(task) = self.task_mut(key) {
-            task.waiting_since = waiting.waiting_since;
             task.unplaced_since = waiting.unplaced_since;
             task.room_found_at = waiting.room_found_at;
             task.received_at = waiting.received_at;
