--- a/review/stand_ins/src/cases.rs
+++ b/review/stand_ins/src/cases.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::BTreeMap,
     path::Path,
-    sync::{Mutex, PoisonError},
+    sync::{Mutex, PoisonError, atomic::Ordering},
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -14,7 +14,7 @@
     Verdict,
     deployment::{CANCEL_MS, CHECKS, Deployment, FINISH, WATCHES, batch_job, new_job_id},
     record::Record,
-    worker::Run,
+    worker::{LEAVES_NEXT_START, Run},
 };
 
 /// Sizes of the deployment of the site.
@@ -28,6 +28,7 @@
         "start_after_restart" => start_after_restart(&start()?, has_trouble),
         "recurring_job" => recurring_job(&start()?, has_trouble),
         "crashes_without_failure" => crashes_without_failure(&start()?, has_trouble),
+        "start_without_answer" => start_without_answer(&start()?, has_trouble),
         "start_after_cancel" => start_after_cancel(&start()?, has_trouble),
         _ => Err(format!("unknown case {case}")),
     }
@@ -125,32 +126,44 @@
         }
         thread::sleep(Duration::from_secs(2));
     }
+    Ok(jobs_without_runs(deployment, &jobs))
+}
+
+/// LOST: jobs that `FINISH` after the end of the traffic have nothing running for 3 s, although their
+/// tasks' turn has come and most of the workers' room is free.
+fn jobs_without_runs(deployment: &Deployment, jobs: &[String]) -> Vec<String> {
     deployment.record.note("case", "traffic ends");
     thread::sleep(FINISH);
-    // Jobs with nothing running for 3 s, although their tasks' turn has come and the workers are idle.
-    let mut idle: Vec<String> = Vec::new();
-    for job in &jobs {
-        let state = deployment.state(CHECKS, job);
-        if state.as_deref() != Some("completed") {
-            idle.push(job.clone());
-        }
-    }
+    let is_open = |job: &&String| deployment.state(CHECKS, job).as_deref() != Some("completed");
+    let open: Vec<&String> = jobs.iter().filter(is_open).collect();
     let watched_from = deployment.record.elapsed_ms();
     thread::sleep(Duration::from_millis(3_200));
     let runs = deployment.runs();
+    // No task of these cases requests more than 100.
     let used_milli: usize = deployment.workers.iter().map(|worker| worker.run_count() * 100).sum();
     let is_half_free = used_milli * 2 < WORKERS * WORKER_CPU_MILLI as usize;
     let mut broken = Vec::new();
-    for job in idle {
+    for job in open {
         let has_run = runs.iter().any(|run| {
-            run.task.starts_with(&job) && run.end_ms.is_none_or(|end_ms| end_ms >= watched_from)
+            run.task.starts_with(job) && run.end_ms.is_none_or(|end_ms| end_ms >= watched_from)
         });
-        let state = deployment.state(CHECKS, &job).unwrap_or("no answer".to_owned());
+        let state = deployment.state(CHECKS, job).unwrap_or("no answer".to_owned());
         if !has_run && is_half_free && state != "completed" {
             broken.push(format!("LOST: job {job} is {state} and has had nothing running for 3 s"));
         }
     }
-    Ok(broken)
+    broken
+}
+
+/// A worker leaves a start unanswered and is unhealthy when the start is withdrawn.
+fn start_without_answer(deployment: &Deployment, has_trouble: bool) -> Verdict {
+    LEAVES_NEXT_START.store(has_trouble, Ordering::Relaxed);
+    let job = new_job_id();
+    if !deployment.submit(CHECKS, &job, &batch_job(1, 1, 100, 500)) {
+        return Err("the job was not accepted".to_owned());
+    }
+    thread::sleep(Duration::from_secs(8));
+    Ok(jobs_without_runs(deployment, &[job]))
 }
 
 /// The worker of a new run crashes, and so does that of its next run.
--- a/review/stand_ins/src/worker.rs
+++ b/review/stand_ins/src/worker.rs
@@ -35,6 +35,14 @@
 const BEAT_STEP: Duration = Duration::from_millis(10);
 const TICK: Duration = Duration::from_millis(5);
 
+/// Whether the next start order to any worker gets no answer; its worker then is unhealthy for a while.
+pub static LEAVES_NEXT_START: AtomicBool = AtomicBool::new(false);
+/// Time after which the order that got no answer is carried out.
+const LATE_START: Duration = Duration::from_secs(6);
+/// Time from that order until the worker is unhealthy, and for how long.
+const UNHEALTHY_AFTER: Duration = Duration::from_millis(300);
+const UNHEALTHY_FOR: Duration = Duration::from_millis(900);
+
 /// A run as seen by the worker; times are those of the record.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -100,6 +108,8 @@
     record: Record,
     /// Whether all calls hang, although heartbeats are sent.
     is_hanging: Arc<AtomicBool>,
+    /// Whether starts and stops are refused with 503.
+    is_unhealthy: Arc<AtomicBool>,
 }
 
 impl Worker {
@@ -112,6 +122,7 @@
             runs,
             record,
             is_hanging: Arc::default(),
+            is_unhealthy: Arc::default(),
         };
         worker.listen()?;
         let ticking = worker.clone();
@@ -204,7 +215,15 @@
         if request.header("x-expected-instance").is_some_and(|id| id != self.settings.id) {
             return Answer::Send(421, "{}".to_owned());
         }
+        let is_order = ["/run-start", "/run-stop"].contains(&request.path.as_str());
+        if is_order && self.is_unhealthy.load(Ordering::Relaxed) {
+            self.note(format!("{} refused with 503: {}", request.path, body["Task"]));
+            return Answer::Send(503, "{}".to_owned());
+        }
         let answer = match request.path.as_str() {
+            "/run-start" if LEAVES_NEXT_START.swap(false, Ordering::Relaxed) => {
+                return self.leave_start(body, generation);
+            }
             "/run-start" => self.start_run(&body),
             "/run-stop" => self.stop_run(&body),
             "/hold" => self.hold(&body, generation),
@@ -226,6 +245,24 @@
         Answer::Close
     }
 
+    /// Answers nothing, is unhealthy for a while, and carries out the order late.
+    fn leave_start(&self, body: Value, generation: u64) -> Answer {
+        self.note(format!("start {} gets no answer", body["Task"]));
+        let worker = self.clone();
+        thread::spawn(move || {
+            thread::sleep(UNHEALTHY_AFTER);
+            worker.is_unhealthy.store(true, Ordering::Relaxed);
+            thread::sleep(UNHEALTHY_FOR);
+            worker.is_unhealthy.store(false, Ordering::Relaxed);
+            thread::sleep(LATE_START - UNHEALTHY_AFTER - UNHEALTHY_FOR);
+            if worker.lock().generation == generation {
+                worker.start_run(&body);
+            }
+        });
+        thread::sleep(LATE_START);
+        Answer::Close
+    }
+
     /// Carries out a call unless its fencing token is outdated.
     fn if_current(
         &self,
