--- a/review/stand_ins/src/cases.rs
+++ b/review/stand_ins/src/cases.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::BTreeMap,
     path::Path,
-    sync::{Mutex, PoisonError, atomic::Ordering},
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -12,7 +15,10 @@
 
 use crate::{
     Verdict,
-    deployment::{CANCEL_MS, CHECKS, Deployment, FINISH, WATCHES, batch_job, new_job_id},
+    deployment::{
+        CANCEL_MS, CHECKS, Deployment, FINISH, WATCHES, batch_job, enforce_memory,
+        largest_agent_kib, new_job_id,
+    },
     record::Record,
     worker::{LEAVES_NEXT_START, Run},
 };
@@ -29,6 +35,7 @@
         "recurring_job" => recurring_job(&start()?, has_trouble),
         "crashes_without_failure" => crashes_without_failure(&start()?, has_trouble),
         "start_without_answer" => start_without_answer(&start()?, has_trouble),
+        "many_jobs" => many_jobs(&start()?, has_trouble),
         "start_after_cancel" => start_after_cancel(&start()?, has_trouble),
         _ => Err(format!("unknown case {case}")),
     }
@@ -258,3 +265,55 @@
     }
     Ok(broken)
 }
+
+/// Many small jobs are done, one after the other; processes that exceed the memory of their machines are
+/// killed and started again.
+fn many_jobs(deployment: &Deployment, has_trouble: bool) -> Verdict {
+    let is_over = AtomicBool::new(false);
+    let kill_count = AtomicUsize::new(0);
+    let done_count = AtomicUsize::new(0);
+    let mut body = batch_job(4, 1, 20, 20);
+    body["Spec"] = json!(format!("run_ms=20 {}", "x".repeat(3_900)));
+    let flood_time = Duration::from_secs(if has_trouble { 72 } else { 5 });
+    let until = Instant::now() + flood_time;
+    let is_flooding = || Instant::now() < until && kill_count.load(Ordering::Relaxed) == 0;
+    let jobs = thread::scope(|scope| {
+        scope.spawn(|| {
+            enforce_memory(&deployment.record, &kill_count, || is_over.load(Ordering::Relaxed));
+        });
+        let clients: Vec<_> = (0..32)
+            .map(|_| {
+                scope.spawn(|| {
+                    while is_flooding() {
+                        if deployment.submit(CHECKS, &new_job_id(), &body) {
+                            done_count.fetch_add(1, Ordering::Relaxed);
+                        }
+                        thread::sleep(Duration::from_millis(60));
+                    }
+                })
+            })
+            .collect();
+        clients.into_iter().for_each(|client| drop(client.join()));
+        deployment.record.note(
+            "case",
+            format!(
+                "{} jobs were accepted; the largest agent has {} KiB",
+                done_count.load(Ordering::Relaxed),
+                largest_agent_kib()
+            ),
+        );
+        let mut jobs = Vec::new();
+        for _ in 0..6 {
+            let job = new_job_id();
+            if deployment.submit(CHECKS, &job, &batch_job(1, 2, 100, 500)) {
+                jobs.push(job);
+            }
+            thread::sleep(Duration::from_millis(500));
+        }
+        let broken = jobs_without_runs(deployment, &jobs);
+        is_over.store(true, Ordering::Relaxed);
+        broken
+    });
+    deployment.record.note("case", format!("{} kills", kill_count.load(Ordering::Relaxed)));
+    Ok(jobs)
+}
--- a/review/stand_ins/src/deployment.rs
+++ b/review/stand_ins/src/deployment.rs
@@ -38,18 +38,69 @@
 pub const CHECKS: &str = "/lohu930/";
 pub const WATCHES: &str = "/pule252/";
 
+/// Memory limit of `side` machines, and how often processes are measured against it.
+const SIDE_MEMORY_KIB: u64 = 128 * 1_024;
+const MEMORY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time after which a process that was killed is started again.
+const RESTART_DELAY: Duration = Duration::from_millis(500);
+
+/// Process of the project.
+struct Process {
+    name: String,
+    command: Command,
+    child: Child,
+}
+
 /// Processes of the project that were started.
-static PROCESSES: Mutex<Vec<Child>> = Mutex::new(Vec::new());
+static PROCESSES: Mutex<Vec<Process>> = Mutex::new(Vec::new());
 
 /// Ends the processes that were started.
 pub fn end_processes() {
     let mut processes = PROCESSES.lock().unwrap_or_else(PoisonError::into_inner);
     for mut process in processes.drain(..) {
-        drop(process.kill());
-        drop(process.wait());
+        drop(process.child.kill());
+        drop(process.child.wait());
     }
 }
 
+/// Kills agents that exceed the memory of their machines, as the platform does, and starts them again;
+/// returns once `is_over` does. Counts the kills.
+pub fn enforce_memory(record: &Record, kill_count: &AtomicUsize, is_over: impl Fn() -> bool) {
+    while !is_over() {
+        thread::sleep(MEMORY_CHECK_INTERVAL);
+        let mut processes = PROCESSES.lock().unwrap_or_else(PoisonError::into_inner);
+        for process in processes.iter_mut().filter(|process| process.name.starts_with("side")) {
+            let resident_kib = resident_kib(process.child.id()).unwrap_or(0);
+            if resident_kib <= SIDE_MEMORY_KIB {
+                continue;
+            }
+            let name = &process.name;
+            record.note("platform", format!("{name} has {resident_kib} KiB and is killed"));
+            kill_count.fetch_add(1, Ordering::Relaxed);
+            drop(process.child.kill());
+            drop(process.child.wait());
+            thread::sleep(RESTART_DELAY);
+            match process.command.spawn() {
+                Ok(child) => process.child = child,
+                Err(error) => record.note("platform", format!("{name}: {error}")),
+            }
+        }
+    }
+}
+
+/// Highest resident memory of an agent, in KiB.
+pub fn largest_agent_kib() -> u64 {
+    let processes = PROCESSES.lock().unwrap_or_else(PoisonError::into_inner);
+    let agents = processes.iter().filter(|process| process.name.starts_with("side"));
+    agents.filter_map(|process| resident_kib(process.child.id())).max().unwrap_or(0)
+}
+
+fn resident_kib(process: u32) -> Option<u64> {
+    let status = fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+    line.split_whitespace().nth(1)?.parse().ok()
+}
+
 /// The deployment.
 pub struct Deployment {
     pub record: Record,
@@ -138,18 +189,18 @@
         let mut words = command.split(' ');
         let program = root.join(words.next().unwrap_or_default());
         let errors = log.try_clone().map_err(|error| error.to_string())?;
-        let child = Command::new(&program)
-            .args(words)
+        let mut run = Command::new(&program);
+        run.args(words)
             .current_dir(root)
             .env_clear()
             .env("TEASELTRACK_NODE_FILE", &settings)
             .stdin(Stdio::null())
             .stdout(log)
-            .stderr(errors)
-            .spawn()
-            .map_err(|error| format!("{command}: {error}"))?;
+            .stderr(errors);
+        let child = run.spawn().map_err(|error| format!("{command}: {error}"))?;
         self.record.note("case", format!("{} started: {command}", machine.name));
-        PROCESSES.lock().unwrap_or_else(PoisonError::into_inner).push(child);
+        let process = Process { name: machine.name.clone(), command: run, child };
+        PROCESSES.lock().unwrap_or_else(PoisonError::into_inner).push(process);
         Ok(())
     }
 
