--- a/review/stand_ins/src/cases.rs
+++ b/review/stand_ins/src/cases.rs
@@ -17,7 +17,7 @@
     Verdict,
     deployment::{
         CANCEL_MS, CHECKS, Deployment, FINISH, WATCHES, batch_job, enforce_memory,
-        largest_agent_kib, new_job_id,
+        largest_agent_kib, lose_process, new_job_id,
     },
     record::Record,
     worker::{LEAVES_NEXT_START, Run},
@@ -36,6 +36,7 @@
         "crashes_without_failure" => crashes_without_failure(&start()?, has_trouble),
         "start_without_answer" => start_without_answer(&start()?, has_trouble),
         "many_jobs" => many_jobs(&start()?, has_trouble),
+        "lost_with_the_owner" => lost_with_the_owner(&start()?, has_trouble),
         "start_after_cancel" => start_after_cancel(&start()?, has_trouble),
         _ => Err(format!("unknown case {case}")),
     }
@@ -317,3 +318,47 @@
     deployment.record.note("case", format!("{} kills", kill_count.load(Ordering::Relaxed)));
     Ok(jobs)
 }
+
+/// The machine of a task that lasts and the machine of the owner are lost for good at the same time.
+fn lost_with_the_owner(deployment: &Deployment, has_trouble: bool) -> Verdict {
+    let job = new_job_id();
+    let body = json!({
+        "Spec": "lasts",
+        "JobStages": [{ "Count": 1, "Cpu": 3_200, "MemMb": 6_400, "EstimateMs": 500, "LongRunning": true }],
+    });
+    if !deployment.submit(WATCHES, &job, &body) {
+        return Err("the job was not accepted".to_owned());
+    }
+    let Some(run) = wait_for_run(deployment, &job, 0) else {
+        return Err("the task doesn't run".to_owned());
+    };
+    thread::sleep(Duration::from_secs(3));
+    let owner = deployment.store.get("cell", "0", "owner");
+    let owner =
+        owner.and_then(|owner| owner["owner"].as_str()?.strip_prefix("side-")?.parse().ok());
+    let lost = deployment.workers.iter().position(|worker| worker.settings.id == run.worker);
+    let (Some(owner), Some(lost)) = (owner, lost) else { return Err("no owner".to_owned()) };
+    let owner: usize = owner;
+    if owner == lost {
+        return Err("the task runs beside the owner".to_owned());
+    }
+    let lost_ms = deployment.record.elapsed_ms();
+    if has_trouble {
+        for number in [lost, owner] {
+            deployment.record.note("case", format!("side-{number} is lost for good"));
+            deployment.workers[number].crash(true);
+            lose_process(&format!("side-{number}"));
+        }
+    }
+    thread::sleep(Duration::from_secs(20));
+    let runs = deployment.runs();
+    let next = runs.iter().find(|next| next.task == run.task && next.start_ms > lost_ms);
+    let idle_ms = next.map_or(20_000, |next| next.start_ms - lost_ms);
+    deployment.record.note("case", format!("the task ran again after {idle_ms} ms"));
+    let mut broken = Vec::new();
+    // From 6 s after its last run, nothing runs for 3 s, calm since the loss.
+    if has_trouble && idle_ms > 9_000 {
+        broken.push(format!("LOST: {} had nothing running for {idle_ms} ms", run.task));
+    }
+    Ok(broken)
+}
--- a/review/stand_ins/src/deployment.rs
+++ b/review/stand_ins/src/deployment.rs
@@ -88,6 +88,15 @@
     }
 }
 
+/// Ends the process of a machine that is lost for good.
+pub fn lose_process(name: &str) {
+    let mut processes = PROCESSES.lock().unwrap_or_else(PoisonError::into_inner);
+    for process in processes.iter_mut().filter(|process| process.name == name) {
+        drop(process.child.kill());
+        drop(process.child.wait());
+    }
+}
+
 /// Highest resident memory of an agent, in KiB.
 pub fn largest_agent_kib() -> u64 {
     let processes = PROCESSES.lock().unwrap_or_else(PoisonError::into_inner);
@@ -106,6 +115,7 @@
     pub record: Record,
     pub runs: Runs,
     pub workers: Vec<Worker>,
+    pub store: Store,
     entries: Vec<SocketAddr>,
     next_entry: Arc<AtomicUsize>,
     folder: PathBuf,
@@ -138,6 +148,7 @@
             record: record.clone(),
             runs: Runs::default(),
             workers: Vec::new(),
+            store,
             entries: Vec::new(),
             next_entry: Arc::default(),
             folder,
--- a/review/stand_ins/src/store.rs
+++ b/review/stand_ins/src/store.rs
@@ -76,6 +76,13 @@
         self.changed.notify_all();
     }
 
+    /// Reads a row's value as JSON.
+    pub fn get(&self, table: &str, part: &str, key: &str) -> Option<Value> {
+        let rows = self.lock();
+        let (text, _) = rows.rows.get(&(table.to_owned(), part.to_owned(), key.to_owned()))?;
+        serde_json::from_slice(&decode_base64(text)).ok()
+    }
+
     fn lock(&self) -> MutexGuard<'_, Rows> {
         self.rows.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -274,8 +281,23 @@
     base64.trim_end_matches('=').len() * 3 / 4
 }
 
+const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+
+fn decode_base64(text: &str) -> Vec<u8> {
+    let (mut bytes, mut bits, mut count) = (Vec::new(), 0_u32, 0);
+    for digit in text.bytes() {
+        let Some(value) = DIGITS.iter().position(|other| *other == digit) else { break };
+        bits = (bits << 6 | value as u32) & 0xffff;
+        count += 6;
+        if count >= 8 {
+            count -= 8;
+            bytes.push((bits >> count) as u8);
+        }
+    }
+    bytes
+}
+
 fn encode_base64(bytes: &[u8]) -> String {
-    const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
         let mut group = [0_u8; 3];
