--- a/review/stand_ins/src/main.rs
+++ b/review/stand_ins/src/main.rs
@@ -1,6 +1,5 @@
-//! Runs a case of the review: `review-case CASE ROOT RECORD`. Exits with 1 if the rule was broken, 0 if
-//! it held, and 2 if the case couldn't run. With `TROUBLE=0` in the environment, it does the same
-//! without the disruption.
+//! Runs a case of the review: `review-case CASE ROOT RECORD with-disruption|without-disruption`. Exits
+//! with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 
 mod cases;
 mod deployment;
@@ -21,11 +20,19 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
-    let [case, root, record_path] = arguments.as_slice() else {
-        eprintln!("usage: review-case CASE ROOT RECORD");
+    let usage = "usage: review-case CASE ROOT RECORD with-disruption|without-disruption";
+    let [case, root, record_path, mode] = arguments.as_slice() else {
+        eprintln!("{usage}");
         return ExitCode::from(2);
     };
-    let has_trouble = std::env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
+    let has_trouble = match mode.as_str() {
+        "with-disruption" => true,
+        "without-disruption" => false,
+        _ => {
+            eprintln!("{usage}");
+            return ExitCode::from(2);
+        }
+    };
     let record = match Record::create(&PathBuf::from(record_path)) {
         Ok(record) => record,
         Err(error) => {
@@ -33,7 +40,7 @@
             return ExitCode::from(2);
         }
     };
-    record.note("case", format!("{case}, trouble: {has_trouble}"));
+    record.note("case", format!("{case}, {mode}"));
     let late_record = record.clone();
     thread::spawn(move || {
         thread::sleep(MAX_TIME);
--- a/review/stand_ins/src/worker.rs
+++ b/review/stand_ins/src/worker.rs
@@ -53,7 +53,9 @@
     pub end_ms: Option<u64>,
     /// How it ended; `lost` in a crash.
     pub how: &'static str,
-    /// Whether the end was taken note of.
+    /// Whether the lease lapsed after the end, before it was taken note of.
+    pub has_lapsed: bool,
+    /// Whether the end was taken note of; not after such a lapse.
     pub is_noted: bool,
 }
 
@@ -345,7 +347,7 @@
         });
         if !noted.is_empty() {
             let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
-            noted.into_iter().for_each(|run| runs[run].is_noted = true);
+            noted.into_iter().for_each(|run| runs[run].is_noted = !runs[run].has_lapsed);
         }
         if answer.0 != 200 {
             return answer;
@@ -368,6 +370,10 @@
         }
         let now = Instant::now();
         let has_lapsed = life.clock_ms() > life.deadline_ms;
+        if has_lapsed && !life.ended.is_empty() {
+            let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+            life.ended.iter().for_each(|end| runs[end.4].has_lapsed = true);
+        }
         let due: Vec<(String, &'static str)> = life
             .running
             .iter()
@@ -406,6 +412,7 @@
             start_ms: self.record.elapsed_ms(),
             end_ms: None,
             how: "",
+            has_lapsed: false,
             is_noted: false,
         });
         runs.len() - 1
