Check waiting starts when they are sent, not when they are ordered

Cause: an agent built a start call, with session, lease and recipient, when it was ordered; the call then waited for one of six calls without a limit. On a worker that doesn't respond, starts outlived its lease. The restarted worker can't refuse them: it knows no fencing token, its clock begins anew, and its identifier is the same.

Change: calls wait in a queue of the agent, which checks a start at the time of sending, refuses at once what must not be sent, and drops the calls of an ended session. A stop removes the waiting start that it is about, and no longer waits for responses to other starts.

The same cause on related paths: - A start may reach the next incarnation before the agent knows of it.

Two tests of waiting starts counted starts until the first stop. Stops don't wait behind starts any more, so that they now count all starts until none has been sent for four timeouts, and their worker responds to sync calls, so that only the capacity or the evacuation can refuse a start. That is as strict.

--- a/crates/teaseltrack-cell/src/agent.rs
+++ b/crates/teaseltrack-cell/src/agent.rs
@@ -2,13 +2,12 @@
 //! orders.
 //!
 //! Sync calls renew the worker's lease and list its runs and their ends, which the agent reports to
-//! the owner. Each call runs in an async task of its own, whose result arrives as an event. A start
-//! without a response is invalidated by a stop of the same attempt ([`unconfirmed_starts`]).
+//! the owner. Each call runs in an async task of its own, whose result arrives as an event. Calls
+//! wait in a queue ([`call_queue`]) and belong to a session; those of a session that has ended are
+//! dropped. A start without a response is invalidated by a stop of the same attempt
+//! ([`unconfirmed_starts`]).
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use slog::{Logger, debug, info, warn};
 use teaseltrack::{
@@ -28,13 +27,16 @@
 };
 use teaseltrack_daemon::metrics::Metrics;
 use tokio::{
-    sync::{Semaphore, mpsc, watch},
+    sync::{mpsc, watch},
     time::{sleep, timeout},
 };
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    agent::unconfirmed_starts::UnconfirmedStarts,
+    agent::{
+        call_queue::{CallQueue, WaitingStart},
+        unconfirmed_starts::UnconfirmedStarts,
+    },
     calls::{CellClient, KnownOwner},
     constants::{
         CALL_TIMEOUT, FULL_REPORT_INTERVAL, MAX_LEASE, PACING, REPORT_WAIT, RETRY_DELAY, SYNC_WAIT,
@@ -43,16 +45,23 @@
     worker_port::{AddressedCall, WorkerAdapter, WorkerCall, WorkerError, WorkerResponse},
 };
 
+pub mod call_queue;
 pub mod unconfirmed_starts;
 
 /// Delay of the next sync call while the owner hasn't committed all listed ends.
 const UNCOMMITTED_ENDS_DELAY: Duration = Duration::from_millis(25);
 /// Delay before the next sync call after a failed one.
 const WORKER_RETRY_DELAY: Duration = Duration::from_millis(150);
-/// Maximum number of concurrent start, stop and pace calls; each uses a connection.
-const MAX_WORKER_CALLS: usize = 6;
 /// Reason for the refusal of a start that was planned against a larger capacity.
 const CAPACITY_SHRANK: &str = "the worker's capacity shrank";
+/// Reason for the refusal of a start on a worker that didn't respond to the last sync call.
+const UNREACHABLE: &str = "worker is unreachable";
+/// Reason for the refusal of a start on a worker that is about to shut down.
+const DRAINING: &str = "worker is draining";
+/// Reason for the refusal of a start that might arrive after the end of the worker's lease.
+const NO_LEASE: &str = "no lease";
+/// Reason for the refusal of a start that was stopped before it was sent.
+const STOPPED: &str = "stopped before its start";
 /// Reason for the refusal of a start in an evacuated availability zone.
 const EVACUATED: &str = "availability zone is being evacuated";
 /// Reason for the refusal of a start whose order has expired.
@@ -73,6 +82,15 @@
     pub clock_ms: Option<u64>,
 }
 
+/// Reading of the worker's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClockReading {
+    /// Time of the worker's clock, in milliseconds; 0 before the first reading.
+    pub clock_ms: u64,
+    /// Time at which the agent received it.
+    pub received_at: Instant,
+}
+
 /// Event for an agent's async task.
 #[derive(Debug)]
 pub enum AgentEvent {
@@ -97,6 +115,8 @@
         refused_count: usize,
         /// Time at which the report was sent.
         sent_at: Instant,
+        /// Reading of the worker's clock in the report, to which a granted lease refers.
+        clock: ClockReading,
         /// Response, if it arrived in time.
         response: Option<Box<ReportResponse>>,
     },
@@ -117,11 +137,18 @@
         task: TaskName,
         /// Its attempt.
         attempt: AttemptNumber,
-        /// Whether the worker accepted the call.
-        is_accepted: bool,
+        /// Result of the call.
+        result: Result<WorkerResponse, WorkerError>,
+    },
+    /// A pace call completed.
+    Paced {
+        /// Session of the call.
+        session: SessionToken,
+        /// The pace.
+        change: PaceChange,
+        /// Result of the call.
+        result: Result<WorkerResponse, WorkerError>,
     },
-    /// The worker applied a pace.
-    Paced(PaceChange),
 }
 
 /// Dependencies of an agent.
@@ -157,24 +184,25 @@
     context: AgentContext,
     client: CellClient,
     events: mpsc::Sender<AgentEvent>,
-    permits: Arc<Semaphore>,
+    calls: CallQueue,
+    /// Cancelled at the end of the session; ends its calls.
+    session_end: CancellationToken,
     status: Option<WorkerStatus>,
-    /// Capacity in `status`, for start calls that wait for a permit.
-    capacity: watch::Sender<Resources>,
-    /// Newest known state of the zone, for start calls that wait for a permit.
-    evacuation: watch::Sender<EvacuationNotice>,
+    /// Newest known state of the zone.
+    evacuation: EvacuationNotice,
     incarnation: WorkerIncarnation,
     /// Number of the last heartbeat of the incarnation.
     heartbeat_number: Option<u64>,
-    clock_ms: u64,
-    /// Time at which `clock_ms` was received.
-    clock_received_at: Instant,
+    /// Highest reading of the incarnation.
+    clock: ClockReading,
     /// Latest end of a lease that an earlier process of this agent may have passed on; `None` until
     /// the worker has responded to this one.
     earlier_leases_until_ms: Option<u64>,
     epoch: u64,
     session: SessionToken,
     lease_until_ms: Option<u64>,
+    /// Earliest time at which the lease may have expired; the owner waits longer.
+    lease_end: Option<Instant>,
     forget_until: u64,
     accepted_order: u64,
     running: Vec<RunningTask>,
@@ -227,18 +255,18 @@
             context,
             client: CellClient::default(),
             events,
-            permits: Arc::new(Semaphore::new(MAX_WORKER_CALLS)),
+            calls: CallQueue::default(),
+            session_end: CancellationToken::new(),
             status: None,
-            capacity: watch::channel(Resources::default()).0,
-            evacuation: watch::channel(EvacuationNotice::default()).0,
+            evacuation: EvacuationNotice::default(),
             incarnation: WorkerIncarnation::new(),
             heartbeat_number: None,
-            clock_ms: 0,
-            clock_received_at: now,
+            clock: ClockReading { clock_ms: 0, received_at: now },
             earlier_leases_until_ms: None,
             epoch: 0,
             session: 0,
             lease_until_ms: None,
+            lease_end: None,
             forget_until: 0,
             accepted_order: 0,
             running: Vec::new(),
@@ -268,6 +296,9 @@
         if !self.is_reporting || !self.is_polling {
             wake = wake.min(self.next_report_at.max(now + Duration::from_millis(1)));
         }
+        if let Some(retry_at) = self.calls.next_retry_at() {
+            wake = wake.min(retry_at.max(now + Duration::from_millis(1)));
+        }
         wake
     }
 
@@ -277,21 +308,37 @@
             AgentEvent::Synced { number, sent_at, result } => {
                 self.handle_sync_result(number, sent_at, result);
             }
-            AgentEvent::Reported { incarnation, is_poll, refused_count, sent_at, response } => {
+            AgentEvent::Reported {
+                incarnation,
+                is_poll,
+                refused_count,
+                sent_at,
+                clock,
+                response,
+            } => {
                 // A response about an earlier incarnation must not discard unprocessed ends of the
                 // current one.
                 let response = response.filter(|_| incarnation == self.incarnation);
-                self.handle_report_response(is_poll, refused_count, sent_at, response);
+                self.handle_report_response(is_poll, refused_count, sent_at, clock, response);
             }
             AgentEvent::Started { session, order, result } => {
-                self.handle_start_result(session, *order, result);
+                self.calls.start_completed();
+                if session == self.session {
+                    self.handle_start_result(*order, result);
+                }
+            }
+            AgentEvent::Stopped { session, task, attempt, result } => {
+                self.calls.other_completed();
+                if session == self.session {
+                    self.handle_stop_result(&task, attempt, result);
+                }
             }
-            AgentEvent::Stopped { session, task, attempt, is_accepted } => {
-                if session == self.session && is_accepted {
-                    self.unconfirmed_starts.stop_accepted(&task, attempt, self.context.clock.now());
+            AgentEvent::Paced { session, change, result } => {
+                self.calls.other_completed();
+                if session == self.session {
+                    self.handle_pace_result(&change, result);
                 }
             }
-            AgentEvent::Paced(change) => self.pacer.confirm(&change),
         }
     }
 
@@ -304,6 +351,7 @@
         if self.session != 0 && !self.is_syncing && now >= self.next_sync_at {
             self.send_sync(now);
         }
+        self.send_queued_calls(now);
         if now < self.next_report_at {
             return;
         }
@@ -348,27 +396,25 @@
                     "remaining_ms" => status.remaining_ms);
             }
             self.needs_report = true;
-            self.capacity.send_replace(status.capacity);
             self.status = Some(status);
         }
     }
 
     /// Keeps the highest reading of the worker's clock.
     fn note_clock(&mut self, clock_ms: Option<u64>) {
-        if let Some(clock_ms) = clock_ms.filter(|clock_ms| *clock_ms > self.clock_ms) {
-            self.clock_ms = clock_ms;
-            self.clock_received_at = self.context.clock.now();
+        if let Some(clock_ms) = clock_ms.filter(|clock_ms| *clock_ms > self.clock.clock_ms) {
+            self.clock = ClockReading { clock_ms, received_at: self.context.clock.now() };
         }
     }
 
     fn start_incarnation(&mut self, incarnation: WorkerIncarnation) {
         self.incarnation = incarnation;
         self.heartbeat_number = None;
-        self.clock_ms = 0;
-        self.clock_received_at = self.context.clock.now();
+        self.clock = ClockReading { clock_ms: 0, received_at: self.context.clock.now() };
         self.earlier_leases_until_ms = None;
         self.session = 0;
         self.lease_until_ms = None;
+        self.lease_end = None;
         self.forget_until = 0;
         self.ended.clear();
         self.is_reachable = true;
@@ -377,6 +423,8 @@
     }
 
     fn reset_session_state(&mut self) {
+        self.calls.clear();
+        std::mem::take(&mut self.session_end).cancel();
         self.accepted_order = 0;
         self.running.clear();
         self.has_listing = false;
@@ -393,11 +441,11 @@
         self.sync_number += 1;
         let number = self.sync_number;
         let wait = if self.has_listing { SYNC_WAIT } else { Duration::ZERO };
-        let call = self.addressed(WorkerCall::Sync {
-            lease_until_ms: self.lease_until_ms,
-            forget_until: self.forget_until,
-            wait,
-        });
+        // A worker that has restarted since its last response would take the lease, and the
+        // acknowledgement of ends, for its own.
+        let lease_until_ms = self.lease_until_ms.filter(|_| self.is_reachable);
+        let forget_until = if self.is_reachable { self.forget_until } else { 0 };
+        let call = self.addressed(WorkerCall::Sync { lease_until_ms, forget_until, wait });
         let (worker, events) = (self.context.worker.clone(), self.events.clone());
         tokio::spawn(async move {
             let result = with_timeout(wait + CALL_TIMEOUT, worker(call)).await;
@@ -466,7 +514,6 @@
         status.started_unix_ms = started_unix_ms;
         // The new incarnation may have another capacity; its first heartbeat tells.
         status.capacity = Resources::default();
-        self.capacity.send_replace(status.capacity);
         let incarnation = status.incarnation();
         info!(self.context.logger, "worker restarted"; "worker" => &incarnation);
         self.start_incarnation(incarnation);
@@ -505,7 +552,7 @@
         metrics.gauge("runs", self.running.len() as u64);
         for change in changes {
             self.context.metrics.count("paces_set");
-            self.send_pace(change);
+            self.calls.push_pace(change);
         }
     }
 
@@ -531,7 +578,7 @@
             address: self.context.address.clone(),
             session: self.session,
             status: self.status.clone(),
-            worker_clock_ms: self.clock_ms,
+            worker_clock_ms: self.clock.clock_ms,
             is_worker_reachable: self.is_reachable,
             listing,
             refused: if is_full { self.refused.clone() } else { Vec::new() },
@@ -550,7 +597,7 @@
             return None;
         }
         let lease_until_ms = self.earlier_leases_until_ms?.max(self.lease_until_ms.unwrap_or(0));
-        let reading_age = now.saturating_duration_since(self.clock_received_at);
+        let reading_age = now.saturating_duration_since(self.clock.received_at);
         Some(KnownLeases { lease_until_ms, reading_age_ms: reading_age.as_millis() as u64 })
     }
 
@@ -558,11 +605,17 @@
         let (client, events) = (self.client.clone(), self.events.clone());
         let (is_poll, refused_count) = (report.wait_ms > 0, report.refused.len());
         let incarnation = self.incarnation.clone();
-        let sent_at = self.context.clock.now();
+        let (sent_at, clock) = (self.context.clock.now(), self.clock);
         tokio::spawn(async move {
             let response = client.report(owner, report).await.map(Box::new);
-            let event =
-                AgentEvent::Reported { incarnation, is_poll, refused_count, sent_at, response };
+            let event = AgentEvent::Reported {
+                incarnation,
+                is_poll,
+                refused_count,
+                sent_at,
+                clock,
+                response,
+            };
             drop(events.send(event).await);
         });
     }
@@ -572,6 +625,7 @@
         is_poll: bool,
         refused_count: usize,
         sent_at: Instant,
+        clock: ClockReading,
         response: Option<Box<ReportResponse>>,
     ) {
         if is_poll {
@@ -605,24 +659,16 @@
                 "version" => estimates.version, "pairs" => estimates.pairs.len());
             self.pacer.set_estimates(estimates);
         }
-        self.lease_until_ms = self.lease_until_ms.max(response.lease_until_ms);
+        self.note_lease(response.lease_until_ms, clock);
         if response.forget_until > self.forget_until {
             self.forget_until = response.forget_until;
             self.ended.retain(|end| end.number > response.forget_until);
             self.next_sync_at = now;
         }
-        let orders = response.orders;
-        for (number, order) in (response.first_order..).zip(&orders) {
-            if number != self.accepted_order + 1 {
-                continue;
-            }
-            self.accepted_order = number;
-            match order {
-                // Orders that couldn't be fetched for a while may have been overtaken.
-                Order::Start(start) if is_stopped(&orders, start) => {
-                    self.record_refusal(start, "stopped before its start");
-                }
-                order => self.execute_order(order.clone(), start_by),
+        for (number, order) in (response.first_order..).zip(response.orders) {
+            if number == self.accepted_order + 1 {
+                self.accepted_order = number;
+                self.execute_order(order, start_by);
             }
         }
     }
@@ -634,73 +680,100 @@
         notice: EvacuationNotice,
         sent_at: Instant,
     ) -> Option<Instant> {
-        let known = *self.evacuation.borrow();
+        let known = self.evacuation;
         if notice.version >= known.version {
             if notice.is_evacuated != known.is_evacuated {
                 info!(self.context.logger, "evacuation of the worker's availability zone changed";
                     "worker" => &self.incarnation, "is_evacuated" => notice.is_evacuated);
             }
-            self.evacuation.send_replace(notice);
+            self.evacuation = notice;
         }
         let valid_for = notice.valid_for_ms.map(Duration::from_millis);
         valid_for.map(|valid_for| sent_at + valid_for.min(MAX_ORDER_VALIDITY))
     }
 
+    /// Records a lease that was granted for a reading of the worker's clock.
+    fn note_lease(&mut self, lease_until_ms: Option<u64>, clock: ClockReading) {
+        let Some(lease_until_ms) = lease_until_ms else { return };
+        self.lease_until_ms = self.lease_until_ms.max(Some(lease_until_ms));
+        let lease = Duration::from_millis(lease_until_ms.saturating_sub(clock.clock_ms));
+        self.lease_end = self.lease_end.max(Some(clock.received_at + lease));
+    }
+
     fn execute_order(&mut self, order: Order, start_by: Option<Instant>) {
         match order {
-            Order::Start(start) => self.send_start(start, start_by),
+            Order::Start(order) => self.calls.push_start(WaitingStart { order, start_by }),
             Order::Stop(task, attempt) => {
                 info!(self.context.logger, "stop order received"; "request_id" => &task.job,
                     "task" => %task, "attempt" => attempt);
-                self.send_stop(task, attempt);
+                match self.calls.remove_start(&task, attempt) {
+                    Some(start) => self.record_refusal(&start, STOPPED),
+                    None => self.calls.push_stop(task, attempt, self.context.clock.now()),
+                }
             }
             Order::Traits(traits) => self.pacer.set_traits(traits),
         }
     }
 
-    fn send_start(&mut self, order: StartOrder, start_by: Option<Instant>) {
-        let is_draining = self.status.as_ref().is_some_and(|status| status.is_draining);
-        let Some(lease_until_ms) = self.lease_until_ms.filter(|_| !is_draining) else {
-            let reason = if is_draining { "worker is draining" } else { "no lease" };
+    /// Sends the calls that are due, and refuses the starts that must not be sent any more.
+    fn send_queued_calls(&mut self, now: Instant) {
+        while let Some((task, attempt)) = self.calls.next_stop(now) {
+            self.send_stop(task, attempt);
+        }
+        while let Some(change) = self.calls.next_pace() {
+            self.send_pace(change);
+        }
+        let mut calls = std::mem::take(&mut self.calls);
+        for (order, reason) in calls.refuse_starts(|start| self.start_refusal(start, now)) {
             self.record_refusal(&order, reason);
-            return;
-        };
+        }
+        self.calls = calls;
+        while let Some(order) = self.calls.next_start() {
+            self.send_start(order);
+        }
+    }
+
+    /// Reason for which a start must not be sent now.
+    fn start_refusal(&self, start: &WaitingStart, now: Instant) -> Option<&'static str> {
+        let status = self.status.as_ref()?;
+        let arrives_by = now + WORKER_CALL_TIMEOUT;
+        if status.is_draining {
+            return Some(DRAINING);
+        }
+        if !self.is_reachable {
+            return Some(UNREACHABLE);
+        }
+        // The owner reclaims the task once the lease has expired.
+        if self.lease_end.is_none_or(|lease_end| lease_end < arrives_by) {
+            return Some(NO_LEASE);
+        }
+        // The owner has counted all that runs or is about to run against `planned_capacity`, so the
+        // start is safe as long as the worker has at least that.
+        if !status.capacity.can_fit(&start.order.planned_capacity) {
+            return Some(CAPACITY_SHRANK);
+        }
+        if self.evacuation.is_evacuated {
+            return Some(EVACUATED);
+        }
+        start.start_by.filter(|start_by| *start_by < now).map(|_| START_EXPIRED)
+    }
+
+    fn send_start(&self, order: StartOrder) {
         let session = self.session;
-        let call = self.addressed(WorkerCall::Start { order: order.clone(), lease_until_ms });
-        let (worker, events) = (self.context.worker.clone(), self.events.clone());
-        let (permits, clock) = (self.permits.clone(), self.context.clock.clone());
-        let (capacity, evacuation) = (self.capacity.subscribe(), self.evacuation.subscribe());
-        tokio::spawn(async move {
-            let permit = permits.acquire().await;
-            // The owner has counted all that runs or is about to run against `planned_capacity`, so
-            // the start is safe as long as the worker has at least that.
-            let has_capacity = capacity.borrow().can_fit(&order.planned_capacity);
-            let refusal = if !has_capacity {
-                Some(CAPACITY_SHRANK)
-            } else if evacuation.borrow().is_evacuated {
-                Some(EVACUATED)
-            } else {
-                start_by.filter(|start_by| *start_by < clock.now()).map(|_| START_EXPIRED)
-            };
-            let result = match refusal {
-                Some(reason) => Err(WorkerError::Refused { reason: reason.to_owned() }),
-                None => with_timeout(WORKER_CALL_TIMEOUT, worker(call)).await,
-            };
-            drop(permit);
-            let event = AgentEvent::Started { session, order: Box::new(order), result };
-            drop(events.send(event).await);
+        let lease_until_ms = self.lease_until_ms.unwrap_or(0);
+        let call = WorkerCall::Start { order: order.clone(), lease_until_ms };
+        self.send_call(call, move |result| AgentEvent::Started {
+            session,
+            order: Box::new(order),
+            result,
         });
     }
 
     fn handle_start_result(
         &mut self,
-        session: SessionToken,
         order: StartOrder,
         result: Result<WorkerResponse, WorkerError>,
     ) {
-        if session != self.session {
-            return;
-        }
         match result {
             Ok(response) => {
                 self.note_clock(response.clock_ms);
@@ -717,7 +790,7 @@
                     "request_id" => &order.task.job, "task" => %order.task,
                     "attempt" => order.attempt, "error" => message);
                 self.unconfirmed_starts.add(&order.task, order.attempt);
-                self.send_stop(order.task, order.attempt);
+                self.calls.push_stop(order.task, order.attempt, self.context.clock.now());
             }
         }
     }
@@ -736,43 +809,72 @@
 
     fn send_stop(&self, task: TaskName, attempt: AttemptNumber) {
         let session = self.session;
-        let call = self.addressed(WorkerCall::Stop { task: task.clone(), attempt });
-        let (worker, events) = (self.context.worker.clone(), self.events.clone());
-        let permits = self.permits.clone();
-        tokio::spawn(async move {
-            let mut is_accepted = false;
-            for _ in 0..MAX_STOP_TRIES {
-                let permit = permits.acquire().await;
-                let result = with_timeout(WORKER_CALL_TIMEOUT, worker(call.clone())).await;
-                drop(permit);
-                is_accepted = result.is_ok();
-                if is_accepted || matches!(result, Err(WorkerError::Refused { .. })) {
-                    break;
+        let call = WorkerCall::Stop { task: task.clone(), attempt };
+        self.send_call(call, move |result| AgentEvent::Stopped { session, task, attempt, result });
+    }
+
+    fn handle_stop_result(
+        &mut self,
+        task: &TaskName,
+        attempt: AttemptNumber,
+        result: Result<WorkerResponse, WorkerError>,
+    ) {
+        let now = self.context.clock.now();
+        match result {
+            Ok(_) => {
+                self.calls.remove_stop(task, attempt);
+                self.unconfirmed_starts.stop_accepted(task, attempt, now);
+            }
+            Err(WorkerError::Refused { .. }) => self.calls.remove_stop(task, attempt),
+            Err(WorkerError::Unavailable { .. }) => {
+                let stop = self.calls.retry_stop(task, attempt, now + RETRY_DELAY);
+                if stop.is_some_and(|stop| stop.failure_count >= MAX_STOP_TRIES) {
+                    self.calls.remove_stop(task, attempt);
                 }
-                sleep(RETRY_DELAY).await;
             }
-            let event = AgentEvent::Stopped { session, task, attempt, is_accepted };
-            drop(events.send(event).await);
-        });
+        }
     }
 
     fn send_pace(&self, change: PaceChange) {
-        let call = self.addressed(WorkerCall::Pace {
+        let session = self.session;
+        let call = WorkerCall::Pace {
             task: change.task.clone(),
             attempt: change.attempt,
             percent: change.percent,
-        });
+        };
+        self.send_call(call, move |result| AgentEvent::Paced { session, change, result });
+    }
+
+    fn handle_pace_result(
+        &mut self,
+        change: &PaceChange,
+        result: Result<WorkerResponse, WorkerError>,
+    ) {
+        match result {
+            Ok(_) => self.pacer.confirm(change),
+            Err(error) => warn!(self.context.logger, "pace not applied"; "task" => %change.task,
+                "attempt" => change.attempt, "error" => %error),
+        }
+    }
+
+    /// Sends a call of the session; it ends without a response once the session does.
+    fn send_call(
+        &self,
+        call: WorkerCall,
+        event: impl FnOnce(Result<WorkerResponse, WorkerError>) -> AgentEvent + Send + 'static,
+    ) {
+        let call = self.addressed(call);
         let (worker, events) = (self.context.worker.clone(), self.events.clone());
-        let (permits, logger) = (self.permits.clone(), self.context.logger.clone());
+        let session_end = self.session_end.clone();
         tokio::spawn(async move {
-            let permit = permits.acquire().await;
-            let result = with_timeout(WORKER_CALL_TIMEOUT, worker(call)).await;
-            drop(permit);
-            match result {
-                Ok(_) => drop(events.send(AgentEvent::Paced(change)).await),
-                Err(error) => warn!(logger, "pace not applied"; "task" => %change.task,
-                    "attempt" => change.attempt, "error" => %error),
-            }
+            let result = tokio::select! {
+                biased;
+                () = session_end.cancelled() => {
+                    Err(WorkerError::Unavailable { message: "session has ended".to_owned() })
+                }
+                result = with_timeout(WORKER_CALL_TIMEOUT, worker(call)) => result,
+            };
+            drop(events.send(event(result)).await);
         });
     }
 
@@ -782,12 +884,6 @@
     }
 }
 
-/// Whether one of the orders stops the attempt.
-fn is_stopped(orders: &[Order], start: &StartOrder) -> bool {
-    let attempt = Some((&start.task, start.attempt));
-    orders.iter().any(|order| order.stopped_attempt() == attempt)
-}
-
 async fn with_timeout(
     limit: Duration,
     call: impl Future<Output = Result<WorkerResponse, WorkerError>>,
--- a/crates/teaseltrack-cell/src/constants.rs
+++ b/crates/teaseltrack-cell/src/constants.rs
@@ -206,6 +206,7 @@
     let max_age = evacuation_bound.map(|bound| bound.saturating_sub(START_MARGIN));
     CellSettings {
         lease: MAX_LEASE.min(max_lease),
+        max_lease,
         clock_drift: CLOCK_DRIFT,
         lease_margin: LEASE_MARGIN,
         agent_timeout: AGENT_TIMEOUT,
--- a/crates/teaseltrack-cell/tests/agent.rs
+++ b/crates/teaseltrack-cell/tests/agent.rs
@@ -20,8 +20,9 @@
     placement::Resources,
 };
 use teaseltrack_cell::{
-    agent::{AGENT_MAILBOX_SIZE, AgentContext, AgentEvent, Heartbeat, run_agent},
+    agent::{AGENT_MAILBOX_SIZE, AgentContext, AgentEvent, ClockReading, Heartbeat, run_agent},
     calls::{CallServer, InboundCall, KnownOwner, serve_calls},
+    constants::WORKER_CALL_TIMEOUT,
     worker_port::{AddressedCall, WorkerAdapter, WorkerCall, WorkerError, WorkerResponse},
 };
 use teaseltrack_daemon::{logs::silent, metrics::Metrics};
@@ -79,6 +80,7 @@
         is_poll: false,
         refused_count: 0,
         sent_at: Instant::now(),
+        clock: ClockReading { clock_ms: 1_000, received_at: Instant::now() },
         response: Some(Box::new(response)),
     }
 }
@@ -190,6 +192,36 @@
     }
 }
 
+fn synced(started_unix_ms: u64) -> BoxFuture<'static, Result<WorkerResponse, WorkerError>> {
+    Box::pin(async move {
+        sleep(Duration::from_millis(20)).await;
+        Ok(worker_response(started_unix_ms))
+    })
+}
+
+/// Number of starts until none has been sent for a multiple of the timeout of a call.
+async fn count_starts(starts: &mut mpsc::UnboundedReceiver<WorkerCall>) -> usize {
+    let mut start_count = 0;
+    while let Ok(Some(_)) = timeout(4 * WORKER_CALL_TIMEOUT, starts.recv()).await {
+        start_count += 1;
+    }
+    start_count
+}
+
+/// Worker that responds to sync calls only, and publishes the starts that it receives.
+fn worker_without_responses(calls: mpsc::UnboundedSender<WorkerCall>) -> WorkerAdapter {
+    Arc::new(move |call: AddressedCall| {
+        if matches!(call.call, WorkerCall::Sync { .. }) {
+            return synced(1);
+        }
+        if matches!(call.call, WorkerCall::Start { .. }) {
+            calls.send(call.call).ok();
+        }
+        let no_response: BoxFuture<'static, Result<_, WorkerError>> = Box::pin(pending());
+        no_response
+    })
+}
+
 fn reported_capacity(report: &Report) -> Option<Resources> {
     report.status.as_ref().map(|status| status.capacity)
 }
@@ -403,8 +435,8 @@
                     events.try_send(heartbeat_with_capacity(2, SMALL_CAPACITY)).unwrap();
                     calls.send(call.call).ok();
                 }
-                WorkerCall::Stop { .. } => drop(calls.send(call.call)),
-                WorkerCall::Sync { .. } | WorkerCall::Pace { .. } => {}
+                WorkerCall::Sync { .. } => return synced(1),
+                WorkerCall::Stop { .. } | WorkerCall::Pace { .. } => {}
             }
             let no_response: BoxFuture<'static, Result<_, WorkerError>> = Box::pin(pending());
             no_response
@@ -415,15 +447,7 @@
     agent.send(heartbeat(1)).await;
     let starts = (0..20).map(|index| start(index, CAPACITY)).collect();
     agent.send(reported(1, orders(starts))).await;
-    let mut start_count = 0;
-    // Starts without a response time out and are stopped; stops wait behind all starts.
-    loop {
-        let call = timeout(TIMEOUT, worker_calls.recv()).await.expect("no call to the worker");
-        match call {
-            Some(WorkerCall::Start { .. }) => start_count += 1,
-            _ => break,
-        }
-    }
+    let start_count = count_starts(&mut worker_calls).await;
     assert!((1..20).contains(&start_count), "{start_count} starts");
 }
 
@@ -464,8 +488,8 @@
                     }
                     calls.send(call.call).ok();
                 }
-                WorkerCall::Stop { .. } => drop(calls.send(call.call)),
-                WorkerCall::Sync { .. } | WorkerCall::Pace { .. } => {}
+                WorkerCall::Sync { .. } => return synced(1),
+                WorkerCall::Stop { .. } | WorkerCall::Pace { .. } => {}
             }
             let no_response: BoxFuture<'static, Result<_, WorkerError>> = Box::pin(pending());
             no_response
@@ -477,15 +501,7 @@
     let starts = (0..20).map(|index| start(index, CAPACITY)).collect();
     let permitted = ReportResponse { evacuation: notice(2, false), ..orders(starts) };
     agent.send(reported(1, permitted)).await;
-    let mut start_count = 0;
-    // Starts without a response time out and are stopped; stops wait behind all starts.
-    loop {
-        let call = timeout(TIMEOUT, worker_calls.recv()).await.expect("no call to the worker");
-        match call {
-            Some(WorkerCall::Start { .. }) => start_count += 1,
-            _ => break,
-        }
-    }
+    let start_count = count_starts(&mut worker_calls).await;
     assert!((1..20).contains(&start_count), "{start_count} starts");
 }
 
@@ -517,3 +533,100 @@
         assert_eq!((listing.running, listing.ended.len()), (None, 1));
     }
 }
+
+/// What happens while starts wait for the responses to others.
+#[derive(Clone, Copy, Debug)]
+enum Meanwhile {
+    Restart,
+    NewSession,
+    LeaseEnd,
+    Drain,
+    Stop,
+}
+
+/// Guards against starts that are sent although what they relied on has changed while they waited: a
+/// worker that has restarted would execute those for its earlier incarnation.
+#[parameterized(
+    restart = { Meanwhile::Restart },
+    new_session = { Meanwhile::NewSession },
+    lease_end = { Meanwhile::LeaseEnd },
+    drain = { Meanwhile::Drain },
+    stop = { Meanwhile::Stop },
+)]
+#[test_macro(tokio::test)]
+async fn send_queued_calls_sends_no_outdated_start(meanwhile: Meanwhile) {
+    let (calls, mut worker_calls) = mpsc::unbounded_channel();
+    let (_owner, known_owner) = watch::channel(KnownOwner::default());
+    let agent = TestAgent::start(known_owner, |_| worker_without_responses(calls));
+    agent.send(heartbeat(1)).await;
+    let starts = (0..20).map(|index| start(index, CAPACITY)).collect();
+    let lease_until_ms = match meanwhile {
+        // Long enough for the first starts only.
+        Meanwhile::LeaseEnd => 1_000 + 3 * WORKER_CALL_TIMEOUT.as_millis() as u64 / 2,
+        _ => 100_000,
+    };
+    let ordered = ReportResponse { lease_until_ms: Some(lease_until_ms), ..orders(starts) };
+    agent.send(reported(1, ordered)).await;
+    for _ in 0..6 {
+        timeout(TIMEOUT, worker_calls.recv()).await.expect("no call to the worker");
+    }
+    match meanwhile {
+        Meanwhile::Restart => agent.send(heartbeat(2)).await,
+        Meanwhile::NewSession => agent.send(reported(1, response(6, 0))).await,
+        Meanwhile::Drain => {
+            let draining = WorkerStatus { is_draining: true, ..status(1) };
+            agent.send(numbered_heartbeat(2, draining)).await;
+        }
+        Meanwhile::Stop => {
+            let stops = (6..20).map(|index| Order::Stop(task(index), 1)).collect();
+            let stopped = ReportResponse { first_order: 21, ..orders(stops) };
+            agent.send(reported(1, stopped)).await;
+        }
+        Meanwhile::LeaseEnd => {}
+    }
+    assert_eq!(count_starts(&mut worker_calls).await, 0);
+}
+
+/// Guards against tasks that wait for the lease of a worker that has stopped responding, although their
+/// starts haven't been sent.
+#[tokio::test]
+async fn send_queued_calls_refuses_waiting_starts_on_an_unreachable_worker() {
+    let starts = (0..20).map(|index| start(index, CAPACITY)).collect();
+    let mut owner = TestOwner::start(orders(starts)).await;
+    let worker: WorkerAdapter = Arc::new(|_| Box::pin(pending()));
+    let agent = TestAgent::start(owner.known_owner.clone(), |_| worker);
+    agent.send(heartbeat(1)).await;
+    let report = owner.report(|report| !report.refused.is_empty()).await;
+    assert!(!report.is_worker_reachable);
+    assert!(report.refused.iter().all(|refused| refused.task.index >= 6), "was sent");
+}
+
+/// Guards against a restarted worker that forgets its first ends, or runs tasks under a lease of its
+/// earlier incarnation.
+#[tokio::test]
+async fn send_sync_after_a_failed_one_carries_neither_lease_nor_acknowledgement() {
+    let (sync_sender, mut syncs) = mpsc::unbounded_channel();
+    let worker: WorkerAdapter = Arc::new(move |call: AddressedCall| {
+        let WorkerCall::Sync { lease_until_ms, forget_until, .. } = call.call else {
+            panic!("unexpected call: {call:?}");
+        };
+        let has_lease = lease_until_ms.is_some();
+        sync_sender.send((lease_until_ms, forget_until)).ok();
+        Box::pin(async move {
+            sleep(Duration::from_millis(20)).await;
+            let reset = WorkerError::Unavailable { message: "connection reset".to_owned() };
+            if has_lease { Err(reset) } else { Ok(worker_response(1)) }
+        })
+    });
+    let (_owner, known_owner) = watch::channel(KnownOwner::default());
+    let agent = TestAgent::start(known_owner, |_| worker);
+    agent.send(heartbeat(1)).await;
+    agent.send(reported(1, response(5, 0))).await;
+    let granted = ReportResponse { forget_until: 2, ..orders(Vec::new()) };
+    agent.send(reported(1, granted)).await;
+    let mut next = async || timeout(TIMEOUT, syncs.recv()).await.expect("no sync call");
+    while next().await != Some((Some(100_000), 2)) {}
+    assert_eq!(next().await, Some((None, 0)));
+    // The worker has responded since.
+    assert_eq!(next().await, Some((Some(100_000), 2)));
+}
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -100,6 +100,8 @@
     pub lease: Duration,
     /// Maximum rate, as a fraction, by which a worker's clock may run slow.
     pub clock_drift: f64,
+    /// Longest lease that a worker accepts, whatever it was granted.
+    pub max_lease: Duration,
     /// Safety margin added to every wait for a lease to expire, for the time that a worker takes to
     /// stop its tasks.
     pub lease_margin: Duration,
@@ -131,6 +133,11 @@
     pub fn worst_case_lease(&self) -> Duration {
         self.lease.mul_f64(1.0 + self.clock_drift) + self.lease_margin
     }
+
+    /// Time after which nothing runs on a worker that has taken a lease that wasn't its own.
+    fn longest_lease(&self) -> Duration {
+        self.max_lease.mul_f64(1.0 + self.clock_drift) + self.lease_margin
+    }
 }
 
 /// Run of a task's current attempt on a worker.
@@ -1009,11 +1016,10 @@
                 if status.is_none_or(|status| !status.is_draining) {
                     self.note_loss(current, now);
                 }
-                self.invalidate_worker(current, "worker restarted");
-                self.remove_worker(current);
+                self.replace_worker(current, &incarnation, now);
             }
         }
-        let is_recorded = self.adopt_stored_worker(report, status);
+        let is_recorded = self.adopt_stored_worker(report, status, now);
         let key = match self.by_incarnation.get(&incarnation) {
             Some(&key) => key,
             None => {
@@ -1044,7 +1050,12 @@
 
     /// Ends the agent's stored worker if the reported one is a later incarnation. Returns whether the
     /// reported worker is the stored one.
-    fn adopt_stored_worker(&mut self, report: &Report, status: &WorkerStatus) -> bool {
+    fn adopt_stored_worker(
+        &mut self,
+        report: &Report,
+        status: &WorkerStatus,
+        now: Instant,
+    ) -> bool {
         let Some(stored) = self.stored_workers.remove(&report.agent) else { return false };
         let has_same_agent = stored.agent_started_unix_ms == report.started_unix_ms;
         if stored.incarnation == status.incarnation() {
@@ -1056,12 +1067,44 @@
             if has_same_agent {
                 self.attribute_crash(ended);
             }
-            self.invalidate_worker(ended, "worker restarted");
-            self.remove_worker(ended);
+            self.replace_worker(ended, &status.incarnation(), now);
         }
         false
     }
 
+    /// Ends a worker's incarnation and reclaims its runs. Starts that it hasn't listed may still
+    /// reach the next incarnation, which can't tell them from its own, so these tasks stay assigned
+    /// until the first listing of the next one.
+    fn replace_worker(&mut self, ended: WorkerKey, next: &str, now: Instant) {
+        let assigned: Vec<TaskKey> = self.workers[ended].tasks.iter().copied().collect();
+        let mut in_transit = assigned;
+        in_transit.retain(|task| {
+            let run = self.task(*task).and_then(|task| task.run_on(ended));
+            run.is_some_and(|run| run.is_ordered && !run.is_listed)
+        });
+        if !in_transit.is_empty() {
+            let next = self.get_or_insert_worker(next, now + self.settings.longest_lease(), now);
+            for task in in_transit {
+                self.move_run(task, ended, next);
+            }
+        }
+        self.invalidate_worker(ended, "worker restarted");
+        self.remove_worker(ended);
+    }
+
+    /// Assigns a task's run on one worker to another.
+    fn move_run(&mut self, key: TaskKey, from: WorkerKey, to: WorkerKey) {
+        let spec = self.jobs[key.job].spec.clone();
+        let stage = &spec.stages[key.stage as usize];
+        self.workers[from].release(key, stage);
+        self.workers[to].reserve(key, stage);
+        self.select_run(key, from);
+        if let Some(run) = self.task_mut(key).and_then(|task| task.run.as_mut()) {
+            run.worker = to;
+        }
+        self.jobs[key.job].is_dirty = true;
+    }
+
     /// Starts a session if the worker has none or its agent has restarted. Returns whether the
     /// report belongs to the active session; a report never belongs to a session that it started.
     fn ensure_session(
--- a/crates/teaseltrack/tests/cell/main.rs
+++ b/crates/teaseltrack/tests/cell/main.rs
@@ -23,7 +23,7 @@
         CellEvent,
         job::{Schedule, Stage},
         progress::JobState,
-        protocol::{EndCause, Report, ReportResponse, TaskName},
+        protocol::{EndCause, Order, Report, ReportResponse, StartOrder, TaskName},
     },
     placement::Resources,
 };
@@ -139,6 +139,38 @@
     assert_eq!(fleet.cell.state("0000000000000001"), Some(JobState::Completed));
 }
 
+/// Guards against a second run of a task whose start is executed by the next incarnation of the worker,
+/// before that one has got a session.
+#[test]
+fn replace_worker_keeps_a_start_in_transit_until_the_first_listing() {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.run_steps(4);
+    fleet.submit(stored_job("0000000000000001", vec![stage(4)]));
+    fleet.cell.plan(0, fleet.now);
+    fleet.commit();
+    let report = fleet.instances[0].report();
+    let orders = fleet.cell.handle_report(report, true, fleet.now).orders;
+    let starts: Vec<StartOrder> = orders
+        .into_iter()
+        .filter_map(|order| match order {
+            Order::Start(start) => Some(start),
+            Order::Stop(..) | Order::Traits(_) => None,
+        })
+        .collect();
+    assert!(starts.len() > 1, "no starts for the worker");
+    fleet.restart_worker(0);
+    // Without it, the tasks would be isolated as possible causes of the crash.
+    fleet.restart_agent(0);
+    fleet.max_stop_ms = 500;
+    fleet.instances[0].lease_until_ms = 7_000;
+    for start in starts.into_iter().skip(1) {
+        fleet.start(0, 0, start);
+    }
+    // Each start asserts that its task runs nowhere else.
+    fleet.run_steps(200);
+    assert_eq!(fleet.cell.state("0000000000000001"), Some(JobState::Completed));
+}
+
 #[test]
 fn plan_keeps_a_failing_worker_from_failing_a_job() {
     let mut fleet = Fleet::new(3, 1);
--- a/crates/teaseltrack/tests/util.rs
+++ b/crates/teaseltrack/tests/util.rs
@@ -26,6 +26,7 @@
 /// Settings of a cell as deployed on the platform.
 pub const CELL_SETTINGS: CellSettings = CellSettings {
     lease: Duration::from_millis(5_000),
+    max_lease: Duration::from_millis(5_000),
     clock_drift: 0.02,
     lease_margin: Duration::from_millis(300),
     agent_timeout: Duration::from_millis(1_200),
