Retry a stop until the worker accepts it

Cause: a start without a response is invalidated by a stop of the same attempt, and is reported as not executed only after the worker has accepted the stop. The agent gave up a stop after its first refusal, or after 20 tries without a response, without a trace. The owner takes an unlisted run for one whose start is on its way, without a limit in time.

Change: a stop is retried with an exponential delay until it is accepted, until the end of its run is listed, or until the session ends; the next session begins with a listing that settles it. Failed stops and unconfirmed starts are logged and have metrics.

--- a/crates/teaseltrack-cell/src/agent.rs
+++ b/crates/teaseltrack-cell/src/agent.rs
@@ -68,8 +68,8 @@
 const START_EXPIRED: &str = "start order has expired";
 /// Longest time for which a start order is valid.
 const MAX_ORDER_VALIDITY: Duration = Duration::from_secs(3_600);
-/// Maximum number of tries of a stop call; the owner repeats the order while the run is listed.
-const MAX_STOP_TRIES: u32 = 20;
+/// Number of failed tries of a stop call between two log entries.
+const STOP_LOG_INTERVAL: u32 = 8;
 
 /// Heartbeat of a worker.
 #[derive(Clone, Debug, PartialEq)]
@@ -530,12 +530,19 @@
         } else if !listing.ended.is_empty() {
             self.next_sync_at = now + UNCOMMITTED_ENDS_DELAY;
         }
+        for end in &listing.ended {
+            self.calls.remove_stop(&end.task, end.attempt);
+        }
         self.ended = listing.ended;
         // Without a list of the current runs, nothing is known of a run that isn't listed.
         if let Some(running) = listing.running {
             self.has_listing = true;
             self.running = running;
             let not_started = self.unconfirmed_starts.resolve(&self.running, &self.ended, sent_at);
+            for start in &not_started {
+                info!(self.context.logger, "start never ran"; "request_id" => &start.task.job,
+                    "task" => %start.task, "attempt" => start.attempt, "reason" => &start.reason);
+            }
             self.needs_report |= !not_started.is_empty();
             self.refused.extend(not_started);
         }
@@ -571,6 +578,13 @@
         let estimates =
             (listing.is_some() && !self.has_sent_estimates).then(|| self.pacer.estimates().clone());
         self.has_sent_estimates |= listing.is_some();
+        if is_full {
+            let metrics = &self.context.metrics;
+            let longest_wait = self.unconfirmed_starts.longest_wait(now);
+            metrics.gauge("starts_unconfirmed", self.unconfirmed_starts.len() as u64);
+            metrics.gauge("start_unconfirmed_ms", longest_wait.as_millis() as u64);
+            metrics.gauge("stops_pending", self.calls.pending_stop_count() as u64);
+        }
         Report {
             cell: self.context.cell,
             agent: self.context.instance.clone(),
@@ -781,7 +795,7 @@
             Err(WorkerError::Refused { reason }) if reason == "old" => {
                 // The worker refuses the attempt as outdated; a later listing shows whether it ran.
                 let now = self.context.clock.now();
-                self.unconfirmed_starts.add(&order.task, order.attempt);
+                self.unconfirmed_starts.add(&order.task, order.attempt, now);
                 self.unconfirmed_starts.stop_accepted(&order.task, order.attempt, now);
             }
             Err(WorkerError::Refused { reason }) => self.record_refusal(&order, &reason),
@@ -789,8 +803,9 @@
                 warn!(self.context.logger, "start call failed; stopping the attempt";
                     "request_id" => &order.task.job, "task" => %order.task,
                     "attempt" => order.attempt, "error" => message);
-                self.unconfirmed_starts.add(&order.task, order.attempt);
-                self.calls.push_stop(order.task, order.attempt, self.context.clock.now());
+                let now = self.context.clock.now();
+                self.unconfirmed_starts.add(&order.task, order.attempt, now);
+                self.calls.push_stop(order.task, order.attempt, now);
             }
         }
     }
@@ -825,11 +840,14 @@
                 self.calls.remove_stop(task, attempt);
                 self.unconfirmed_starts.stop_accepted(task, attempt, now);
             }
-            Err(WorkerError::Refused { .. }) => self.calls.remove_stop(task, attempt),
-            Err(WorkerError::Unavailable { .. }) => {
-                let stop = self.calls.retry_stop(task, attempt, now + RETRY_DELAY);
-                if stop.is_some_and(|stop| stop.failure_count >= MAX_STOP_TRIES) {
-                    self.calls.remove_stop(task, attempt);
+            // Only an accepted stop shows that the attempt won't start any more.
+            Err(error) => {
+                self.context.metrics.count("stops_failed");
+                let Some(failure_count) = self.calls.retry_stop(task, attempt, now) else { return };
+                if failure_count % STOP_LOG_INTERVAL == 1 {
+                    warn!(self.context.logger, "stop call failed; retrying";
+                        "request_id" => &task.job, "task" => %task, "attempt" => attempt,
+                        "tries" => failure_count, "error" => %error);
                 }
             }
         }
--- a/crates/teaseltrack-cell/src/agent/call_queue.rs
+++ b/crates/teaseltrack-cell/src/agent/call_queue.rs
@@ -4,7 +4,10 @@
 //! the agent decides at the time of sending whether it still applies. Starts have a limit of their
 //! own: stops don't wait for the response to a start.
 
-use std::{collections::VecDeque, time::Instant};
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
 
 use teaseltrack::{
     cell::{
@@ -14,6 +17,10 @@
     ids::AttemptNumber,
 };
 
+use crate::constants::RETRY_DELAY;
+
+/// Maximum delay before a stop is retried.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(480);
 /// Maximum number of concurrent starts, and of concurrent stops and paces; each uses a connection.
 const MAX_CONCURRENT_CALLS: usize = 6;
 
@@ -34,7 +41,7 @@
     /// Its attempt.
     pub attempt: AttemptNumber,
     /// Number of failed tries.
-    pub failure_count: u32,
+    failure_count: u32,
     /// Time of the next try.
     next_try_at: Instant,
     is_in_flight: bool,
@@ -127,19 +134,26 @@
         self.stops.retain(|stop| stop.task != *task || stop.attempt != attempt);
     }
 
-    /// Schedules the next try of a stop after a failed one; returns the stop.
+    /// Schedules the next try of a stop after a failed one, with an exponential delay; returns the
+    /// number of failed tries.
     pub fn retry_stop(
         &mut self,
         task: &TaskName,
         attempt: AttemptNumber,
-        next_try_at: Instant,
-    ) -> Option<&PendingStop> {
+        now: Instant,
+    ) -> Option<u32> {
         let index = self.stop_index(task, attempt)?;
         let stop = &mut self.stops[index];
+        let delay = RETRY_DELAY * 2_u32.pow(stop.failure_count.min(8));
         stop.is_in_flight = false;
-        stop.failure_count += 1;
-        stop.next_try_at = next_try_at;
-        Some(stop)
+        stop.failure_count = stop.failure_count.saturating_add(1);
+        stop.next_try_at = now + delay.min(MAX_RETRY_DELAY);
+        Some(stop.failure_count)
+    }
+
+    /// Number of stops that the worker hasn't accepted.
+    pub fn pending_stop_count(&self) -> usize {
+        self.stops.len()
     }
 
     /// Adds a pace; replaces one of the same run that hasn't been sent.
--- a/crates/teaseltrack-cell/tests/agent.rs
+++ b/crates/teaseltrack-cell/tests/agent.rs
@@ -2,7 +2,7 @@
 //! capacity changes, or whose availability zone is evacuated.
 
 use std::{
-    future::pending,
+    future::{pending, ready},
     sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
@@ -630,3 +630,32 @@
     // The worker has responded since.
     assert_eq!(next().await, Some((Some(100_000), 2)));
 }
+
+/// Guards against a job that hangs: the worker leaves a start without a response, and then refuses its
+/// stop for a while.
+#[parameterized(
+    refused = { 6, WorkerError::Refused { reason: "status 503".to_owned() } },
+    without_response = { 21, WorkerError::Unavailable { message: "connection reset".to_owned() } },
+)]
+#[test_macro(tokio::test)]
+async fn handle_stop_result_retries_until_the_stop_is_accepted(
+    failure_count: usize,
+    error: WorkerError,
+) {
+    let mut owner = TestOwner::start(orders(vec![start(0, CAPACITY)])).await;
+    let remaining = Arc::new(Mutex::new(failure_count));
+    let failures = remaining.clone();
+    let worker: WorkerAdapter = Arc::new(move |call: AddressedCall| match call.call {
+        WorkerCall::Start { .. } => Box::pin(pending()),
+        WorkerCall::Stop { .. } if *failures.lock().unwrap() > 0 => {
+            *failures.lock().unwrap() -= 1;
+            Box::pin(ready(Err(error.clone())))
+        }
+        _ => synced(1),
+    });
+    let agent = TestAgent::start(owner.known_owner.clone(), |_| worker);
+    agent.send(heartbeat(1)).await;
+    let report = owner.report(|report| !report.refused.is_empty()).await;
+    assert_eq!((report.refused[0].task.clone(), report.refused[0].attempt), (task(0), 1));
+    assert_eq!(*remaining.lock().unwrap(), 0, "the attempt may still start");
+}
--- a/crates/teaseltrack-cell/tests/util.rs
+++ b/crates/teaseltrack-cell/tests/util.rs
@@ -60,6 +60,12 @@
         self.history.push(RowChange { key, version, value: Some(value) });
     }
 
+    /// Present value of a row.
+    #[allow(dead_code, reason = "not all test programs use it")]
+    pub fn value(&self, key: &str) -> Option<String> {
+        self.values.get(key).map(|row| row.value.clone())
+    }
+
     /// Number of writes of a row.
     #[allow(dead_code, reason = "not all test programs use it")]
     pub fn write_count(&self, key: &str) -> usize {
