Keep a job's progress within a row of the store

Cause: a job's progress row listed the tasks of all occurrences that had begun, some 28 bytes for each task that is done. The platform's limit on rows wasn't read. The store refuses a larger row for good; the owner retried the commit unchanged, with all other changes of the cell, and so did each later owner.

Change: the tasks of an occurrence are dropped once it is over. At most 1,000 tasks of a job's occurrences are open at a time; the limit of 100,000 tasks on all of them, after which a job never ended, is gone.

On related paths: a commit is limited to 600 kB of progress; a row that the store rejects for good is told apart from one to try again and takes only its own job's changes with it; a submission that doesn't fit is rejected with the reason at once.

--- a/crates/teaseltrack-cell/src/candidate.rs
+++ b/crates/teaseltrack-cell/src/candidate.rs
@@ -250,6 +250,7 @@
             previous_grants_end,
             silent_workers,
             logger: self.context.logger.clone(),
+            metrics: self.context.metrics.clone(),
         }
     }
 }
--- a/crates/teaseltrack-cell/src/entry.rs
+++ b/crates/teaseltrack-cell/src/entry.rs
@@ -42,6 +42,9 @@
     },
 };
 
+/// What the row of a delegated task has beside the job's specification, in bytes.
+const DELEGATION_BYTES: usize = 2_048;
+
 /// Outcome of a submission.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SubmitOutcome {
@@ -136,10 +139,16 @@
             return SubmitOutcome::Refused;
         };
         let key = submission_key(job);
+        let write = Write::put(key.clone(), &Submission { spec, queue: queue.clone(), cell });
+        let bytes = write.value.as_ref().map_or(0, String::len);
+        let max_bytes = self.store.max_value_bytes().saturating_sub(DELEGATION_BYTES);
+        if bytes > max_bytes {
+            return SubmitOutcome::Invalid(InvalidJob::TooLarge { bytes, max_bytes });
+        }
         let transaction = Transaction {
             id: job.clone(),
-            conditions: vec![Condition { key: key.clone(), version: 0 }],
-            writes: vec![Write::put(key, &Submission { spec, queue: queue.clone(), cell })],
+            conditions: vec![Condition { key, version: 0 }],
+            writes: vec![write],
         };
         // Number of calls that may have stored the job, including the one in flight.
         let mut in_doubt_calls = 0_u32;
@@ -147,17 +156,25 @@
             loop {
                 in_doubt_calls += 1;
                 match self.store.commit(transaction.clone()).await {
-                    Ok(CommitOutcome::Committed { .. } | CommitOutcome::Conflict { .. }) => return,
+                    Ok(CommitOutcome::Committed { .. } | CommitOutcome::Conflict { .. }) => {
+                        return true;
+                    }
                     Err(StoreError::Refused { .. }) => in_doubt_calls -= 1,
+                    Err(error @ StoreError::Rejected { .. }) => {
+                        warn!(self.logger, "the store rejects the job"; "request_id" => job,
+                            "bytes" => bytes, "error" => %error);
+                        in_doubt_calls -= 1;
+                        return false;
+                    }
                     Err(_) => {}
                 }
                 sleep(RETRY_DELAY).await;
             }
         };
         let outcome = match timeout_at(deadline.into(), retry_loop).await {
-            Ok(()) => SubmitOutcome::Accepted,
-            Err(_) if in_doubt_calls > 0 => SubmitOutcome::Unknown,
-            Err(_) => SubmitOutcome::Refused,
+            Ok(true) => SubmitOutcome::Accepted,
+            Ok(false) | Err(_) if in_doubt_calls > 0 => SubmitOutcome::Unknown,
+            Ok(false) | Err(_) => SubmitOutcome::Refused,
         };
         self.metrics.count_tagged("submissions", "outcome", outcome.name());
         info!(self.logger, "job submitted"; "request_id" => job, "queue" => &queue.name,
--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -16,7 +16,7 @@
     cell::{
         Cell, CellEvent, CellSettings,
         evacuation::Evacuations,
-        job::QueueConfiguration,
+        job::{JobId, QueueConfiguration},
         obstacles::ServingWaits,
         ownership::OwnershipSettings,
         partition::CellId,
@@ -121,7 +121,7 @@
 }
 
 /// Commit in flight; returns the committer with the result.
-type CommitTask = JoinHandle<(Committer, Result<(), OwnershipLost>)>;
+type CommitTask = JoinHandle<(Committer, Result<Vec<JobId>, OwnershipLost>)>;
 /// Search for cells with room for waiting tasks in progress.
 type SearchTask = JoinHandle<FoundCells>;
 
@@ -265,7 +265,7 @@
                 Some(changes) = receivers.job_changes.recv() => self.handle_job_changes(changes),
                 done = task_result(&mut committing) => {
                     committing = None;
-                    let Some((committer, Ok(()))) = done else {
+                    let Some((committer, Ok(rejected_jobs))) = done else {
                         info!(self.context.logger,
                             "ownership lost or commit task failed; returning to candidate";
                             "epoch" => self.cell.epoch());
@@ -275,6 +275,7 @@
                     self.renewed_at = committer.renewed_at;
                     let commit_time = self.context.clock.now().duration_since(self.renewed_at);
                     self.context.metrics.time("commit", commit_time);
+                    self.cell.commit_rejected(&rejected_jobs);
                     self.cell.commit_succeeded();
                     self.store_delegations();
                     idle_committer = Some(committer);
--- a/crates/teaseltrack-cell/src/owner/committer.rs
+++ b/crates/teaseltrack-cell/src/owner/committer.rs
@@ -5,16 +5,19 @@
 
 use std::time::{Duration, Instant};
 
-use slog::{Logger, warn};
+use slog::{Logger, error, warn};
 use teaseltrack::{
     cell::{
         CommitBatch,
+        job::JobId,
         ownership::{OwnerRecord, SilentWorkerRecord, recorded_remaining_ms},
         partition::CellId,
+        progress::{JobProgress, stored::ProgressRow},
         silence::SilentWorker,
     },
     clock::SharedClock,
 };
+use teaseltrack_daemon::metrics::Metrics;
 use teaseltrack_platform::store::{
     CommitOutcome, Condition, Store, StoreError, Transaction, Write,
 };
@@ -52,24 +55,62 @@
     pub silent_workers: Vec<SilentWorker>,
     /// Logger for failed tries.
     pub logger: Logger,
+    /// Metrics.
+    pub metrics: Metrics,
 }
 
 impl Committer {
-    /// Commits a batch and renews the ownership; retries until the outcome is known.
+    /// Commits a batch and renews the ownership; retries until the outcome is known. Returns the jobs
+    /// whose rows the store rejects for good.
     ///
     /// # Errors
     ///
     /// The cell has another owner.
-    pub async fn commit(&mut self, batch: CommitBatch) -> Result<(), OwnershipLost> {
+    pub async fn commit(&mut self, batch: CommitBatch) -> Result<Vec<JobId>, OwnershipLost> {
         self.silent_workers = batch.silent_workers;
         let mut writes = Vec::new();
         for (job, progress) in &batch.rows {
-            writes.push(Write::put(progress_key(self.cell, job), progress));
+            writes.push(self.progress_write(job, progress));
         }
         for (agent, worker) in &batch.workers {
             writes.push(Write::put(worker_key(self.cell, agent), worker));
         }
-        self.commit_writes(writes).await
+        if self.commit_writes(&writes).await? {
+            return Ok(Vec::new());
+        }
+        let mut rejected = Vec::new();
+        for write in writes {
+            if self.commit_writes(std::slice::from_ref(&write)).await? {
+                continue;
+            }
+            self.metrics.count("rows_rejected");
+            error!(self.logger, "the store rejects a row; its changes aren't stored";
+                "key" => &write.key, "bytes" => write.value.as_ref().map_or(0, String::len));
+            let job = batch.rows.iter().find(|(job, _)| progress_key(self.cell, job) == write.key);
+            rejected.extend(job.map(|(job, _)| job.clone()));
+        }
+        Ok(rejected)
+    }
+
+    fn progress_write(&self, job: &JobId, progress: &JobProgress) -> Write {
+        let key = progress_key(self.cell, job);
+        let max_bytes = self.store.max_value_bytes();
+        match progress.to_row(max_bytes) {
+            Ok(ProgressRow { text, lacks_checkpoints }) => {
+                if lacks_checkpoints {
+                    self.metrics.count("progress_rows_without_checkpoints");
+                    warn!(self.logger, "progress stored without checkpoints; the row is too large";
+                        "request_id" => job, "bytes" => text.len(), "max_bytes" => max_bytes);
+                }
+                self.metrics.gauge("progress_row_bytes", text.len() as u64);
+                Write { key, value: Some(text) }
+            }
+            Err(error) => {
+                error!(self.logger, "progress can't be encoded"; "request_id" => job,
+                    "error" => %error);
+                Write::put(key, progress)
+            }
+        }
     }
 
     /// Renews the ownership without further changes.
@@ -78,10 +119,11 @@
     ///
     /// The cell has another owner.
     pub async fn renew(&mut self) -> Result<(), OwnershipLost> {
-        self.commit_writes(Vec::new()).await
+        self.commit_writes(&[]).await.map(drop)
     }
 
-    async fn commit_writes(&mut self, mut writes: Vec<Write>) -> Result<(), OwnershipLost> {
+    /// Returns whether the rows are committed; the store rejects them for good otherwise.
+    async fn commit_writes(&mut self, writes: &[Write]) -> Result<bool, OwnershipLost> {
         let first_sent_at = self.clock.now();
         let silent_workers = self.silent_workers.iter();
         let next = OwnerRecord {
@@ -95,7 +137,8 @@
                 .collect(),
             ..self.record.clone()
         };
-        writes.insert(0, Write::put(owner_key(self.cell), &next));
+        let renewal = Write::put(owner_key(self.cell), &next);
+        let writes: Vec<Write> = std::iter::once(renewal).chain(writes.iter().cloned()).collect();
         let mut delay = RETRY_DELAY;
         loop {
             match self.try_commit(&next, &writes).await {
@@ -103,9 +146,10 @@
                     self.record = next;
                     self.version = version;
                     self.renewed_at = first_sent_at;
-                    return Ok(());
+                    return Ok(true);
                 }
                 Ok(None) => return Err(OwnershipLost),
+                Err(StoreError::Rejected { .. }) if writes.len() > 1 => return Ok(false),
                 Err(error) => {
                     warn!(self.logger, "commit failed; retrying";
                         "sequence" => next.sequence, "rows" => writes.len(), "error" => %error);
--- a/crates/teaseltrack-cell/tests/candidate.rs
+++ b/crates/teaseltrack-cell/tests/candidate.rs
@@ -43,7 +43,11 @@
         attempt: 1,
         ..TaskProgress::default()
     };
-    let progress = JobProgress { state: JobState::Active, occurrences: vec![vec![vec![task]]] };
+    let progress = JobProgress {
+        state: JobState::Active,
+        occurrences: vec![vec![vec![task]]],
+        ..JobProgress::default()
+    };
     let submission = Submission { spec, ..Submission::default() };
     let mut rows = Rows::default();
     rows.put(&owner_key(0), &serde_json::to_string(owner).unwrap());
--- a/crates/teaseltrack-cell/tests/util.rs
+++ b/crates/teaseltrack-cell/tests/util.rs
@@ -10,7 +10,7 @@
 use teaseltrack_cell::{configuration::ConfigurationSource, evacuation::OperatorSource};
 use teaseltrack_platform::store::{
     ChangePage, CommitOutcome, Row, RowChange, Store, StoreBudget, StoreCall, StoreError,
-    StoreReply, Transaction,
+    StoreReply, Transaction, Write,
 };
 use tokio::time::sleep;
 
@@ -28,6 +28,10 @@
     pub failing_reads: u32,
     /// Row to which no transaction is accepted.
     pub refused_key: Option<String>,
+    /// Row that is rejected for good.
+    pub rejected_key: Option<String>,
+    /// Maximum size of a row's value, in bytes; 0 for no limit.
+    pub max_value_bytes: usize,
 }
 
 impl Rows {
@@ -76,6 +80,14 @@
         if transaction.writes.iter().any(|write| Some(&write.key) == self.refused_key.as_ref()) {
             return Err(StoreError::Unavailable { message: "row refused".to_owned() });
         }
+        let is_rejected = |write: &Write| {
+            let bytes = write.value.as_ref().map_or(0, String::len);
+            Some(&write.key) == self.rejected_key.as_ref()
+                || (self.max_value_bytes > 0 && bytes > self.max_value_bytes)
+        };
+        if transaction.writes.iter().any(is_rejected) {
+            return Err(StoreError::Rejected { message: "status 400".to_owned() });
+        }
         for condition in transaction.conditions {
             let version = self.values.get(&condition.key).map_or(0, |row| row.version);
             if version != condition.version {
--- a/crates/teaseltrack-cell/tests/worker_faults.rs
+++ b/crates/teaseltrack-cell/tests/worker_faults.rs
@@ -1,5 +1,5 @@
 //! Tests of an owner and its agents with workers that restart, lose their connections, refuse calls
-//! or execute them late.
+//! or execute them late, and with a store that rejects rows.
 
 #[path = "util/simulated_worker.rs"]
 mod simulated_worker;
@@ -14,8 +14,8 @@
 use rand_chacha::ChaCha8Rng;
 use simulated_worker::{CallFault, MAX_LEASE, Run, Runs, SimulatedWorker};
 use teaseltrack::{
-    cell::job::{JobSpec, Queue, Stage},
-    clock::SystemClock,
+    cell::job::{JobSpec, Queue, Schedule, Stage},
+    clock::{SystemClock, unix_ms},
     placement::Resources,
 };
 use teaseltrack_cell::{
@@ -118,6 +118,15 @@
     }
 
     fn submit(&mut self, stage_count: usize, task_count: u32) {
+        self.submit_recurring(stage_count, task_count, None);
+    }
+
+    fn submit_recurring(
+        &mut self,
+        stage_count: usize,
+        task_count: u32,
+        schedule: Option<Schedule>,
+    ) {
         let job = format!("{:016x}", self.jobs.len() + self.cancelled.len());
         let resources = Resources { cpu_milli: 50, memory_mib: 100, accelerators: 0 };
         let stage = |index: usize| Stage {
@@ -130,6 +139,7 @@
         let spec = JobSpec {
             queue: "queue".to_owned(),
             stages: (0..stage_count).map(stage).collect(),
+            schedule,
             ..JobSpec::default()
         };
         let queue = Queue {
@@ -302,3 +312,32 @@
 async fn worker_faults_break_no_promise_with_refused_calls() {
     run_seeds(&[LATE, CallFault::ResponseLost, CallFault::Refused]).await;
 }
+
+/// Guards against a recurring job whose progress outgrows a row, so that its owner and each later one
+/// can't commit anything any more.
+#[tokio::test(flavor = "multi_thread")]
+async fn commit_of_a_recurring_job_is_accepted() {
+    let mut system = System::start(2, Duration::from_millis(40)).await;
+    system.rows.lock().unwrap().max_value_bytes = 49_152;
+    let first_unix_ms = unix_ms(SystemTime::now());
+    let schedule = Schedule { first_unix_ms, interval_ms: 100, occurrence_count: 120 };
+    system.submit_recurring(1, 20, Some(schedule));
+    sleep(Duration::from_secs(12)).await;
+    system.submit(1, 4);
+    system.assert_completes(Duration::from_secs(20)).await;
+    system.assert_runs();
+}
+
+/// Guards against a row that the store rejects and that keeps the owner from committing all others.
+#[tokio::test(flavor = "multi_thread")]
+async fn commit_of_a_rejected_row_leaves_the_other_jobs_alone() {
+    let mut system = System::start(2, Duration::from_millis(100)).await;
+    system.rows.lock().unwrap().rejected_key = Some(progress_key(0, "0000000000000000"));
+    system.submit(1, 4);
+    system.submit(1, 4);
+    let rejected = system.jobs.remove(0);
+    system.assert_completes(Duration::from_secs(20)).await;
+    system.assert_runs();
+    let runs = system.runs.lock().unwrap();
+    assert!(!runs.iter().any(|run| run.task.job == rejected), "started without being stored");
+}
--- a/crates/teaseltrack-platform/src/store.rs
+++ b/crates/teaseltrack-platform/src/store.rs
@@ -23,6 +23,8 @@
 const BURST_S: f64 = 1.0;
 /// Kind of a row in the reports of odd entries.
 pub const ODD_ROW: &str = "row";
+/// Default of the maximum size of a row's value, in bytes.
+const DEFAULT_MAX_VALUE_BYTES: usize = 49_152;
 /// Maximum number of rows in one listing.
 pub const LIST_LIMIT: usize = 500;
 
@@ -42,6 +44,12 @@
         /// Cause.
         message: String,
     },
+    /// The store rejected the content of the call without executing it; a retry can't succeed.
+    #[snafu(display("store rejected the call for good: {message}"))]
+    Rejected {
+        /// Cause.
+        message: String,
+    },
     /// The content of a row or object can't be parsed.
     #[snafu(display("{key}: {source}"))]
     Unreadable {
@@ -254,6 +262,7 @@
     buckets: Arc<Mutex<Buckets>>,
     usage: Arc<StoreUsage>,
     odd_entries: OddEntries,
+    max_value_bytes: usize,
 }
 
 /// Counters of the calls sent to the store.
@@ -303,7 +312,18 @@
             Buckets { writes: bucket(budget.writes_per_s), reads: bucket(budget.reads_per_s) };
         let buckets = Arc::new(Mutex::new(buckets));
         let odd_entries = OddEntries::silent();
-        Self { adapter, clock, buckets, usage: Arc::default(), odd_entries }
+        let max_value_bytes = DEFAULT_MAX_VALUE_BYTES;
+        Self { adapter, clock, buckets, usage: Arc::default(), odd_entries, max_value_bytes }
+    }
+
+    /// Sets the maximum size of a row's value as JSON text, in bytes.
+    pub fn with_max_value_bytes(self, max_value_bytes: usize) -> Self {
+        Self { max_value_bytes, ..self }
+    }
+
+    /// Maximum size of a row's value as JSON text, in bytes.
+    pub fn max_value_bytes(&self) -> usize {
+        self.max_value_bytes
     }
 
     /// Sets the reporter of rows that can't be read.
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -28,10 +28,10 @@
         interference::{ImageUsage, InterferenceModel, InterferenceSettings},
         job::{JobId, JobSpec, Queue, QueueConfiguration, Stage},
         obstacles::Obstacles,
+        occurrences::{Occurrence, Occurrences},
         partition::CellId,
         progress::{
-            JobProgress, JobState, OccurrenceProgress, TaskPhase, TaskProgress, WorkerIncarnation,
-            WorkerRecord,
+            JobProgress, JobState, TaskPhase, TaskProgress, WorkerIncarnation, WorkerRecord,
         },
         protocol::{
             EndCause, EndedTask, Order, RefusedStart, Report, ReportResponse, RunningTask,
@@ -56,6 +56,7 @@
 pub mod job;
 pub mod loss;
 pub mod obstacles;
+mod occurrences;
 pub mod ownership;
 pub mod pacing;
 pub mod partition;
@@ -212,11 +213,6 @@
     }
 }
 
-#[derive(Clone, Debug, Default)]
-struct Occurrence {
-    stages: Vec<Vec<Task>>,
-}
-
 /// Scheduling state of a job.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -226,8 +222,10 @@
     accepted_at: Instant,
     state: JobState,
     committed_state: JobState,
-    occurrences: Vec<Occurrence>,
+    occurrences: Occurrences,
     is_dirty: bool,
+    /// Whether the store has rejected the last version of its progress.
+    is_rejected: bool,
     /// Whether a task may be waiting in a stage that is ready; planning skips the job otherwise.
     may_have_waiting: bool,
     /// Run times of the done tasks of each stage, as factors on the declared estimate.
@@ -654,7 +652,8 @@
         let queue = self.configuration.queue(&stored.spec.queue).cloned().unwrap_or(stored.queue);
         let progress = stored.progress.unwrap_or_default();
         let mut tasks = progress.occurrences.iter().flatten().flatten();
-        let has_begun = tasks.any(|task| task.phase == TaskPhase::Done || task.ended_attempt > 0);
+        let has_begun = progress.first_occurrence > 0
+            || tasks.any(|task| task.phase == TaskPhase::Done || task.ended_attempt > 0);
         let accepted_at = now.checked_sub(stored.age).unwrap_or(now);
         let stage_factors = vec![FactorEstimate::default(); stored.spec.stages.len()];
         let histories = self.histories.keys_of(&stored.spec, now);
@@ -665,8 +664,9 @@
             accepted_at,
             state: progress.state,
             committed_state: progress.state,
-            occurrences: Vec::new(),
+            occurrences: Occurrences::starting_at(progress.first_occurrence),
             is_dirty: false,
+            is_rejected: false,
             may_have_waiting: true,
             stage_factors,
             histories,
@@ -676,7 +676,7 @@
             uncommitted_hand_overs: Vec::new(),
         });
         self.by_id.insert(stored.id, key);
-        self.restore_occurrences(key, progress.occurrences, now);
+        self.restore_occurrences(key, progress, now);
         self.restore_delegations(key);
         if !self.jobs[key].state.is_final() || self.has_runs(key) {
             self.open_jobs.push(key);
@@ -911,26 +911,17 @@
         self.needs_plan
     }
 
-    fn restore_occurrences(
-        &mut self,
-        key: JobKey,
-        occurrences: Vec<OccurrenceProgress>,
-        now: Instant,
-    ) {
+    fn restore_occurrences(&mut self, key: JobKey, progress: JobProgress, now: Instant) {
         let spec = self.jobs[key].spec.clone();
         let lease_end = self.previous_leases_end;
-        for (occurrence, stages) in occurrences.into_iter().enumerate() {
+        for (occurrence, stages) in (progress.first_occurrence..).zip(progress.occurrences) {
             let mut restored = Occurrence::default();
             for (stage, tasks) in stages.into_iter().enumerate() {
                 let mut restored_tasks = Vec::with_capacity(tasks.len());
                 for (index, mut progress) in tasks.into_iter().enumerate() {
                     self.may_have_suspects |= progress.crash_count > 0;
-                    let task = TaskKey {
-                        job: key,
-                        occurrence: occurrence as u32,
-                        stage: stage as u32,
-                        index: index as u32,
-                    };
+                    let task =
+                        TaskKey { job: key, occurrence, stage: stage as u32, index: index as u32 };
                     let mut run = match &progress.phase {
                         TaskPhase::Assigned(incarnation) => {
                             let worker = self.get_or_insert_worker(incarnation, lease_end, now);
@@ -953,6 +944,9 @@
             }
             self.jobs[key].occurrences.push(restored);
         }
+        if !self.jobs[key].is_partial {
+            self.jobs[key].occurrences.drop_finished();
+        }
     }
 
     /// Inserts a job of another cell, of which no task belongs to this one yet.
@@ -1446,8 +1440,9 @@
         let job = &mut self.jobs[key.job];
         job.may_have_waiting = true;
         let stage = &job.spec.stages[key.stage as usize];
-        let task = &mut job.occurrences[key.occurrence as usize].stages[key.stage as usize]
-            [key.index as usize];
+        let occurrence = job.occurrences.get_mut(key.occurrence);
+        let tasks = occurrence.and_then(|occurrence| occurrence.stages.get_mut(key.stage as usize));
+        let Some(task) = tasks.and_then(|tasks| tasks.get_mut(key.index as usize)) else { return };
         task.waiting_since = None;
         task.unplaced_since = None;
         task.room_found_at = None;
@@ -1504,14 +1499,14 @@
         self.needs_plan = true;
     }
 
-    /// Completes a job whose tasks are all done, and drops the task state of a final job that has
-    /// no runs left.
+    /// Completes a job whose tasks are all done, and drops the task state of finished occurrences and
+    /// of a final job that has no runs left.
     fn finalize_if_done(&mut self, key: JobKey) {
         let job = &self.jobs[key];
         let occurrence_count = job.spec.schedule.map_or(1, |schedule| schedule.occurrence_count);
-        let all_started = job.occurrences.len() as u32 >= occurrence_count;
-        let mut tasks = job.occurrences.iter().flat_map(|o| o.stages.iter().flatten());
-        let all_done = all_started && tasks.all(|task| task.progress.phase == TaskPhase::Done);
+        let all_started = job.occurrences.begun_count() >= occurrence_count;
+        let is_done = |task: &Task| task.progress.phase == TaskPhase::Done;
+        let all_done = all_started && job.occurrences.tasks().all(is_done);
         if all_done && !job.state.is_final() {
             self.finish(key, JobState::Completed);
         }
@@ -1520,12 +1515,13 @@
             job.is_dirty |= !job.occurrences.is_empty();
             job.occurrences.clear();
             job.uncommitted_starts.clear();
+        } else if !self.jobs[key].is_partial {
+            self.jobs[key].occurrences.drop_finished();
         }
     }
 
     fn has_runs(&self, key: JobKey) -> bool {
-        let occurrences = &self.jobs[key].occurrences;
-        occurrences.iter().flat_map(|o| o.stages.iter().flatten()).any(|task| task.run.is_some())
+        self.jobs[key].occurrences.tasks().any(|task| task.run.is_some())
     }
 
     fn stage(&self, key: TaskKey) -> &Stage {
@@ -1533,23 +1529,23 @@
     }
 
     fn task(&self, key: TaskKey) -> Option<&Task> {
-        let occurrence = self.jobs.get(key.job)?.occurrences.get(key.occurrence as usize)?;
+        let occurrence = self.jobs.get(key.job)?.occurrences.get(key.occurrence)?;
         occurrence.stages.get(key.stage as usize)?.get(key.index as usize)
     }
 
     fn task_mut(&mut self, key: TaskKey) -> Option<&mut Task> {
         let job = self.jobs.get_mut(key.job)?;
-        let occurrence = job.occurrences.get_mut(key.occurrence as usize)?;
+        let occurrence = job.occurrences.get_mut(key.occurrence)?;
         occurrence.stages.get_mut(key.stage as usize)?.get_mut(key.index as usize)
     }
 
     fn task_keys(&self, job: JobKey) -> Vec<TaskKey> {
         let mut keys = Vec::new();
-        for (occurrence, stages) in self.jobs[job].occurrences.iter().enumerate() {
+        for (occurrence, stages) in self.jobs[job].occurrences.iter() {
             for (stage, tasks) in stages.stages.iter().enumerate() {
                 keys.extend((0..tasks.len()).map(|index| TaskKey {
                     job,
-                    occurrence: occurrence as u32,
+                    occurrence,
                     stage: stage as u32,
                     index: index as u32,
                 }));
--- a/crates/teaseltrack/src/cell/commits.rs
+++ b/crates/teaseltrack/src/cell/commits.rs
@@ -6,6 +6,7 @@
 use crate::{
     cell::{
         Cell, CommitBatch, JobKey, PendingEffects, Task, UncommittedStart, WorkerKey,
+        job::JobId,
         progress::{JobProgress, TaskPhase, TaskProgress, WorkerRecord},
         protocol::{Order, SharingTraits, StartOrder, TaskName},
         worker::TaskKey,
@@ -14,6 +15,10 @@
     placement::Resources,
 };
 
+/// Maximum size of a commit's progress rows, in bytes; the platform accepts 1 MB per transaction, in
+/// which rows take four thirds of their size.
+const MAX_COMMIT_BYTES: usize = 600_000;
+
 impl Cell {
     /// Returns the next batch to commit, of at most `max_rows` rows; `None` if there is nothing to
     /// commit or a commit is in flight.
@@ -35,7 +40,8 @@
         let workers = self.list_unrecorded_workers(max_rows);
         let max_rows = max_rows - workers.len();
         let dirty: Vec<JobKey> = self.dirty_jobs().collect();
-        let are_all_jobs_stored = dirty.len() <= max_rows;
+        let rows = self.list_progress(&dirty, max_rows);
+        let are_all_jobs_stored = rows.len() == dirty.len();
         let silent_workers = self.list_silent_workers(are_all_jobs_stored);
         let returned = self.returned_workers(&silent_workers);
         let mut effects = PendingEffects { returned, ..Default::default() };
@@ -46,8 +52,7 @@
             effects.ends =
                 self.workers.iter().map(|(key, worker)| (key, worker.processed_end)).collect();
         }
-        for key in dirty.into_iter().take(max_rows) {
-            let progress = self.progress_of(key);
+        for (key, progress) in rows {
             let job = &mut self.jobs[key];
             job.is_dirty = false;
             effects.starts.append(&mut job.uncommitted_starts);
@@ -59,6 +64,21 @@
         Some(batch)
     }
 
+    /// Progress of the first of the jobs, as much as a commit may have.
+    fn list_progress(&self, jobs: &[JobKey], max_rows: usize) -> Vec<(JobKey, JobProgress)> {
+        let mut rows = Vec::new();
+        let mut total_bytes = 0;
+        for &key in jobs.iter().take(max_rows) {
+            let progress = self.progress_of(key);
+            total_bytes += progress.estimated_bytes();
+            if total_bytes > MAX_COMMIT_BYTES && !rows.is_empty() {
+                break;
+            }
+            rows.push((key, progress));
+        }
+        rows
+    }
+
     /// Workers with tasks whose row isn't stored, at most half of the rows of a batch.
     fn list_unrecorded_workers(&mut self, max_rows: usize) -> Vec<(InstanceId, WorkerRecord)> {
         let unrecorded = self.workers.values_mut().filter_map(|worker| {
@@ -80,11 +100,35 @@
         self.open_jobs.iter().copied().filter(is_dirty)
     }
 
+    /// Withdraws the effects of the in-flight commit on jobs whose rows the store has rejected for good.
+    /// Their tasks don't start until a later row is accepted; it may be shorter.
+    pub fn commit_rejected(&mut self, jobs: &[JobId]) {
+        let rejected: Vec<JobKey> =
+            jobs.iter().filter_map(|id| self.by_id.get(id).copied()).collect();
+        let Some(effects) = self.pending_effects.as_mut().filter(|_| !rejected.is_empty()) else {
+            return;
+        };
+        effects.states.retain(|(key, _)| !rejected.contains(key));
+        effects.hand_overs.retain(|hand_over| !rejected.contains(&hand_over.task.job));
+        let is_rejected = |start: &mut UncommittedStart| rejected.contains(&start.task.job);
+        let withdrawn: Vec<UncommittedStart> = effects.starts.extract_if(.., is_rejected).collect();
+        for UncommittedStart { worker, task, .. } in withdrawn {
+            self.select_run(task, worker);
+            self.reclaim_task(task, "the store rejects the job's progress");
+        }
+        for key in rejected {
+            let job = &mut self.jobs[key];
+            job.is_rejected = true;
+            job.is_dirty = false;
+        }
+    }
+
     /// Applies the effects deferred until the in-flight commit, which has succeeded.
     pub fn commit_succeeded(&mut self) {
         let Some(effects) = self.pending_effects.take() else { return };
         for (key, state) in effects.states {
             self.jobs[key].committed_state = state;
+            self.jobs[key].is_rejected = false;
         }
         for (worker, end) in effects.ends {
             if let Some(worker) = self.workers.get_mut(worker) {
@@ -110,17 +154,19 @@
 
     fn progress_of(&self, key: JobKey) -> JobProgress {
         let job = &self.jobs[key];
-        let occurrences = job
-            .occurrences
-            .iter()
-            .map(|occurrence| {
-                let stages = occurrence.stages.iter();
-                stages
-                    .map(|tasks| tasks.iter().map(|task| self.progress_to_commit(task)).collect())
-                    .collect()
-            })
-            .collect();
-        JobProgress { state: job.state, occurrences }
+        let begun = job.occurrences.since_first().map(|(_, occurrence)| {
+            let stages = occurrence.stages.iter();
+            stages
+                .map(|tasks| tasks.iter().map(|task| self.progress_to_commit(task)).collect())
+                .collect()
+        });
+        let mut progress = JobProgress {
+            state: job.state,
+            first_occurrence: job.occurrences.first(),
+            occurrences: begun.collect(),
+        };
+        progress.expand_finished(&job.spec);
+        progress
     }
 
     fn progress_to_commit(&self, task: &Task) -> TaskProgress {
--- a/crates/teaseltrack/src/cell/delegation.rs
+++ b/crates/teaseltrack/src/cell/delegation.rs
@@ -82,7 +82,7 @@
 /// Hand-over to commit, with the wait of the task.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct UncommittedHandOver {
-    task: TaskKey,
+    pub(super) task: TaskKey,
     wait: TaskWait,
 }
 
@@ -206,7 +206,7 @@
             return;
         }
         let elsewhere = elsewhere(&job.spec);
-        while job.is_partial && job.occurrences.len() <= delegation.task.occurrence as usize {
+        while job.is_partial && job.occurrences.begun_count() <= delegation.task.occurrence {
             job.occurrences.push(elsewhere.clone());
         }
         let TaskName { occurrence, stage, index, .. } = delegation.task;
@@ -284,7 +284,7 @@
     /// Stages of all occurrences, with the key of the task with index 0.
     pub(super) fn stages_of(&self, key: JobKey) -> impl Iterator<Item = (TaskKey, &Stage)> + '_ {
         let job = &self.jobs[key];
-        (0..job.occurrences.len() as u32).flat_map(move |occurrence| {
+        job.occurrences.iter().flat_map(move |(occurrence, _)| {
             (0..).zip(&job.spec.stages).map(move |(stage_number, stage)| {
                 (TaskKey { job: key, occurrence, stage: stage_number, index: 0 }, stage)
             })
--- a/crates/teaseltrack/src/cell/job.rs
+++ b/crates/teaseltrack/src/cell/job.rs
@@ -10,10 +10,11 @@
 /// Name of a queue.
 pub type QueueName = String;
 
-/// Maximum number of tasks of a job, over all stages; its state must fit into one progress record.
-const MAX_TASKS_PER_JOB: u64 = 1_000;
+/// Maximum number of tasks of a job, over all stages, and of its unfinished occurrences together if
+/// there are several; their state must fit into one progress row.
+pub const MAX_TASKS_PER_JOB: u64 = 1_000;
 
-/// Maximum number of tasks of a job's occurrences that have begun.
+/// Maximum number of tasks of the occurrences up to that of a delegated task.
 const MAX_BEGUN_TASKS: u64 = 100_000;
 
 /// Reason why a job is invalid.
@@ -42,6 +43,14 @@
         /// Total number of tasks of all stages.
         task_count: u64,
     },
+    /// A specification that doesn't fit into a row.
+    #[snafu(display("{bytes} bytes when stored, at most {max_bytes}"))]
+    TooLarge {
+        /// Size of the row, in bytes.
+        bytes: usize,
+        /// Maximum size, in bytes.
+        max_bytes: usize,
+    },
 }
 
 /// A set of identical tasks with common dependencies.
@@ -140,20 +149,27 @@
                 return BadDependencySnafu { stage, dependency }.fail();
             }
         }
-        let total_task_count: u64 =
-            self.stages.iter().map(|stage| u64::from(stage.task_count)).sum();
-        if total_task_count > MAX_TASKS_PER_JOB {
-            return TooManyTasksSnafu { task_count: total_task_count }.fail();
+        let task_count = self.task_count();
+        if task_count > MAX_TASKS_PER_JOB {
+            return TooManyTasksSnafu { task_count }.fail();
         }
         Ok(())
     }
 
-    /// Number of occurrences that can begin.
+    /// Number of tasks of one occurrence.
+    pub fn task_count(&self) -> u64 {
+        self.stages.iter().map(|stage| u64::from(stage.task_count)).sum()
+    }
+
+    /// Number of occurrences.
+    pub fn occurrence_count(&self) -> u32 {
+        self.schedule.map_or(1, |schedule| schedule.occurrence_count)
+    }
+
+    /// Number of occurrences whose tasks may be delegated.
     pub fn max_occurrence_count(&self) -> u32 {
-        let Some(schedule) = self.schedule else { return 1 };
-        let task_count: u64 = self.stages.iter().map(|stage| u64::from(stage.task_count)).sum();
-        let limit = (MAX_BEGUN_TASKS / task_count.max(1)).max(1);
-        schedule.occurrence_count.min(u32::try_from(limit).unwrap_or(u32::MAX))
+        let limit = (MAX_BEGUN_TASKS / self.task_count().max(1)).max(1);
+        self.occurrence_count().min(u32::try_from(limit).unwrap_or(u32::MAX))
     }
 
     /// Whether any task runs until the job is cancelled.
--- a/crates/teaseltrack/src/cell/loss.rs
+++ b/crates/teaseltrack/src/cell/loss.rs
@@ -206,11 +206,11 @@
 impl Cell {
     /// Loss curve of a job; of its latest occurrence, if it is a recurring job.
     pub(super) fn loss_curve(&self, key: JobKey) -> LossCurve {
-        self.occurrence_loss_curve(key, self.jobs[key].occurrences.len().saturating_sub(1))
+        self.occurrence_loss_curve(key, self.jobs[key].occurrences.begun_count().saturating_sub(1))
     }
 
     /// Loss curve of one occurrence of a job.
-    pub(super) fn occurrence_loss_curve(&self, key: JobKey, occurrence: usize) -> LossCurve {
+    pub(super) fn occurrence_loss_curve(&self, key: JobKey, occurrence: u32) -> LossCurve {
         let total = self.total_work(key);
         let job = &self.jobs[key];
         let objective = objective(&job.queue, total.critical_path);
@@ -227,10 +227,10 @@
     ///
     /// Callers choose that time. If it is so late that it, or `max_time` after it, is not an
     /// `Instant`, the time of acceptance is returned.
-    fn due_at(&self, key: JobKey, occurrence: usize, max_time: Duration) -> Instant {
+    fn due_at(&self, key: JobKey, occurrence: u32, max_time: Duration) -> Instant {
         let job = &self.jobs[key];
         let delay_ms = job.spec.schedule.map_or(0, |schedule| {
-            let offset_ms = (occurrence as u64).saturating_mul(schedule.interval_ms);
+            let offset_ms = u64::from(occurrence).saturating_mul(schedule.interval_ms);
             let due_unix_ms = schedule.first_unix_ms.saturating_add(offset_ms);
             due_unix_ms.saturating_sub(job.spec.submitted_unix_ms)
         });
@@ -247,7 +247,7 @@
     }
 
     /// Work that an occurrence of a job still needs.
-    pub(super) fn remaining_work(&self, key: JobKey, occurrence: usize) -> RemainingWork {
+    pub(super) fn remaining_work(&self, key: JobKey, occurrence: u32) -> RemainingWork {
         let Some(occurrence) = self.jobs[key].occurrences.get(occurrence) else {
             return self.total_work(key);
         };
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -21,7 +21,7 @@
     cell::{
         Cell, CellEvent, Job, JobKey, Occurrence, Run, Task, UncommittedStart, WorkerKey,
         interference::ImageName,
-        job::Stage,
+        job::{MAX_TASKS_PER_JOB, Stage},
         loss::{Precedence, WaitingJob},
         progress::{JobState, TaskPhase},
         scoring::StageScores,
@@ -246,18 +246,18 @@
             if job.is_partial {
                 continue;
             }
-            let started_count = job.occurrences.len() as u64;
+            let started_count = u64::from(job.occurrences.begun_count());
             let due = match job.spec.schedule {
                 None => 1,
                 Some(schedule) if unix_now_ms < schedule.first_unix_ms => 0,
                 Some(schedule) => {
                     let elapsed_ms = unix_now_ms - schedule.first_unix_ms;
                     let due = (elapsed_ms / schedule.interval_ms.max(1)).saturating_add(1);
-                    due.min(u64::from(job.spec.max_occurrence_count()))
+                    due.min(u64::from(job.spec.occurrence_count()))
                 }
             };
             if let Some(schedule) = job.spec.schedule
-                && due < u64::from(job.spec.max_occurrence_count())
+                && due < u64::from(job.spec.occurrence_count())
             {
                 let elapsed_ms = due.saturating_mul(schedule.interval_ms.max(1));
                 let due_unix_ms = schedule.first_unix_ms.saturating_add(elapsed_ms);
@@ -265,6 +265,9 @@
                 next_due = Some(next_due.map_or(wait, |earlier| earlier.min(wait)));
             }
             for _ in started_count..due {
+                if !self.jobs[key].can_begin_occurrence() {
+                    break;
+                }
                 self.begin_occurrence(key);
             }
         }
@@ -311,7 +314,8 @@
         let serving = candidates.iter().filter(|candidate| candidate.kind() == TaskKind::Serving);
         for candidate in serving {
             let TaskKey { job, occurrence, stage, .. } = candidate.first_task;
-            let tasks = &mut self.jobs[job].occurrences[occurrence as usize].stages[stage as usize];
+            let Some(occurrence) = self.jobs[job].occurrences.get_mut(occurrence) else { continue };
+            let tasks = &mut occurrence.stages[stage as usize];
             for task in tasks.iter_mut().filter(|task| task.is_waiting()) {
                 task.unplaced_since.get_or_insert(now);
             }
@@ -342,7 +346,8 @@
         let mut candidates = Vec::new();
         for index in 0..self.open_jobs.len() {
             let key = self.open_jobs[index];
-            let is_open = |job: &&mut Job| job.may_have_waiting && !job.state.is_final();
+            let is_open =
+                |job: &&mut Job| job.may_have_waiting && !job.is_rejected && !job.state.is_final();
             let Some(job) = self.jobs.get_mut(key).filter(is_open) else { continue };
             job.may_have_waiting = job.has_waiting_task();
             if job.may_have_waiting {
@@ -354,7 +359,7 @@
 
     fn push_candidates(&self, key: JobKey, now: Instant, candidates: &mut Vec<Candidate>) {
         let job = &self.jobs[key];
-        for (occurrence_index, occurrence) in job.occurrences.iter().enumerate() {
+        for (occurrence_number, occurrence) in job.occurrences.iter() {
             for (stage_index, stage) in job.spec.stages.iter().enumerate() {
                 let tasks = &occurrence.stages[stage_index];
                 if !tasks.iter().any(Task::is_waiting) || !job.is_ready(occurrence, stage) {
@@ -365,7 +370,7 @@
                 }
                 let first_task = TaskKey {
                     job: key,
-                    occurrence: occurrence_index as u32,
+                    occurrence: occurrence_number,
                     stage: stage_index as u32,
                     index: 0,
                 };
@@ -385,7 +390,8 @@
         let max_wait = self.settings.quarantine.max_wait;
         let job = &self.jobs[first_task.job];
         let TaskKey { occurrence, stage, .. } = first_task;
-        let tasks = &job.occurrences[occurrence as usize].stages[stage as usize];
+        let occurrence_tasks = job.occurrences.get(occurrence);
+        let tasks = occurrence_tasks.into_iter().flat_map(move |o| &o.stages[stage as usize]);
         // The members of a gang run on several workers at once and aren't isolated.
         let is_gang = job.spec.stages[stage as usize].is_gang;
         let is_wanted = move |task: &Task| {
@@ -431,7 +437,7 @@
     }
 
     pub(super) fn waiting_job(&self, task: TaskKey) -> WaitingJob {
-        let occurrence = task.occurrence as usize;
+        let occurrence = task.occurrence;
         WaitingJob {
             priority: self.jobs[task.job].queue.priority,
             curve: self.occurrence_loss_curve(task.job, occurrence),
@@ -555,10 +561,10 @@
         if !stage.is_gang {
             return None;
         }
-        let members = &self.jobs[candidate.first_task.job].occurrences
-            [candidate.first_task.occurrence as usize]
-            .stages[candidate.first_task.stage as usize];
-        let last = members.iter().map(|task| task.progress.attempt).max().unwrap_or(0);
+        let TaskKey { job, occurrence, stage, .. } = candidate.first_task;
+        let occurrence = self.jobs[job].occurrences.get(occurrence);
+        let members = occurrence.iter().flat_map(|o| &o.stages[stage as usize]);
+        let last = members.map(|task| task.progress.attempt).max().unwrap_or(0);
         Some(self.attempt_after(last))
     }
 
@@ -617,9 +623,16 @@
 }
 
 impl Job {
+    /// Whether the progress row has room for another occurrence. A job falls behind its schedule
+    /// otherwise, until an occurrence is finished.
+    fn can_begin_occurrence(&self) -> bool {
+        let open_count = self.occurrences.tasks().count() as u64;
+        open_count == 0 || open_count + self.spec.task_count() <= MAX_TASKS_PER_JOB
+    }
+
     /// Whether a task waits in a stage that is ready.
     fn has_waiting_task(&self) -> bool {
-        self.occurrences.iter().any(|occurrence| {
+        self.occurrences.iter().any(|(_, occurrence)| {
             let mut stages = occurrence.stages.iter().zip(&self.spec.stages);
             stages.any(|(tasks, stage)| {
                 tasks.iter().any(Task::is_waiting) && self.is_ready(occurrence, stage)
--- a/crates/teaseltrack/src/cell/preemption.rs
+++ b/crates/teaseltrack/src/cell/preemption.rs
@@ -357,7 +357,7 @@
             let Some(job) = jobs.get(job).filter(|job| !job.state.is_final()) else { return false };
             let task = job
                 .occurrences
-                .get(occurrence as usize)
+                .get(occurrence)
                 .and_then(|occurrence| occurrence.stages.get(stage as usize)?.get(index as usize));
             held.until > now && task.is_some_and(Task::is_waiting)
         };
--- a/crates/teaseltrack/src/cell/progress.rs
+++ b/crates/teaseltrack/src/cell/progress.rs
@@ -1,4 +1,5 @@
 //! Job state that a cell's owner commits: assignments, completions and failures of tasks.
+//! [`stored`] has its form in the store.
 //!
 //! An assignment is committed before the start order is sent, and the end of a run before the
 //! worker may discard it. A new owner can therefore reconstruct the state of the cell from the
@@ -11,6 +12,8 @@
     ids::AttemptNumber,
 };
 
+pub mod stored;
+
 /// Highest attempt number that an owner can have assigned; the epochs' ranges end below it.
 pub const MAX_ATTEMPT: AttemptNumber = 3_000_000_000;
 
@@ -145,16 +148,18 @@
     *number == 0
 }
 
-/// Committed state of one occurrence of a job: its tasks by stage.
+/// Committed state of one occurrence of a job: its tasks by stage; empty if all are done.
 pub type OccurrenceProgress = Vec<Vec<TaskProgress>>;
 
 /// Committed state of a job.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(try_from = "stored::StoredProgress")]
 pub struct JobProgress {
     /// State as shown to the caller.
     pub state: JobState,
+    /// Number of the first occurrence in `occurrences`; the tasks of all earlier ones are done.
+    pub first_occurrence: u32,
     /// Occurrences that have started; empty once the state is final and no task runs.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub occurrences: Vec<OccurrenceProgress>,
 }
 
@@ -163,10 +168,11 @@
     pub fn is_valid(&self, spec: &JobSpec) -> bool {
         let has_shape = |stages: &OccurrenceProgress| {
             let task_counts = spec.stages.iter().map(|stage| stage.task_count as usize);
-            stages.iter().map(Vec::len).eq(task_counts)
+            stages.is_empty() || stages.iter().map(Vec::len).eq(task_counts)
         };
         let mut tasks = self.occurrences.iter().flatten().flatten();
-        self.occurrences.len() <= spec.max_occurrence_count() as usize
+        let begun_count = u64::from(self.first_occurrence) + self.occurrences.len() as u64;
+        begun_count <= u64::from(spec.occurrence_count())
             && self.occurrences.iter().all(has_shape)
             && tasks.all(TaskProgress::has_valid_numbers)
     }
--- a/crates/teaseltrack/src/cell/quarantine.rs
+++ b/crates/teaseltrack/src/cell/quarantine.rs
@@ -179,9 +179,8 @@
 
     /// Whether any task is a suspect or any worker quarantined.
     fn has_any_suspect(&self) -> bool {
-        let tasks = self.open_jobs.iter().filter_map(|key| self.jobs.get(*key)).flat_map(|job| {
-            job.occurrences.iter().flat_map(|occurrence| occurrence.stages.iter().flatten())
-        });
+        let open_jobs = self.open_jobs.iter().filter_map(|key| self.jobs.get(*key));
+        let tasks = open_jobs.flat_map(|job| job.occurrences.tasks());
         self.workers.values().any(|worker| worker.is_quarantined)
             || tasks.into_iter().any(Task::is_suspect)
     }
--- a/crates/teaseltrack/src/cell/quote.rs
+++ b/crates/teaseltrack/src/cell/quote.rs
@@ -121,7 +121,7 @@
         };
         let jobs = self.unfinished_jobs().map(|key| &self.jobs[key]);
         let waiting = jobs.filter(|job| job.queue.service == service).flat_map(|job| {
-            job.occurrences.iter().flat_map(|occurrence| {
+            job.occurrences.iter().flat_map(|(_, occurrence)| {
                 let stages = job.spec.stages.iter().zip(&occurrence.stages);
                 stages
                     .filter(|(stage, _)| TaskKind::of(stage) == TaskKind::Serving)
@@ -164,7 +164,7 @@
 
     fn tasks_of(&self, key: JobKey) -> impl Iterator<Item = (&Stage, &Task)> + '_ {
         let job = &self.jobs[key];
-        job.occurrences.iter().flat_map(|occurrence| {
+        job.occurrences.iter().flat_map(|(_, occurrence)| {
             let stages = job.spec.stages.iter().zip(&occurrence.stages);
             stages.flat_map(|(stage, tasks)| tasks.iter().map(move |task| (stage, task)))
         })
--- a/crates/teaseltrack/src/cell/regrouping.rs
+++ b/crates/teaseltrack/src/cell/regrouping.rs
@@ -99,10 +99,10 @@
     /// Whether the task's stage tolerates an unavailable task and has none now.
     pub(super) fn tolerates_move(&self, key: TaskKey) -> bool {
         let is_serving = |run: &Run| run.is_listed && !run.is_stopping && run.percent >= 100;
-        let tasks =
-            &self.jobs[key.job].occurrences[key.occurrence as usize].stages[key.stage as usize];
+        let occurrence = self.jobs[key.job].occurrences.get(key.occurrence);
+        let mut tasks = occurrence.iter().flat_map(|o| &o.stages[key.stage as usize]);
         self.stage(key).max_unavailable != Some(0)
-            && tasks.iter().all(|task| {
+            && tasks.all(|task| {
                 matches!(task.progress.phase, TaskPhase::Delegated(_))
                     || task.run.as_ref().is_some_and(is_serving)
             })
--- a/crates/teaseltrack/tests/cell/fleet.rs
+++ b/crates/teaseltrack/tests/cell/fleet.rs
@@ -966,8 +966,10 @@
             let failure_count = failures.filter(is_past).count() as u32;
             assert!(failure_count < job.queue.max_attempts, "{} has failed", start.task);
         }
-        let committed = &self.progress[&start.task.job].occurrences[start.task.occurrence as usize]
-            [start.task.stage as usize][start.task.index as usize];
+        let progress = &self.progress[&start.task.job];
+        let occurrence = (start.task.occurrence - progress.first_occurrence) as usize;
+        let committed =
+            &progress.occurrences[occurrence][start.task.stage as usize][start.task.index as usize];
         assert!(
             committed.attempt >= start.attempt
                 || committed.other_runs.iter().any(|run| run.attempt >= start.attempt),
--- a/crates/teaseltrack/tests/cell/main.rs
+++ b/crates/teaseltrack/tests/cell/main.rs
@@ -74,6 +74,54 @@
     assert_eq!(fleet.cell.state("0000000000000001"), Some(JobState::Completed));
 }
 
+/// Guards against a recurring job whose progress outgrows a row of the store, and against one of which an
+/// occurrence begins twice or never after a change of owner.
+#[test]
+fn commit_of_a_recurring_job_fits_into_a_row() {
+    const JOB: &str = "0000000000000001";
+    let mut fleet = Fleet::new(3, 1);
+    let resources = Resources { cpu_milli: 100, memory_mib: 100, accelerators: 0 };
+    let mut job = stored_job(JOB, vec![Stage { resources, ..stage(20) }]);
+    job.queue.max_attempts = 100;
+    job.spec.schedule =
+        Some(Schedule { first_unix_ms: 1_000, interval_ms: 250, occurrence_count: 400 });
+    fleet.submit(job);
+    let mut largest = 0;
+    for step in 0..2_600 {
+        fleet.step();
+        if step % 500 == 499 {
+            fleet.replace_owner();
+        }
+        let row = fleet.progress.get(JOB).map(|progress| progress.to_row(49_152).unwrap());
+        largest = largest.max(row.map_or(0, |row| row.text.len()));
+    }
+    assert!(largest <= 49_152, "{largest} bytes");
+    assert_eq!(fleet.cell.state(JOB), Some(JobState::Completed));
+}
+
+/// Guards against a commit of more than the store accepts in one call.
+#[test]
+fn next_commit_limits_the_size_of_a_batch() {
+    let mut fleet = Fleet::new(1, 1);
+    fleet.run_steps(4);
+    let resources = Resources { cpu_milli: 1, memory_mib: 1, accelerators: 0 };
+    let first = Stage { resources, ..stage(1) };
+    for number in 0..60 {
+        let rest = Stage { after: vec![0], ..stage(999) };
+        fleet.submit(stored_job(&format!("{number:016x}"), vec![first.clone(), rest]));
+    }
+    fleet.cell.plan(0, fleet.now);
+    let mut stored_count = 0;
+    while let Some(batch) = fleet.cell.next_commit(90) {
+        let rows = batch.rows.iter().map(|(_, progress)| progress.to_row(49_152).unwrap());
+        let bytes: usize = rows.map(|row| row.text.len() * 4 / 3 + 300).sum();
+        assert!(bytes < 1_000_000, "{bytes} bytes");
+        stored_count += batch.rows.len();
+        fleet.cell.commit_succeeded();
+    }
+    assert_eq!(stored_count, 60);
+}
+
 /// Guards against an occurrence that begins late, in a cell without other events, since the wall clock
 /// was set forward.
 #[test]
--- a/crates/teaseltrack/tests/delegation/main.rs
+++ b/crates/teaseltrack/tests/delegation/main.rs
@@ -62,7 +62,8 @@
     model.run_steps(25);
     let suspect = TaskProgress { crash_count: 3, sole_crash_count: 1, ..TaskProgress::default() };
     let occurrences = vec![vec![vec![suspect]]];
-    let progress = Some(JobProgress { state: JobState::Active, occurrences });
+    let progress =
+        Some(JobProgress { state: JobState::Active, occurrences, ..JobProgress::default() });
     model.submit(StoredJob { progress, ..job("0000000000000002", 1) });
     model.run_steps(25);
     model.delegate();
