Write progress rows without a copy; limit a lease in an odd response

A progress row cloned all tasks of its job before it was written, with each commit. It borrows them now. A lease far in the future, from an owner's odd response, overflowed the agent's clock; it is limited like the validity of orders.

--- a/crates/teaseltrack-cell/src/agent.rs
+++ b/crates/teaseltrack-cell/src/agent.rs
@@ -66,7 +66,7 @@
 const EVACUATED: &str = "availability zone is being evacuated";
 /// Reason for the refusal of a start whose order has expired.
 const START_EXPIRED: &str = "start order has expired";
-/// Longest time for which a start order is valid.
+/// Longest time for which a start order, or a lease, counts as valid.
 const MAX_ORDER_VALIDITY: Duration = Duration::from_secs(3_600);
 /// Number of failed tries of a stop call between two log entries.
 const STOP_LOG_INTERVAL: u32 = 8;
@@ -711,7 +711,8 @@
         let Some(lease_until_ms) = lease_until_ms else { return };
         self.lease_until_ms = self.lease_until_ms.max(Some(lease_until_ms));
         let lease = Duration::from_millis(lease_until_ms.saturating_sub(clock.clock_ms));
-        self.lease_end = self.lease_end.max(Some(clock.received_at + lease));
+        let end = clock.received_at + lease.min(MAX_ORDER_VALIDITY);
+        self.lease_end = self.lease_end.max(Some(end));
     }
 
     fn execute_order(&mut self, order: Order, start_by: Option<Instant>) {
@@ -749,7 +750,7 @@
 
     /// Reason for which a start must not be sent now.
     fn start_refusal(&self, start: &WaitingStart, now: Instant) -> Option<&'static str> {
-        let status = self.status.as_ref()?;
+        let Some(status) = self.status.as_ref() else { return Some(NO_LEASE) };
         let arrives_by = now + WORKER_CALL_TIMEOUT;
         if status.is_draining {
             return Some(DRAINING);
--- a/crates/teaseltrack/src/cell/progress/stored.rs
+++ b/crates/teaseltrack/src/cell/progress/stored.rs
@@ -48,22 +48,38 @@
 }
 
 /// Row of a job's progress in either form.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
 pub struct StoredProgress {
     state: Option<JobState>,
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(default)]
     occurrences: Vec<OccurrenceProgress>,
     /// Base64 of the compressed form, which replaces the other fields.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     packed: Option<String>,
 }
 
+/// Plain form, as it is written.
+#[derive(Debug, Serialize)]
+struct PlainRow<'a> {
+    state: JobState,
+    #[serde(skip_serializing_if = "<[_]>::is_empty")]
+    occurrences: &'a [OccurrenceProgress],
+}
+
+/// Compressed form, as it is written.
+#[derive(Debug, Serialize)]
+struct PackedRow {
+    /// What earlier builds read.
+    state: JobState,
+    packed: String,
+}
+
 /// Content of the compressed form.
 #[derive(Debug, Serialize, Deserialize)]
-struct PackedProgress {
+struct PackedProgress<O> {
     state: JobState,
     first_occurrence: u32,
-    occurrences: Vec<OccurrenceProgress>,
+    occurrences: O,
 }
 
 /// Row of a job's progress.
@@ -134,29 +150,26 @@
         self.first_occurrence == 0 && !self.occurrences.iter().any(Vec::is_empty)
     }
 
-    fn pack(&self) -> std::io::Result<StoredProgress> {
+    fn pack(&self) -> std::io::Result<PackedRow> {
         let content = PackedProgress {
             state: self.state,
             first_occurrence: self.first_occurrence,
-            occurrences: self.occurrences.clone(),
+            occurrences: &self.occurrences,
         };
         let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
         encoder.write_all(&serde_json::to_vec(&content)?)?;
         let packed = STANDARD_NO_PAD.encode(encoder.finish()?);
-        let state = Some(JobState::Cancelled);
-        Ok(StoredProgress { state, occurrences: Vec::new(), packed: Some(packed) })
+        Ok(PackedRow { state: JobState::Cancelled, packed })
     }
 }
 
 impl Serialize for JobProgress {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        let stored = if self.is_plain() {
-            let (state, occurrences) = (Some(self.state), self.occurrences.clone());
-            StoredProgress { state, occurrences, packed: None }
-        } else {
-            self.pack().map_err(S::Error::custom)?
-        };
-        stored.serialize(serializer)
+        if self.is_plain() {
+            return PlainRow { state: self.state, occurrences: &self.occurrences }
+                .serialize(serializer);
+        }
+        self.pack().map_err(S::Error::custom)?.serialize(serializer)
     }
 }
 
@@ -178,7 +191,7 @@
             .take(MAX_UNPACKED_BYTES)
             .read_to_end(&mut text)
             .context(CompressionSnafu)?;
-        let PackedProgress { state, first_occurrence, occurrences } =
+        let PackedProgress::<Vec<OccurrenceProgress>> { state, first_occurrence, occurrences } =
             serde_json::from_slice(&text).context(ContentSnafu)?;
         Ok(Self { state, first_occurrence, occurrences })
     }
