Set a pace again if its call may have been carried out

Suspected cause, found by reading: a pace call without a response may have been carried out, but the agent took the last confirmed pace for the present one. A task that such a call had resumed worked on while the agent counted it as paused, and didn't pause it again. No trace shows that this is what happened.

Change: a run whose pace is uncertain has it set again with the next listing, until a call is confirmed. observe_sets_an_uncertain_pace_again covers the decision.

--- a/crates/teaseltrack-cell/src/agent.rs
+++ b/crates/teaseltrack-cell/src/agent.rs
@@ -335,9 +335,7 @@
             }
             AgentEvent::Paced { session, change, result } => {
                 self.calls.other_completed();
-                if session == self.session {
-                    self.handle_pace_result(&change, result);
-                }
+                self.handle_pace_result(session, &change, result);
             }
         }
     }
@@ -866,13 +864,20 @@
 
     fn handle_pace_result(
         &mut self,
+        session: SessionToken,
         change: &PaceChange,
         result: Result<WorkerResponse, WorkerError>,
     ) {
         match result {
-            Ok(_) => self.pacer.confirm(change),
-            Err(error) => warn!(self.context.logger, "pace not applied"; "task" => %change.task,
-                "attempt" => change.attempt, "error" => %error),
+            Ok(_) if session == self.session => self.pacer.confirm(change),
+            Ok(_) => self.pacer.mark_uncertain(change),
+            Err(error) => {
+                if matches!(error, WorkerError::Unavailable { .. }) {
+                    self.pacer.mark_uncertain(change);
+                }
+                warn!(self.context.logger, "pace not confirmed"; "task" => %change.task,
+                    "attempt" => change.attempt, "error" => %error);
+            }
         }
     }
 
--- a/crates/teaseltrack/src/cell/pacing.rs
+++ b/crates/teaseltrack/src/cell/pacing.rs
@@ -75,6 +75,8 @@
     traits: HashMap<TaskName, SharingTraits>,
     /// Last pace that the worker has applied to each task, with its attempt.
     confirmed_paces: HashMap<TaskName, (AttemptNumber, u32)>,
+    /// Runs to which the worker may have applied another pace than the confirmed one.
+    uncertain_paces: HashMap<TaskName, AttemptNumber>,
     estimates: InterferenceEstimates,
     /// Last observed usage of each best-effort task, scaled to full pace, as a share of the worker.
     full_pace_shares: HashMap<TaskName, f64>,
@@ -96,6 +98,7 @@
             settings,
             traits: HashMap::new(),
             confirmed_paces: HashMap::new(),
+            uncertain_paces: HashMap::new(),
             estimates: InterferenceEstimates::default(),
             full_pace_shares: HashMap::new(),
             previous_usage: ImageUsage::new(),
@@ -153,12 +156,21 @@
     /// Records that the worker has applied a pace.
     pub fn confirm(&mut self, change: &PaceChange) {
         self.confirmed_paces.insert(change.task.clone(), (change.attempt, change.percent));
+        self.uncertain_paces.remove(&change.task);
+    }
+
+    /// Records that the worker may have applied a pace. The run's pace is set again.
+    pub fn mark_uncertain(&mut self, change: &PaceChange) {
+        self.uncertain_paces.insert(change.task.clone(), change.attempt);
     }
 
     fn pace_change(&self, run: &RunningTask) -> Option<PaceChange> {
         let allocated_percent = *self.allocated_percents.get(&run.task)?;
         let percent = if self.is_paused() { 0 } else { allocated_percent };
         let current = self.current_percent(run);
+        if self.uncertain_paces.get(&run.task) == Some(&run.attempt) {
+            return Some(PaceChange { task: run.task.clone(), attempt: run.attempt, percent });
+        }
         let is_small = percent.abs_diff(current) < self.settings.min_change_percent;
         let is_limit = percent == 0 || percent == FULL_PERCENT;
         if percent == current || (is_small && !is_limit) {
@@ -174,6 +186,7 @@
     }
 
     fn remove_ended(&mut self, running: &[RunningTask]) {
+        self.uncertain_paces.retain(|task, _| running.iter().any(|run| run.task == *task));
         if self.confirmed_paces.len() > running.len() {
             self.confirmed_paces.retain(|task, _| running.iter().any(|run| run.task == *task));
         }
--- a/crates/teaseltrack/tests/pacing.rs
+++ b/crates/teaseltrack/tests/pacing.rs
@@ -121,3 +121,20 @@
     let changes = pacer.observe(&listing, CAPACITY_MILLI, paused_at + SETTINGS.pause_duration);
     assert_eq!(percents(&changes), [(2, 100)]);
 }
+
+/// Guards against a task that works on beside a serving task over its target, since a call to resume it got
+/// no response and was executed.
+#[test]
+fn observe_sets_an_uncertain_pace_again() {
+    let mut pacer = pacer();
+    let listing = [running(0, 99), running(1, 12_800)];
+    let now = Instant::now();
+    let [slowed] = &pacer.observe(&listing, CAPACITY_MILLI, now)[..] else { panic!("no change") };
+    pacer.confirm(slowed);
+    pacer.mark_uncertain(&PaceChange { percent: 100, ..slowed.clone() });
+    let changes = pacer.observe(&listing, CAPACITY_MILLI, now);
+    assert_eq!(changes.len(), 1, "{changes:?}");
+    pacer.confirm(&changes[0]);
+    let later = pacer.observe(&listing, CAPACITY_MILLI, now);
+    assert!(later.iter().all(|change| change.percent != changes[0].percent), "{later:?}");
+}
