--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,4 +4,4 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/rig ] || { echo "run review/build-2.sh first" >&2; exit 2; }
-exec target/review-2/rig history_outgrows_memory review/6
+exec target/review-2/rig hopeless_gang_blocks review/6
--- a/review/stand_ins_2/main.rs
+++ b/review/stand_ins_2/main.rs
@@ -13,6 +13,7 @@
 mod filling_gang_waits;
 mod gang_counted_twice;
 mod history_outgrows_memory;
+mod hopeless_gang_blocks;
 mod runs_after_cancel;
 
 use std::{env, path::PathBuf, process::ExitCode};
@@ -34,6 +35,7 @@
         "blamed_for_crashes" => blamed_for_crashes::run(&folder, has_trouble),
         "filling_gang_waits" => filling_gang_waits::run(&folder, has_trouble),
         "gang_counted_twice" => gang_counted_twice::run(&folder, has_trouble),
+        "hopeless_gang_blocks" => hopeless_gang_blocks::run(&folder, has_trouble),
         "runs_after_cancel" => runs_after_cancel::run(&folder, has_trouble),
         "history_outgrows_memory" => history_outgrows_memory::run(&folder, has_trouble),
         _ => Err(format!("no scenario {scenario}")),
