--- a/review/stand_ins_2/deployment.rs
+++ b/review/stand_ins_2/deployment.rs
@@ -6,7 +6,7 @@
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::{Arc, Mutex},
+    sync::Arc,
     thread,
     time::{Duration, Instant},
 };
@@ -23,8 +23,6 @@
 pub const HOST: &str = "nony24.example";
 const ZONE: &str = "zilina-a";
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
-/// Delay after which the platform starts a process again.
-const RESTART_DELAY: Duration = Duration::from_millis(1_000);
 
 /// A queue of the configuration.
 #[derive(Clone, Copy)]
@@ -42,14 +40,13 @@
     /// Link between the first entry and the store.
     pub link: Link,
     store_server: Server,
-    programs: Arc<Mutex<Vec<Program>>>,
+    programs: Vec<Program>,
     folder: PathBuf,
     record: File,
     started_at: Instant,
 }
 
 struct Program {
-    name: String,
     run: Vec<String>,
     settings: PathBuf,
     log: PathBuf,
@@ -78,14 +75,6 @@
             child.wait().ok();
         }
     }
-
-    /// Memory that no file backs, as the kernel tells it.
-    fn private_kib(&self) -> u64 {
-        let Some(child) = self.child.as_ref() else { return 0 };
-        let status = fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
-        let line = status.lines().find(|line| line.starts_with("RssAnon:")).unwrap_or_default();
-        line.split_whitespace().nth(1).and_then(|word| word.parse().ok()).unwrap_or(0)
-    }
 }
 
 /// How a submission ended for its client.
@@ -130,7 +119,7 @@
             entries: Vec::new(),
             link,
             store_server,
-            programs: Arc::default(),
+            programs: Vec::new(),
             folder: temporary,
             record,
             started_at: Instant::now(),
@@ -177,87 +166,12 @@
         let path = self.folder.join(format!("{name}.toml"));
         fs::write(&path, settings).map_err(|error| error.to_string())?;
         let log = self.folder.join(format!("{name}.log"));
-        let mut program = Program { name: name.to_owned(), run, settings: path, log, child: None };
+        let mut program = Program { run, settings: path, log, child: None };
         let started = program.start();
-        self.programs.lock().unwrap().push(program);
+        self.programs.push(program);
         started
     }
 
-    /// Kills a program, by its name.
-    pub fn kill(&self, name: &str) {
-        let mut programs = self.programs.lock().unwrap();
-        if let Some(program) = programs.iter_mut().find(|program| program.name == name) {
-            program.kill();
-        }
-    }
-
-    /// Starts a killed program again.
-    pub fn restart(&self, name: &str) {
-        let mut programs = self.programs.lock().unwrap();
-        if let Some(program) = programs.iter_mut().find(|program| program.name == name) {
-            program.start().ok();
-        }
-    }
-
-    /// Does what the platform does about memory, until `stop`: kills an agent that exceeds its limit and
-    /// starts it again after a short delay. Returns the times of the kills, by name.
-    pub fn limit_memory(&self, limit_kib: u64) -> Arc<Mutex<Vec<(String, u128)>>> {
-        let kills: Arc<Mutex<Vec<(String, u128)>>> = Arc::default();
-        let (programs, noted, started_at) = (self.programs.clone(), kills.clone(), self.started_at);
-        thread::spawn(move || {
-            let mut restarts: Vec<(String, Instant)> = Vec::new();
-            loop {
-                thread::sleep(Duration::from_millis(10));
-                let mut programs = programs.lock().unwrap();
-                if programs.is_empty() {
-                    return;
-                }
-                for program in
-                    programs.iter_mut().filter(|program| program.name.starts_with("side"))
-                {
-                    if program.private_kib() > limit_kib {
-                        program.kill();
-                        let at_ms = started_at.elapsed().as_millis();
-                        noted.lock().unwrap().push((program.name.clone(), at_ms));
-                        restarts.push((program.name.clone(), Instant::now() + RESTART_DELAY));
-                    }
-                    let is_due = |(name, at): &(String, Instant)| {
-                        *name == program.name && *at <= Instant::now()
-                    };
-                    if restarts.iter().any(is_due) {
-                        restarts.retain(|(name, _)| *name != program.name);
-                        program.start().ok();
-                    }
-                }
-            }
-        });
-        kills
-    }
-
-    /// Private memory of each program, in megabytes.
-    pub fn memory(&self) -> Vec<(String, u64)> {
-        let programs = self.programs.lock().unwrap();
-        programs
-            .iter()
-            .map(|program| (program.name.clone(), program.private_kib() / 1_024))
-            .collect()
-    }
-
-    /// Name of the agent whose process last said that it took over the cell.
-    pub fn owner(&self) -> Option<String> {
-        let mut last: Option<(String, String)> = None;
-        for program in self.programs.lock().unwrap().iter() {
-            let log = fs::read_to_string(&program.log).unwrap_or_default();
-            let taken = log.lines().rfind(|line| line.contains("\"cell taken over\""));
-            let Some(taken) = taken else { continue };
-            let at = Json::parse(taken.as_bytes()).map_or(String::new(), |line| line.text("ts"));
-            if last.as_ref().is_none_or(|(latest, _)| at > *latest) {
-                last = Some((at, program.name.clone()));
-            }
-        }
-        last.map(|(_, name)| name)
-    }
-
     /// Hands in a job, as a client does: the same request again, at the next entry, after no response
     /// or a 502 or 504.
     pub fn submit(&self, queue: &Queue, job: &str, body: &str) -> Submitted {
@@ -311,24 +225,25 @@
             )
             .ok();
         }
-        for mut program in self.programs.lock().unwrap().drain(..) {
+        for mut program in self.programs.drain(..) {
             program.kill();
         }
         self.workers.close();
         self.link.close();
         self.store_server.close();
-        match std::env::var_os("KEEP") {
-            Some(_) => println!("logs in {}", self.folder.display()),
-            None => drop(fs::remove_dir_all(&self.folder)),
-        }
     }
 }
 
 impl Drop for Deployment {
+    /// Ends the programs and removes their folder, also if the case couldn't run.
     fn drop(&mut self) {
-        for mut program in self.programs.lock().unwrap().drain(..) {
+        for mut program in self.programs.drain(..) {
             program.kill();
         }
+        match std::env::var_os("KEEP") {
+            Some(_) => println!("logs in {}", self.folder.display()),
+            None => drop(fs::remove_dir_all(&self.folder)),
+        }
     }
 }
 
--- a/review/stand_ins_2/main.rs
+++ b/review/stand_ins_2/main.rs
@@ -12,7 +12,6 @@
 mod blamed_for_crashes;
 mod filling_gang_waits;
 mod gang_counted_twice;
-mod history_outgrows_memory;
 mod hopeless_gang_blocks;
 mod runs_after_cancel;
 
@@ -37,7 +36,6 @@
         "gang_counted_twice" => gang_counted_twice::run(&folder, has_trouble),
         "hopeless_gang_blocks" => hopeless_gang_blocks::run(&folder, has_trouble),
         "runs_after_cancel" => runs_after_cancel::run(&folder, has_trouble),
-        "history_outgrows_memory" => history_outgrows_memory::run(&folder, has_trouble),
         _ => Err(format!("no scenario {scenario}")),
     };
     match verdict {
