--- a/review/stand_ins_2/deployment.rs
+++ b/review/stand_ins_2/deployment.rs
@@ -65,6 +65,11 @@
             .stdout(log)
             .spawn()
             .map_err(|error| format!("{}: {error}", self.run[0]))?;
+        // For the script, which ends what is left if this program doesn't end by itself.
+        if let Some(path) = std::env::var_os("PIDS") {
+            let pids = File::options().create(true).append(true).open(path);
+            pids.and_then(|mut pids| writeln!(pids, "{}", child.id())).ok();
+        }
         self.child = Some(child);
         Ok(())
     }
--- a/review/stand_ins_2/hopeless_gang_blocks.rs
+++ b/review/stand_ins_2/hopeless_gang_blocks.rs
@@ -28,7 +28,7 @@
     if has_trouble {
         let gang = "e00000000000000a";
         let body = job_body(
-            &format!("work0=1000 gang0={GANG_SIZE}"),
+            &format!("work0=1000 gang0={GANG_SIZE} gauge0=960"),
             &format!(
                 "{{\"Count\":{GANG_SIZE},\"Cpu\":960,\"MemMb\":1900,\"EstimateMs\":1000,\"Gang\":true}}"
             ),
@@ -73,8 +73,16 @@
             ));
         }
     }
+    // All room is free, and has been for 3 s.
+    let counts = deployment.workers.run_counts();
+    let last_event_ms = events.last().map_or(0, |event| event.at_ms);
+    let are_idle = counts.iter().all(|count| *count == 0)
+        && deployment.workers.now_ms() >= last_event_ms + 3_000;
+    deployment.note(&format!(
+        "runs on each worker: {counts:?}; the last event was at {last_event_ms} ms"
+    ));
     let mut broken = Vec::new();
-    if never_started > 0 {
+    if never_started > 0 && are_idle {
         broken.push(format!(
             "{never_started} of {} accepted jobs have nothing running {} s after the traffic's end, with \
              all workers idle",
@@ -90,10 +98,16 @@
 }
 
 fn ticket() -> String {
-    job_body("work0=1000", "{\"Count\":6,\"Cpu\":960,\"MemMb\":1900,\"EstimateMs\":1000}")
+    job_body(
+        "work0=1000 gauge0=960",
+        "{\"Count\":6,\"Cpu\":960,\"MemMb\":1900,\"EstimateMs\":1000}",
+    )
 }
 
 fn lot() -> String {
     let step = "{\"Count\":8,\"Cpu\":7000,\"MemMb\":13000,\"EstimateMs\":1700";
-    job_body("work0=1700 work1=1700", &format!("{step}}},{step},\"After\":[0]}}"))
+    job_body(
+        "work0=1700 gauge0=7000 work1=1700 gauge1=7000",
+        &format!("{step}}},{step},\"After\":[0]}}"),
+    )
 }
--- a/review/stand_ins_2/store.rs
+++ b/review/stand_ins_2/store.rs
@@ -81,11 +81,23 @@
         let _turn = part.lock().unwrap();
         thread::sleep(TRANSACTION_TIME);
         let mut rows = self.rows.lock().unwrap();
-        for expected in body.list("ExpectedRev") {
-            let current = rows.rows.get(&key_of(&expected)).map_or(0, |(_, version)| *version);
-            if current != expected.number("RowVersion").unwrap_or(0) {
-                return Reply::Respond(412, "{\"rows\":[]}".to_owned());
-            }
+        let expected = body.list("ExpectedRev");
+        let current = |row: &Json| rows.rows.get(&key_of(row)).map_or(0, |(_, version)| *version);
+        if expected.iter().any(|row| current(row) != row.number("RowVersion").unwrap_or(0)) {
+            let found: Vec<String> = expected
+                .iter()
+                .filter_map(|row| {
+                    let key = key_of(row);
+                    let (value, version) = rows.rows.get(&key)?;
+                    Some(row_text(&key, *version, Some(value)))
+                })
+                .collect();
+            let (version, now_ms) = (rows.version, self.now_ms());
+            let rows = found.join(",");
+            return Reply::Respond(
+                412,
+                format!("{{\"rows\":[{rows}],\"RowVersion\":{version},\"NowMs\":{now_ms}}}"),
+            );
         }
         rows.version += 1;
         for write in body.list("Writes") {
--- a/review/stand_ins_2/workers.rs
+++ b/review/stand_ins_2/workers.rs
@@ -40,6 +40,8 @@
     attempt: u64,
     work: Duration,
     gang_size: usize,
+    /// Whether the task lasts: it is at work after `work`, and never ends by itself.
+    lasts: bool,
     /// Last field of the run's row: its tail latency, or the CPU that it uses.
     gauge: u64,
     started_at: Instant,
@@ -224,6 +226,11 @@
         self.state.lock().unwrap().events.clone()
     }
 
+    /// Number of runs on each worker.
+    pub fn run_counts(&self) -> Vec<usize> {
+        self.state.lock().unwrap().workers.iter().map(|worker| worker.runs.len()).collect()
+    }
+
     pub fn now_ms(&self) -> u64 {
         self.started_at.elapsed().as_millis() as u64
     }
@@ -296,7 +303,8 @@
                 if run.working_since.is_none() && present[&key] >= run.gang_size {
                     run.working_since = Some(now);
                 }
-                let works = run.working_since.is_some_and(|since| now >= since + run.work);
+                let works =
+                    !run.lasts && run.working_since.is_some_and(|since| now >= since + run.work);
                 let how = if run.stop_at.is_some_and(|at| at <= now) {
                     "stopped"
                 } else if has_lapsed {
@@ -356,7 +364,7 @@
             return Reply::Drop;
         }
         if request.header("X-Expected-Instance").is_some_and(|id| id != worker.id) {
-            return Reply::Respond(421, "{}".to_owned());
+            return Reply::Respond(421, format!("{{\"ClockMs\":{}}}", worker.clock_ms()));
         }
         let refuse = |worker: &Worker, reason: &str| {
             let (clock_ms, born_ms) = (worker.clock_ms(), worker.born_ms);
@@ -400,6 +408,7 @@
                         attempt,
                         work: Duration::from_millis(work_ms),
                         gang_size: gang_size as usize,
+                        lasts: spec_number(&spec, &format!("lasts{step}")).is_some(),
                         gauge: spec_number(&spec, &format!("gauge{step}")).unwrap_or(100),
                         started_at: Instant::now(),
                         working_since: None,
@@ -453,7 +462,7 @@
                     state = self.changed.wait_timeout(state, remaining).unwrap().0;
                 }
             }
-            _ => return Reply::Respond(400, "{}".to_owned()),
+            _ => return Reply::Respond(400, format!("{{\"ClockMs\":{}}}", worker.clock_ms())),
         }
         let worker = &state.workers[index];
         let text = format!("{{\"ClockMs\":{},\"born\":{}}}", worker.clock_ms(), worker.born_ms);
