--- a/review/stand_ins_2/blamed_for_crashes.rs
+++ b/review/stand_ins_2/blamed_for_crashes.rs
@@ -127,16 +127,19 @@
     } else {
         format!("{step}}}")
     };
-    job_body("work0=1000 work1=1000", &stages)
+    job_body("work0=1000 gauge0=960 work1=1000 gauge1=960", &stages)
 }
 
 fn lot() -> String {
     let step = "{\"Count\":8,\"Cpu\":7000,\"MemMb\":13000,\"EstimateMs\":1700";
-    job_body("work0=1700 work1=1700", &format!("{step}}},{step},\"After\":[0]}}"))
+    job_body(
+        "work0=1700 gauge0=7000 work1=1700 gauge1=7000",
+        &format!("{step}}},{step},\"After\":[0]}}"),
+    )
 }
 
 fn watch() -> String {
     let step =
         "{\"Count\":6,\"Cpu\":13000,\"MemMb\":26000,\"EstimateMs\":400,\"LongRunning\":true}";
-    job_body("work0=100000000", step)
+    job_body("work0=400 lasts0=1 gauge0=4", step)
 }
