--- a/review/stand_ins_2/runs_after_cancel.rs
+++ b/review/stand_ins_2/runs_after_cancel.rs
@@ -1,7 +1,9 @@
-//! One of three entries is cut off for 12 s. Clients that hand in a ticket there get a 504, give the
-//! ticket up and cancel it at another entry, which acknowledges that. Nothing of it may start later.
+//! One of three entries is cut off for 12 s. Four clients that hand in a ticket there have no answer
+//! after 0.9 s, leave, and cancel the ticket at another entry, which acknowledges that. Nothing of it
+//! may start later. All other clients go on at the other entries.
 
 use std::{
+    net::SocketAddr,
     path::Path,
     thread,
     time::{Duration, Instant},
@@ -23,6 +25,8 @@
 const CUT_OFF: usize = 0;
 /// `cancel_ms`.
 const CANCEL_MS: u64 = 3_000;
+/// `give_up`: clients leave within 900 ms.
+const PATIENCE: Duration = Duration::from_millis(900);
 const CLIENT_COUNT: usize = 4;
 const CALL_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -35,8 +39,8 @@
         // Clients come by twos.
         let address = format!("{}a{number:015x}", TICKETS.prefix);
         let second = format!("{}b{number:015x}", TICKETS.prefix);
-        let beside = thread::spawn(move || post(entry, &second));
-        let status = post(entry, &address);
+        let beside = thread::spawn(move || post(entry, &second, CALL_TIMEOUT));
+        let status = post(entry, &address, CALL_TIMEOUT);
         let second_status = beside.join().unwrap_or(0);
         if status != 200 || second_status != 200 {
             deployment.stop();
@@ -56,7 +60,7 @@
             thread::spawn(move || {
                 let job = format!("c{number:015x}");
                 let target = format!("{}{job}", TICKETS.prefix);
-                let status = post(entry, &target);
+                let status = post(entry, &target, PATIENCE);
                 let headers = [("Host", HOST), ("X-Deadline-Ms", "3000")];
                 let cancelled = call(other, "DELETE", &target, &headers, "", CALL_TIMEOUT);
                 let cancelled = cancelled.map_or(0, |(status, _)| status);
@@ -70,7 +74,7 @@
         let (job, status, cancel_status, at) = client.join().map_err(|_| "a client failed")?;
         let at_ms = at.duration_since(started_at).as_millis() as u64;
         deployment.note(&format!(
-            "{}{job}: POST at edge-{CUT_OFF} answered {status}, DELETE at edge-{} answered {cancel_status}",
+            "{}{job}: POST at edge-{CUT_OFF} answered {status} (0: none), DELETE at edge-{} answered {cancel_status}",
             TICKETS.prefix,
             CUT_OFF + 1
         ));
@@ -78,6 +82,15 @@
             cancelled.push((job, at_ms));
         }
     }
+    // The other clients go on at the other entries.
+    let mut others = 0;
+    while cut_at.elapsed() + TICKET_INTERVAL < CUT_TIME {
+        let target = format!("{}a{:015x}", TICKETS.prefix, 0x1000 + others);
+        post(deployment.entries[1 + others % 2], &target, CALL_TIMEOUT);
+        others += 1;
+        thread::sleep(TICKET_INTERVAL);
+    }
+    deployment.note(&format!("{others} other tickets were handed in meanwhile"));
     thread::sleep(CUT_TIME.saturating_sub(cut_at.elapsed()));
     if has_trouble {
         deployment.note(&format!("edge-{CUT_OFF} reaches the store again"));
@@ -124,12 +137,15 @@
 }
 
 /// Hands in a ticket once; returns the status, or 0 without a response.
-fn post(entry: std::net::SocketAddr, target: &str) -> u16 {
+fn post(entry: SocketAddr, target: &str, patience: Duration) -> u16 {
     let headers = [("Host", HOST), ("X-Deadline-Ms", "3000")];
-    let answer = call(entry, "POST", target, &headers, &ticket(), CALL_TIMEOUT);
+    let answer = call(entry, "POST", target, &headers, &ticket(), patience);
     answer.map_or(0, |(status, _)| status)
 }
 
 fn ticket() -> String {
-    job_body("work0=1000", "{\"Count\":6,\"Cpu\":960,\"MemMb\":1900,\"EstimateMs\":1000}")
+    job_body(
+        "work0=1000 gauge0=960",
+        "{\"Count\":6,\"Cpu\":960,\"MemMb\":1900,\"EstimateMs\":1000}",
+    )
 }
