Let no stage that can't run keep others waiting

Cause: a round of planning notes the size of a task that fits on no worker, and skips later stages with tasks as large. When the last members of a gang don't fit, the others are taken back, but the note was kept that was true only beside them. Once the gang has been overdue for 10 s, it is tried first in every round.

Change: a gang that is taken back leaves no trace, also in attempt numbers, waiting times, recent assignments and headrooms. A gang for which there is no room now isn't tried, and a stage that no state of the present workers can run takes part in nothing: not in the promotion of overdue jobs, pre-emption, held rooms, nor in the conditions under which serving tasks are moved or slow runs copied. It stays queued, and is reported by a log entry and a gauge.

The reverse: a gang that does fit got its room only by luck beside a stream of smaller jobs. Room is held for one whose job comes first because it is long overdue.

--- a/crates/teaseltrack-cell/src/constants.rs
+++ b/crates/teaseltrack-cell/src/constants.rs
@@ -122,6 +122,8 @@
     relocation_wait: Duration::from_millis(1_000),
     relocation_interval: Duration::from_millis(300),
     usage_report_delay: Duration::from_millis(1_000),
+    max_gang_held_time: Duration::from_secs(8),
+    max_idle_held_time: Duration::from_secs(2),
     max_overdue_wait: Duration::from_secs(10),
     long_overdue_factor: 3.0,
 };
--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -551,6 +551,7 @@
         let OwnerContext { logger, metrics, .. } = &self.context;
         metrics.gauge("jobs_open", self.cell.open_count() as u64);
         metrics.gauge("tasks_on_silent_workers", self.cell.silent_task_count() as u64);
+        metrics.gauge("stages_infeasible", self.cell.infeasible_stage_count() as u64);
         metrics.gauge("workers_doubted", self.cell.doubted_worker_count() as u64);
         metrics.gauge("configuration_version", self.cell.configuration_version());
         for event in self.cell.take_events() {
@@ -638,6 +639,12 @@
                         "workers_without_memory" => obstacles.memory,
                         "workers_held" => obstacles.held, "workers_usable" => obstacles.none);
                 }
+                CellEvent::Infeasible { task, task_count, required, room_count, stage_count } => {
+                    warn!(logger, "stage can't be placed on the present workers";
+                        "request_id" => &task.job, "task" => %task, "tasks" => task_count,
+                        "cpu_milli" => required.cpu_milli, "memory_mib" => required.memory_mib,
+                        "room_for" => room_count, "stages" => stage_count);
+                }
                 CellEvent::State { job, state } => {
                     info!(logger, "job ended"; "request_id" => job, "state" => ?state);
                 }
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -25,6 +25,8 @@
         delegation::{Delegation, UncommittedHandOver},
         durations::{FactorEstimate, Histories, HistoryKey},
         evacuation::{EvacuationSettings, EvacuationState},
+        feasibility::InfeasibleStages,
+        gang_room::GangHold,
         interference::{ImageUsage, InterferenceModel, InterferenceSettings},
         job::{JobId, JobSpec, Queue, QueueConfiguration, Stage},
         obstacles::Obstacles,
@@ -51,6 +53,8 @@
 pub mod delegation;
 mod durations;
 pub mod evacuation;
+mod feasibility;
+mod gang_room;
 pub mod health;
 pub mod interference;
 pub mod job;
@@ -431,6 +435,20 @@
         /// What keeps the workers from running it.
         obstacles: Obstacles,
     },
+    /// Stages wait that no state of the present workers can run; reported for the one that was accepted
+    /// first.
+    Infeasible {
+        /// Name of its first task.
+        task: TaskName,
+        /// Number of its tasks.
+        task_count: u32,
+        /// What each of them requests.
+        required: Resources,
+        /// Number of its tasks for which the empty workers have room.
+        room_count: u32,
+        /// Number of such stages.
+        stage_count: usize,
+    },
     /// A job reached a final state.
     State {
         /// Identifier of the job.
@@ -505,6 +523,7 @@
             Self::Suspected { .. } => "task_suspected",
             Self::Silent { .. } => "worker_silent",
             Self::Unplaced { .. } => "task_unplaced",
+            Self::Infeasible { .. } => "stage_infeasible",
             Self::State { state, .. } => state.name(),
             Self::EvacuationStarted { .. } => "evacuation_started",
             Self::EvacuationEmptied { .. } => "evacuation_emptied",
@@ -561,6 +580,8 @@
     preemption_checked_at: Option<Instant>,
     copies_searched_at: Option<Instant>,
     obstacles_reported_at: Option<Instant>,
+    infeasible_stages: InfeasibleStages,
+    gang_hold: Option<GangHold>,
 }
 
 impl Cell {
@@ -590,6 +611,8 @@
             preemption_checked_at: None,
             copies_searched_at: None,
             obstacles_reported_at: None,
+            infeasible_stages: InfeasibleStages::default(),
+            gang_hold: None,
             settings,
             epoch,
             session_count: 0,
--- a/crates/teaseltrack/src/cell/obstacles.rs
+++ b/crates/teaseltrack/src/cell/obstacles.rs
@@ -4,7 +4,10 @@
 //! The reasons are reported for the task that has waited longest, so that an operator can tell a
 //! full service from capacity that isn't used.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashSet,
+    time::{Duration, Instant},
+};
 
 use crate::cell::{
     Cell, CellEvent, WorkerKey,
@@ -64,7 +67,8 @@
         }
     }
 
-    /// Reports the serving task that has waited longest, with the obstacles to its placement.
+    /// Reports the serving task of the candidates that has waited longest, with the obstacles to its
+    /// placement.
     pub(super) fn report_obstacles(
         &mut self,
         candidates: &[Candidate],
@@ -77,7 +81,10 @@
         if !is_due || !candidates.iter().any(|candidate| candidate.kind() == TaskKind::Serving) {
             return;
         }
-        let waiting = self.serving_waits(now);
+        let stages: HashSet<TaskKey> =
+            candidates.iter().map(|candidate| candidate.first_task).collect();
+        let mut waiting = self.serving_waits(now);
+        waiting.retain(|(_, key)| stages.contains(&TaskKey { index: 0, ..*key }));
         let longest = waiting.iter().max_by_key(|(wait, _)| *wait);
         let Some(&(waited, key)) = longest.filter(|(wait, _)| *wait >= MIN_REPORTED_WAIT) else {
             return;
@@ -141,7 +148,7 @@
                 &mut obstacles.batch
             } else if !status.capacity.can_fit(&reserved) {
                 &mut obstacles.memory
-            } else if !worker.can_fit_beside_held_rooms(key, priority, &required) {
+            } else if !worker.can_fit_beside_held_rooms(key, priority, stage) {
                 &mut obstacles.held
             } else {
                 &mut obstacles.none
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -20,8 +20,9 @@
 use crate::{
     cell::{
         Cell, CellEvent, Job, JobKey, Occurrence, Run, Task, UncommittedStart, WorkerKey,
+        feasibility::Occupancy,
         interference::ImageName,
-        job::{MAX_TASKS_PER_JOB, Stage},
+        job::{MAX_TASKS_PER_JOB, Queue, Stage},
         loss::{Precedence, WaitingJob},
         progress::{JobState, TaskPhase},
         scoring::StageScores,
@@ -69,6 +70,11 @@
     pub relocation_interval: Duration,
     /// Time until the CPU use of an assigned best-effort task appears in its worker's reports.
     pub usage_report_delay: Duration,
+    /// Longest time for which room is held for a gang, and within which batch tasks are expected to make
+    /// it; also the minimum time between two holds.
+    pub max_gang_held_time: Duration,
+    /// Longest time for which room is held for a gang while less than half of the service is reserved.
+    pub max_idle_held_time: Duration,
     /// Time after which a long overdue job is scheduled first among its kind.
     pub max_overdue_wait: Duration,
     /// Multiple of its completion-time objective after which a job is scheduled last among its
@@ -118,6 +124,11 @@
     pub(super) fn kind(&self) -> TaskKind {
         self.rank.kind
     }
+
+    /// Whether its job comes first among its kind, because it has been overdue for too long.
+    pub(super) fn is_starved(&self) -> bool {
+        !self.rank.is_not_starved
+    }
 }
 
 /// Task sizes that fitted on no worker in the current planning round; tasks of the same or a larger
@@ -129,15 +140,32 @@
 
 #[derive(Debug, Default)]
 struct ServiceSizes {
-    batch: Vec<Resources>,
+    batch: Vec<UnplaceableSize>,
     /// Sizes of best-effort tasks, by image.
-    best_effort: HashMap<ImageName, Vec<Resources>>,
+    best_effort: HashMap<ImageName, Vec<UnplaceableSize>>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct UnplaceableSize {
+    size: Resources,
+    /// Priority of the queue. Rooms may be held that only more urgent tasks can use.
+    priority: u32,
+}
+
+/// Assignment of a gang's member that is taken back unless all members are placed.
+#[derive(Debug)]
+struct TentativeAssignment {
+    task: TaskKey,
+    worker: WorkerKey,
+    /// The task before the assignment.
+    previous: Task,
 }
 
 impl UnplaceableSizes {
     /// Whether a size that the stage's tasks equal or exceed could not be placed.
-    fn covers(&self, service: &str, stage: &Stage) -> bool {
-        let Some(sizes) = self.services.get(service).filter(|_| !stage.is_long_running) else {
+    fn covers(&self, queue: &Queue, stage: &Stage) -> bool {
+        let Some(sizes) = self.services.get(&queue.service).filter(|_| !stage.is_long_running)
+        else {
             return false;
         };
         let sizes = if stage.is_best_effort {
@@ -145,25 +173,28 @@
         } else {
             Some(&sizes.batch)
         };
-        sizes.is_some_and(|sizes| sizes.iter().any(|size| stage.resources.can_fit(size)))
+        let is_covered = |unplaceable: &UnplaceableSize| {
+            stage.resources.can_fit(&unplaceable.size) && queue.priority >= unplaceable.priority
+        };
+        sizes.is_some_and(|sizes| sizes.iter().any(is_covered))
     }
 
     /// Records a size that could not be placed, unless the stage has constraints other than its
     /// size.
-    fn record(&mut self, service: &str, stage: &Stage) {
+    fn record(&mut self, queue: &Queue, stage: &Stage) {
         let is_limited_by_size = !stage.is_long_running
             && stage.required_label.is_none()
             && stage.max_per_worker.is_none();
         if !is_limited_by_size {
             return;
         }
-        let sizes = self.services.entry(service.to_owned()).or_default();
+        let sizes = self.services.entry(queue.service.clone()).or_default();
         let sizes = if stage.is_best_effort {
             sizes.best_effort.entry(stage.image.clone().unwrap_or_default()).or_default()
         } else {
             &mut sizes.batch
         };
-        sizes.push(stage.resources);
+        sizes.push(UnplaceableSize { size: stage.resources, priority: queue.priority });
     }
 }
 
@@ -188,7 +219,13 @@
         if eligible_workers.is_empty() {
             return;
         }
-        self.promote_starved_job(&mut candidates, now);
+        self.review_infeasible_stages(&candidates, &eligible_workers, now);
+        // What no state of the present workers can run must not keep anything else waiting.
+        candidates.retain(|candidate| {
+            self.is_feasible(candidate.first_task, &eligible_workers, Occupancy::Empty)
+        });
+        self.review_gang_hold(&eligible_workers, now);
+        self.promote_starved_job(&mut candidates, &eligible_workers, now);
         candidates.sort_by_key(|candidate| candidate.rank);
         let is_serving_waiting =
             candidates.iter().any(|candidate| candidate.rank.kind == TaskKind::Serving);
@@ -201,6 +238,7 @@
         for candidate in &candidates {
             self.relieve_starvation(candidate, &workers, now);
         }
+        self.hold_gang_room(&candidates, &workers, now);
         self.hold_serving_rooms(&candidates, &workers, now);
         self.preempt(&candidates, &workers, now);
         self.report_obstacles(&candidates, &workers, &eligible_workers, now);
@@ -416,8 +454,14 @@
 
     /// Puts one job first among its kind that has been long overdue for `max_overdue_wait`: one that
     /// runs in part, otherwise the oldest. Further ones wait for it, so that jobs whose callers gain
-    /// nothing any more don't take the capacity of all others.
-    fn promote_starved_job(&self, candidates: &mut [Candidate], now: Instant) {
+    /// nothing any more don't take the capacity of all others. A job is left out while serving tasks
+    /// take the room that it needs.
+    pub(super) fn promote_starved_job(
+        &self,
+        candidates: &mut [Candidate],
+        workers: &[WorkerKey],
+        now: Instant,
+    ) {
         let max_wait = self.settings.planning.max_overdue_wait;
         let is_starved = |key: &JobKey| {
             let job = &self.jobs[*key];
@@ -425,14 +469,20 @@
             let overdue_at = self.loss_curve(*key).worthless_after;
             is_open && now.saturating_duration_since(overdue_at) >= max_wait
         };
-        let starved: Vec<JobKey> = self.open_jobs.iter().copied().filter(is_starved).collect();
-        let first = starved
-            .iter()
-            .find(|key| self.has_runs(**key))
-            .or_else(|| starved.iter().min_by_key(|key| self.loss_curve(**key).on_time_until));
+        let can_go_on = |key: &JobKey| {
+            let mut stages = candidates.iter().filter(|candidate| candidate.first_task.job == *key);
+            stages.any(|candidate| {
+                self.is_feasible(candidate.first_task, workers, Occupancy::Serving)
+            })
+        };
+        let mut starved: Vec<JobKey> = self.open_jobs.iter().copied().filter(is_starved).collect();
+        let first = starved.iter().copied().find(|key| self.has_runs(*key)).or_else(|| {
+            starved.sort_by_key(|key| self.loss_curve(*key).on_time_until);
+            starved.iter().copied().find(can_go_on)
+        });
         let Some(first) = first else { return };
         for candidate in candidates {
-            candidate.rank.is_not_starved &= candidate.first_task.job != *first;
+            candidate.rank.is_not_starved &= candidate.first_task.job != first;
         }
     }
 
@@ -457,15 +507,22 @@
         let job = &self.jobs[candidate.first_task.job];
         let spec = job.spec.clone();
         let stage = &spec.stages[candidate.first_task.stage as usize];
-        let service = job.queue.service.clone();
-        // A smaller task may have been kept out of the room that is held for this stage.
-        if unplaceable.covers(&service, stage) && !self.has_held_room(candidate) {
+        let queue = job.queue.clone();
+        // A smaller task may have been kept out of the room that is held for this job.
+        if unplaceable.covers(&queue, stage) && !self.has_held_room(candidate.first_task.job) {
+            return;
+        }
+        let waiting: Vec<TaskKey> = self.waiting_tasks(candidate.first_task, false, now).collect();
+        if stage.is_gang && !self.is_feasible(candidate.first_task, workers, Occupancy::Present) {
+            for key in waiting {
+                self.begin_wait(key, now);
+            }
             return;
         }
         let attempt = self.next_gang_attempt(candidate, stage);
         let mut scores = StageScores::default();
         let mut placed = Vec::new();
-        let waiting: Vec<TaskKey> = self.waiting_tasks(candidate.first_task, false, now).collect();
+        let mut tentative = Vec::new();
         for &key in &waiting {
             let batch_reserve = self.batch_reserve_for(key, now);
             let has_waited = self
@@ -476,7 +533,10 @@
                 if stage.is_long_running && has_waited { eligible_workers } else { workers };
             let chosen = self.choose_worker_by(&mut scores, key, stage, workers, batch_reserve);
             let Some(worker) = chosen else {
-                unplaceable.record(&service, stage);
+                // The members of a gang leave the room again that they have taken.
+                if !stage.is_gang {
+                    unplaceable.record(&queue, stage);
+                }
                 // Another serving task of the stage may have waited long enough to use the reserve.
                 // All other tasks of a stage are interchangeable: if one doesn't fit, none does.
                 if stage.is_long_running {
@@ -484,6 +544,10 @@
                 }
                 break;
             };
+            if stage.is_gang {
+                let previous = self.task(key).cloned().unwrap_or_default();
+                tentative.push(TentativeAssignment { task: key, worker, previous });
+            }
             self.assign(key, stage, worker, attempt);
             self.track_recent_assignment(worker, stage, now);
             if stage.is_best_effort {
@@ -493,8 +557,8 @@
             placed.push(key);
         }
         if stage.is_gang && placed.len() < waiting.len() {
-            for key in placed {
-                self.revert_assignment(key);
+            for assignment in tentative.into_iter().rev() {
+                self.revert_assignment(assignment, stage);
             }
             return;
         }
@@ -550,12 +614,15 @@
     /// [`scoring`]: crate::cell::scoring
     fn batch_reserve_for(&mut self, key: TaskKey, now: Instant) -> f64 {
         let settings = self.settings.planning;
-        let Some(task) = self.task_mut(key) else { return settings.batch_reserve };
-        let waiting_since = *task.waiting_since.get_or_insert(now);
-        let has_waited = now.duration_since(waiting_since) >= settings.reserve_wait;
+        let has_waited = now.duration_since(self.begin_wait(key, now)) >= settings.reserve_wait;
         if has_waited { 0.0 } else { settings.batch_reserve }
     }
 
+    /// Starts the task's waiting time unless it has begun; returns its start.
+    fn begin_wait(&mut self, key: TaskKey, now: Instant) -> Instant {
+        self.task_mut(key).map_or(now, |task| *task.waiting_since.get_or_insert(now))
+    }
+
     /// Common attempt number of a gang's members; `None` if the stage is not a gang.
     fn next_gang_attempt(&self, candidate: &Candidate, stage: &Stage) -> Option<AttemptNumber> {
         if !stage.is_gang {
@@ -591,14 +658,18 @@
         }
     }
 
-    /// Takes back an assignment of this planning round; the task has been without a worker all along.
-    fn revert_assignment(&mut self, key: TaskKey) {
-        let Some(waiting) = self.task(key).cloned() else { return };
-        self.release_run(key);
+    /// Takes back the last assignment of this planning round to its worker, so that it leaves no trace:
+    /// the task has been without a worker all along.
+    fn revert_assignment(&mut self, assignment: TentativeAssignment, stage: &Stage) {
+        let TentativeAssignment { task: key, worker: worker_key, previous } = assignment;
+        let worker = &mut self.workers[worker_key];
+        worker.release(key, stage);
+        if stage.is_best_effort {
+            worker.recent_assignments.pop();
+            self.update_remaining_headrooms(worker_key);
+        }
         if let Some(task) = self.task_mut(key) {
-            task.unplaced_since = waiting.unplaced_since;
-            task.room_found_at = waiting.room_found_at;
-            task.received_at = waiting.received_at;
+            *task = previous;
         }
     }
 
--- a/crates/teaseltrack/src/cell/preemption.rs
+++ b/crates/teaseltrack/src/cell/preemption.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     cell::{
-        Cell, CellEvent, Task, WorkerKey,
+        Cell, CellEvent, JobKey, Task, WorkerKey,
         job::Stage,
         loss::WaitingJob,
         planning::{Candidate, TaskKind},
@@ -162,7 +162,7 @@
             .collect();
         let is_out_of_question = TaskKind::of(stage) == TaskKind::BestEffort
             || waiting.is_empty()
-            || self.has_held_room(candidate);
+            || self.has_held_room(candidate.first_task.job);
         if is_out_of_question {
             return None;
         }
@@ -334,7 +334,7 @@
         }
         let required = reserved_resources(self.stage(key));
         let until = now + self.settings.preemption.hold_time;
-        let held = HeldRoom { task: key, required, priority: 0, until };
+        let held = HeldRoom { task: key, required, priority: 0, until, is_open_to_serving: false };
         self.workers[room.worker].held_rooms.push(held);
     }
 
@@ -343,10 +343,10 @@
         since.is_some_and(|since| now.duration_since(since) >= wait)
     }
 
-    /// Whether a room is held for a task of the stage.
-    pub(super) fn has_held_room(&self, candidate: &Candidate) -> bool {
+    /// Whether a room is held for a task of the job.
+    pub(super) fn has_held_room(&self, job: JobKey) -> bool {
         let mut rooms = self.workers.values().flat_map(|worker| &worker.held_rooms);
-        rooms.any(|held| TaskKey { index: 0, ..held.task } == candidate.first_task)
+        rooms.any(|held| held.task.job == job)
     }
 
     /// Releases rooms whose task waits no more, or that were held for long enough.
--- a/crates/teaseltrack/src/cell/quote.rs
+++ b/crates/teaseltrack/src/cell/quote.rs
@@ -10,6 +10,7 @@
 use crate::{
     cell::{
         Cell, JobKey, Task,
+        feasibility::fitting_count,
         job::Stage,
         planning::TaskKind,
         progress::TaskPhase,
@@ -187,11 +188,7 @@
         if !is_met || !self.can_fit(&required.plus(taken)) {
             return 0;
         }
-        let Resources { cpu_milli, memory_mib, accelerators } = self.available().minus(taken);
-        let fits = |free: u64, each: u64| free.checked_div(each).unwrap_or(u64::MAX);
-        let room = fits(cpu_milli, required.cpu_milli)
-            .min(fits(memory_mib, required.memory_mib))
-            .min(fits(accelerators, required.accelerators));
-        room.min(u64::from(stage.max_per_worker.unwrap_or(u32::MAX))) as u32
+        let room = fitting_count(&self.available().minus(taken), &required);
+        room.min(stage.max_per_worker.unwrap_or(u32::MAX))
     }
 }
--- a/crates/teaseltrack/src/cell/room_promises.rs
+++ b/crates/teaseltrack/src/cell/room_promises.rs
@@ -21,7 +21,7 @@
         partition::CellId,
         protocol::TaskName,
         quote::StageDemand,
-        worker::{TaskKey, Worker},
+        worker::{HeldRoom, TaskKey, Worker},
     },
     ids::ServiceName,
     placement::Resources,
@@ -214,7 +214,9 @@
         if !is_of_service {
             return 0;
         }
-        let held = self.held_rooms.iter().filter(|held| held.priority <= request.priority);
+        let is_in_the_way =
+            |held: &&HeldRoom| held.priority <= request.priority && !held.is_open_to_serving;
+        let held = self.held_rooms.iter().filter(is_in_the_way);
         let taken = held.fold(promised, |sum, held| sum.plus(&held.required));
         self.room_for(&request.demand, &taken)
     }
--- a/crates/teaseltrack/src/cell/scoring.rs
+++ b/crates/teaseltrack/src/cell/scoring.rs
@@ -10,7 +10,7 @@
     interference::ImageName,
     job::Stage,
     planning::TaskKind,
-    worker::{TaskKey, Worker, reserved_resources},
+    worker::{TaskKey, Worker},
 };
 
 /// Preference for a worker near the task's data: remote data takes about twice as long.
@@ -158,7 +158,7 @@
     ) -> bool {
         let priority = self.jobs[key.job].queue.priority;
         self.meets_constraints(worker, service, (key, stage))
-            && worker.can_fit_beside_held_rooms(key, priority, &reserved_resources(stage))
+            && worker.can_fit_beside_held_rooms(key, priority, stage)
     }
 
     /// Whether a worker meets a task's constraints other than its size.
--- a/crates/teaseltrack/src/cell/serving_room.rs
+++ b/crates/teaseltrack/src/cell/serving_room.rs
@@ -67,6 +67,7 @@
                     required: reserved_resources(stage),
                     priority: self.jobs[key.job].queue.priority,
                     until: now + settings.max_held_time,
+                    is_open_to_serving: false,
                 };
                 self.workers[worker].held_rooms.push(held);
             }
@@ -81,7 +82,8 @@
     }
 
     fn holds_room(&self, worker: WorkerKey) -> bool {
-        !self.workers[worker].held_rooms.is_empty()
+        let held = &self.workers[worker].held_rooms;
+        held.iter().any(|held| !held.is_open_to_serving)
     }
 
     fn has_room(&self, key: TaskKey, workers: &[WorkerKey]) -> bool {
@@ -121,8 +123,10 @@
         }
         let capacity = worker.status.as_ref()?.capacity;
         let reserve_milli = capacity.cpu_milli as f64 * self.settings.planning.batch_reserve;
-        let held = worker.held_rooms.iter().map(|held| held.required);
-        let required = held.fold(reserved_resources(stage), |sum, held| sum.plus(&held));
+        let held = worker.held_rooms.iter().filter(|held| !held.is_open_to_serving);
+        let required = held
+            .map(|held| held.required)
+            .fold(reserved_resources(stage), |sum, held| sum.plus(&held));
         let needed = worker.reserved.plus(&required);
         let serving_milli = needed.cpu_milli.saturating_sub(worker.demand.batch_milli);
         if serving_milli as f64 + reserve_milli > capacity.cpu_milli as f64 {
--- a/crates/teaseltrack/src/cell/worker.rs
+++ b/crates/teaseltrack/src/cell/worker.rs
@@ -71,6 +71,8 @@
     pub priority: u32,
     /// Time at which the room is released.
     pub until: Instant,
+    /// Whether serving tasks may use the room all the same.
+    pub is_open_to_serving: bool,
 }
 
 /// Incarnation of a worker.
@@ -291,18 +293,22 @@
         self.status.as_ref().is_some_and(|status| status.capacity.can_fit(&reserved))
     }
 
-    /// Whether the task of a queue with `priority`, which reserves `required`, fits beside the rooms
-    /// that are held for tasks of other jobs.
-    pub fn can_fit_beside_held_rooms(
-        &self,
-        key: TaskKey,
-        priority: u32,
-        required: &Resources,
-    ) -> bool {
-        let is_in_the_way =
-            |held: &&HeldRoom| held.task.job != key.job && held.priority <= priority;
+    /// Whether a task of the stage, in a queue with `priority`, fits beside the rooms that are held for
+    /// tasks of other jobs.
+    pub fn can_fit_beside_held_rooms(&self, key: TaskKey, priority: u32, stage: &Stage) -> bool {
+        let held = self.held_for_others(key, priority, stage);
+        self.can_fit(&reserved_resources(stage).plus(&held))
+    }
+
+    /// Rooms that a task of the stage, in a queue with `priority`, must leave to tasks of other jobs.
+    pub fn held_for_others(&self, key: TaskKey, priority: u32, stage: &Stage) -> Resources {
+        let is_in_the_way = |held: &&HeldRoom| {
+            held.task.job != key.job
+                && held.priority <= priority
+                && !(stage.is_long_running && held.is_open_to_serving)
+        };
         let held = self.held_rooms.iter().filter(is_in_the_way);
-        self.can_fit(&held.fold(*required, |sum, held| sum.plus(&held.required)))
+        held.fold(Resources::default(), |sum, held| sum.plus(&held.required))
     }
 
     /// Number of tasks on the worker of the same stage as `key`.
--- /dev/null
+++ b/crates/teaseltrack/tests/cell/gangs.rs
@@ -0,0 +1,187 @@
+//! Gangs, and other stages that may never find enough workers, beside jobs that can run.
+
+use std::time::Duration;
+
+use teaseltrack::{
+    cell::{CellEvent, StoredJob, job::Stage, progress::JobState},
+    placement::Resources,
+};
+use yare::parameterized;
+
+use crate::fleet::{CAPACITY, Fleet, Instance, long_running, stage, stored_job};
+
+const GANG: &str = "00000000000000ff";
+
+fn gang(task_count: u32) -> Stage {
+    Stage { is_gang: true, ..stage(task_count) }
+}
+
+/// Job that has been overdue for so long that it comes first among its kind.
+fn overdue(id: &str, stages: Vec<Stage>) -> StoredJob {
+    StoredJob { age: Duration::from_secs(60), ..stored_job(id, stages) }
+}
+
+fn job_id(number: usize) -> String {
+    format!("{number:016x}")
+}
+
+fn completed_count(fleet: &Fleet, job_count: usize) -> usize {
+    let states = (0..job_count).map(|number| fleet.cell.state(&job_id(number)));
+    states.filter(|state| *state == Some(JobState::Completed)).count()
+}
+
+/// Guards against jobs that are never started, on idle workers, because a stage is tried before them that
+/// the workers can't hold.
+#[parameterized(
+    too_many_members = { gang(100) },
+    too_many_members_for_a_limit = { Stage { max_per_worker: Some(1), ..gang(4) } },
+    gang_without_its_label = { Stage { required_label: Some("none".to_owned()), ..gang(2) } },
+    too_many_best_effort_members = { Stage { is_best_effort: true, ..gang(100) } },
+    too_many_serving_members = { Stage { is_long_running: true, ..gang(100) } },
+    too_large_members = { Stage { resources: Resources { cpu_milli: 9_000, ..CAPACITY }, ..gang(2) } },
+    too_large_tasks = { Stage { resources: Resources { cpu_milli: 9_000, ..CAPACITY }, ..stage(3) } },
+    too_large_serving_tasks = { Stage { is_long_running: true, ..too_large(3) } },
+    tasks_without_their_label = { Stage { required_label: Some("none".to_owned()), ..stage(3) } },
+)]
+fn plan_starts_jobs_beside_a_stage_that_no_workers_can_run(hopeless: Stage) {
+    let mut fleet = Fleet::new(3, 1);
+    fleet.run_steps(4);
+    fleet.submit(overdue(GANG, vec![hopeless.clone()]));
+    fleet.submit(overdue("00000000000000fe", vec![hopeless]));
+    for number in 0..40 {
+        fleet.submit(stored_job(&job_id(number), vec![stage(3)]));
+        fleet.run_steps(5);
+    }
+    fleet.run_steps(400);
+    assert_eq!(completed_count(&fleet, 40), 40);
+    assert_eq!(fleet.cell.state(GANG), Some(JobState::Queued));
+}
+
+fn too_large(task_count: u32) -> Stage {
+    Stage { resources: Resources { cpu_milli: 9_000, ..CAPACITY }, ..stage(task_count) }
+}
+
+/// Guards against anything that a gang leaves behind when some of its members fit and it is taken back:
+/// attempt numbers, waiting times, CPU that best-effort tasks seem to use.
+#[parameterized(best_effort = { true }, batch = { false })]
+fn plan_leaves_no_trace_of_a_gang_that_is_tried_in_vain(is_best_effort: bool) {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.run_steps(4);
+    let resources = Resources { cpu_milli: 3_000, memory_mib: 100, accelerators: 0 };
+    fleet.submit(stored_job(GANG, vec![Stage { resources, is_best_effort, ..gang(20) }]));
+    fleet.cell.plan(0, fleet.now);
+    fleet.cell.take_events();
+    let before = format!("{:#?}", fleet.cell);
+    fleet.cell.plan(0, fleet.now);
+    assert!(fleet.cell.take_events().iter().all(|event| event.name() != "assigned"));
+    let after = format!("{:#?}", fleet.cell);
+    let changed = before.lines().zip(after.lines()).find(|(before, after)| before != after);
+    assert_eq!(changed, None);
+    assert!(before.contains("attempt: 0") && !before.contains("attempt: 1"));
+}
+
+/// Guards against a job that never runs under a steady overload, since an older one that can't run comes first
+/// in its place.
+#[test]
+fn plan_starves_no_overdue_job_behind_a_stage_that_no_workers_can_run() {
+    let mut fleet = Fleet::new(1, 1);
+    fleet.max_run_ms = 1_000;
+    fleet.submit(overdue(GANG, vec![gang(100)]));
+    fleet.submit(stored_job("00000000000000fe", vec![stage(4)]));
+    for round in 0..800 {
+        // More than the worker can run.
+        if round % 5 == 0 {
+            fleet.submit(stored_job(&format!("1{round:015x}"), vec![stage(3)]));
+        }
+        fleet.step();
+    }
+    assert_eq!(fleet.cell.state("00000000000000fe"), Some(JobState::Completed));
+}
+
+/// Guards against a gang that is given up although workers are added later.
+#[test]
+fn plan_starts_a_gang_once_workers_are_added() {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.submit(stored_job(GANG, vec![gang(12)]));
+    fleet.run_steps(400);
+    assert_eq!(fleet.start_count, 0);
+    fleet.instances.push(Instance {
+        name: "instance-2".to_owned(),
+        incarnation: 1,
+        agent_incarnation: 1,
+        clock_ms: 1_000,
+        announced_capacity: CAPACITY,
+        capacity: CAPACITY,
+        ..Instance::default()
+    });
+    fleet.run_steps(600);
+    assert_eq!(fleet.cell.state(GANG), Some(JobState::Completed));
+}
+
+/// Guards against a gang that never gets its room while smaller jobs take each core as soon as it is free,
+/// and against room that is held for it for good.
+#[parameterized(
+    whole_fleet = { gang(12) },
+    limited = { Stage { max_per_worker: Some(2), ..gang(6) } },
+)]
+fn plan_starts_a_gang_beside_a_stream_of_small_jobs(stage_of_gang: Stage) {
+    let mut fleet = Fleet::new(3, 1);
+    fleet.run_steps(4);
+    fleet.submit(stored_job(GANG, vec![stage_of_gang]));
+    let mut job_count = 0;
+    for _ in 0..2_400 {
+        while completed_count(&fleet, job_count) + 20 > job_count {
+            fleet.submit(stored_job(&job_id(job_count), vec![stage(2)]));
+            job_count += 1;
+        }
+        fleet.step();
+        if fleet.cell.state(GANG) == Some(JobState::Completed) {
+            break;
+        }
+    }
+    assert_eq!(fleet.cell.state(GANG), Some(JobState::Completed));
+    fleet.run_steps(300);
+    assert_eq!(completed_count(&fleet, job_count), job_count);
+}
+
+/// Guards against a serving task that waits for good in an evacuated zone because a stage that can't run
+/// anywhere comes first.
+#[parameterized(too_many_members = { gang(100) }, too_large_task = { too_large(1) })]
+fn plan_empties_an_evacuated_zone_beside_a_stage_that_no_workers_can_run(hopeless: Stage) {
+    let mut fleet = Fleet::new(4, 1).with_zones(&["a", "b"]);
+    fleet.instances.iter_mut().for_each(|instance| instance.percent = Some(100));
+    fleet.run_steps(10);
+    fleet.submit(stored_job(&job_id(0), vec![long_running(4)]));
+    fleet.run_steps(60);
+    fleet.submit(stored_job(GANG, vec![hopeless]));
+    let zone = if fleet.running_in("a").is_empty() { "b" } else { "a" };
+    fleet.evacuate(zone);
+    fleet.run_steps(400);
+    assert!(fleet.running_in(zone).is_empty());
+}
+
+/// Guards against an operator who can't tell a stage that waits for its turn from one that can't run.
+#[test]
+fn plan_reports_a_stage_that_no_workers_can_run() {
+    let mut fleet = Fleet::new(3, 1);
+    fleet.run_steps(4);
+    fleet.submit(stored_job(GANG, vec![gang(13)]));
+    fleet.submit(stored_job(&job_id(0), vec![stage(40)]));
+    fleet.submit(stored_job(&job_id(1), vec![gang(12)]));
+    let mut reports = Vec::new();
+    for _ in 0..300 {
+        fleet.step();
+        let events = fleet.cell.take_events();
+        reports.extend(events.into_iter().filter(|event| event.name() == "stage_infeasible"));
+    }
+    let [CellEvent::Infeasible { task, task_count: 13, room_count: 12, stage_count: 1, .. }] =
+        &reports[..]
+    else {
+        panic!("{reports:?}");
+    };
+    assert_eq!(task.job, GANG);
+    assert_eq!(fleet.cell.infeasible_stage_count(), 1);
+    fleet.cancel(GANG);
+    fleet.run_steps(60);
+    assert_eq!(fleet.cell.infeasible_stage_count(), 0);
+}
