Keep a cancelled job from being stored later

Cause: an entry answered a cancellation with "no such job" as soon as it found no row, and left nothing behind. A call that stores the row may be held up by a partition for any time, after its caller has left; its only condition is that there is no row.

Change: the cancellation of a job without a row stores one in its place, under the condition of the submission, so that only one of them can succeed. Owners of this and of earlier builds ignore the row; an entry of an earlier build shows its job as cancelled.

The rows stay for good so far.

--- a/crates/teaseltrack-cell/src/entry.rs
+++ b/crates/teaseltrack-cell/src/entry.rs
@@ -3,6 +3,10 @@
 //! A job is accepted once its row is stored, and cancelled once the row of its cancellation is
 //! stored. States are read from the owner, or from the store if the owner doesn't respond or
 //! doesn't have the job.
+//!
+//! A job that isn't stored when it is cancelled may still be on its way: a call that stores it may be
+//! delayed for as long as a partition lasts, after its caller has left. Its cancellation therefore stores
+//! a row in its place ([`Submission::withdrawn`]), with which any later submission conflicts.
 
 use std::{
     net::SocketAddr,
@@ -54,6 +58,8 @@
     Invalid(InvalidJob),
     /// The job is not stored and won't be.
     Refused,
+    /// The job was cancelled before it was stored, and never will be; a retry can't succeed.
+    Withdrawn,
     /// The job may or may not be stored.
     Unknown,
 }
@@ -65,6 +71,7 @@
             Self::Accepted => "accepted",
             Self::Invalid(_) => "invalid",
             Self::Refused => "refused",
+            Self::Withdrawn => "withdrawn",
             Self::Unknown => "unknown",
         }
     }
@@ -75,7 +82,7 @@
 pub enum CancelOutcome {
     /// The cancellation is stored.
     Cancelled,
-    /// No such job is stored.
+    /// No such job is stored, and none will be.
     NoSuchJob,
     /// The cancellation may or may not be stored.
     Unknown,
@@ -139,7 +146,8 @@
             return SubmitOutcome::Refused;
         };
         let key = submission_key(job);
-        let write = Write::put(key.clone(), &Submission { spec, queue: queue.clone(), cell });
+        let submission = Submission { spec, queue: queue.clone(), cell, is_withdrawn: false };
+        let write = Write::put(key.clone(), &submission);
         let bytes = write.value.as_ref().map_or(0, String::len);
         let max_bytes = self.store.max_value_bytes().saturating_sub(DELEGATION_BYTES);
         if bytes > max_bytes {
@@ -156,15 +164,18 @@
             loop {
                 in_doubt_calls += 1;
                 match self.store.commit(transaction.clone()).await {
-                    Ok(CommitOutcome::Committed { .. } | CommitOutcome::Conflict { .. }) => {
-                        return true;
+                    Ok(CommitOutcome::Committed { .. }) => return SubmitOutcome::Accepted,
+                    Ok(CommitOutcome::Conflict { .. }) => {
+                        if let Some(outcome) = self.outcome_of_conflict(job).await {
+                            return outcome;
+                        }
                     }
                     Err(StoreError::Refused { .. }) => in_doubt_calls -= 1,
                     Err(error @ StoreError::Rejected { .. }) => {
                         warn!(self.logger, "the store rejects the job"; "request_id" => job,
                             "bytes" => bytes, "error" => %error);
                         in_doubt_calls -= 1;
-                        return false;
+                        return SubmitOutcome::Refused;
                     }
                     Err(_) => {}
                 }
@@ -172,9 +183,9 @@
             }
         };
         let outcome = match timeout_at(deadline.into(), retry_loop).await {
-            Ok(true) => SubmitOutcome::Accepted,
-            Ok(false) | Err(_) if in_doubt_calls > 0 => SubmitOutcome::Unknown,
-            Ok(false) | Err(_) => SubmitOutcome::Refused,
+            Ok(SubmitOutcome::Refused) | Err(_) if in_doubt_calls > 0 => SubmitOutcome::Unknown,
+            Ok(outcome) => outcome,
+            Err(_) => SubmitOutcome::Refused,
         };
         self.metrics.count_tagged("submissions", "outcome", outcome.name());
         info!(self.logger, "job submitted"; "request_id" => job, "queue" => &queue.name,
@@ -182,7 +193,26 @@
         outcome
     }
 
-    /// Stores the cancellation of a job.
+    /// Outcome of a submission whose job has a row already: it was submitted or cancelled before. `None`
+    /// if that can't be read now.
+    async fn outcome_of_conflict(&self, job: &JobId) -> Option<SubmitOutcome> {
+        match self.store.read(&submission_key(job)).await {
+            Ok(Some(row)) if self.is_withdrawn(&row) => Some(SubmitOutcome::Withdrawn),
+            Ok(Some(_)) => Some(SubmitOutcome::Accepted),
+            Ok(None) => None,
+            Err(error) => {
+                warn!(self.logger, "failed to read the row of a job that was submitted before; retrying";
+                    "request_id" => job, "error" => %error);
+                None
+            }
+        }
+    }
+
+    fn is_withdrawn(&self, row: &Row) -> bool {
+        self.store.parse(row).is_some_and(|submission: Submission| submission.is_withdrawn)
+    }
+
+    /// Stores the cancellation of a job, or that it must not be stored any more.
     pub async fn cancel(&self, job: &JobId, deadline: Instant) -> CancelOutcome {
         let retry_loop = async {
             loop {
@@ -205,18 +235,33 @@
 
     async fn try_cancel(&self, job: &JobId) -> Result<CancelOutcome, StoreError> {
         let key = submission_key(job);
-        let Some(row) = self.store.read(&key).await? else { return Ok(CancelOutcome::NoSuchJob) };
         let cancellation = cancellation_key(job);
-        let transaction = Transaction {
-            id: cancellation.clone(),
-            conditions: vec![
-                Condition { key, version: row.version },
-                Condition { key: cancellation.clone(), version: 0 },
-            ],
-            writes: vec![Write::put(cancellation, &true)],
-        };
-        self.store.commit(transaction).await?;
-        Ok(CancelOutcome::Cancelled)
+        loop {
+            let row = self.store.read(&key).await?;
+            if row.as_ref().is_some_and(|row| self.is_withdrawn(row)) {
+                return Ok(CancelOutcome::NoSuchJob);
+            }
+            let is_stored = row.is_some();
+            let version = row.map_or(0, |row| row.version);
+            let mut conditions = vec![Condition { key: key.clone(), version }];
+            // Earlier builds show a withdrawn job as cancelled.
+            let mut writes = vec![Write::put(cancellation.clone(), &true)];
+            if is_stored {
+                conditions.push(Condition { key: cancellation.clone(), version: 0 });
+            } else {
+                writes.push(Write::put(key.clone(), &Submission::withdrawn()));
+            }
+            let transaction = Transaction { id: cancellation.clone(), conditions, writes };
+            let is_committed =
+                matches!(self.store.commit(transaction).await?, CommitOutcome::Committed { .. });
+            if is_stored && (is_committed || self.store.read(&cancellation).await?.is_some()) {
+                return Ok(CancelOutcome::Cancelled);
+            }
+            if is_committed {
+                return Ok(CancelOutcome::NoSuchJob);
+            }
+            // The job was stored, or withdrawn by another call, since it was read.
+        }
     }
 
     /// Returns the state of a job.
@@ -324,6 +369,9 @@
     async fn state_from_store(&self, job: &JobId) -> Result<Option<JobState>, StoreError> {
         let Some(row) = self.store.read(&submission_key(job)).await? else { return Ok(None) };
         let submission: Submission = row.parse()?;
+        if submission.is_withdrawn {
+            return Ok(None);
+        }
         if self.store.read(&cancellation_key(job)).await?.is_some() {
             return Ok(Some(JobState::Cancelled));
         }
--- a/crates/teaseltrack-cell/src/owner/loader.rs
+++ b/crates/teaseltrack-cell/src/owner/loader.rs
@@ -114,7 +114,8 @@
         .filter(|(job, delegation)| delegation.cell == cell || progress_jobs.contains(*job))
         .collect();
     jobs.extend(partial.into_iter().map(|(id, Delegation { spec, queue, .. })| {
-        let submission = Submission { spec: spec.clone(), queue: queue.clone(), cell };
+        let submission =
+            Submission { spec: spec.clone(), queue: queue.clone(), cell, is_withdrawn: false };
         StoredJob { is_partial: true, ..restore(id.clone(), submission) }
     }));
     let delegations = delegations_to(cell, delegations);
@@ -245,7 +246,9 @@
             }
             JobRowKey::Submission(job) => {
                 let submission: Option<Submission> = store.parse(row);
-                let submission = submission.filter(|submission| submission.cell == cell);
+                let is_own =
+                    |submission: &Submission| submission.cell == cell && !submission.is_withdrawn;
+                let submission = submission.filter(is_own);
                 let Some(submission) = submission else { continue };
                 match submission.spec.validate() {
                     Ok(()) => grouped.submissions.push((job, submission)),
--- a/crates/teaseltrack-cell/src/rows.rs
+++ b/crates/teaseltrack-cell/src/rows.rs
@@ -79,6 +79,9 @@
     format!("{}{instance}", instance_prefix(part))
 }
 
+/// Cell of a job that was cancelled before it was stored; there is no such cell.
+const NO_CELL: CellId = CellId::MAX;
+
 /// Value of a submission's row.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Submission {
@@ -89,6 +92,22 @@
     /// Cell that runs the job.
     #[serde(default)]
     pub cell: CellId,
+    /// Whether the job was cancelled before it was stored. The row then has no specification, and keeps
+    /// the job from being stored.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub is_withdrawn: bool,
+}
+
+impl Submission {
+    /// Row of a job that was cancelled before it was stored. Owners of earlier builds ignore it, since it
+    /// belongs to no cell.
+    pub fn withdrawn() -> Self {
+        Self { cell: NO_CELL, is_withdrawn: true, ..Self::default() }
+    }
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
 /// Value of an instance's row.
--- a/crates/teaseltrack-cell/tests/odd_entries.rs
+++ b/crates/teaseltrack-cell/tests/odd_entries.rs
@@ -69,7 +69,7 @@
 
 fn submission() -> Submission {
     let queue = Queue { name: "queue".to_owned(), stretch: 1.5, ..Queue::default() };
-    Submission { spec: spec(), queue, cell: 0 }
+    Submission { spec: spec(), queue, ..Submission::default() }
 }
 
 fn progress() -> JobProgress {
--- a/crates/teaseltrack-cell/tests/util.rs
+++ b/crates/teaseltrack-cell/tests/util.rs
@@ -36,6 +36,7 @@
 
 impl Rows {
     /// Writes a row as another process would.
+    #[allow(dead_code, reason = "not all test programs use it")]
     pub fn put(&mut self, key: &str, value: &str) {
         self.version += 1;
         self.put_at(key, value, self.version);
--- a/crates/teaseltrack-cell/tests/worker_faults.rs
+++ b/crates/teaseltrack-cell/tests/worker_faults.rs
@@ -149,7 +149,8 @@
             stretch: 1.5,
             ..Queue::default()
         };
-        let submission = serde_json::to_string(&Submission { spec, queue, cell: 0 }).unwrap();
+        let submission = Submission { spec, queue, ..Submission::default() };
+        let submission = serde_json::to_string(&submission).unwrap();
         self.rows.lock().unwrap().put(&submission_key(&job), &submission);
         self.jobs.push(job);
     }
