Count a failed run of a gang once

Cause: a member's failure counts for all members of its gang, but it was counted for each member that failed. A run in which as many members fail as the queue has attempts was the last one.

Change: the attempts whose failure was counted are part of a member's committed progress; a failure is counted only if no member of the gang lists its attempt. Older builds ignore the list, and rows without it are read as before.

On related paths: several members that fail on a worker in one run count as one of the failures in a row after which the worker gets no tasks, so that one gang no longer puts a whole fleet on probation, and all members avoid that worker, since they start again together. The simulated workers of the cell's tests assert for all tasks, not only for speculative ones, that none starts after as many confirmed failures as its queue allows; with gangs, the end of one member represents all.

--- a/crates/teaseltrack-cell/tests/odd_entries.rs
+++ b/crates/teaseltrack-cell/tests/odd_entries.rs
@@ -78,6 +78,7 @@
         attempt: 2,
         ended_attempt: 1,
         failure_count: 1,
+        failed_attempts: vec![1],
         crash_count: 1,
         sole_crash_count: 1,
         hand_over: 2,
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -53,6 +53,7 @@
 pub mod delegation;
 mod durations;
 pub mod evacuation;
+mod failures;
 mod feasibility;
 mod gang_room;
 pub mod health;
@@ -1317,7 +1318,7 @@
             if end.cause == EndCause::Done {
                 self.settle_copy(task_key, now);
             }
-            self.update_worker_health(key, task_key, end.cause, now);
+            self.note_end_on_worker(key, (task_key, end.attempt), end.cause, now);
             is_ahead = self.task(task_key).is_some_and(Task::is_first_run_ahead);
             self.release_run(task_key);
         }
@@ -1343,7 +1344,7 @@
         self.needs_plan = true;
         match end.cause {
             EndCause::Done => self.complete_task(task_key),
-            EndCause::Failed if is_counted => self.record_failure(task_key),
+            EndCause::Failed if is_counted => self.record_failure(task_key, end.attempt),
             EndCause::Failed
             | EndCause::Stopped
             | EndCause::Lapsed
@@ -1373,27 +1374,6 @@
         }
     }
 
-    fn record_failure(&mut self, key: TaskKey) {
-        let job = &self.jobs[key.job];
-        let stage = &job.spec.stages[key.stage as usize];
-        if stage.is_long_running {
-            return;
-        }
-        let max_attempts = job.queue.max_attempts.max(1);
-        // The failure of one member of a gang counts for all members.
-        let members = if stage.is_gang { 0..stage.task_count } else { key.index..key.index + 1 };
-        let mut failure_count = 0;
-        for index in members {
-            if let Some(task) = self.task_mut(TaskKey { index, ..key }) {
-                task.progress.failure_count += 1;
-                failure_count = failure_count.max(task.progress.failure_count);
-            }
-        }
-        if failure_count >= max_attempts {
-            self.finish(key.job, JobState::Failed);
-        }
-    }
-
     fn process_refusal(&mut self, key: WorkerKey, refused: &RefusedStart, now: Instant) {
         let Some(task_key) = self.key_of(&refused.task) else { return };
         let is_current = self.task_mut(task_key).is_some_and(|task| {
--- a/crates/teaseltrack/src/cell/job.rs
+++ b/crates/teaseltrack/src/cell/job.rs
@@ -204,7 +204,8 @@
     /// Priority of the queue; 0 is the highest.
     pub priority: u32,
     /// Number of failures of one task at which its job fails; 0 counts as 1. The failure of a
-    /// gang's member counts for all members, and failures of long-running tasks don't count.
+    /// gang's member counts for all members, once for each run of the gang, and failures of long-running
+    /// tasks don't count.
     pub max_attempts: u32,
     /// Factor on the critical path in a job's completion-time objective, which is `stretch` times
     /// the critical path plus `objective_ms`; values below 1 count as 1.
--- a/crates/teaseltrack/src/cell/progress.rs
+++ b/crates/teaseltrack/src/cell/progress.rs
@@ -103,9 +103,12 @@
     /// Number of the last attempt whose end was processed.
     #[serde(rename = "e", default, skip_serializing_if = "is_zero")]
     pub ended_attempt: AttemptNumber,
-    /// Number of failed attempts.
+    /// Number of failed attempts; of the whole gang, for a member of one.
     #[serde(rename = "f", default, skip_serializing_if = "is_zero")]
     pub failure_count: u32,
+    /// The latest of those attempts, but for those of a gang that were counted for another member.
+    #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
+    pub failed_attempts: Vec<AttemptNumber>,
     /// Number of crashes of workers for which the task was a suspect, since it was last cleared.
     #[serde(rename = "k", default, skip_serializing_if = "is_zero")]
     pub crash_count: u32,
@@ -128,6 +131,7 @@
     fn has_valid_numbers(&self) -> bool {
         let counts = [self.failure_count, self.crash_count, self.sole_crash_count, self.hand_over];
         let attempts = self.other_runs.iter().map(|run| run.attempt);
+        let attempts = attempts.chain(self.failed_attempts.iter().copied());
         let mut numbers = attempts.chain([self.attempt, self.ended_attempt]).chain(counts);
         numbers.all(|number| number <= MAX_ATTEMPT)
     }
--- a/crates/teaseltrack/src/cell/progress/stored.rs
+++ b/crates/teaseltrack/src/cell/progress/stored.rs
@@ -20,6 +20,8 @@
 const MAX_UNPACKED_BYTES: u64 = 16 << 20;
 /// Estimated size of a task without its strings in a plain row, in bytes.
 const TASK_BYTES: usize = 48;
+/// Maximum size of a listed attempt in a plain row, in bytes.
+const ATTEMPT_BYTES: usize = 11;
 
 /// Reason why a compressed row can't be read.
 #[derive(Debug, Snafu)]
@@ -123,7 +125,12 @@
                 TaskPhase::Waiting | TaskPhase::Done | TaskPhase::Delegated(_) => 0,
             };
             let other_runs = task.other_runs.iter().map(|run| TASK_BYTES + run.worker.len());
-            TASK_BYTES + worker + task.checkpoint.len() + other_runs.sum::<usize>()
+            let failed_attempts = ATTEMPT_BYTES * task.failed_attempts.len();
+            TASK_BYTES
+                + worker
+                + task.checkpoint.len()
+                + failed_attempts
+                + other_runs.sum::<usize>()
         };
         TASK_BYTES + tasks.map(task_bytes).sum::<usize>()
     }
--- a/crates/teaseltrack/src/cell/worker.rs
+++ b/crates/teaseltrack/src/cell/worker.rs
@@ -14,7 +14,7 @@
         protocol::{Order, SessionToken, WorkerStatus},
         reliability::Outcomes,
     },
-    ids::InstanceId,
+    ids::{AttemptNumber, InstanceId},
     placement::Resources,
 };
 
@@ -121,6 +121,8 @@
     pub ineligible_until: Option<Instant>,
     /// Number of failed runs since the last completed one.
     pub consecutive_failures: u32,
+    /// Last run of a gang of which a member failed here: the member with index 0 and the attempt.
+    pub failed_gang_run: Option<(TaskKey, AttemptNumber)>,
     /// Moving average of run times relative to the expected ones; 1 for a typical worker.
     pub slowdown: f64,
     /// Ends of its runs, for its reliability.
@@ -192,6 +194,7 @@
             is_quarantined: false,
             ineligible_until: None,
             consecutive_failures: 0,
+            failed_gang_run: None,
             slowdown: 1.0,
             outcomes: Outcomes::default(),
             recent_losses: 0.0,
--- a/crates/teaseltrack/tests/cell/fleet.rs
+++ b/crates/teaseltrack/tests/cell/fleet.rs
@@ -339,7 +339,7 @@
     pub committed_done: BTreeMap<TaskName, Instant>,
     pub done: BTreeSet<TaskName>,
     pub start_count: usize,
-    /// Confirmed failures of each speculative task.
+    /// Confirmed failures of each task.
     pub failures: BTreeMap<TaskName, Vec<Instant>>,
     /// Started attempts of speculative tasks.
     pub started_attempts: BTreeSet<(TaskName, u32)>,
@@ -720,7 +720,7 @@
             let cause = if has_failed { EndCause::Failed } else { EndCause::Done };
             self.instances[index].end(&task, cause);
             if cause == EndCause::Done {
-                self.done.insert(task);
+                self.note_done(task);
             }
         }
         for (_, fence, start) in due {
@@ -728,6 +728,17 @@
         }
     }
 
+    /// Notes that a task is done; the end of a gang's member represents all members.
+    fn note_done(&mut self, task: TaskName) {
+        let stage = &self.jobs[&task.job].spec.stages[task.stage as usize];
+        if stage.is_gang {
+            let members = (0..stage.task_count).map(|index| TaskName { index, ..task.clone() });
+            self.done.extend(members);
+        } else {
+            self.done.insert(task);
+        }
+    }
+
     pub fn exchange_report(&mut self, index: usize) {
         if self.instances[index].down_steps == 0 {
             self.instances[index].listed = self.instances[index].running.clone();
@@ -961,6 +972,8 @@
         if is_speculative {
             let number = (start.task.clone(), start.attempt);
             assert!(!self.started_attempts.contains(&number), "{number:?} has started before");
+        }
+        if !job.spec.stages[start.task.stage as usize].is_long_running {
             let failures = self.failures.get(&start.task).into_iter().flatten();
             let is_past = |failed_at: &&Instant| self.now >= **failed_at + grace;
             let failure_count = failures.filter(is_past).count() as u32;
--- a/crates/teaseltrack/tests/cell/gangs.rs
+++ b/crates/teaseltrack/tests/cell/gangs.rs
@@ -3,12 +3,17 @@
 use std::time::Duration;
 
 use teaseltrack::{
-    cell::{CellEvent, StoredJob, job::Stage, progress::JobState},
+    cell::{
+        CellEvent, StoredJob,
+        job::{Queue, QueueConfiguration, Stage},
+        progress::JobState,
+        protocol::{EndCause, TaskName},
+    },
     placement::Resources,
 };
 use yare::parameterized;
 
-use crate::fleet::{CAPACITY, Fleet, Instance, long_running, stage, stored_job};
+use crate::fleet::{CAPACITY, Fleet, Instance, long_running, queue, stage, stored_job};
 
 const GANG: &str = "00000000000000ff";
 
@@ -185,3 +190,108 @@
     fleet.run_steps(60);
     assert_eq!(fleet.cell.infeasible_stage_count(), 0);
 }
+
+/// Ends the members of the gang's present run: those with the given indexes fail, the others are broken off.
+fn fail_members(fleet: &mut Fleet, failing: &[u32]) {
+    for instance in &mut fleet.instances {
+        let members: Vec<TaskName> =
+            instance.running.keys().filter(|task| task.job == GANG).cloned().collect();
+        for task in members {
+            let has_failed = failing.contains(&task.index);
+            instance.end(&task, if has_failed { EndCause::Failed } else { EndCause::Broken });
+        }
+    }
+}
+
+/// Steps until all members of a gang with six run.
+fn run_until_gang_starts(fleet: &mut Fleet) {
+    let member_count = |fleet: &Fleet| {
+        let running = fleet.instances.iter().flat_map(|instance| instance.running.keys());
+        running.filter(|task| task.job == GANG).count()
+    };
+    for _ in 0..400 {
+        fleet.step();
+        if member_count(fleet) == 6 {
+            return;
+        }
+    }
+    panic!("the gang doesn't start");
+}
+
+fn fleet_with_gang(max_attempts: u32) -> Fleet {
+    let mut fleet = Fleet::new(3, 1);
+    fleet.max_run_ms = 60_000;
+    fleet.run_steps(4);
+    let mut job = stored_job(GANG, vec![Stage { max_per_worker: Some(2), ..gang(6) }]);
+    job.queue.max_attempts = max_attempts;
+    fleet.submit(job);
+    let configuration = configuration_with(max_attempts);
+    fleet.cell.apply_configuration(configuration);
+    run_until_gang_starts(&mut fleet);
+    fleet
+}
+
+fn configuration_with(max_attempts: u32) -> QueueConfiguration {
+    let queue = Queue { max_attempts, ..queue() };
+    QueueConfiguration { version: 2, queues: vec![queue], guarded_services: Vec::new() }
+}
+
+/// Guards against a gang that is given up early, since one failed run counts once for each member that
+/// reports its failure.
+#[parameterized(
+    one_worker = { &[0, 3], false },
+    several_workers = { &[0, 1, 2], false },
+    all_members = { &[0, 1, 2, 3, 4, 5], false },
+    new_owner_in_between = { &[0, 1, 2, 3, 4, 5], true },
+)]
+fn process_end_counts_a_failed_run_of_a_gang_once(failing: &[u32], is_owner_replaced: bool) {
+    let mut fleet = fleet_with_gang(2);
+    // The agents of the last worker and of the others report at different times.
+    fleet.instances[2].is_disconnected = true;
+    fail_members(&mut fleet, failing);
+    fleet.run_steps(2);
+    if is_owner_replaced {
+        fleet.replace_owner();
+        fleet.cell.apply_configuration(configuration_with(2));
+        fleet.run_steps(2);
+    }
+    fleet.instances[2].is_disconnected = false;
+    run_until_gang_starts(&mut fleet);
+    assert_eq!(fleet.cell.state(GANG), Some(JobState::Active));
+    fail_members(&mut fleet, &failing[..1]);
+    let started_count = fleet.start_count;
+    fleet.run_steps(200);
+    assert_eq!(fleet.cell.state(GANG), Some(JobState::Failed));
+    assert_eq!(fleet.start_count, started_count);
+}
+
+/// Guards against a failed run of a gang that goes uncounted because another member failed in an earlier one.
+#[test]
+fn process_end_counts_failures_of_different_members() {
+    let mut fleet = fleet_with_gang(3);
+    for failing in [0, 1] {
+        fail_members(&mut fleet, &[failing]);
+        run_until_gang_starts(&mut fleet);
+    }
+    fail_members(&mut fleet, &[2, 3]);
+    fleet.run_steps(10);
+    assert_eq!(fleet.cell.state(GANG), Some(JobState::Failed));
+}
+
+/// Guards against workers that get no tasks because one gang with several members on each has failed.
+#[test]
+fn process_end_keeps_workers_of_a_failed_gang() {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.max_run_ms = 60_000;
+    fleet.run_steps(4);
+    fleet.submit(stored_job(GANG, vec![gang(8)]));
+    while fleet.instances.iter().any(|instance| instance.running.len() < 4) {
+        fleet.step();
+    }
+    fail_members(&mut fleet, &[0, 1, 2, 3, 4, 5, 6, 7]);
+    fleet.cancel(GANG);
+    fleet.submit(stored_job(&job_id(0), vec![stage(2)]));
+    let started_count = fleet.start_count;
+    fleet.run_steps(10);
+    assert!(fleet.start_count > started_count, "no task starts beside the failed gang");
+}
--- a/crates/teaseltrack/tests/cell/main.rs
+++ b/crates/teaseltrack/tests/cell/main.rs
@@ -4,6 +4,7 @@
 mod copies;
 mod evacuations;
 mod fleet;
+mod gang_faults;
 mod gangs;
 mod owner_changes;
 mod owner_series;
