Delete the rows of withdrawn jobs

Callers saw nothing of it yet: each cancellation of a job that isn't stored left rows for good, for identifiers that callers choose.

Cause: a withdrawn job's row may only go when no call that would store the job can succeed any more, and such a call may be delayed for any time.

A call of an earlier period fails for good, so that the rows are deleted after one whole period (docs/design/withdrawals.md).

Evidence: with the condition on the period taken out, delete_withdrawn_jobs_ends_the_calls_before_it fails in both cases: the delayed call stores the job after the deletion.

--- a/crates/teaseltrack-cell/src/entry.rs
+++ b/crates/teaseltrack-cell/src/entry.rs
@@ -6,10 +6,15 @@
 //!
 //! A job that isn't stored when it is cancelled may still be on its way: a call that stores it may be
 //! delayed for as long as a partition lasts, after its caller has left. Its cancellation therefore stores
-//! a row in its place ([`Submission::withdrawn`]), with which any later submission conflicts.
+//! a row in its place ([`Submission::withdrawn`]), with which any later submission conflicts. The row is
+//! deleted once no earlier call can succeed any more ([`withdrawals`]).
+//!
+//! [`withdrawals`]: crate::owner::withdrawals
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
     time::{Duration, Instant},
 };
 
@@ -41,8 +46,9 @@
     constants::{MAX_CHANGES_WAIT, RETRY_DELAY},
     partition::wait_for_partition,
     rows::{
-        OWNERS_TABLE, Submission, cancellation_key, owner_notice_key, parse_owner_notice_key,
-        progress_key, submission_key,
+        OWNERS_TABLE, Submission, cancellation_key, job_part, owner_notice_key,
+        parse_owner_notice_key, progress_key, submission_key, submission_period_key,
+        withdrawal_key,
     },
 };
 
@@ -110,6 +116,9 @@
     Unavailable,
 }
 
+/// Version of each part's submission period as last read; 0 for one that hasn't been read.
+pub type KnownPeriods = Arc<Mutex<BTreeMap<&'static str, u64>>>;
+
 /// Operations on jobs; cheap to clone.
 #[derive(Clone)]
 pub struct JobApi {
@@ -121,6 +130,8 @@
     pub partition: watch::Receiver<Option<Partition>>,
     /// Clients for calls to the owners.
     pub clients: CellClients,
+    /// Versions of the submission periods, as last read.
+    pub periods: KnownPeriods,
     /// Last known owners.
     pub known_owners: watch::Receiver<KnownOwners>,
     /// Logger for outcomes.
@@ -153,17 +164,21 @@
         if bytes > max_bytes {
             return SubmitOutcome::Invalid(InvalidJob::TooLarge { bytes, max_bytes });
         }
-        let transaction = Transaction {
+        let period_key = submission_period_key(job_part(job));
+        let transaction = || Transaction {
             id: job.clone(),
-            conditions: vec![Condition { key, version: 0 }],
-            writes: vec![write],
+            conditions: vec![
+                Condition { key: key.clone(), version: 0 },
+                Condition { key: period_key.clone(), version: self.known_period(job) },
+            ],
+            writes: vec![write.clone()],
         };
         // Number of calls that may have stored the job, including the one in flight.
         let mut in_doubt_calls = 0_u32;
         let retry_loop = async {
             loop {
                 in_doubt_calls += 1;
-                match self.store.commit(transaction.clone()).await {
+                match self.store.commit(transaction()).await {
                     Ok(CommitOutcome::Committed { .. }) => return SubmitOutcome::Accepted,
                     Ok(CommitOutcome::Conflict { .. }) => {
                         if let Some(outcome) = self.outcome_of_conflict(job).await {
@@ -193,13 +208,38 @@
         outcome
     }
 
+    /// Version of the period of the job's part, as last read.
+    fn known_period(&self, job: &JobId) -> u64 {
+        let periods = self.periods.lock().unwrap_or_else(PoisonError::into_inner);
+        periods.get(job_part(job)).copied().unwrap_or_default()
+    }
+
+    /// Reads the period of the job's part, which has changed.
+    async fn refresh_period(&self, job: &JobId) {
+        let part = job_part(job);
+        match self.store.read(&submission_period_key(part)).await {
+            Ok(row) => {
+                let version = row.map_or(0, |row| row.version);
+                let mut periods = self.periods.lock().unwrap_or_else(PoisonError::into_inner);
+                periods.insert(part, version);
+            }
+            Err(error) => {
+                warn!(self.logger, "failed to read the submission period; retrying";
+                    "request_id" => job, "error" => %error);
+            }
+        }
+    }
+
     /// Outcome of a submission whose job has a row already: it was submitted or cancelled before. `None`
-    /// if that can't be read now.
+    /// if it has none, because a new period has begun, or if that can't be read now.
     async fn outcome_of_conflict(&self, job: &JobId) -> Option<SubmitOutcome> {
         match self.store.read(&submission_key(job)).await {
             Ok(Some(row)) if self.is_withdrawn(&row) => Some(SubmitOutcome::Withdrawn),
             Ok(Some(_)) => Some(SubmitOutcome::Accepted),
-            Ok(None) => None,
+            Ok(None) => {
+                self.refresh_period(job).await;
+                None
+            }
             Err(error) => {
                 warn!(self.logger, "failed to read the row of a job that was submitted before; retrying";
                     "request_id" => job, "error" => %error);
@@ -250,6 +290,7 @@
                 conditions.push(Condition { key: cancellation.clone(), version: 0 });
             } else {
                 writes.push(Write::put(key.clone(), &Submission::withdrawn()));
+                writes.push(Write::put(withdrawal_key(job), &true));
             }
             let transaction = Transaction { id: cancellation.clone(), conditions, writes };
             let is_committed =
--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -46,12 +46,14 @@
         committer::{Committer, OwnershipLost},
         delegator::{FoundCells, find_cells, next_stages, store_delegations},
         loader::{JobChanges, LoadedCell, follow_jobs, load},
+        withdrawals::delete_withdrawn_jobs,
     },
 };
 
 pub mod committer;
 pub mod delegator;
 pub mod loader;
+pub mod withdrawals;
 
 /// Capacity of the owner's mailbox, the channel for inbound calls, in calls.
 const MAILBOX_SIZE: usize = 512;
@@ -187,6 +189,9 @@
         context.wall_now,
         context.logger.clone(),
     ));
+    let withdrawal_cleaner = (context.cell_id == 0).then(|| {
+        tokio::spawn(delete_withdrawn_jobs(context.store.clone(), context.logger.clone()))
+    });
     let (configuration_sender, configuration) = watch::channel(None);
     let (evacuation_sender, evacuations) = watch::channel(None);
     let operator_follower = tokio::spawn(follow_operator(
@@ -222,6 +227,9 @@
     owner.context.record_serving_waits(ServingWaits::default());
     job_follower.abort();
     operator_follower.abort();
+    if let Some(cleaner) = withdrawal_cleaner {
+        cleaner.abort();
+    }
 }
 
 async fn load_while_renewing(
--- a/crates/teaseltrack-cell/src/rows.rs
+++ b/crates/teaseltrack-cell/src/rows.rs
@@ -33,6 +33,9 @@
 /// submissions.
 pub const JOB_PARTS: [&str; 4] = ["0", "1", "2", "3"];
 
+/// Table of the jobs that were cancelled before they were stored.
+const WITHDRAWALS_TABLE: &str = "withdrawals";
+
 const CANCEL_SUFFIX: &str = ".cancel";
 const DELEGATION_INFIX: &str = ".delegated.";
 
@@ -144,6 +147,22 @@
     format!("{}{CANCEL_SUFFIX}", submission_key(job))
 }
 
+/// Prefix of the rows of withdrawn jobs in one of [`JOB_PARTS`].
+pub fn withdrawal_prefix(part: &str) -> String {
+    format!("{WITHDRAWALS_TABLE}/{part}/")
+}
+
+/// Key of the row that lists a job that was cancelled before it was stored.
+pub fn withdrawal_key(job: &str) -> String {
+    format!("{}{job}", withdrawal_prefix(job_part(job)))
+}
+
+/// Key of the row on whose version all submissions of one of [`JOB_PARTS`] are conditional. It doesn't
+/// exist before its first change.
+pub fn submission_period_key(part: &str) -> String {
+    format!("submission_periods/{part}/period")
+}
+
 /// Key of the row of a task's last hand-over to another cell, in [`JOBS_TABLE`].
 pub fn delegation_key(task: &TaskName) -> String {
     let TaskName { job, occurrence, stage, index } = task;
--- a/crates/teaseltrack-cell/tests/entry.rs
+++ b/crates/teaseltrack-cell/tests/entry.rs
@@ -17,9 +17,12 @@
 };
 use teaseltrack_cell::{
     calls::{CellClients, KnownOwners},
-    entry::{CancelOutcome, JobApi, Lookup, SubmitOutcome},
-    owner::loader::load,
-    rows::Submission,
+    entry::{CancelOutcome, JobApi, KnownPeriods, Lookup, SubmitOutcome},
+    owner::{
+        loader::load,
+        withdrawals::{PERIOD, delete_withdrawn_jobs},
+    },
+    rows::{Submission, cancellation_key, submission_key, withdrawal_key},
 };
 use teaseltrack_daemon::{logs::silent, metrics::Metrics};
 use teaseltrack_platform::store::{Store, StoreBudget, StoreCall, StoreError, Transaction};
@@ -41,6 +44,7 @@
         clock: Arc::new(SystemClock),
         partition: watch::channel(Some(partition)).1,
         clients: CellClients::default(),
+        periods: KnownPeriods::default(),
         known_owners: watch::channel(KnownOwners::default()).1,
         logger: silent(),
         metrics: Metrics::scrape_only(),
@@ -166,6 +170,65 @@
     assert_eq!(submit(&entry).await, SubmitOutcome::Withdrawn);
 }
 
+/// Guards against rows that stay for good, and against a delayed call that stores the job once they are gone.
+/// `owner_count` owners run at the same time, which take over one after the other.
+#[yare::parameterized(one_owner = { 1 }, overlapping_owners = { 3 })]
+#[test_macro(tokio::test(start_paused = true))]
+async fn delete_withdrawn_jobs_ends_the_calls_before_it(owner_count: u64) {
+    let (rows, held) = (Arc::new(Mutex::new(Rows::default())), HeldCommits::default());
+    let (cut, other) = (cut_entry(&held), entry(store(&rows)));
+    for _ in 0..owner_count {
+        tokio::spawn(delete_withdrawn_jobs(store(&rows), silent()));
+        sleep(PERIOD.mul_f64(0.3)).await;
+    }
+    assert_eq!(submit(&cut).await, SubmitOutcome::Unknown);
+    assert_eq!(cancel(&other).await, CancelOutcome::NoSuchJob);
+    let withdrawn_at = time::Instant::now();
+    let is_listed = || {
+        let rows = rows.lock().unwrap();
+        let keys = [submission_key(JOB), cancellation_key(JOB), withdrawal_key(JOB)];
+        let count = keys.iter().filter(|key| rows.value(key).is_some()).count();
+        assert!(count == 0 || count == 3);
+        count > 0
+    };
+    while is_listed() {
+        sleep(PERIOD / 100).await;
+    }
+    assert!(withdrawn_at.elapsed() >= PERIOD && withdrawn_at.elapsed() < PERIOD * 3);
+    release(&held, &rows).await;
+    assert_eq!(open_job_count(&rows).await, 0);
+    // A new submission by a caller is a new job.
+    assert_eq!(submit(&other).await, SubmitOutcome::Accepted);
+}
+
+/// Guards against submissions that fail since a period has begun of which the entry doesn't know.
+#[tokio::test(start_paused = true)]
+async fn submit_in_a_new_period_is_accepted() {
+    let rows = Arc::new(Mutex::new(Rows::default()));
+    let entry = entry(store(&rows));
+    tokio::spawn(delete_withdrawn_jobs(store(&rows), silent()));
+    sleep(PERIOD * 2).await;
+    rows.lock().unwrap().failing_reads = 1;
+    assert_eq!(submit(&entry).await, SubmitOutcome::Accepted);
+    assert_eq!(open_job_count(&rows).await, 1);
+}
+
+/// Guards against a cleaner that takes more than a transaction may have.
+#[tokio::test(start_paused = true)]
+async fn delete_withdrawn_jobs_deletes_many() {
+    let rows = Arc::new(Mutex::new(Rows::default()));
+    let entry = entry(store(&rows));
+    for number in 0..200 {
+        let job = format!("{number:016x}");
+        assert_eq!(entry.cancel(&job, deadline()).await, CancelOutcome::NoSuchJob);
+    }
+    tokio::spawn(delete_withdrawn_jobs(store(&rows), silent()));
+    sleep(PERIOD * 3).await;
+    for number in 0..200 {
+        assert_eq!(rows.lock().unwrap().value(&submission_key(&format!("{number:016x}"))), None);
+    }
+}
+
 /// Guards against an owner of an earlier build that runs a withdrawn job, or reports its row.
 #[test]
 fn withdrawn_submission_belongs_to_no_cell_for_earlier_builds() {
--- a/crates/teaseltrack-cell/tests/util.rs
+++ b/crates/teaseltrack-cell/tests/util.rs
@@ -14,6 +14,9 @@
 };
 use tokio::time::sleep;
 
+/// Maximum number of conditions and writes of a transaction.
+const MAX_TRANSACTION_ENTRIES: usize = 100;
+
 /// Rows of a simulated store, and its history.
 #[derive(Debug, Default)]
 pub struct Rows {
@@ -78,6 +81,8 @@
     }
 
     fn commit(&mut self, transaction: Transaction) -> Result<StoreReply, StoreError> {
+        let entry_count = transaction.conditions.len() + transaction.writes.len();
+        assert!(entry_count <= MAX_TRANSACTION_ENTRIES, "{entry_count} entries");
         if transaction.writes.iter().any(|write| Some(&write.key) == self.refused_key.as_ref()) {
             return Err(StoreError::Unavailable { message: "row refused".to_owned() });
         }
@@ -97,7 +102,10 @@
         }
         self.version += 1;
         for write in transaction.writes {
-            self.put_at(&write.key, &write.value.expect("no test deletes rows"), self.version);
+            match write.value {
+                Some(value) => self.put_at(&write.key, &value, self.version),
+                None => self.delete(&write.key),
+            }
         }
         if self.lost_responses > 0 {
             self.lost_responses -= 1;
