Leave gangs without room beside serving tasks out of evacuations

Callers saw serving tasks stay in an evacuated zone, and operators a zone that never became empty, while a gang waited for room that only a cancellation could make.

Cause: serving tasks aren't moved while a batch task waits for room, whether or not a move takes that room. The same gang took part in each search for pre-emption, although serving tasks aren't stopped.

Change: a batch stage that doesn't fit beside the serving tasks delays no move and is left out of pre-emption. Headrooms are computed once after a gang is taken back.

--- a/crates/teaseltrack/src/cell/feasibility.rs
+++ b/crates/teaseltrack/src/cell/feasibility.rs
@@ -73,6 +73,13 @@
         rooms.into_iter().any(|(worker, room)| room > own_count(worker))
     }
 
+    /// Whether the stage may get its room without the cancellation of a serving task. Waiting serving tasks
+    /// count as if they might.
+    pub(super) fn may_get_room(&self, candidate: &Candidate, workers: &[WorkerKey]) -> bool {
+        candidate.kind() == TaskKind::Serving
+            || self.is_feasible(candidate.first_task, workers, Occupancy::Serving)
+    }
+
     /// Number of tasks of the stage that fit on one worker. Its own tasks take up room only in
     /// [`Occupancy::Present`].
     pub(super) fn worker_room_count(
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -244,7 +244,7 @@
         self.report_obstacles(&candidates, &workers, &eligible_workers, now);
         self.copy_slow_runs(&candidates, &workers, now);
         self.relocate_idle_tasks(&workers, now);
-        if !self.has_unplaced_tasks(&candidates, now) {
+        if self.evacuated_zone_count() > 0 && !self.has_unplaced_tasks(&candidates, &workers, now) {
             self.move_evacuated_task(&workers, now);
         }
         if !is_serving_waiting {
@@ -338,12 +338,20 @@
         }
     }
 
-    /// Whether batch or serving tasks wait for room.
-    fn has_unplaced_tasks(&self, candidates: &[Candidate], now: Instant) -> bool {
+    /// Whether batch or serving tasks wait for room that they may get.
+    fn has_unplaced_tasks(
+        &self,
+        candidates: &[Candidate],
+        workers: &[WorkerKey],
+        now: Instant,
+    ) -> bool {
+        let is_waiting = |candidate: &Candidate| {
+            self.waiting_tasks(candidate.first_task, false, now).next().is_some()
+        };
         candidates
             .iter()
             .filter(|candidate| candidate.rank.kind != TaskKind::BestEffort)
-            .any(|candidate| self.waiting_tasks(candidate.first_task, false, now).next().is_some())
+            .any(|candidate| is_waiting(candidate) && self.may_get_room(candidate, workers))
     }
 
     /// Notes since when serving tasks have no worker, also while none is eligible, so that the tasks are
@@ -560,6 +568,7 @@
             for assignment in tentative.into_iter().rev() {
                 self.revert_assignment(assignment, stage);
             }
+            self.update_stale_headrooms(eligible_workers);
             return;
         }
         for key in placed {
@@ -658,15 +667,14 @@
         }
     }
 
-    /// Takes back the last assignment of this planning round to its worker, so that it leaves no trace:
-    /// the task has been without a worker all along.
+    /// Takes back the last assignment of this planning round to its worker, so that it leaves no trace but
+    /// stale headrooms: the task has been without a worker all along.
     fn revert_assignment(&mut self, assignment: TentativeAssignment, stage: &Stage) {
-        let TentativeAssignment { task: key, worker: worker_key, previous } = assignment;
-        let worker = &mut self.workers[worker_key];
+        let TentativeAssignment { task: key, worker, previous } = assignment;
+        let worker = &mut self.workers[worker];
         worker.release(key, stage);
         if stage.is_best_effort {
             worker.recent_assignments.pop();
-            self.update_remaining_headrooms(worker_key);
         }
         if let Some(task) = self.task_mut(key) {
             *task = previous;
--- a/crates/teaseltrack/src/cell/preemption.rs
+++ b/crates/teaseltrack/src/cell/preemption.rs
@@ -118,6 +118,10 @@
                 continue;
             }
             let Some((job, waiting)) = self.imminent_loss(candidate, now) else { continue };
+            // Serving tasks aren't stopped.
+            if !self.may_get_room(candidate, workers) {
+                continue;
+            }
             stage_count += 1;
             if stage_count > settings.max_stages_per_round {
                 return;
--- a/crates/teaseltrack/tests/cell/gangs.rs
+++ b/crates/teaseltrack/tests/cell/gangs.rs
@@ -150,16 +150,27 @@
 }
 
 /// Guards against a serving task that waits for good in an evacuated zone because a stage that can't run
-/// anywhere comes first.
-#[parameterized(too_many_members = { gang(100) }, too_large_task = { too_large(1) })]
+/// comes first.
+#[parameterized(
+    too_many_members = { gang(100) },
+    too_many_members_beside_a_serving_task = { gang(8) },
+    too_large_task = { too_large(1) },
+)]
 fn plan_empties_an_evacuated_zone_beside_a_stage_that_no_workers_can_run(hopeless: Stage) {
     let mut fleet = Fleet::new(4, 1).with_zones(&["a", "b"]);
-    fleet.instances.iter_mut().for_each(|instance| instance.percent = Some(100));
+    for instance in &mut fleet.instances {
+        instance.percent = Some(100);
+        instance.labels = vec![format!("in {}", instance.zone)];
+    }
     fleet.run_steps(10);
     fleet.submit(stored_job(&job_id(0), vec![long_running(4)]));
     fleet.run_steps(60);
+    let (zone, other) = if fleet.running_in("a").is_empty() { ("b", "a") } else { ("a", "b") };
+    let label = Some(format!("in {other}"));
+    let pinned = Stage { required_label: label, ..long_running(1) };
+    fleet.submit(stored_job(&job_id(1), vec![pinned]));
+    fleet.run_steps(60);
     fleet.submit(stored_job(GANG, vec![hopeless]));
-    let zone = if fleet.running_in("a").is_empty() { "b" } else { "a" };
     fleet.evacuate(zone);
     fleet.run_steps(400);
     assert!(fleet.running_in(zone).is_empty());
