Pass over an overdue job that comes first in vain

Callers saw jobs that were long overdue wait for good under a steady overload, while an older one came first that never got what it needed.

Cause: the oldest overdue job comes first until it runs. A best-effort gang may fit the workers' memory and never find the CPU for all members at once, and so kept that place.

Evidence: without the note that a job has come first in vain, plan_starves_no_overdue_job_behind_a_gang_that_never_starts (too_little_cpu) fails.

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -32,6 +32,7 @@
         obstacles::Obstacles,
         occurrences::{Occurrence, Occurrences},
         partition::CellId,
+        planning::Promotion,
         progress::{
             JobProgress, JobState, TaskPhase, TaskProgress, WorkerIncarnation, WorkerRecord,
         },
@@ -241,6 +242,8 @@
     is_partial: bool,
     /// Whether a run of any task is known to have started.
     has_begun: bool,
+    /// Time at which the job was last passed over after it had come first without getting any room.
+    promoted_in_vain_at: Option<Instant>,
     uncommitted_starts: Vec<UncommittedStart>,
     uncommitted_hand_overs: Vec<UncommittedHandOver>,
 }
@@ -583,6 +586,7 @@
     obstacles_reported_at: Option<Instant>,
     infeasible_stages: InfeasibleStages,
     gang_hold: Option<GangHold>,
+    promotion: Option<Promotion>,
 }
 
 impl Cell {
@@ -614,6 +618,7 @@
             obstacles_reported_at: None,
             infeasible_stages: InfeasibleStages::default(),
             gang_hold: None,
+            promotion: None,
             settings,
             epoch,
             session_count: 0,
@@ -696,6 +701,7 @@
             histories,
             is_partial: stored.is_partial,
             has_begun,
+            promoted_in_vain_at: None,
             uncommitted_starts: Vec::new(),
             uncommitted_hand_overs: Vec::new(),
         });
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -152,6 +152,13 @@
     priority: u32,
 }
 
+/// Job that comes first among its kind because it has been overdue for too long.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Promotion {
+    job: JobKey,
+    since: Instant,
+}
+
 /// Assignment of a gang's member that is taken back unless all members are placed.
 #[derive(Debug)]
 struct TentativeAssignment {
@@ -463,9 +470,10 @@
     /// Puts one job first among its kind that has been long overdue for `max_overdue_wait`: one that
     /// runs in part, otherwise the oldest. Further ones wait for it, so that jobs whose callers gain
     /// nothing any more don't take the capacity of all others. A job is left out while serving tasks
-    /// take the room that it needs.
+    /// take the room that it needs, and comes after the others once it has been first in vain for
+    /// `max_overdue_wait`.
     pub(super) fn promote_starved_job(
-        &self,
+        &mut self,
         candidates: &mut [Candidate],
         workers: &[WorkerKey],
         now: Instant,
@@ -484,11 +492,21 @@
             })
         };
         let mut starved: Vec<JobKey> = self.open_jobs.iter().copied().filter(is_starved).collect();
-        let first = starved.iter().copied().find(|key| self.has_runs(*key)).or_else(|| {
-            starved.sort_by_key(|key| self.loss_curve(*key).on_time_until);
+        let running = starved.iter().copied().find(|key| self.has_runs(*key));
+        let first = running.or_else(|| {
+            starved.sort_by_cached_key(|key| {
+                (self.jobs[*key].promoted_in_vain_at, self.loss_curve(*key).on_time_until)
+            });
             starved.iter().copied().find(can_go_on)
         });
         let Some(first) = first else { return };
+        let promotion = self.promotion.filter(|promotion| promotion.job == first);
+        let promotion =
+            *self.promotion.insert(promotion.unwrap_or(Promotion { job: first, since: now }));
+        if running.is_none() && now.duration_since(promotion.since) >= max_wait {
+            self.jobs[first].promoted_in_vain_at = Some(now);
+            self.promotion = None;
+        }
         for candidate in candidates {
             candidate.rank.is_not_starved &= candidate.first_task.job != first;
         }
--- a/crates/teaseltrack/tests/cell/gangs.rs
+++ b/crates/teaseltrack/tests/cell/gangs.rs
@@ -43,8 +43,8 @@
     gang_without_its_label = { Stage { required_label: Some("none".to_owned()), ..gang(2) } },
     too_many_best_effort_members = { Stage { is_best_effort: true, ..gang(100) } },
     too_many_serving_members = { Stage { is_long_running: true, ..gang(100) } },
-    too_large_members = { Stage { resources: Resources { cpu_milli: 9_000, ..CAPACITY }, ..gang(2) } },
-    too_large_tasks = { Stage { resources: Resources { cpu_milli: 9_000, ..CAPACITY }, ..stage(3) } },
+    too_large_members = { Stage { is_gang: true, ..too_large(2) } },
+    too_large_tasks = { too_large(3) },
     too_large_serving_tasks = { Stage { is_long_running: true, ..too_large(3) } },
     tasks_without_their_label = { Stage { required_label: Some("none".to_owned()), ..stage(3) } },
 )]
@@ -63,7 +63,8 @@
 }
 
 fn too_large(task_count: u32) -> Stage {
-    Stage { resources: Resources { cpu_milli: 9_000, ..CAPACITY }, ..stage(task_count) }
+    let resources = Resources { cpu_milli: 9_000, memory_mib: 1_000, accelerators: 0 };
+    Stage { resources, ..stage(task_count) }
 }
 
 /// Guards against anything that a gang leaves behind when some of its members fit and it is taken back:
@@ -86,14 +87,17 @@
 }
 
 /// Guards against a job that never runs under a steady overload, since an older one that can't run comes first
-/// in its place.
-#[test]
-fn plan_starves_no_overdue_job_behind_a_stage_that_no_workers_can_run() {
+/// in its place, or that never finds the CPU that it needs.
+#[parameterized(
+    too_many_members = { gang(100) },
+    too_little_cpu = { Stage { is_best_effort: true, ..too_large(3) } },
+)]
+fn plan_starves_no_overdue_job_behind_a_gang_that_never_starts(hopeless: Stage) {
     let mut fleet = Fleet::new(1, 1);
     fleet.max_run_ms = 1_000;
-    fleet.submit(overdue(GANG, vec![gang(100)]));
+    fleet.submit(overdue(GANG, vec![Stage { is_gang: true, ..hopeless }]));
     fleet.submit(stored_job("00000000000000fe", vec![stage(4)]));
-    for round in 0..800 {
+    for round in 0..1_000 {
         // More than the worker can run.
         if round % 5 == 0 {
             fleet.submit(stored_job(&format!("1{round:015x}"), vec![stage(3)]));
