--- a/crates/teaseltrack/tests/cell/fleet.rs
+++ b/crates/teaseltrack/tests/cell/fleet.rs
@@ -163,6 +163,18 @@
 }
 
 impl Instance {
+    pub fn new(index: usize) -> Self {
+        Self {
+            name: format!("instance-{index}"),
+            incarnation: 1,
+            agent_incarnation: 1,
+            clock_ms: 1_000,
+            announced_capacity: CAPACITY,
+            capacity: CAPACITY,
+            ..Self::default()
+        }
+    }
+
     pub fn end(&mut self, task: &TaskName, cause: EndCause) {
         let Some((attempt, _)) = self.running.remove(task) else { return };
         self.stopped.insert((task.clone(), attempt));
@@ -361,17 +373,7 @@
 impl Fleet {
     pub fn new(instance_count: usize, seed: u64) -> Self {
         let now = Instant::now();
-        let instances = (0..instance_count)
-            .map(|index| Instance {
-                name: format!("instance-{index}"),
-                incarnation: 1,
-                agent_incarnation: 1,
-                clock_ms: 1_000,
-                announced_capacity: CAPACITY,
-                capacity: CAPACITY,
-                ..Instance::default()
-            })
-            .collect();
+        let instances = (0..instance_count).map(Instance::new).collect();
         Self {
             settings: CELL_SETTINGS,
             requests: None,
--- a/crates/teaseltrack/tests/cell/gangs.rs
+++ b/crates/teaseltrack/tests/cell/gangs.rs
@@ -13,7 +13,7 @@
 };
 use yare::parameterized;
 
-use crate::fleet::{CAPACITY, Fleet, Instance, long_running, queue, stage, stored_job};
+use crate::fleet::{Fleet, Instance, long_running, queue, stage, stored_job};
 
 const GANG: &str = "00000000000000ff";
 
@@ -114,15 +114,7 @@
     fleet.submit(stored_job(GANG, vec![gang(12)]));
     fleet.run_steps(400);
     assert_eq!(fleet.start_count, 0);
-    fleet.instances.push(Instance {
-        name: "instance-2".to_owned(),
-        incarnation: 1,
-        agent_incarnation: 1,
-        clock_ms: 1_000,
-        announced_capacity: CAPACITY,
-        capacity: CAPACITY,
-        ..Instance::default()
-    });
+    fleet.instances.push(Instance::new(2));
     fleet.run_steps(600);
     assert_eq!(fleet.cell.state(GANG), Some(JobState::Completed));
 }
