Report long-running tasks that no worker lists, and the room beside them

Callers saw a long-running task without a run for 22 s beside room for it. The logs didn't tell whether the owner took it for running, passed over it, or refused it the room: the report of waiting tasks names one task, counts each worker under its first obstacle whether or not it has room, says nothing of assigned tasks, and lumps probation with draining.

For each cause (waiting, isolated, passed over, uncommitted, ordered, unlisted, missing, stopping, silent) it reports the task that has been idle beside room for longest, with the rooms by what planning has against them. Gauge serving_tasks_idle by cause. Begin and end of a probation are logged; workers in a back-off or on probation have a count of their own in the report of waiting tasks. No decision changes.

--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -559,6 +559,9 @@
         let OwnerContext { logger, metrics, .. } = &self.context;
         metrics.gauge("jobs_open", self.cell.open_count() as u64);
         metrics.gauge("tasks_on_silent_workers", self.cell.silent_task_count() as u64);
+        for (cause, count) in self.cell.idle_task_counts() {
+            metrics.gauge_tagged("serving_tasks_idle", "cause", cause.name(), count as u64);
+        }
         metrics.gauge("stages_infeasible", self.cell.infeasible_stage_count() as u64);
         metrics.gauge("workers_doubted", self.cell.doubted_worker_count() as u64);
         metrics.gauge("configuration_version", self.cell.configuration_version());
@@ -640,6 +643,7 @@
                         "cpu_milli" => required.cpu_milli, "memory_mib" => required.memory_mib,
                         "free_cpu_milli" => free.cpu_milli, "free_memory_mib" => free.memory_mib,
                         "workers_ineligible" => obstacles.ineligible,
+                        "workers_excluded" => obstacles.excluded,
                         "workers_isolated" => obstacles.isolated,
                         "workers_constrained" => obstacles.constrained,
                         "workers_with_batch" => obstacles.batch,
@@ -647,6 +651,32 @@
                         "workers_without_memory" => obstacles.memory,
                         "workers_held" => obstacles.held, "workers_usable" => obstacles.none);
                 }
+                CellEvent::Idle {
+                    task,
+                    attempt,
+                    worker,
+                    cause,
+                    idle,
+                    beside_room,
+                    count,
+                    rooms,
+                } => {
+                    warn!(logger, "long-running task has no run"; "request_id" => &task.job,
+                        "task" => %task, "attempt" => attempt, "worker" => worker,
+                        "cause" => cause.name(), "idle_ms" => idle.as_millis() as u64,
+                        "beside_room_ms" => beside_room.as_millis() as u64, "tasks" => count,
+                        "rooms" => rooms.total(), "rooms_unlisted" => rooms.unlisted,
+                        "rooms_refusing" => rooms.refusing, "rooms_probation" => rooms.probation,
+                        "rooms_isolated" => rooms.isolated, "rooms_held" => rooms.held,
+                        "rooms_open" => rooms.open);
+                }
+                CellEvent::ProbationBegun { worker, consecutive_failures, task_count } => {
+                    info!(logger, "worker is on probation after failed runs"; "worker" => worker,
+                        "failures" => consecutive_failures, "tasks" => task_count);
+                }
+                CellEvent::ProbationEnded { worker } => {
+                    info!(logger, "probation of a worker has ended"; "worker" => worker);
+                }
                 CellEvent::Infeasible { task, task_count, required, room_count, stage_count } => {
                     warn!(logger, "stage can't be placed on the present workers";
                         "request_id" => &task.job, "task" => %task, "tasks" => task_count,
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -27,6 +27,7 @@
         evacuation::{EvacuationSettings, EvacuationState},
         feasibility::InfeasibleStages,
         gang_room::GangHold,
+        idle_tasks::{IdleCause, IdleTaskCounts, RoomCounts},
         interference::{ImageUsage, InterferenceModel, InterferenceSettings},
         job::{JobId, JobSpec, Queue, QueueConfiguration, Stage},
         obstacles::Obstacles,
@@ -43,7 +44,7 @@
         room_promises::RoomPromise,
         silence::SilentWorker,
         tail_model::Tail,
-        worker::{TaskKey, Worker},
+        worker::{Exclusion, ExclusionCause, TaskKey, Worker},
     },
     ids::{AttemptNumber, Epoch, InstanceId, ZoneName},
     placement::Resources,
@@ -58,6 +59,7 @@
 mod feasibility;
 mod gang_room;
 pub mod health;
+pub mod idle_tasks;
 pub mod interference;
 pub mod job;
 pub mod loss;
@@ -169,6 +171,7 @@
     /// Tail latency or CPU use, as last listed; see [`RunningTask::gauge`].
     gauge: u64,
     first_listed_at: Option<Instant>,
+    last_listed_at: Option<Instant>,
     /// Readings of the worker's clock with the first and the last listing of the run.
     listed_clock_ms: Option<(u64, u64)>,
     /// Reading of the worker's clock with the first listing of the present percentage.
@@ -195,6 +198,10 @@
     /// Time since which the serving task has no worker, in this cell or in one that has handed it over
     /// since; cleared when its run ends.
     unplaced_since: Option<Instant>,
+    /// Time since which no worker lists the serving task.
+    idle_since: Option<Instant>,
+    /// Time since which workers have had room for the serving task that nobody lists.
+    beside_room_since: Option<Instant>,
     /// Time since which another cell is known to have had room for the waiting task.
     room_found_at: Option<Instant>,
     /// Time at which the waiting task was handed over to this cell.
@@ -439,6 +446,40 @@
         /// What keeps the workers from running it.
         obstacles: Obstacles,
     },
+    /// Serving tasks are listed by no worker; reported for one task of each cause.
+    Idle {
+        /// Name of the task.
+        task: TaskName,
+        /// Its last attempt; 0 before the first.
+        attempt: AttemptNumber,
+        /// Worker incarnation that it is assigned to, if any.
+        worker: Option<WorkerIncarnation>,
+        /// Why it has no run, as far as the owner knows.
+        cause: IdleCause,
+        /// Time for which no worker has listed it under this owner.
+        idle: Duration,
+        /// Time for which there has been room for it twice over.
+        beside_room: Duration,
+        /// Number of serving tasks with that cause.
+        count: usize,
+        /// Room for such tasks.
+        rooms: RoomCounts,
+    },
+    /// A worker gets no new tasks for some time, because several runs in a row have failed there; also
+    /// when the time starts anew.
+    ProbationBegun {
+        /// Worker incarnation.
+        worker: WorkerIncarnation,
+        /// Number of failed runs since the last completed one.
+        consecutive_failures: u32,
+        /// Number of its tasks.
+        task_count: usize,
+    },
+    /// A worker gets new tasks again.
+    ProbationEnded {
+        /// Worker incarnation.
+        worker: WorkerIncarnation,
+    },
     /// Stages wait that no state of the present workers can run; reported for the one that was accepted
     /// first.
     Infeasible {
@@ -527,6 +568,9 @@
             Self::Suspected { .. } => "task_suspected",
             Self::Silent { .. } => "worker_silent",
             Self::Unplaced { .. } => "task_unplaced",
+            Self::Idle { .. } => "task_idle",
+            Self::ProbationBegun { .. } => "probation_begun",
+            Self::ProbationEnded { .. } => "probation_ended",
             Self::Infeasible { .. } => "stage_infeasible",
             Self::State { state, .. } => state.name(),
             Self::EvacuationStarted { .. } => "evacuation_started",
@@ -584,6 +628,8 @@
     preemption_checked_at: Option<Instant>,
     copies_searched_at: Option<Instant>,
     obstacles_reported_at: Option<Instant>,
+    idle_reported_at: Option<Instant>,
+    idle_task_counts: IdleTaskCounts,
     infeasible_stages: InfeasibleStages,
     gang_hold: Option<GangHold>,
     promotion: Option<Promotion>,
@@ -616,6 +662,8 @@
             preemption_checked_at: None,
             copies_searched_at: None,
             obstacles_reported_at: None,
+            idle_reported_at: None,
+            idle_task_counts: IdleTaskCounts::default(),
             infeasible_stages: InfeasibleStages::default(),
             gang_hold: None,
             promotion: None,
@@ -888,6 +936,8 @@
             self.observe_progress();
             self.decay_slowdowns(now.duration_since(maintained_at));
             self.review_evacuations(now);
+            self.end_exclusions(now);
+            self.review_idle_tasks(now);
             self.decay_reliability(now.duration_since(maintained_at), now);
             // Back-offs, waiting times and due occurrences change what planning decides without any
             // report.
@@ -1208,6 +1258,7 @@
             self.reconcile_run(key, run, clock_ms, now);
         }
         let worker = &mut self.workers[key];
+        worker.listed_at = Some(now);
         // Only the first listing of a session shows which start orders of earlier sessions were not
         // executed; later listings may lack runs whose start order is still in transit.
         if worker.is_reconciled {
@@ -1217,7 +1268,7 @@
         // The worker has responded since its lease expired, so it hasn't crashed.
         worker.expired_suspects.clear();
         // A new session ends a refusal back-off or probation.
-        worker.ineligible_until = None;
+        worker.exclusion = None;
         let session = worker.session;
         let assigned: Vec<TaskKey> = worker.tasks.iter().copied().collect();
         for task in assigned {
@@ -1389,7 +1440,8 @@
             return;
         }
         self.select_run(task_key, key);
-        self.workers[key].ineligible_until = Some(now + self.settings.refusal_backoff);
+        let until = now + self.settings.refusal_backoff;
+        self.workers[key].exclusion = Some(Exclusion { cause: ExclusionCause::Refusal, until });
         self.reclaim_unstarted_task(task_key, &refused.reason);
     }
 
@@ -1593,6 +1645,7 @@
             used_core_ms: 0.0,
             gauge: 0,
             first_listed_at: None,
+            last_listed_at: None,
             listed_clock_ms: None,
             progressed_clock_ms: 0,
             progressed_at: None,
--- a/crates/teaseltrack/src/cell/feasibility.rs
+++ b/crates/teaseltrack/src/cell/feasibility.rs
@@ -29,6 +29,8 @@
     Empty,
     /// Those that don't end by themselves; tells whether the tasks can be placed without a cancellation.
     Serving,
+    /// All present ones; tells how much room there is.
+    Assigned,
     /// All present ones, and rooms held for others; tells whether the tasks can be placed now.
     Present,
 }
@@ -81,7 +83,7 @@
     }
 
     /// Number of tasks of the stage that fit on one worker. Its own tasks take up room only in
-    /// [`Occupancy::Present`].
+    /// [`Occupancy::Assigned`] and [`Occupancy::Present`].
     pub(super) fn worker_room_count(
         &self,
         worker: WorkerKey,
@@ -102,6 +104,7 @@
         let (taken, present_count) = match occupancy {
             Occupancy::Empty => (Resources::default(), 0),
             Occupancy::Serving => (self.serving_resources(worker, key), 0),
+            Occupancy::Assigned => (worker.reserved, worker.stage_task_count(key)),
             Occupancy::Present => {
                 let held = worker.held_for_others(key, queue.priority, stage);
                 (worker.reserved.plus(&held), worker.stage_task_count(key))
--- a/crates/teaseltrack/src/cell/health.rs
+++ b/crates/teaseltrack/src/cell/health.rs
@@ -11,7 +11,7 @@
 use crate::cell::{
     Cell, CellEvent, Run, WorkerKey,
     protocol::{EndCause, RunningTask},
-    worker::TaskKey,
+    worker::{Exclusion, ExclusionCause, TaskKey},
 };
 
 /// Settings of health detection.
@@ -66,6 +66,7 @@
             self.idle_since = None;
         }
         self.first_listed_at.get_or_insert(now);
+        self.last_listed_at = Some(now);
         if self.listed_clock_ms.is_none() || self.percent != listed.percent {
             self.progressed_clock_ms = clock_ms;
         }
@@ -103,7 +104,7 @@
                 let worker = &mut self.workers[key];
                 worker.consecutive_failures += 1;
                 if worker.consecutive_failures >= settings.failure_threshold {
-                    worker.ineligible_until = Some(now + settings.probation);
+                    self.begin_probation(key, now);
                 }
             }
             EndCause::Done => {
@@ -144,6 +145,32 @@
         }
     }
 
+    fn begin_probation(&mut self, key: WorkerKey, now: Instant) {
+        let until = now + self.settings.health.probation;
+        let worker = &mut self.workers[key];
+        let exclusion = Exclusion { cause: ExclusionCause::Probation, until };
+        worker.exclusion = Some(exclusion);
+        self.events.push(CellEvent::ProbationBegun {
+            worker: worker.incarnation.clone(),
+            consecutive_failures: worker.consecutive_failures,
+            task_count: worker.tasks.len(),
+        });
+    }
+
+    /// Ends the exclusions whose time is over.
+    pub(super) fn end_exclusions(&mut self, now: Instant) {
+        for worker in self.workers.values_mut() {
+            let Some(exclusion) = worker.exclusion.take_if(|exclusion| exclusion.until <= now)
+            else {
+                continue;
+            };
+            if exclusion.cause == ExclusionCause::Probation {
+                let worker = worker.incarnation.clone();
+                self.events.push(CellEvent::ProbationEnded { worker });
+            }
+        }
+    }
+
     /// Decays all slowdowns towards 1, so that a worker that has recovered gets tasks again.
     pub(super) fn decay_slowdowns(&mut self, elapsed: Duration) {
         let half_life_s = self.settings.health.slowdown_half_life_s;
--- a/crates/teaseltrack/src/cell/obstacles.rs
+++ b/crates/teaseltrack/src/cell/obstacles.rs
@@ -23,8 +23,10 @@
 /// Numbers of a service's workers by what keeps them from running a task; each worker counts once.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Obstacles {
-    /// Draining, unreachable, silent, not reconciled, evacuated, or in a back-off.
+    /// Draining, unreachable, silent, not reconciled or evacuated.
     pub ineligible: u32,
+    /// In a back-off after a refused start, or on probation.
+    pub excluded: u32,
     /// Kept for tasks that may crash their worker, or running one.
     pub isolated: u32,
     /// Without a required label, or with as many tasks of the stage as are allowed.
@@ -98,7 +100,7 @@
             count: waiting.len(),
             required: self.stage(key).resources,
             free: free.max_by_key(|free| free.cpu_milli).unwrap_or_default(),
-            obstacles: self.obstacles(key, open_workers, eligible_workers),
+            obstacles: self.obstacles(key, open_workers, eligible_workers, now),
         });
     }
 
@@ -122,6 +124,7 @@
         key: TaskKey,
         open_workers: &[WorkerKey],
         eligible_workers: &[WorkerKey],
+        now: Instant,
     ) -> Obstacles {
         let mut obstacles = Obstacles::default();
         let stage = self.stage(key);
@@ -134,7 +137,9 @@
                 continue;
             };
             let reserved = worker.reserved.plus(&required);
-            let count = if !eligible_workers.contains(&worker_key) {
+            let count = if worker.exclusion.is_some_and(|exclusion| exclusion.until > now) {
+                &mut obstacles.excluded
+            } else if !eligible_workers.contains(&worker_key) {
                 &mut obstacles.ineligible
             } else if !open_workers.contains(&worker_key) {
                 &mut obstacles.isolated
--- a/crates/teaseltrack/src/cell/worker.rs
+++ b/crates/teaseltrack/src/cell/worker.rs
@@ -60,6 +60,24 @@
     pub cpu_milli: u64,
 }
 
+/// Reason for which a worker gets no new tasks for some time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ExclusionCause {
+    /// It has refused a start.
+    Refusal,
+    /// Several runs in a row have failed there.
+    Probation,
+}
+
+/// Time for which a worker gets no new tasks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Exclusion {
+    /// The reason.
+    pub cause: ExclusionCause,
+    /// End of the time.
+    pub until: Instant,
+}
+
 /// Room of a worker that is held for a waiting task.
 #[derive(Clone, Debug, PartialEq)]
 pub struct HeldRoom {
@@ -117,8 +135,8 @@
     pub expired_suspects: Vec<TaskKey>,
     /// Whether the worker gets only tasks that may have crashed another worker.
     pub is_quarantined: bool,
-    /// Time until which the worker gets no new tasks after a refused start or consecutive failures.
-    pub ineligible_until: Option<Instant>,
+    /// Time for which the worker gets no new tasks, and the reason.
+    pub exclusion: Option<Exclusion>,
     /// Number of failed runs since the last completed one.
     pub consecutive_failures: u32,
     /// Last run of a gang of which a member failed here: the member with index 0 and the attempt.
@@ -155,6 +173,8 @@
     pub held_rooms: Vec<HeldRoom>,
     /// Tasks assigned to the worker.
     pub tasks: BTreeSet<TaskKey>,
+    /// Time of the last report that listed the worker's runs.
+    pub listed_at: Option<Instant>,
     /// Orders that the agent has not accepted yet.
     pub orders: VecDeque<Order>,
     /// Sequence number of the first order in `orders`.
@@ -192,7 +212,7 @@
             is_reachable: false,
             expired_suspects: Vec::new(),
             is_quarantined: false,
-            ineligible_until: None,
+            exclusion: None,
             consecutive_failures: 0,
             failed_gang_run: None,
             slowdown: 1.0,
@@ -210,6 +230,7 @@
             recent_assignments: Vec::new(),
             held_rooms: Vec::new(),
             tasks: BTreeSet::new(),
+            listed_at: None,
             orders: VecDeque::new(),
             first_order: 1,
             has_update: false,
