Tests of long-running tasks that wait beside room (red)

Ten tests show restrictions that keep one out for longer than 2.5 s or for good: probation on all workers, rooms held for larger tasks by turns, the share of quarantined workers, gangs beside suspects, and the limit of starts on cold workers; three of them are about how probation begins and ends.

The simulated fleet can now answer every start call in time, so that these tests don't depend on a seed.

--- a/crates/teaseltrack/tests/cell/fleet.rs
+++ b/crates/teaseltrack/tests/cell/fleet.rs
@@ -368,6 +368,8 @@
     pub max_run_ms: u64,
     pub slow_store: Option<SlowStore>,
     pub slow_network: Option<SlowNetwork>,
+    /// Whether every start call is answered in time.
+    pub is_every_start_answered: bool,
 }
 
 impl Fleet {
@@ -401,6 +403,7 @@
             max_run_ms: 1_500,
             slow_store: None,
             slow_network: None,
+            is_every_start_answered: false,
         }
     }
 
@@ -883,7 +886,7 @@
                         attempt: start.attempt,
                         reason: "no lease".to_owned(),
                     });
-                } else if self.rng.random_range(0..15) == 0 {
+                } else if self.rng.random_range(0..15) == 0 && !self.is_every_start_answered {
                     // The call times out: the agent invalidates the attempt, and the worker gets
                     // the start late.
                     let instance = &mut self.instances[index];
--- a/crates/teaseltrack/tests/cell/main.rs
+++ b/crates/teaseltrack/tests/cell/main.rs
@@ -12,6 +12,7 @@
 mod preemption;
 mod quarantine;
 mod reliability;
+mod restrictions;
 mod serving_waits;
 #[path = "../util.rs"]
 mod util;
