Workers: say why they get no new tasks

A worker's time without new tasks had no reason, so that a back-off after a refusal and probation couldn't be told apart. No change of behaviour.

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -43,7 +43,7 @@
         room_promises::RoomPromise,
         silence::SilentWorker,
         tail_model::Tail,
-        worker::{TaskKey, Worker},
+        worker::{Exclusion, ExclusionCause, TaskKey, Worker},
     },
     ids::{AttemptNumber, Epoch, InstanceId, ZoneName},
     placement::Resources,
@@ -1217,7 +1217,7 @@
         // The worker has responded since its lease expired, so it hasn't crashed.
         worker.expired_suspects.clear();
         // A new session ends a refusal back-off or probation.
-        worker.ineligible_until = None;
+        worker.exclusion = None;
         let session = worker.session;
         let assigned: Vec<TaskKey> = worker.tasks.iter().copied().collect();
         for task in assigned {
@@ -1389,7 +1389,10 @@
             return;
         }
         self.select_run(task_key, key);
-        self.workers[key].ineligible_until = Some(now + self.settings.refusal_backoff);
+        self.workers[key].exclusion = Some(Exclusion {
+            until: now + self.settings.refusal_backoff,
+            cause: ExclusionCause::Refusal,
+        });
         self.reclaim_unstarted_task(task_key, &refused.reason);
     }
 
--- a/crates/teaseltrack/src/cell/health.rs
+++ b/crates/teaseltrack/src/cell/health.rs
@@ -11,7 +11,7 @@
 use crate::cell::{
     Cell, CellEvent, Run, WorkerKey,
     protocol::{EndCause, RunningTask},
-    worker::TaskKey,
+    worker::{Exclusion, ExclusionCause, TaskKey},
 };
 
 /// Settings of health detection.
@@ -103,7 +103,10 @@
                 let worker = &mut self.workers[key];
                 worker.consecutive_failures += 1;
                 if worker.consecutive_failures >= settings.failure_threshold {
-                    worker.ineligible_until = Some(now + settings.probation);
+                    worker.exclusion = Some(Exclusion {
+                        until: now + settings.probation,
+                        cause: ExclusionCause::Probation,
+                    });
                 }
             }
             EndCause::Done => {
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -384,7 +384,7 @@
                 && worker.is_reachable
                 && worker.status.as_ref().is_some_and(|status| !status.is_draining)
                 && now.duration_since(worker.last_report_at) < self.settings.agent_timeout
-                && worker.ineligible_until.is_none_or(|until| until <= now)
+                && worker.exclusion.is_none_or(|exclusion| exclusion.until <= now)
         };
         self.workers
             .iter()
--- a/crates/teaseltrack/src/cell/worker.rs
+++ b/crates/teaseltrack/src/cell/worker.rs
@@ -75,6 +75,24 @@
     pub is_open_to_serving: bool,
 }
 
+/// Time in which a worker gets no new tasks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Exclusion {
+    /// End of the exclusion.
+    pub until: Instant,
+    /// Why the worker is excluded.
+    pub cause: ExclusionCause,
+}
+
+/// Why a worker gets no new tasks for some time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ExclusionCause {
+    /// It refused a start.
+    Refusal,
+    /// Several runs in a row failed there.
+    Probation,
+}
+
 /// Incarnation of a worker.
 #[derive(Clone, Debug)]
 pub struct Worker {
@@ -117,8 +135,8 @@
     pub expired_suspects: Vec<TaskKey>,
     /// Whether the worker gets only tasks that may have crashed another worker.
     pub is_quarantined: bool,
-    /// Time until which the worker gets no new tasks after a refused start or consecutive failures.
-    pub ineligible_until: Option<Instant>,
+    /// Why and until when the worker gets no new tasks.
+    pub exclusion: Option<Exclusion>,
     /// Number of failed runs since the last completed one.
     pub consecutive_failures: u32,
     /// Last run of a gang of which a member failed here: the member with index 0 and the attempt.
@@ -192,7 +210,7 @@
             is_reachable: false,
             expired_suspects: Vec::new(),
             is_quarantined: false,
-            ineligible_until: None,
+            exclusion: None,
             consecutive_failures: 0,
             failed_gang_run: None,
             slowdown: 1.0,
