--- a/crates/teaseltrack-cell/src/constants.rs
+++ b/crates/teaseltrack-cell/src/constants.rs
@@ -109,6 +109,7 @@
 const PLANNING: PlanningSettings = PlanningSettings {
     batch_reserve: 0.06,
     reserve_wait: Duration::from_millis(1_000),
+    max_serving_wait: Duration::from_millis(1_500),
     max_held_time: Duration::from_millis(3_000),
     max_held_share: 0.3,
     serving_utilization: 0.55,
@@ -151,7 +152,6 @@
     max_crashes: 4,
     max_share: 0.3,
     max_wait: Duration::from_millis(3_000),
-    max_serving_wait: Duration::from_millis(1_500),
 };
 
 /// Pre-emption. A run stops within the platform's limit and a commit; a job that loses its room waits
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -39,6 +39,8 @@
     pub batch_reserve: f64,
     /// Waiting time after which a serving task may use the reserve as well.
     pub reserve_wait: Duration,
+    /// Waiting time after which a serving task that isn't suspected may use quarantined workers.
+    pub max_serving_wait: Duration,
     /// Longest time for which room is held for a waiting serving task, and within which batch tasks
     /// are expected to make it.
     pub max_held_time: Duration,
@@ -529,7 +531,7 @@
         unplaceable: &mut UnplaceableSizes,
         now: Instant,
     ) {
-        let max_serving_wait = self.settings.quarantine.max_serving_wait;
+        let max_serving_wait = self.settings.planning.max_serving_wait;
         let job = &self.jobs[candidate.first_task.job];
         let spec = job.spec.clone();
         let stage = &spec.stages[candidate.first_task.stage as usize];
--- a/crates/teaseltrack/src/cell/quarantine.rs
+++ b/crates/teaseltrack/src/cell/quarantine.rs
@@ -32,8 +32,6 @@
     pub max_share: f64,
     /// Waiting time after which a task that was suspected only once is placed like any other.
     pub max_wait: Duration,
-    /// Waiting time after which a serving task that isn't suspected may use quarantined workers.
-    pub max_serving_wait: Duration,
 }
 
 impl Run {
--- a/crates/teaseltrack/tests/util.rs
+++ b/crates/teaseltrack/tests/util.rs
@@ -47,6 +47,7 @@
     planning: PlanningSettings {
         batch_reserve: 0.06,
         reserve_wait: Duration::from_millis(1_000),
+        max_serving_wait: Duration::from_millis(1_500),
         max_held_time: Duration::from_millis(3_000),
         max_held_share: 0.3,
         serving_utilization: 0.55,
@@ -71,7 +72,6 @@
         max_crashes: 4,
         max_share: 0.3,
         max_wait: Duration::from_millis(3_000),
-        max_serving_wait: Duration::from_millis(1_500),
     },
     preemption: PreemptionSettings {
         min_gain_ratio: 2.0,
