Tests of waits and probations that refused starts change (red)

A start that gets no answer clears the time for which its task has waited, although nothing has run: each such start costs another second until the task may use the reserve for batch tasks. A refusal during probation replaces it by the shorter back-off.

--- a/crates/teaseltrack/tests/cell/fleet.rs
+++ b/crates/teaseltrack/tests/cell/fleet.rs
@@ -123,6 +123,8 @@
     pub accepted_order: u64,
     pub has_listing: bool,
     pub refused: Vec<RefusedStart>,
+    /// Number of the next start calls that are not answered.
+    pub unanswered_starts: u32,
     pub stopped: BTreeSet<(TaskName, u32)>,
     pub delayed_starts: Vec<(u64, u64, StartOrder)>,
     /// Stops in progress, with the time at which each is complete.
@@ -368,7 +370,7 @@
     pub max_run_ms: u64,
     pub slow_store: Option<SlowStore>,
     pub slow_network: Option<SlowNetwork>,
-    /// Whether every start call is answered in time.
+    /// Whether start calls are answered in time, but for those that a test names.
     pub is_every_start_answered: bool,
 }
 
@@ -886,7 +888,7 @@
                         attempt: start.attempt,
                         reason: "no lease".to_owned(),
                     });
-                } else if self.rng.random_range(0..15) == 0 && !self.is_every_start_answered {
+                } else if self.is_start_unanswered(index) {
                     // The call times out: the agent invalidates the attempt, and the worker gets
                     // the start late.
                     let instance = &mut self.instances[index];
@@ -919,6 +921,14 @@
         }
     }
 
+    fn is_start_unanswered(&mut self, index: usize) -> bool {
+        let is_lost = self.rng.random_range(0..15) == 0 && !self.is_every_start_answered;
+        let unanswered = &mut self.instances[index].unanswered_starts;
+        let is_unanswered = *unanswered > 0;
+        *unanswered = unanswered.saturating_sub(1);
+        is_lost || is_unanswered
+    }
+
     pub fn start(&mut self, index: usize, fence: u64, start: StartOrder) {
         let instance = &self.instances[index];
         let is_rejected = fence < instance.fence
--- a/crates/teaseltrack/tests/cell/restrictions.rs
+++ b/crates/teaseltrack/tests/cell/restrictions.rs
@@ -169,6 +169,40 @@
     assert_eq!(running_count(&fleet, JOB), 1);
 }
 
+/// Guards against a long-running task whose wait begins anew with each start that gets no answer, so that
+/// it may not use the reserve for batch tasks.
+#[test]
+fn process_refusal_keeps_the_wait_of_a_serving_task() {
+    let mut fleet = fleet(1);
+    fleet.instances[0].unanswered_starts = 2;
+    fleet.submit(stored_job(JOB, vec![with_cpu(7_800, long_running(1))]));
+    let wait_ms = wait_for(&mut fleet, JOB, 1, |_, _| {});
+    // The reserve's wait, and two back-offs of 0.5 s, each until the next planning round.
+    assert!(wait_ms.is_some_and(|wait_ms| wait_ms <= 3_000), "waited for {wait_ms:?} ms");
+}
+
+/// Guards against a refused start that ends the probation of a worker.
+#[test]
+fn process_refusal_shortens_no_probation() {
+    let mut fleet = fleet(1);
+    for number in 0..3 {
+        fleet.submit(stored_job(&format!("1{number:015x}"), vec![with_cpu(500, long_running(1))]));
+    }
+    fleet.run_steps(10);
+    fleet.submit(stored_job(JOB, vec![with_cpu(500, stage(1))]));
+    fleet.step();
+    // The failures are listed by the report that is answered with the start order.
+    fleet.instances[0].unanswered_starts = 1;
+    for number in 0..3 {
+        fail_runs(&mut fleet, &format!("1{number:015x}"));
+    }
+    fleet.run_steps(40);
+    assert_eq!(fleet.instances[0].unanswered_starts, 0);
+    assert_eq!(running_count(&fleet, JOB), 0, "the worker is on probation for 3 s");
+    fleet.run_steps(40);
+    assert_eq!(running_count(&fleet, JOB), 1);
+}
+
 /// Two workers, the first full of long-running tasks, the second with 3 of 8 cores free beside batch
 /// tasks that take far longer than estimated.
 fn overrun_fleet() -> Fleet {
