Serving tasks that have waited too long use restricted workers

Probation, quarantine, rooms held for other serving tasks and the limit of starts on cold workers each keep a waiting task from capacity for some seconds; together, or one after the other, they had no bound. Seen in the tests before: 9.4 s beside two workers on probation, 18 s for a gang beside suspects, not within 20 s in room held for larger tasks by turns or on a cold worker beside batch tasks.

A serving task that has waited for max_serving_wait and that no other worker can run now uses any worker that is reconciled, reachable, not draining, not evacuated and has the capacity: the least restricted first, and the one on which it has just failed last. Of a room that is held for a larger task whose queue is more urgent it may use a part after max_held_time only; rooms for which runs were stopped are kept, and so are all rooms against batch tasks. The room that it takes is no longer held, since the rooms of several tasks would take the reserve of batch tasks otherwise; for the same reason the last room on a worker on probation is left if it is the reserve. A back-off after a refusal stays in force; it no longer replaces a longer probation.

A start that never ran no longer begins the wait of its serving task anew.

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -75,6 +75,7 @@
 pub mod regrouping;
 pub mod reliability;
 pub mod relocation;
+mod restrictions;
 pub mod room_promises;
 pub mod scoring;
 mod serving_room;
@@ -1217,7 +1218,7 @@
         // The worker has responded since its lease expired, so it hasn't crashed.
         worker.expired_suspects.clear();
         // A new session ends a refusal back-off or probation.
-        worker.exclusion = None;
+        (worker.exclusion, worker.refused_at) = (None, None);
         let session = worker.session;
         let assigned: Vec<TaskKey> = worker.tasks.iter().copied().collect();
         for task in assigned {
@@ -1389,7 +1390,9 @@
             return;
         }
         self.select_run(task_key, key);
-        self.workers[key].exclusion = Some(Exclusion {
+        let worker = &mut self.workers[key];
+        worker.refused_at = Some(now);
+        worker.exclude(Exclusion {
             until: now + self.settings.refusal_backoff,
             cause: ExclusionCause::Refusal,
         });
@@ -1438,8 +1441,16 @@
 
     /// Reclaims a task whose assigned attempt never ran. The other members of its gang would wait for
     /// it, so they are stopped and assigned again together.
+    ///
+    /// A serving task has had no worker meanwhile, so its wait goes on.
     fn reclaim_unstarted_task(&mut self, key: TaskKey, reason: &str) {
+        let unstarted =
+            self.task(key).filter(|task| task.run.as_ref().is_some_and(|run| !run.is_listed));
+        let unplaced_since = unstarted.and_then(|task| task.unplaced_since);
         self.reclaim_task(key, reason);
+        if let Some(task) = self.task_mut(key) {
+            task.unplaced_since = task.unplaced_since.or(unplaced_since);
+        }
         let stage = self.stage(key);
         let members = if stage.is_gang { 0..stage.task_count } else { 0..0 };
         for index in members {
--- a/crates/teaseltrack/src/cell/gang_room.rs
+++ b/crates/teaseltrack/src/cell/gang_room.rs
@@ -67,6 +67,7 @@
                 priority: 0,
                 until,
                 is_open_to_serving: true,
+                is_preempted: false,
             });
         }
         self.gang_hold = Some(GangHold { first_task, until, idle_since: None, is_over: false });
--- a/crates/teaseltrack/src/cell/health.rs
+++ b/crates/teaseltrack/src/cell/health.rs
@@ -103,7 +103,7 @@
                 let worker = &mut self.workers[key];
                 worker.consecutive_failures += 1;
                 if worker.consecutive_failures >= settings.failure_threshold {
-                    worker.exclusion = Some(Exclusion {
+                    worker.exclude(Exclusion {
                         until: now + settings.probation,
                         cause: ExclusionCause::Probation,
                     });
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -25,8 +25,9 @@
         job::{MAX_TASKS_PER_JOB, Queue, Stage},
         loss::{Precedence, WaitingJob},
         progress::{JobState, TaskPhase},
+        restrictions::RoundWorkers,
         scoring::StageScores,
-        worker::{RecentAssignment, TaskKey, Worker},
+        worker::{RecentAssignment, TaskKey},
     },
     ids::{AttemptNumber, ServiceName},
     placement::Resources,
@@ -39,7 +40,8 @@
     pub batch_reserve: f64,
     /// Waiting time after which a serving task may use the reserve as well.
     pub reserve_wait: Duration,
-    /// Waiting time after which a serving task that isn't suspected may use quarantined workers.
+    /// Waiting time after which a serving task may use restricted workers, and room that is held for a
+    /// larger one.
     pub max_serving_wait: Duration,
     /// Longest time for which room is held for a waiting serving task, and within which batch tasks
     /// are expected to make it.
@@ -224,26 +226,38 @@
         self.release_held_rooms(now);
         let mut candidates = self.candidates(now);
         self.note_unplaced(&candidates, now);
-        let eligible_workers = self.eligible_workers(now);
-        if eligible_workers.is_empty() {
+        let usable_workers = self.usable_workers(now);
+        if usable_workers.is_empty() {
             return;
         }
-        self.review_infeasible_stages(&candidates, &eligible_workers, now);
+        let eligible_workers = self.eligible_workers(now);
         // What no state of the present workers can run must not keep anything else waiting.
-        candidates.retain(|candidate| {
-            self.is_feasible(candidate.first_task, &eligible_workers, Occupancy::Empty)
-        });
-        self.review_gang_hold(&eligible_workers, now);
-        self.promote_starved_job(&mut candidates, &eligible_workers, now);
+        let is_feasible = |cell: &Self, candidate: &Candidate| {
+            let is_serving = candidate.rank.kind == TaskKind::Serving;
+            let workers = if is_serving { &usable_workers } else { &eligible_workers };
+            cell.is_feasible(candidate.first_task, workers, Occupancy::Empty)
+        };
+        if eligible_workers.is_empty() {
+            candidates.retain(|candidate| candidate.rank.kind == TaskKind::Serving);
+            candidates.retain(|candidate| is_feasible(self, candidate));
+        } else {
+            self.review_infeasible_stages(&candidates, &eligible_workers, now);
+            candidates.retain(|candidate| is_feasible(self, candidate));
+            self.review_gang_hold(&eligible_workers, now);
+            self.promote_starved_job(&mut candidates, &eligible_workers, now);
+        }
         candidates.sort_by_key(|candidate| candidate.rank);
         let is_serving_waiting =
             candidates.iter().any(|candidate| candidate.rank.kind == TaskKind::Serving);
         self.update_stale_headrooms(&eligible_workers);
-        let workers = self.place_suspects(&candidates, &eligible_workers, now);
+        let open_workers = self.place_suspects(&candidates, &eligible_workers, now);
+        let round =
+            RoundWorkers { open: open_workers, eligible: eligible_workers, usable: usable_workers };
         let mut unplaceable = UnplaceableSizes::default();
         for candidate in &candidates {
-            self.place_stage(candidate, &workers, &eligible_workers, &mut unplaceable, now);
+            self.place_stage(candidate, &round, &mut unplaceable, now);
         }
+        let RoundWorkers { open: workers, eligible: eligible_workers, .. } = round;
         for candidate in &candidates {
             self.relieve_starvation(candidate, &workers, now);
         }
@@ -377,24 +391,6 @@
         }
     }
 
-    pub(super) fn eligible_workers(&self, now: Instant) -> Vec<WorkerKey> {
-        if !self.knows_evacuations(now) {
-            return Vec::new();
-        }
-        let is_eligible = |worker: &Worker| {
-            worker.is_reconciled
-                && worker.is_reachable
-                && worker.status.as_ref().is_some_and(|status| !status.is_draining)
-                && now.duration_since(worker.last_report_at) < self.settings.agent_timeout
-                && worker.exclusion.is_none_or(|exclusion| exclusion.until <= now)
-        };
-        self.workers
-            .iter()
-            .filter(|(key, worker)| is_eligible(worker) && !self.is_evacuated(*key))
-            .map(|(key, _)| key)
-            .collect()
-    }
-
     /// Stages with tasks that wait, in the order of acceptance. Jobs without any are skipped until
     /// one of their runs ends.
     fn candidates(&mut self, now: Instant) -> Vec<Candidate> {
@@ -526,12 +522,10 @@
     fn place_stage(
         &mut self,
         candidate: &Candidate,
-        workers: &[WorkerKey],
-        eligible_workers: &[WorkerKey],
+        round: &RoundWorkers,
         unplaceable: &mut UnplaceableSizes,
         now: Instant,
     ) {
-        let max_serving_wait = self.settings.planning.max_serving_wait;
         let job = &self.jobs[candidate.first_task.job];
         let spec = job.spec.clone();
         let stage = &spec.stages[candidate.first_task.stage as usize];
@@ -541,25 +535,30 @@
             return;
         }
         let waiting: Vec<TaskKey> = self.waiting_tasks(candidate.first_task, false, now).collect();
-        if stage.is_gang && !self.is_feasible(candidate.first_task, workers, Occupancy::Present) {
+        let workers = if stage.is_gang {
+            self.gang_workers(candidate, round, now)
+        } else {
+            Some(round.open.as_slice())
+        };
+        let Some(workers) = workers else {
             for key in waiting {
                 self.begin_wait(key, now);
             }
             return;
-        }
+        };
         let attempt = self.next_gang_attempt(candidate, stage);
         let mut scores = StageScores::default();
         let mut placed = Vec::new();
         let mut tentative = Vec::new();
         for &key in &waiting {
             let batch_reserve = self.batch_reserve_for(key, now);
-            let has_waited = self
-                .task(key)
-                .and_then(|task| task.waiting_since)
-                .is_some_and(|since| now.duration_since(since) >= max_serving_wait);
-            let workers =
-                if stage.is_long_running && has_waited { eligible_workers } else { workers };
-            let chosen = self.choose_worker_by(&mut scores, key, stage, workers, batch_reserve);
+            let mut chosen = self.choose_worker_by(&mut scores, key, stage, workers, batch_reserve);
+            if chosen.is_none() && !stage.is_gang {
+                chosen = self.choose_restricted_worker(key, stage, &round.usable, now);
+                if let Some(worker) = chosen {
+                    self.release_taken_room(key, worker, now);
+                }
+            }
             let Some(worker) = chosen else {
                 // The members of a gang leave the room again that they have taken.
                 if !stage.is_gang {
@@ -588,7 +587,7 @@
             for assignment in tentative.into_iter().rev() {
                 self.revert_assignment(assignment, stage);
             }
-            self.update_stale_headrooms(eligible_workers);
+            self.update_stale_headrooms(&round.eligible);
             return;
         }
         for key in placed {
@@ -647,9 +646,12 @@
         if has_waited { 0.0 } else { settings.batch_reserve }
     }
 
-    /// Starts the task's waiting time unless it has begun; returns its start.
-    fn begin_wait(&mut self, key: TaskKey, now: Instant) -> Instant {
-        self.task_mut(key).map_or(now, |task| *task.waiting_since.get_or_insert(now))
+    /// Starts the task's waiting time unless it has begun; returns its start. A serving task also waits
+    /// while there is no worker that it may use.
+    pub(super) fn begin_wait(&mut self, key: TaskKey, now: Instant) -> Instant {
+        let Some(task) = self.task_mut(key) else { return now };
+        let since = task.unplaced_since.unwrap_or(now);
+        *task.waiting_since.get_or_insert(since)
     }
 
     /// Common attempt number of a gang's members; `None` if the stage is not a gang.
--- a/crates/teaseltrack/src/cell/preemption.rs
+++ b/crates/teaseltrack/src/cell/preemption.rs
@@ -338,7 +338,14 @@
         }
         let required = reserved_resources(self.stage(key));
         let until = now + self.settings.preemption.hold_time;
-        let held = HeldRoom { task: key, required, priority: 0, until, is_open_to_serving: false };
+        let held = HeldRoom {
+            task: key,
+            required,
+            priority: 0,
+            until,
+            is_open_to_serving: false,
+            is_preempted: true,
+        };
         self.workers[room.worker].held_rooms.push(held);
     }
 
--- a/crates/teaseltrack/src/cell/quarantine.rs
+++ b/crates/teaseltrack/src/cell/quarantine.rs
@@ -136,7 +136,7 @@
         })
     }
 
-    fn has_suspect(&self, worker: &Worker) -> bool {
+    pub(super) fn has_suspect(&self, worker: &Worker) -> bool {
         worker.tasks.iter().any(|key| self.task(*key).is_some_and(Task::is_suspect))
     }
 
--- a/crates/teaseltrack/src/cell/scoring.rs
+++ b/crates/teaseltrack/src/cell/scoring.rs
@@ -161,12 +161,23 @@
             && worker.can_fit_beside_held_rooms(key, priority, stage)
     }
 
-    /// Whether a worker meets a task's constraints other than its size.
+    /// Whether a worker meets a task's constraints other than its size, and may start another task.
     pub(super) fn meets_constraints(
         &self,
         worker: &Worker,
         service: &str,
         (key, stage): (TaskKey, &Stage),
+    ) -> bool {
+        self.meets_stage_constraints(worker, service, (key, stage))
+            && !self.is_cold_limit_reached(worker)
+    }
+
+    /// Whether a worker meets a task's constraints other than its size.
+    pub(super) fn meets_stage_constraints(
+        &self,
+        worker: &Worker,
+        service: &str,
+        (key, stage): (TaskKey, &Stage),
     ) -> bool {
         let Some(status) = worker.status.as_ref().filter(|status| status.service == service) else {
             return false;
@@ -175,7 +186,7 @@
             stage.required_label.as_ref().is_none_or(|label| status.labels.contains(label));
         let is_below_limit =
             stage.max_per_worker.is_none_or(|max| worker.stage_task_count(key) < max);
-        has_label && is_below_limit && !self.is_cold_limit_reached(worker)
+        has_label && is_below_limit
     }
 
     /// Scores a worker for a task; `None` if the task can't be placed there.
@@ -186,9 +197,17 @@
         (key, stage): (TaskKey, &Stage),
         batch_reserve: f64,
     ) -> Option<PlacementScore> {
-        if !self.can_place(worker, service, (key, stage)) {
-            return None;
-        }
+        let can_place = self.can_place(worker, service, (key, stage));
+        can_place.then(|| self.placement_score(worker, (key, stage), batch_reserve))?
+    }
+
+    /// Scores a worker that has the capacity for a task; `None` if the task can't be placed there.
+    pub(super) fn placement_score(
+        &self,
+        worker: &Worker,
+        (key, stage): (TaskKey, &Stage),
+        batch_reserve: f64,
+    ) -> Option<PlacementScore> {
         let status = worker.status.as_ref()?;
         let available = worker.available();
         let remaining_milli = available.cpu_milli as i64 - stage.resources.cpu_milli as i64;
@@ -212,14 +231,8 @@
         };
         let is_data_local =
             stage.data_rack.as_ref().is_some_and(|rack| status.labels.contains(rack));
-        let is_avoided =
-            self.task(key).and_then(|task| task.avoided_worker).is_some_and(|avoided_key| {
-                self.workers
-                    .get(avoided_key)
-                    .is_some_and(|avoided| avoided.incarnation == worker.incarnation)
-            });
         let preference = LOCALITY_PREFERENCE * i64::from(is_data_local)
-            - AVOIDANCE_PREFERENCE * i64::from(is_avoided)
+            - AVOIDANCE_PREFERENCE * i64::from(self.avoids(key, worker))
             - SLOWNESS_PENALTY * i64::from(worker.is_slow())
             - i64::from(self.is_warming_up(worker));
         // Serving and best-effort tasks depend on their neighbours more than on the worker.
@@ -230,6 +243,12 @@
         Some(PlacementScore { preference, colocation, reliability, cpu_milli })
     }
 
+    /// Whether the last run of the task has failed or stalled on the worker, or was moved away from it.
+    pub(super) fn avoids(&self, key: TaskKey, worker: &Worker) -> bool {
+        let avoided = self.task(key).and_then(|task| self.workers.get(task.avoided_worker?));
+        avoided.is_some_and(|avoided| avoided.incarnation == worker.incarnation)
+    }
+
     /// Colocation of a serving task with the serving tasks on a worker.
     fn colocation(&self, worker: &Worker, stage: &Stage) -> Colocation {
         let image = stage.image.as_deref().unwrap_or_default();
--- a/crates/teaseltrack/src/cell/serving_room.rs
+++ b/crates/teaseltrack/src/cell/serving_room.rs
@@ -7,7 +7,10 @@
 //! lower priority starts in it, and the batch tasks that run there end by themselves.
 //!
 //! The share of a worker's CPU that serving tasks leave to batch tasks isn't held, and room is held
-//! on a part of a service's workers at a time, so that batch tasks go on elsewhere.
+//! on a part of a service's workers at a time, so that batch tasks go on elsewhere. Smaller serving tasks
+//! that have waited too long may use the room ([`restrictions`]).
+//!
+//! [`restrictions`]: crate::cell::restrictions
 
 use std::time::{Duration, Instant};
 
@@ -68,6 +71,7 @@
                     priority: self.jobs[key.job].queue.priority,
                     until: now + settings.max_held_time,
                     is_open_to_serving: false,
+                    is_preempted: false,
                 };
                 self.workers[worker].held_rooms.push(held);
             }
--- a/crates/teaseltrack/src/cell/worker.rs
+++ b/crates/teaseltrack/src/cell/worker.rs
@@ -73,6 +73,8 @@
     pub until: Instant,
     /// Whether serving tasks may use the room all the same.
     pub is_open_to_serving: bool,
+    /// Whether runs were stopped for the room.
+    pub is_preempted: bool,
 }
 
 /// Time in which a worker gets no new tasks.
@@ -137,6 +139,8 @@
     pub is_quarantined: bool,
     /// Why and until when the worker gets no new tasks.
     pub exclusion: Option<Exclusion>,
+    /// Time at which it last refused a start in this session.
+    pub refused_at: Option<Instant>,
     /// Number of failed runs since the last completed one.
     pub consecutive_failures: u32,
     /// Last run of a gang of which a member failed here: the member with index 0 and the attempt.
@@ -211,6 +215,7 @@
             expired_suspects: Vec::new(),
             is_quarantined: false,
             exclusion: None,
+            refused_at: None,
             consecutive_failures: 0,
             failed_gang_run: None,
             slowdown: 1.0,
@@ -300,6 +305,18 @@
         }
     }
 
+    /// Excludes the worker, unless it is excluded for longer already.
+    pub fn exclude(&mut self, exclusion: Exclusion) {
+        if self.exclusion.is_none_or(|present| present.until < exclusion.until) {
+            self.exclusion = Some(exclusion);
+        }
+    }
+
+    /// The exclusion that keeps new tasks from the worker now.
+    pub fn active_exclusion(&self, now: Instant) -> Option<Exclusion> {
+        self.exclusion.filter(|exclusion| exclusion.until > now)
+    }
+
     /// Capacity that is not reserved; zero before the first status.
     pub fn available(&self) -> Resources {
         self.status
@@ -321,15 +338,24 @@
         self.can_fit(&reserved_resources(stage).plus(&held))
     }
 
-    /// Rooms that a task of the stage, in a queue with `priority`, must leave to tasks of other jobs.
+    /// What a task of the stage, in a queue with `priority`, must leave to tasks of other jobs.
     pub fn held_for_others(&self, key: TaskKey, priority: u32, stage: &Stage) -> Resources {
-        let is_in_the_way = |held: &&HeldRoom| {
+        let held = self.rooms_for_others(key, priority, stage);
+        held.fold(Resources::default(), |sum, held| sum.plus(&held.required))
+    }
+
+    /// Rooms that are held for tasks of other jobs against a task of the stage, in a queue with `priority`.
+    pub fn rooms_for_others(
+        &self,
+        key: TaskKey,
+        priority: u32,
+        stage: &Stage,
+    ) -> impl Iterator<Item = &HeldRoom> {
+        self.held_rooms.iter().filter(move |held| {
             held.task.job != key.job
                 && held.priority <= priority
                 && !(stage.is_long_running && held.is_open_to_serving)
-        };
-        let held = self.held_rooms.iter().filter(is_in_the_way);
-        held.fold(Resources::default(), |sum, held| sum.plus(&held.required))
+        })
     }
 
     /// Number of tasks on the worker of the same stage as `key`.
