--- a/crates/teaseltrack/src/cell/health.rs
+++ b/crates/teaseltrack/src/cell/health.rs
@@ -148,8 +148,7 @@
     fn begin_probation(&mut self, key: WorkerKey, now: Instant) {
         let until = now + self.settings.health.probation;
         let worker = &mut self.workers[key];
-        let exclusion = Exclusion { cause: ExclusionCause::Probation, until };
-        worker.exclusion = Some(exclusion);
+        worker.exclude(Exclusion { cause: ExclusionCause::Probation, until });
         self.events.push(CellEvent::ProbationBegun {
             worker: worker.incarnation.clone(),
             consecutive_failures: worker.consecutive_failures,
--- a/crates/teaseltrack/src/cell/quarantine.rs
+++ b/crates/teaseltrack/src/cell/quarantine.rs
@@ -32,8 +32,6 @@
     pub max_share: f64,
     /// Waiting time after which a task that was suspected only once is placed like any other.
     pub max_wait: Duration,
-    /// Waiting time after which a serving task that isn't suspected may use quarantined workers.
-    pub max_serving_wait: Duration,
 }
 
 impl Run {
@@ -138,7 +136,7 @@
         })
     }
 
-    fn has_suspect(&self, worker: &Worker) -> bool {
+    pub(super) fn has_suspect(&self, worker: &Worker) -> bool {
         worker.tasks.iter().any(|key| self.task(*key).is_some_and(Task::is_suspect))
     }
 
