Release rooms that their tasks can't get

What callers saw: a long-running task without a run for many seconds beside idle capacity, on a deployment where half of the long-running jobs allow one task a worker.

Cause: room was held for all waiting tasks of such a stage on the same worker, since only its assigned tasks counted against the limit. One of them was placed; the rooms of the others stayed for the 3 s of a hold, closed to everyone, kept their tasks from room elsewhere, and were held together again afterwards. In the same way a task that started in the room of a sibling left that room held, so that the CPU counted twice and the rooms of a worker exceeded it: none of their tasks could start.

Change: rooms of the stage count against its limit, a task that starts uses up the room that it takes, and a room ends at once if its worker may not be used, has as many tasks of the stage as it may, or lacks the capacity beside its serving tasks and the rooms held before.

--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -231,6 +231,7 @@
             return;
         }
         let eligible_workers = self.eligible_workers(now);
+        self.release_vain_rooms(&eligible_workers);
         // What no state of the present workers can run must not keep anything else waiting.
         let is_feasible = |cell: &Self, candidate: &Candidate| {
             let is_serving = candidate.rank.kind == TaskKind::Serving;
@@ -576,6 +577,9 @@
                 tentative.push(TentativeAssignment { task: key, worker, previous });
             }
             self.assign(key, stage, worker, attempt);
+            if stage.is_long_running && !stage.is_gang {
+                self.use_room(key, worker);
+            }
             self.track_recent_assignment(worker, stage, now);
             if stage.is_best_effort {
                 self.update_remaining_headrooms(worker);
--- a/crates/teaseltrack/src/cell/serving_room.rs
+++ b/crates/teaseltrack/src/cell/serving_room.rs
@@ -10,6 +10,10 @@
 //! on a part of a service's workers at a time, so that batch tasks go on elsewhere. Smaller serving tasks
 //! that have waited too long may use the room ([`restrictions`]).
 //!
+//! A room serves nobody if its worker can't run the task any more, or if more rooms are held there than it
+//! has capacity for. Such rooms are released at once ([`Cell::release_vain_rooms`]): their tasks may
+//! get others.
+//!
 //! [`restrictions`]: crate::cell::restrictions
 
 use std::time::{Duration, Instant};
@@ -19,7 +23,7 @@
         Cell, WorkerKey,
         job::Stage,
         planning::{Candidate, TaskKind},
-        worker::{HeldRoom, TaskKey, reserved_resources},
+        worker::{HeldRoom, TaskKey, Worker, reserved_resources},
     },
     placement::Resources,
 };
@@ -78,6 +82,55 @@
         }
     }
 
+    /// Releases rooms that their task can't get: its worker isn't among `workers`, already has as many
+    /// tasks of the stage as it may, or lacks the capacity beside its serving tasks and the rooms held
+    /// before.
+    pub(super) fn release_vain_rooms(&mut self, workers: &[WorkerKey]) {
+        let holders = self.workers.iter().filter(|(_, worker)| !worker.held_rooms.is_empty());
+        let holders: Vec<WorkerKey> = holders.map(|(key, _)| key).collect();
+        for key in holders {
+            let is_open = workers.contains(&key) && !self.workers[key].is_quarantined;
+            self.workers[key].held_rooms = self.attainable_rooms(key, is_open);
+        }
+    }
+
+    /// The worker's rooms that their tasks may get, in the order in which they were held.
+    fn attainable_rooms(&self, key: WorkerKey, is_open: bool) -> Vec<HeldRoom> {
+        let worker = &self.workers[key];
+        let capacity =
+            worker.status.as_ref().map_or(Resources::default(), |status| status.capacity);
+        let ending = Resources { cpu_milli: worker.demand.batch_milli, ..Resources::default() };
+        let mut taken = worker.reserved.minus(&ending);
+        let mut rooms: Vec<HeldRoom> = Vec::new();
+        for held in &worker.held_rooms {
+            // The room of a gang has a review of its own.
+            if held.is_open_to_serving {
+                rooms.push(held.clone());
+                continue;
+            }
+            let next = taken.plus(&held.required);
+            let is_attainable = is_open
+                && next.cpu_milli <= capacity.cpu_milli
+                && is_below_limit(worker, self.stage(held.task), held.task, &rooms);
+            if is_attainable {
+                taken = next;
+                rooms.push(held.clone());
+            }
+        }
+        rooms
+    }
+
+    /// Releases the room that a serving task takes on its worker: its own, or else that of another task of
+    /// its stage.
+    pub(super) fn use_room(&mut self, key: TaskKey, worker: WorkerKey) {
+        let rooms = &mut self.workers[worker].held_rooms;
+        let own = rooms.iter().position(|held| held.task == key);
+        let used = own.or_else(|| rooms.iter().position(|held| is_of_same_stage(held.task, key)));
+        if let Some(index) = used {
+            rooms.remove(index);
+        }
+    }
+
     fn workers_of(&self, service: &str, workers: &[WorkerKey]) -> Vec<WorkerKey> {
         let is_of_service = |key: &WorkerKey| {
             self.workers[*key].status.as_ref().is_some_and(|status| status.service == service)
@@ -122,7 +175,8 @@
     ) -> Option<Duration> {
         let worker = &self.workers[worker_key];
         let service = &self.jobs[key.job].queue.service;
-        if !self.meets_constraints(worker, service, (key, stage)) {
+        let meets_constraints = self.meets_constraints(worker, service, (key, stage));
+        if !meets_constraints || !is_below_limit(worker, stage, key, &worker.held_rooms) {
             return None;
         }
         let capacity = worker.status.as_ref()?.capacity;
@@ -158,3 +212,14 @@
         capacity.can_fit(&needed.minus(&freed)).then_some(wait)
     }
 }
+
+/// Whether a worker may run another task of the stage beside its own and those that the rooms are held
+/// for.
+fn is_below_limit(worker: &Worker, stage: &Stage, key: TaskKey, rooms: &[HeldRoom]) -> bool {
+    let held_count = rooms.iter().filter(|held| is_of_same_stage(held.task, key)).count() as u32;
+    stage.max_per_worker.is_none_or(|max| worker.stage_task_count(key) + held_count < max)
+}
+
+fn is_of_same_stage(a: TaskKey, b: TaskKey) -> bool {
+    TaskKey { index: 0, ..a } == TaskKey { index: 0, ..b }
+}
