Tests of rooms that keep serving tasks waiting (red)

Causes: max_per_worker doesn't count held rooms, so that tasks that run apart hold room on the same worker; and a task that starts in a room held for another one of its job leaves it held, so that the rooms of a worker exceed it and none of their tasks may start until they time out.

--- a/crates/teaseltrack/tests/cell/serving_waits.rs
+++ b/crates/teaseltrack/tests/cell/serving_waits.rs
@@ -5,12 +5,13 @@
         CellEvent,
         job::{Queue, Stage},
         progress::JobState,
+        protocol::{EndCause, TaskName},
     },
     placement::Resources,
 };
 use yare::parameterized;
 
-use crate::fleet::{Fleet, STEP, long_running, queue, stage, stored_job};
+use crate::fleet::{CAPACITY, Fleet, Instance, STEP, long_running, queue, stage, stored_job};
 
 const SERVING_JOB: &str = "00000000000000ff";
 
@@ -128,3 +129,102 @@
     load.run(4_000, |_, _| {});
     assert_eq!(load.run(3_000, |_, _| {}), 8, "batch tasks use the whole worker");
 }
+
+/// Six workers with as many batch tasks as they can run and more.
+struct FullFleet {
+    fleet: Fleet,
+    batch_count: u64,
+}
+
+impl FullFleet {
+    fn new() -> Self {
+        let mut fleet = Fleet::new(6, 1);
+        (fleet.max_run_ms, fleet.loses_starts) = (1_000, false);
+        fleet.run_steps(4);
+        let mut full = Self { fleet, batch_count: 0 };
+        full.run(2_000);
+        full
+    }
+
+    fn run(&mut self, duration_ms: u64) {
+        for _ in 0..duration_ms / STEP.as_millis() as u64 {
+            if self.fleet.cell.open_count() < 20 {
+                self.batch_count += 1;
+                let batch = with_cpu(stage(10), 1_000);
+                self.fleet.submit(stored_job(&format!("1{:015x}", self.batch_count), vec![batch]));
+            }
+            self.fleet.step();
+        }
+    }
+
+    fn running_count(&self, job: &str) -> usize {
+        let tasks = self.fleet.instances.iter().flat_map(|instance| instance.running.keys());
+        tasks.filter(|task| task.job == job).count()
+    }
+}
+
+/// Guards against long-running tasks of which a worker may run one at a time, but which have their room
+/// held on the same worker: one is placed, and the others wait for the end of the hold and for the next
+/// one, again together.
+#[test]
+fn plan_holds_rooms_for_tasks_that_run_apart_on_different_workers() {
+    let mut full = FullFleet::new();
+    let apart = Stage { max_per_worker: Some(1), ..with_cpu(long_running(6), 2_300) };
+    full.fleet.submit(stored_job(SERVING_JOB, vec![apart]));
+    full.run(MAX_GAP_MS);
+    assert_eq!(full.running_count(SERVING_JOB), 6);
+}
+
+/// Guards against CPU that is idle, and closed to all others, because it is held for tasks of which the
+/// worker runs as many as it may.
+#[test]
+fn plan_releases_a_room_for_a_task_that_its_worker_may_not_run() {
+    let mut full = FullFleet::new();
+    let apart = Stage { max_per_worker: Some(1), ..with_cpu(long_running(6), 2_300) };
+    full.fleet.submit(stored_job(SERVING_JOB, vec![apart]));
+    while full.running_count(SERVING_JOB) == 0 {
+        full.run(50);
+    }
+    let is_first =
+        |instance: &Instance| instance.running.keys().any(|task| task.job == SERVING_JOB);
+    let first = full.fleet.instances.iter().position(is_first);
+    let first = first.expect("one runs");
+    full.run(500);
+    let mut highest = 0;
+    for _ in 0..20 {
+        full.run(50);
+        highest = highest.max(full.fleet.instances[first].running.len());
+    }
+    assert!(highest >= 5, "{highest} runs beside a backlog of batch tasks");
+}
+
+/// Guards against rooms that together exceed their worker, so that none of their tasks starts there and
+/// the CPU is idle: a task has started in the room of another one of its job, and the room stays held.
+#[test]
+fn plan_starts_a_task_in_its_room_after_another_one_took_a_room_of_its_job() {
+    let mut fleet = Fleet::new(2, 1);
+    (fleet.max_run_ms, fleet.loses_starts) = (60_000, false);
+    fleet.instances[1].settle_capacity(Resources::default());
+    fleet.run_steps(4);
+    fleet.submit(stored_job("1000000000000001", vec![with_cpu(stage(8), 1_000)]));
+    fleet.run_steps(6);
+    assert_eq!(fleet.instances[0].running.len(), 8);
+    fleet.instances[1].settle_capacity(Resources { cpu_milli: 3_000, ..CAPACITY });
+    fleet.run_steps(2);
+    fleet.submit(stored_job("0000000000000001", vec![with_cpu(long_running(2), 2_400)]));
+    fleet.run_steps(6);
+    let running: Vec<TaskName> = fleet.instances[1].running.keys().cloned().collect();
+    assert_eq!(running.len(), 1, "the second one waits");
+    fleet.submit(stored_job("0000000000000002", vec![with_cpu(long_running(1), 5_000)]));
+    // Both have waited long enough for their room to be held.
+    fleet.run_steps(30);
+    fleet.instances[1].settle_capacity(Resources::default());
+    fleet.instances[1].end(&running[0], EndCause::Failed);
+    let batch: Vec<TaskName> = fleet.instances[0].running.keys().cloned().collect();
+    for task in batch {
+        fleet.instances[0].end(&task, EndCause::Done);
+        fleet.done.insert(task);
+    }
+    fleet.run_steps(20);
+    assert_eq!(fleet.instances[0].running.len(), 2, "the worker has room for two of them");
+}
