Serving suspects that have waited too long use the least harmful worker

A task that was a suspect of two or three crashes could wait without any bound: the share of workers that may be quarantined is taken by workers without room for it, or the quarantined ones always have a run that isn't cleared. After one crash it waited for max_wait. Seen in the tests before: 17.6 s and 3.1 s beside two empty workers, 13.4 s beside batch tasks.

A serving suspect now gets a worker without uncleared runs after max_serving_wait, beyond the share, so that a crash still has one suspect; after max_wait it gets any worker with the capacity, the least harmful first. Others still keep off a worker that runs a suspect. The wait of a suspect begins anew with each start, whether it has run or not, since it may have crashed its worker before it was listed.

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -1442,10 +1442,12 @@
     /// Reclaims a task whose assigned attempt never ran. The other members of its gang would wait for
     /// it, so they are stopped and assigned again together.
     ///
-    /// A serving task has had no worker meanwhile, so its wait goes on.
+    /// A serving task has had no worker meanwhile, so its wait goes on; that of a suspect, which may have
+    /// crashed its worker, begins anew.
     fn reclaim_unstarted_task(&mut self, key: TaskKey, reason: &str) {
-        let unstarted =
-            self.task(key).filter(|task| task.run.as_ref().is_some_and(|run| !run.is_listed));
+        let unstarted = self.task(key).filter(|task| {
+            !task.is_suspect() && task.run.as_ref().is_some_and(|run| !run.is_listed)
+        });
         let unplaced_since = unstarted.and_then(|task| task.unplaced_since);
         self.reclaim_task(key, reason);
         if let Some(task) = self.task_mut(key) {
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -250,7 +250,8 @@
         let is_serving_waiting =
             candidates.iter().any(|candidate| candidate.rank.kind == TaskKind::Serving);
         self.update_stale_headrooms(&eligible_workers);
-        let open_workers = self.place_suspects(&candidates, &eligible_workers, now);
+        let open_workers =
+            self.place_suspects(&candidates, &eligible_workers, &usable_workers, now);
         let round =
             RoundWorkers { open: open_workers, eligible: eligible_workers, usable: usable_workers };
         let mut unplaceable = UnplaceableSizes::default();
--- a/crates/teaseltrack/src/cell/quarantine.rs
+++ b/crates/teaseltrack/src/cell/quarantine.rs
@@ -6,6 +6,9 @@
 //! a second crash has one suspect only. A task that was the only suspect of `max_sole_crashes`
 //! crashes is given up, and its job fails.
 //!
+//! Only a part of the workers is quarantined. A serving task that has waited too long for one of them is
+//! tried on another worker, where it can do the least harm.
+//!
 //! Quarantined workers are those with the least to lose: few serving tasks, then few tasks. A worker
 //! that has just restarted is empty and comes first. Counts are part of the committed progress, so
 //! that they survive the owner.
@@ -140,12 +143,13 @@
         worker.tasks.iter().any(|key| self.task(*key).is_some_and(Task::is_suspect))
     }
 
-    /// Places waiting suspects on quarantined workers, one at a time on each; returns the workers
+    /// Places waiting suspects on quarantined workers, one at a time on each; returns those of `workers`
     /// that remain for other tasks.
     pub(super) fn place_suspects(
         &mut self,
         candidates: &[Candidate],
         workers: &[WorkerKey],
+        usable_workers: &[WorkerKey],
         now: Instant,
     ) -> Vec<WorkerKey> {
         if !self.may_have_suspects {
@@ -154,13 +158,13 @@
         let suspects = self.waiting_suspects(candidates, now);
         self.release_quarantined_workers(&suspects);
         for key in suspects {
-            if let Some(task) = self.task_mut(key) {
-                task.waiting_since.get_or_insert(now);
-            }
-            let Some(worker) = self.quarantined_worker_for(key, workers) else { continue };
-            if self.has_uncleared_run(worker) {
-                continue;
-            }
+            self.begin_wait(key, now);
+            let quarantined = self.quarantined_worker_for(key, workers);
+            let worker = quarantined
+                .filter(|worker| !self.has_uncleared_run(*worker))
+                .or_else(|| self.least_harmful_worker(key, usable_workers, now));
+            let Some(worker) = worker else { continue };
+            self.release_taken_room(key, worker, now);
             let stage = self.stage(key).clone();
             self.assign(key, &stage, worker, None);
             self.track_recent_assignment(worker, &stage, now);
@@ -175,6 +179,33 @@
         open_workers
     }
 
+    /// Worker for a serving task that has waited too long for a quarantined one; `None` for other tasks.
+    /// Preferably it runs nothing that isn't cleared, so that a crash has one suspect; after `max_wait` any
+    /// worker will do.
+    fn least_harmful_worker(
+        &self,
+        key: TaskKey,
+        workers: &[WorkerKey],
+        now: Instant,
+    ) -> Option<WorkerKey> {
+        let max_wait = self.settings.planning.max_serving_wait;
+        if !self.stage(key).is_long_running || !self.has_waited(key, max_wait, now) {
+            return None;
+        }
+        let is_any_allowed = self.has_waited(key, self.settings.quarantine.max_wait, now);
+        let harms = workers.iter().copied().filter_map(|worker| {
+            let has_uncleared_run = self.has_uncleared_run(worker);
+            let is_allowed = is_any_allowed || !has_uncleared_run;
+            (is_allowed && self.room_after_wait(worker, key, now) > 0).then(|| {
+                let Worker { serving_images, tasks, .. } = &self.workers[worker];
+                let serving_count: u32 = serving_images.values().sum();
+                let is_on_probation = self.workers[worker].active_exclusion(now).is_some();
+                (has_uncleared_run, is_on_probation, serving_count, tasks.len(), worker)
+            })
+        });
+        harms.min().map(|(.., worker)| worker)
+    }
+
     /// Whether any task is a suspect or any worker quarantined.
     fn has_any_suspect(&self) -> bool {
         let open_jobs = self.open_jobs.iter().filter_map(|key| self.jobs.get(*key));
--- a/crates/teaseltrack/tests/cell/restrictions.rs
+++ b/crates/teaseltrack/tests/cell/restrictions.rs
@@ -2,9 +2,9 @@
 
 use teaseltrack::{
     cell::{
-        StoredJob,
+        CellEvent, StoredJob,
         job::Stage,
-        progress::{JobProgress, TaskProgress},
+        progress::{JobProgress, JobState, TaskProgress},
         protocol::{EndCause, TaskName},
     },
     placement::Resources,
@@ -319,6 +319,34 @@
     assert!(wait_ms.is_some_and(|wait_ms| wait_ms <= 4_000), "waited for {wait_ms:?} ms");
 }
 
+/// Guards against a long-running task that crashes worker after worker, because it is tried beside other
+/// runs once it has waited for long, and against others that are given up for its crashes.
+#[parameterized(
+    seed_1 = { 1 },
+    seed_2 = { 2 },
+    seed_3 = { 3 },
+    seed_4 = { 4 },
+)]
+fn serving_task_that_crashes_its_workers_is_given_up(seed: u64) {
+    let mut fleet = Fleet::new(3, seed);
+    let crashing = TaskName { job: JOB.to_owned(), occurrence: 0, stage: 0, index: 0 };
+    fleet.crashing.insert(crashing.clone(), 0);
+    fleet.submit(stored_job(JOB, vec![with_cpu(3_000, long_running(1))]));
+    fleet.submit(stored_job(OTHER_JOB, vec![with_cpu(500, long_running(6))]));
+    for number in 0..300 {
+        fleet.submit(stored_job(&format!("3{number:015x}"), vec![with_cpu(500, stage(4))]));
+        fleet.run_steps(4);
+    }
+    assert_eq!(fleet.cell.state(JOB), Some(JobState::Failed));
+    assert!(fleet.crashing[&crashing] <= 5, "{:?}", fleet.crashing);
+    assert_eq!(running_count(&fleet, OTHER_JOB), 6);
+    let is_given_up = |event: &CellEvent| match event {
+        CellEvent::Suspected { task, is_given_up, .. } => *is_given_up && *task != crashing,
+        _ => false,
+    };
+    assert!(!fleet.cell.take_events().iter().any(is_given_up));
+}
+
 /// Guards against the members of a long-running gang that wait as long as suspects are tried.
 #[test]
 fn plan_places_a_serving_gang_on_quarantined_workers() {
