Probation: count failing tasks, and end it with a success

Three failures in a row put a worker on probation, whichever tasks failed.

Each task now counts once since the last success of the worker. A run that is done ends probation, and so does a long-running run, once, after it has been listed for as long as a probation. Copies are placed on workers without failures since the last success, as before.

This changes how batch tasks are served: a worker that fails a part of its runs is back from probation with the next run that is done, and only its doubt keeps others preferred.

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -178,6 +178,8 @@
     progressed_at: Option<Instant>,
     /// Time since which the run has been listed without CPU use.
     idle_since: Option<Instant>,
+    /// Whether the long-running run has counted as a success of its worker.
+    has_lasted: bool,
 }
 
 /// Scheduling state of a task.
@@ -1265,6 +1267,9 @@
             self.jobs[task_key.job].is_dirty = true;
             self.needs_plan = true;
         }
+        if let Some(task_key) = task_key {
+            self.note_lasting_run(key, task_key);
+        }
         if is_wanted {
             if !self.workers[key].is_reconciled {
                 self.enqueue_traits(key, &listed.task, task_key);
@@ -1613,6 +1618,7 @@
             progressed_clock_ms: 0,
             progressed_at: None,
             idle_since: None,
+            has_lasted: false,
         }
     }
 }
--- a/crates/teaseltrack/src/cell/copies.rs
+++ b/crates/teaseltrack/src/cell/copies.rs
@@ -455,7 +455,7 @@
         let free_milli = status.capacity.cpu_milli as f64 * self.settings.copies.free_cpu_share;
         let available_milli = worker.available().cpu_milli as f64;
         worker.doubt(&self.settings.health) == 0
-            && worker.consecutive_failures == 0
+            && worker.failed_tasks.is_empty()
             && stage.data_rack.as_ref().is_none_or(|rack| status.labels.contains(rack))
             && available_milli >= stage.resources.cpu_milli as f64 + free_milli
     }
--- a/crates/teaseltrack/src/cell/health.rs
+++ b/crates/teaseltrack/src/cell/health.rs
@@ -1,7 +1,8 @@
 //! Detection of failing and slow workers and of stalled runs.
 //!
-//! A worker on which several runs in a row fail is put on probation and gets no new tasks. A stalled
-//! run is stopped, and its next attempt avoids the worker. Between sound workers and those on
+//! A worker on which the runs of several tasks in a row fail is put on probation and gets no new tasks
+//! until a run is done there, or for some time. A long-running task is never done; its run counts as a
+//! success once it has lasted. A stalled run is stopped, and its next attempt avoids the worker. Between sound workers and those on
 //! probation, [`reliability`] decides.
 //!
 //! [`reliability`]: crate::cell::reliability
@@ -17,10 +18,11 @@
 /// Settings of health detection.
 #[derive(Clone, Copy, Debug)]
 pub struct HealthSettings {
-    /// Consecutive failures after which a worker is put on probation.
+    /// Number of tasks whose runs fail in a row after which their worker is put on probation.
     pub failure_threshold: u32,
-    /// Duration of probation, during which the worker gets no new tasks. Each further failure
-    /// before a run is done restarts it.
+    /// Duration of probation, during which the worker gets no new tasks. The failure of each further
+    /// task restarts it, and a run that is done ends it; so does a long-running one that has lasted for
+    /// as long.
     pub probation: Duration,
     /// Time without progress after which a run counts as stalled and is stopped.
     pub stall_timeout: Duration,
@@ -84,6 +86,21 @@
 }
 
 impl Cell {
+    /// Counts a long-running run as a success of its worker, once, after it has lasted for as long as a
+    /// probation.
+    pub(super) fn note_lasting_run(&mut self, key: WorkerKey, task_key: TaskKey) {
+        let min_time = self.settings.health.probation;
+        let is_long_running = self.stage(task_key).is_long_running;
+        let run = self.task_mut(task_key).and_then(|task| task.run.as_mut());
+        let lasting = run.filter(|run| {
+            is_long_running && run.worker == key && !run.has_lasted && run.is_cleared(min_time)
+        });
+        if let Some(run) = lasting {
+            run.has_lasted = true;
+            self.needs_plan |= self.workers[key].note_success();
+        }
+    }
+
     /// Updates the worker's failure count and slowdown after the end of a run.
     pub(super) fn update_worker_health(
         &mut self,
@@ -101,8 +118,8 @@
                 });
                 self.note_failure(key, previous);
                 let worker = &mut self.workers[key];
-                worker.consecutive_failures += 1;
-                if worker.consecutive_failures >= settings.failure_threshold {
+                let threshold = settings.failure_threshold as usize;
+                if worker.note_failed_task(task_key, threshold) >= threshold {
                     worker.exclude(Exclusion {
                         until: now + settings.probation,
                         cause: ExclusionCause::Probation,
@@ -110,7 +127,7 @@
                 }
             }
             EndCause::Done => {
-                self.workers[key].consecutive_failures = 0;
+                self.workers[key].note_success();
                 self.note_completion(key, task_key, now);
             }
             EndCause::Stopped | EndCause::Lapsed | EndCause::Broken | EndCause::Alone => {}
--- a/crates/teaseltrack/src/cell/worker.rs
+++ b/crates/teaseltrack/src/cell/worker.rs
@@ -141,8 +141,8 @@
     pub exclusion: Option<Exclusion>,
     /// Time at which it last refused a start in this session.
     pub refused_at: Option<Instant>,
-    /// Number of failed runs since the last completed one.
-    pub consecutive_failures: u32,
+    /// The last tasks whose runs have failed there since the last success; each is listed once.
+    pub failed_tasks: Vec<TaskKey>,
     /// Last run of a gang of which a member failed here: the member with index 0 and the attempt.
     pub failed_gang_run: Option<(TaskKey, AttemptNumber)>,
     /// Moving average of run times relative to the expected ones; 1 for a typical worker.
@@ -216,7 +216,7 @@
             is_quarantined: false,
             exclusion: None,
             refused_at: None,
-            consecutive_failures: 0,
+            failed_tasks: Vec::new(),
             failed_gang_run: None,
             slowdown: 1.0,
             outcomes: Outcomes::default(),
@@ -312,6 +312,26 @@
         }
     }
 
+    /// Notes a failed run, unless the task's last failure is among the last `max_count` ones since the last
+    /// success. Returns their number if the failure counts, and 0 otherwise.
+    pub fn note_failed_task(&mut self, key: TaskKey, max_count: usize) -> usize {
+        if self.failed_tasks.contains(&key) {
+            return 0;
+        }
+        self.failed_tasks.push(key);
+        if self.failed_tasks.len() > max_count {
+            self.failed_tasks.remove(0);
+        }
+        self.failed_tasks.len()
+    }
+
+    /// Notes a run that was done or has lasted, which ends probation. Returns whether it has ended one.
+    pub fn note_success(&mut self) -> bool {
+        self.failed_tasks.clear();
+        let is_probation = |exclusion: &mut Exclusion| exclusion.cause == ExclusionCause::Probation;
+        self.exclusion.take_if(is_probation).is_some()
+    }
+
     /// The exclusion that keeps new tasks from the worker now.
     pub fn active_exclusion(&self, now: Instant) -> Option<Exclusion> {
         self.exclusion.filter(|exclusion| exclusion.until > now)
