--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -670,9 +670,9 @@
                         "rooms_isolated" => rooms.isolated, "rooms_held" => rooms.held,
                         "rooms_open" => rooms.open);
                 }
-                CellEvent::ProbationBegun { worker, consecutive_failures, task_count } => {
+                CellEvent::ProbationBegun { worker, failed_task_count, task_count } => {
                     info!(logger, "worker is on probation after failed runs"; "worker" => worker,
-                        "failures" => consecutive_failures, "tasks" => task_count);
+                        "failed_tasks" => failed_task_count, "tasks" => task_count);
                 }
                 CellEvent::ProbationEnded { worker } => {
                     info!(logger, "probation of a worker has ended"; "worker" => worker);
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -181,6 +181,8 @@
     progressed_at: Option<Instant>,
     /// Time since which the run has been listed without CPU use.
     idle_since: Option<Instant>,
+    /// Whether the long-running run has counted as a success of its worker.
+    has_lasted: bool,
 }
 
 /// Scheduling state of a task.
@@ -471,8 +473,8 @@
     ProbationBegun {
         /// Worker incarnation.
         worker: WorkerIncarnation,
-        /// Number of failed runs since the last completed one.
-        consecutive_failures: u32,
+        /// Number of the last tasks that have failed there in a row.
+        failed_task_count: usize,
         /// Number of its tasks.
         task_count: usize,
     },
@@ -1316,6 +1318,9 @@
             self.jobs[task_key.job].is_dirty = true;
             self.needs_plan = true;
         }
+        if let Some(task_key) = task_key {
+            self.note_lasting_run(key, task_key);
+        }
         if is_wanted {
             if !self.workers[key].is_reconciled {
                 self.enqueue_traits(key, &listed.task, task_key);
@@ -1493,10 +1498,12 @@
     /// Reclaims a task whose assigned attempt never ran. The other members of its gang would wait for
     /// it, so they are stopped and assigned again together.
     ///
-    /// A serving task has had no worker meanwhile, so its wait goes on.
+    /// A serving task has had no worker meanwhile, so its wait goes on; that of a suspect, which may have
+    /// crashed its worker, begins anew.
     fn reclaim_unstarted_task(&mut self, key: TaskKey, reason: &str) {
-        let unstarted =
-            self.task(key).filter(|task| task.run.as_ref().is_some_and(|run| !run.is_listed));
+        let unstarted = self.task(key).filter(|task| {
+            !task.is_suspect() && task.run.as_ref().is_some_and(|run| !run.is_listed)
+        });
         let unplaced_since = unstarted.and_then(|task| task.unplaced_since);
         self.reclaim_task(key, reason);
         if let Some(task) = self.task_mut(key) {
@@ -1663,6 +1670,7 @@
             progressed_clock_ms: 0,
             progressed_at: None,
             idle_since: None,
+            has_lasted: false,
         }
     }
 }
