Red test: runs that are gone without an end aren't reported

Callers saw a task that lasts without a run for 22 s. One way to that: the worker has started a run, lists it no longer, and its end can't be listed any more. The agent drops the response to an accepted start, and compares no listing with the one before it, so nothing ends the owner's belief.

Seen: both cases time out after 20 s on; the test that must not report a run whose end is listed passes.

--- a/crates/teaseltrack-cell/tests/agent.rs
+++ b/crates/teaseltrack-cell/tests/agent.rs
@@ -3,7 +3,10 @@
 
 use std::{
     future::{pending, ready},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -12,7 +15,7 @@
     cell::{
         evacuation::EvacuationNotice,
         protocol::{
-            EndCause, EndedTask, Order, Report, ReportResponse, StartOrder, TaskName,
+            EndCause, EndedTask, Order, Report, ReportResponse, RunningTask, StartOrder, TaskName,
             WorkerListing, WorkerStatus,
         },
     },
@@ -659,3 +662,87 @@
     assert_eq!((report.refused[0].task.clone(), report.refused[0].attempt), (task(0), 1));
     assert_eq!(*remaining.lock().unwrap(), 0, "the attempt may still start");
 }
+
+/// What a worker that has listed or accepted a run does next.
+#[derive(Clone, Copy, Debug)]
+enum Evidence {
+    Listed,
+    Accepted,
+}
+
+fn run(index: u32) -> RunningTask {
+    let (checkpoint, percent, gauge) = (String::new(), 10, 0);
+    RunningTask { task: task(index), attempt: 1, checkpoint, percent, gauge }
+}
+
+/// Worker that accepts all starts and responds to each sync call with the listing for its number, from 0.
+fn listing_worker(
+    listing_of: impl Fn(usize) -> WorkerListing + Send + Sync + 'static,
+) -> WorkerAdapter {
+    let sync_count = AtomicUsize::new(0);
+    Arc::new(move |call: AddressedCall| {
+        let is_sync = matches!(call.call, WorkerCall::Sync { .. });
+        let listing = is_sync.then(|| listing_of(sync_count.fetch_add(1, Ordering::Relaxed)));
+        let response = WorkerResponse { listing, ..worker_response(1) };
+        Box::pin(async move {
+            sleep(Duration::from_millis(20)).await;
+            Ok(response)
+        })
+    })
+}
+
+fn listing(running: &[RunningTask], ended: &[EndedTask]) -> WorkerListing {
+    WorkerListing { running: Some(running.to_vec()), ended: ended.to_vec() }
+}
+
+/// Guards against a task without a run for as long as its worker lasts: the worker had started the run,
+/// lists it no longer, and has forgotten its end.
+#[parameterized(
+    listed = { Evidence::Listed },
+    accepted = { Evidence::Accepted },
+)]
+#[test_macro(tokio::test)]
+async fn process_listing_reports_a_run_that_is_gone_without_an_end(evidence: Evidence) {
+    let (starts, listed_count) = match evidence {
+        Evidence::Listed => (Vec::new(), 5),
+        Evidence::Accepted => (vec![start(0, CAPACITY)], 0),
+    };
+    let mut owner = TestOwner::start(orders(starts)).await;
+    let worker = listing_worker(move |number| {
+        let runs = if number < listed_count { vec![run(0), run(1)] } else { vec![run(1)] };
+        listing(&runs, &[])
+    });
+    let agent = TestAgent::start(owner.known_owner.clone(), |_| worker);
+    agent.send(heartbeat(1)).await;
+    let report = owner.report(|report| !report.refused.is_empty()).await;
+    let refused: Vec<_> =
+        report.refused.iter().map(|refused| (refused.task.clone(), refused.attempt)).collect();
+    assert_eq!(refused, [(task(0), 1)]);
+}
+
+/// Guards against a second run of a task whose run has ended with a listed end, or is still listed.
+#[tokio::test]
+async fn process_listing_reports_no_run_whose_end_is_listed() {
+    let mut owner = TestOwner::start(orders(vec![start(0, CAPACITY), start(1, CAPACITY)])).await;
+    let end = EndedTask {
+        number: 1,
+        task: task(0),
+        attempt: 1,
+        cause: EndCause::Done,
+        checkpoint: String::new(),
+    };
+    let worker = listing_worker(move |number| match number {
+        0..=4 => listing(&[run(0), run(1)], &[]),
+        5..=9 => listing(&[run(1)], std::slice::from_ref(&end)),
+        // The end has been acknowledged.
+        _ => listing(&[run(1)], &[]),
+    });
+    let agent = TestAgent::start(owner.known_owner.clone(), |_| worker);
+    agent.send(heartbeat(1)).await;
+    let has_end =
+        |report: &Report| report.listing.as_ref().is_some_and(|listing| !listing.ended.is_empty());
+    owner.report(has_end).await;
+    for _ in 0..6 {
+        assert_eq!(owner.report(|_| true).await.refused, []);
+    }
+}
