Red tests: the owner keeps runs whose ends are lost

Callers saw a task that lasts without a run for 22 s. The owner compares its assigned runs with a worker's listing only once a session. A run that was listed, isn't any more, and whose end is lost, stays a run for as long as worker and session last, also if the agent reports that it is gone.

--- /dev/null
+++ b/crates/teaseltrack/tests/cell/lost_ends.rs
@@ -0,0 +1,162 @@
+//! Runs that have ended without a listed end: their worker has forgotten it.
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use teaseltrack::cell::{
+    CellEvent,
+    job::Stage,
+    progress::JobState,
+    protocol::{EndCause, EndedTask, RefusedStart, TaskName, WorkerListing},
+};
+
+use crate::fleet::{Fleet, Instance, STEP, long_running, stage, stored_job};
+
+const JOB: &str = "0000000000000001";
+
+fn task() -> TaskName {
+    TaskName { job: JOB.to_owned(), occurrence: 0, stage: 0, index: 0 }
+}
+
+/// Two workers, and a long-running task that one of them, with the returned index, has listed.
+fn serving_fleet() -> (Fleet, usize) {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.run_steps(4);
+    fleet.submit(stored_job(JOB, vec![long_running(1)]));
+    fleet.run_steps(6);
+    assert_eq!(fleet.start_count, 1);
+    let index = usize::from(fleet.instances[1].running.contains_key(&task()));
+    (fleet, index)
+}
+
+/// Guards against a task without a run for as long as its worker lasts, since the owner waits for an end
+/// that nobody lists.
+#[test]
+fn process_listing_reclaims_a_run_that_a_later_listing_lacks() {
+    let (mut fleet, index) = serving_fleet();
+    fleet.instances[index].running.clear();
+    fleet.run_steps(20);
+    assert_eq!(fleet.start_count, 2, "the task runs again within a second");
+}
+
+/// Guards against a cancelled job that stays open, since the end of its stopped run is lost.
+#[test]
+fn process_listing_closes_a_cancelled_job_whose_end_is_lost() {
+    let (mut fleet, index) = serving_fleet();
+    fleet.max_stop_ms = 0;
+    fleet.cancel(JOB);
+    fleet.instances[index].running.clear();
+    fleet.run_steps(20);
+    assert_eq!(fleet.cell.open_count(), 0);
+}
+
+/// Guards against a second run of a task by a report that was overtaken by one with its run.
+#[test]
+fn process_listing_keeps_a_run_that_an_earlier_listing_lacks() {
+    let mut fleet = Fleet::new(1, 1);
+    fleet.run_steps(4);
+    let late = fleet.instances[0].report();
+    fleet.submit(stored_job(JOB, vec![long_running(1)]));
+    fleet.run_steps(6);
+    assert!(fleet.instances[0].running.contains_key(&task()));
+    fleet.cell.take_events();
+    fleet.cell.handle_report(late, true, fleet.now);
+    // One that was sent at the same reading of the clock.
+    let mut other = fleet.instances[0].report();
+    fleet.cell.handle_report(other.clone(), true, fleet.now);
+    other.listing = Some(WorkerListing { running: Some(Vec::new()), ended: Vec::new() });
+    fleet.cell.handle_report(other, true, fleet.now);
+    let events = fleet.cell.take_events();
+    let is_reclaimed = |event: &CellEvent| matches!(event, CellEvent::Reclaimed { .. });
+    assert!(!events.iter().any(is_reclaimed), "{events:?}");
+}
+
+/// Guards against a second run of a task whose end is beyond the last one of a list that is cut off.
+#[test]
+fn process_listing_keeps_a_run_whose_end_may_be_cut_off() {
+    let (mut fleet, index) = serving_fleet();
+    fleet.cell.take_events();
+    fleet.now += STEP;
+    fleet.instances[index].clock_ms += 50;
+    fleet.instances[index].running.clear();
+    let mut report = fleet.instances[index].report();
+    let listing = report.listing.as_mut().expect("a listing");
+    listing.ended = (1..=500)
+        .map(|number| EndedTask {
+            number,
+            task: TaskName { index: number as u32, ..task() },
+            attempt: 1,
+            cause: EndCause::Stopped,
+            checkpoint: String::new(),
+        })
+        .collect();
+    fleet.cell.handle_report(report, true, fleet.now);
+    let events = fleet.cell.take_events();
+    let is_reclaimed = |event: &CellEvent| matches!(event, CellEvent::Reclaimed { .. });
+    assert!(!events.iter().any(is_reclaimed), "{events:?}");
+}
+
+/// Guards against a run that an agent says is gone, and that the owner keeps since it was listed before.
+#[test]
+fn process_refusal_reclaims_a_listed_run() {
+    let (mut fleet, index) = serving_fleet();
+    let (attempt, _) = fleet.instances[index].running[&task()];
+    fleet.instances[index].running.clear();
+    fleet.instances[index].has_listing = false;
+    let reason = "gone without an end".to_owned();
+    fleet.instances[index].refused.push(RefusedStart { task: task(), attempt, reason });
+    fleet.run_steps(20);
+    assert_eq!(fleet.start_count, 2, "the task runs again within a second");
+}
+
+/// Guards against jobs that never end, and against second runs, on workers that forget ends while owners,
+/// agents and workers restart.
+#[test]
+fn cell_completes_all_jobs_on_workers_that_forget_ends() {
+    let seed_count = std::env::var("LOST_END_SEEDS").ok().and_then(|value| value.parse().ok());
+    for seed in 1..=seed_count.unwrap_or(6) {
+        run_forgetful_workers(seed);
+    }
+}
+
+fn run_forgetful_workers(seed: u64) {
+    let mut fleet = Fleet::new(5, seed).with_slow_network(seed);
+    let mut faults = ChaCha8Rng::seed_from_u64(seed + 1_000);
+    for round in 0_u64..1_300 {
+        if round % 25 == 0 && round < 800 {
+            let second = Stage { after: vec![0], ..stage(faults.random_range(1..5)) };
+            let stages = vec![stage(faults.random_range(1..6)), second];
+            fleet.submit(stored_job(&format!("{round:016x}"), stages));
+        }
+        fleet.step();
+        if round > 800 {
+            fleet.instances.iter_mut().for_each(|instance| instance.is_disconnected = false);
+            continue;
+        }
+        let index = faults.random_range(0..5);
+        match faults.random_range(0..120) {
+            0 => fleet.replace_owner(),
+            1 => fleet.restart_worker(index),
+            2 => fleet.restart_agent(index),
+            3 => fleet.instances[index].is_disconnected = true,
+            4..=8 => fleet.instances[index].is_disconnected = false,
+            9..=20 => forget_run(&mut fleet.instances[index]),
+            _ => {}
+        }
+    }
+    for id in fleet.jobs.keys() {
+        let state = fleet.cell.state(id);
+        assert!(state.is_some_and(JobState::is_final), "{id} with seed {seed}: {state:?}");
+    }
+}
+
+/// Ends a run, if there is one, and forgets its end. The agent reports a run that it has not listed to the
+/// owner, since the worker has accepted its start.
+fn forget_run(instance: &mut Instance) {
+    let Some((task, (attempt, end_ms))) = instance.running.pop_first() else { return };
+    instance.stopped.insert((task.clone(), attempt));
+    instance.end_count += 1;
+    if instance.listed.get(&task) != Some(&(attempt, end_ms)) {
+        let reason = "accepted, but never listed".to_owned();
+        instance.refused.push(RefusedStart { task, attempt, reason });
+    }
+}
--- a/crates/teaseltrack/tests/cell/main.rs
+++ b/crates/teaseltrack/tests/cell/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod gang_faults;
 mod gangs;
+mod lost_ends;
 mod owner_changes;
 mod owner_series;
 mod placement;
