Reclaim runs that a later listing of the session lacks

Callers saw a task that lasts without a run for 22 s. The owner compared its assigned runs with a worker's listing only once a session; a run whose end was lost stayed a run without a bound, since the worker's lease is renewed meanwhile.

Now each listing is compared: a run that this session has listed, and that a listing at a later reading of the worker's clock lacks once its ends are processed, is reclaimed. A report with a later reading was sent later, and a run that has ended never comes back, so a stale listing reclaims nothing. A listing with 500 ends may be cut off and reclaims nothing. A refusal by the agent now counts for a listed run too: it says that the attempt can't run any more.

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -99,6 +99,8 @@
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum number of orders in one response; keeps the response within the message size limit.
 const MAX_ORDERS_PER_RESPONSE: usize = 64;
+/// Number of ends in a listing from which on it may lack further ones.
+const MAX_LISTED_ENDS: usize = 500;
 
 /// Settings of a cell's owner.
 #[derive(Clone, Copy, Debug)]
@@ -1199,6 +1201,7 @@
         clock_ms: u64,
         now: Instant,
     ) {
+        let has_all_ends = listing.ended.len() < MAX_LISTED_ENDS;
         for end in listing.ended {
             self.process_end(key, &end, now);
         }
@@ -1207,6 +1210,9 @@
         for run in &running {
             self.reconcile_run(key, run, clock_ms, now);
         }
+        if has_all_ends {
+            self.reclaim_lost_runs(key, clock_ms);
+        }
         let worker = &mut self.workers[key];
         // Only the first listing of a session shows which start orders of earlier sessions were not
         // executed; later listings may lack runs whose start order is still in transit.
@@ -1227,12 +1233,33 @@
                 .is_some_and(|run| run.is_listed && run.session == session);
             if !is_listed {
                 self.select_run(task, key);
-                self.reclaim_unstarted_task(task, "start order was not executed");
+                self.reclaim_gang_member(task, "start order was not executed");
             }
         }
         self.needs_plan = true;
     }
 
+    /// Reclaims the runs that the session has listed, that a listing at a later reading of the clock
+    /// lacks, and whose end isn't known: it is lost, since a worker lists each end until it is
+    /// acknowledged. An agent's reports may overtake each other, but one with a later reading was sent
+    /// later, and a run that has ended never comes back.
+    fn reclaim_lost_runs(&mut self, key: WorkerKey, clock_ms: u64) {
+        let worker = &self.workers[key];
+        let session = worker.session;
+        let is_lost = |task: &TaskKey| {
+            self.task(*task).and_then(|task| task.run_on(key)).is_some_and(|run| {
+                run.is_listed
+                    && run.session == session
+                    && run.listed_clock_ms.is_some_and(|(_, last_ms)| last_ms < clock_ms)
+            })
+        };
+        let lost: Vec<TaskKey> = worker.tasks.iter().copied().filter(is_lost).collect();
+        for task in lost {
+            self.select_run(task, key);
+            self.reclaim_gang_member(task, "run is gone, and its end is lost");
+        }
+    }
+
     fn reconcile_run(&mut self, key: WorkerKey, listed: &RunningTask, clock_ms: u64, now: Instant) {
         let session = self.workers[key].session;
         let clearing_time = self.settings.quarantine.clearing_time;
@@ -1382,15 +1409,13 @@
 
     fn process_refusal(&mut self, key: WorkerKey, refused: &RefusedStart, now: Instant) {
         let Some(task_key) = self.key_of(&refused.task) else { return };
-        let is_current = self.task_mut(task_key).is_some_and(|task| {
-            task.run_mut(key, refused.attempt).is_some_and(|run| !run.is_listed)
-        });
-        if !is_current {
+        let task = self.task_mut(task_key);
+        if task.is_none_or(|task| task.run_mut(key, refused.attempt).is_none()) {
             return;
         }
         self.select_run(task_key, key);
         self.workers[key].ineligible_until = Some(now + self.settings.refusal_backoff);
-        self.reclaim_unstarted_task(task_key, &refused.reason);
+        self.reclaim_gang_member(task_key, &refused.reason);
     }
 
     /// Reclaims all tasks of a worker that can no longer run them, and invalidates its lease and
@@ -1433,9 +1458,9 @@
         self.needs_plan = true;
     }
 
-    /// Reclaims a task whose assigned attempt never ran. The other members of its gang would wait for
+    /// Reclaims a task whose assigned attempt doesn't run. The other members of its gang would wait for
     /// it, so they are stopped and assigned again together.
-    fn reclaim_unstarted_task(&mut self, key: TaskKey, reason: &str) {
+    fn reclaim_gang_member(&mut self, key: TaskKey, reason: &str) {
         self.reclaim_task(key, reason);
         let stage = self.stage(key);
         let members = if stage.is_gang { 0..stage.task_count } else { 0..0 };
--- a/crates/teaseltrack/src/cell/commits.rs
+++ b/crates/teaseltrack/src/cell/commits.rs
@@ -205,7 +205,7 @@
         }
         // The capacity may have shrunk since the assignment.
         if !worker.can_fit(&Resources::default()) {
-            return self.reclaim_unstarted_task(key, "worker is over its capacity");
+            return self.reclaim_gang_member(key, "worker is over its capacity");
         }
         let start = StartOrder {
             task: name.clone(),
--- a/crates/teaseltrack/src/cell/evacuation.rs
+++ b/crates/teaseltrack/src/cell/evacuation.rs
@@ -150,7 +150,7 @@
             .collect();
         for (worker, task) in unsent {
             self.select_run(task, worker);
-            self.reclaim_unstarted_task(task, EVACUATED);
+            self.reclaim_gang_member(task, EVACUATED);
         }
     }
 
--- a/crates/teaseltrack/src/cell/protocol.rs
+++ b/crates/teaseltrack/src/cell/protocol.rs
@@ -134,7 +134,7 @@
     pub checkpoint: String,
 }
 
-/// A start order that didn't start a run.
+/// A start order that didn't start a run, or whose run is gone without an end.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RefusedStart {
     /// The task.
@@ -186,7 +186,7 @@
     pub is_worker_reachable: bool,
     /// Last listing of the worker under the session.
     pub listing: Option<WorkerListing>,
-    /// Start orders that didn't start a run.
+    /// Start orders that didn't start a run, or whose run is gone without an end.
     pub refused: Vec<RefusedStart>,
     /// Number of the last accepted order.
     #[serde(rename = "taken_order")]
