Report started runs that a complete listing lacks

Callers saw a task that lasts without a run for 22 s. The agent dropped the response to an accepted start and compared no listing with the one before it, so that a run whose end was lost before a report had it, and a start that was accepted and never listed, were believed in as long as the worker lasted.

The agent now tracks the attempts that the worker has accepted or listed in the session until their ends are listed. One that was listed, and that a complete listing lacks, is reported at once as unable to run. One that was only accepted is stopped first, and reported as a start without a response is: once the worker has accepted the stop and a later listing lacks it.

--- a/crates/teaseltrack-cell/src/agent.rs
+++ b/crates/teaseltrack-cell/src/agent.rs
@@ -5,7 +5,7 @@
 //! the owner. Each call runs in an async task of its own, whose result arrives as an event. Calls
 //! wait in a queue ([`call_queue`]) and belong to a session; those of a session that has ended are
 //! dropped. A start without a response is invalidated by a stop of the same attempt
-//! ([`unconfirmed_starts`]).
+//! ([`unconfirmed_starts`]). A started run is tracked until its end is listed ([`started_runs`]).
 
 use std::time::{Duration, Instant};
 
@@ -35,6 +35,7 @@
 use crate::{
     agent::{
         call_queue::{CallQueue, WaitingStart},
+        started_runs::{MissingRun, StartedRuns},
         unconfirmed_starts::UnconfirmedStarts,
     },
     calls::{CellClient, KnownOwner},
@@ -46,6 +47,7 @@
 };
 
 pub mod call_queue;
+pub mod started_runs;
 pub mod unconfirmed_starts;
 
 /// Delay of the next sync call while the owner hasn't committed all listed ends.
@@ -66,6 +68,10 @@
 const EVACUATED: &str = "availability zone is being evacuated";
 /// Reason for the refusal of a start whose order has expired.
 const START_EXPIRED: &str = "start order has expired";
+/// Reason for the report of a run that was listed before.
+const END_LOST: &str = "run is gone, and its end is lost";
+/// Reason for the stop of an accepted start that isn't listed.
+const NEVER_LISTED: &str = "start was accepted, but isn't listed";
 /// Longest time for which a start order, or a lease, counts as valid.
 const MAX_ORDER_VALIDITY: Duration = Duration::from_secs(3_600);
 /// Number of failed tries of a stop call between two log entries.
@@ -211,6 +217,7 @@
     is_reachable: bool,
     refused: Vec<RefusedStart>,
     unconfirmed_starts: UnconfirmedStarts,
+    started_runs: StartedRuns,
     pacer: Pacer,
     sync_number: u64,
     is_syncing: bool,
@@ -275,6 +282,7 @@
             is_reachable: true,
             refused: Vec::new(),
             unconfirmed_starts: UnconfirmedStarts::default(),
+            started_runs: StartedRuns::default(),
             pacer: Pacer::new(PACING),
             sync_number: 0,
             is_syncing: false,
@@ -428,6 +436,7 @@
         self.has_listing = false;
         self.refused.clear();
         self.unconfirmed_starts = UnconfirmedStarts::default();
+        self.started_runs = StartedRuns::default();
         self.has_sent_estimates = false;
         self.is_syncing = false;
         self.sync_number += 1;
@@ -494,7 +503,7 @@
         }
         self.next_sync_at = now;
         if let Some(listing) = response.listing {
-            self.process_listing(listing, sent_at, now);
+            self.process_listing(listing, response.has_missing_rows, sent_at, now);
         }
         if !self.has_listing {
             self.next_sync_at = now + WORKER_RETRY_DELAY;
@@ -518,7 +527,13 @@
         self.needs_report = true;
     }
 
-    fn process_listing(&mut self, listing: WorkerListing, sent_at: Instant, now: Instant) {
+    fn process_listing(
+        &mut self,
+        listing: WorkerListing,
+        has_missing_rows: bool,
+        sent_at: Instant,
+        now: Instant,
+    ) {
         let mut listing = listing;
         listing.ended.retain(|end| end.number > self.forget_until);
         let last_known = self.ended.last().map_or(self.forget_until, |end| end.number);
@@ -532,17 +547,17 @@
             self.calls.remove_stop(&end.task, end.attempt);
         }
         self.ended = listing.ended;
+        self.started_runs.remove_ended(&self.ended);
         // Without a list of the current runs, nothing is known of a run that isn't listed.
         if let Some(running) = listing.running {
             self.has_listing = true;
-            self.running = running;
-            let not_started = self.unconfirmed_starts.resolve(&self.running, &self.ended, sent_at);
-            for start in &not_started {
-                info!(self.context.logger, "start never ran"; "request_id" => &start.task.job,
-                    "task" => %start.task, "attempt" => start.attempt, "reason" => &start.reason);
+            let earlier = std::mem::replace(&mut self.running, running);
+            self.started_runs.add_listed(&self.running, now);
+            if has_missing_rows {
+                self.keep_unlisted_runs(earlier);
+            } else {
+                self.report_missing_runs(sent_at, now);
             }
-            self.needs_report |= !not_started.is_empty();
-            self.refused.extend(not_started);
         }
         let capacity = self.status.as_ref().map_or(0, |status| status.capacity.cpu_milli);
         let was_paused = self.pacer.is_paused();
@@ -561,6 +576,45 @@
         }
     }
 
+    /// Keeps the runs that a listing with missing rows may lack, so that the owner doesn't take them for
+    /// ended.
+    fn keep_unlisted_runs(&mut self, earlier: Vec<RunningTask>) {
+        let is_listed = |run: &RunningTask| {
+            self.running.iter().any(|other| other.task == run.task)
+                || self.ended.iter().any(|end| end.task == run.task && end.attempt == run.attempt)
+        };
+        let unlisted: Vec<RunningTask> =
+            earlier.into_iter().filter(|run| !is_listed(run)).collect();
+        self.running.extend(unlisted);
+    }
+
+    /// Reports the attempts that a complete listing shows not to run, now or later: runs whose ends are
+    /// lost, and starts that were stopped. An accepted start that it lacks is stopped first.
+    fn report_missing_runs(&mut self, requested_at: Instant, now: Instant) {
+        let mut gone = Vec::new();
+        for run in self.started_runs.take_missing(&self.running, requested_at) {
+            let MissingRun { task, attempt, was_listed } = run;
+            let reason = if was_listed { END_LOST } else { NEVER_LISTED };
+            warn!(self.context.logger, "run is missing"; "request_id" => &task.job,
+                "task" => %task, "attempt" => attempt, "reason" => reason);
+            self.context.metrics.count("runs_missing");
+            if was_listed {
+                gone.push(RefusedStart { task, attempt, reason: reason.to_owned() });
+            } else {
+                self.unconfirmed_starts.add(&task, attempt, now);
+                self.calls.push_stop(task, attempt, now);
+            }
+        }
+        let not_started = self.unconfirmed_starts.resolve(&self.running, &self.ended, requested_at);
+        for start in &not_started {
+            info!(self.context.logger, "start never ran"; "request_id" => &start.task.job,
+                "task" => %start.task, "attempt" => start.attempt, "reason" => &start.reason);
+        }
+        gone.extend(not_started);
+        self.needs_report |= !gone.is_empty();
+        self.refused.extend(gone);
+    }
+
     fn build_report(&mut self, is_full: bool, now: Instant) -> Report {
         // Ends stay valid under a new session, and the worker may fail or shut down before it lists
         // them again.
@@ -790,6 +844,8 @@
         match result {
             Ok(response) => {
                 self.note_clock(response.clock_ms);
+                let now = self.context.clock.now();
+                self.started_runs.add(&order.task, order.attempt, now);
             }
             Err(WorkerError::Refused { reason }) if reason == "old" => {
                 // The worker refuses the attempt as outdated; a later listing shows whether it ran.
--- a/crates/teaseltrack-cell/src/constants.rs
+++ b/crates/teaseltrack-cell/src/constants.rs
@@ -78,8 +78,8 @@
 pub const RETRY_DELAY: Duration = Duration::from_millis(60);
 /// Timeout of start, stop and pace calls to a worker.
 pub const WORKER_CALL_TIMEOUT: Duration = Duration::from_millis(500);
-/// Minimum time from a worker's acceptance of a stop to the request of a listing; a run that is
-/// missing from this listing never started.
+/// Minimum time from a worker's acceptance of a start or a stop to the request of a listing that shows
+/// its effect; after a stop, a run that is missing from this listing never started.
 pub const STOP_SETTLE_TIME: Duration = Duration::from_millis(700);
 /// Maximum wait for changes in one call to the store. A dead connection is detected within this
 /// wait plus the call's timeout; their sum must leave time to apply a new configuration.
--- a/crates/teaseltrack-cell/src/worker_port.rs
+++ b/crates/teaseltrack-cell/src/worker_port.rs
@@ -86,6 +86,8 @@
     pub started_unix_ms: Option<u64>,
     /// Listing of current and ended runs; only in a response to [`WorkerCall::Sync`].
     pub listing: Option<WorkerListing>,
+    /// Whether the listing may lack runs or ends: it is cut off, or has parts that can't be read.
+    pub has_missing_rows: bool,
 }
 
 /// Implementation of the interface: sends a call to the worker and returns its response.
--- a/crates/teaseltrack-cell/tests/agent.rs
+++ b/crates/teaseltrack-cell/tests/agent.rs
@@ -2,6 +2,7 @@
 //! capacity changes, or whose availability zone is evacuated.
 
 use std::{
+    collections::BTreeSet,
     future::{pending, ready},
     sync::{
         Arc, Mutex,
@@ -234,6 +235,7 @@
         clock_ms: Some(1_000),
         started_unix_ms: Some(started_unix_ms),
         listing: Some(WorkerListing { running: Some(Vec::new()), ended: Vec::new() }),
+        has_missing_rows: false,
     }
 }
 
@@ -663,7 +665,7 @@
     assert_eq!(*remaining.lock().unwrap(), 0, "the attempt may still start");
 }
 
-/// What a worker that has listed or accepted a run does next.
+/// How the agent knows of a run.
 #[derive(Clone, Copy, Debug)]
 enum Evidence {
     Listed,
@@ -746,3 +748,55 @@
         assert_eq!(owner.report(|_| true).await.refused, []);
     }
 }
+
+/// Guards against a second run of a task whose run, or end, a listing with missing rows lacks.
+#[tokio::test]
+async fn process_listing_keeps_a_run_that_a_listing_with_missing_rows_lacks() {
+    let mut owner = TestOwner::start(response(5, 0)).await;
+    let complete = listing_worker(|number| {
+        let runs = if number < 5 { vec![run(0), run(1)] } else { vec![run(1)] };
+        listing(&runs, &[])
+    });
+    let calls = Arc::new(AtomicUsize::new(0));
+    let worker: WorkerAdapter = Arc::new(move |call| {
+        let has_missing_rows = calls.fetch_add(1, Ordering::Relaxed) >= 5;
+        let responding = complete(call);
+        Box::pin(async move {
+            responding.await.map(|response| WorkerResponse { has_missing_rows, ..response })
+        })
+    });
+    let agent = TestAgent::start(owner.known_owner.clone(), |_| worker);
+    agent.send(heartbeat(1)).await;
+    let running = |report: &Report| {
+        let runs = report.listing.as_ref().and_then(|listing| listing.running.as_ref());
+        runs.map(|runs| runs.iter().map(|run| run.task.index).collect::<BTreeSet<u32>>())
+    };
+    for _ in 0..6 {
+        let report = owner.report(|report| running(report).is_some()).await;
+        assert_eq!(running(&report), Some(BTreeSet::from([0, 1])));
+        assert_eq!(report.refused, []);
+    }
+}
+
+/// Guards against a second run of a task whose accepted start isn't carried out, but still may be: the owner
+/// learns that it won't run only once the worker has accepted its stop.
+#[tokio::test]
+async fn process_listing_stops_an_accepted_start_before_it_reports_it() {
+    let mut owner = TestOwner::start(orders(vec![start(0, CAPACITY)])).await;
+    let stop_count = Arc::new(AtomicUsize::new(0));
+    let stops = stop_count.clone();
+    let accepting = listing_worker(|_| listing(&[], &[]));
+    let worker: WorkerAdapter = Arc::new(move |call: AddressedCall| {
+        let is_stop = matches!(call.call, WorkerCall::Stop { .. });
+        if is_stop && stops.fetch_add(1, Ordering::Relaxed) < 3 {
+            let refused = WorkerError::Refused { reason: "status 503".to_owned() };
+            return Box::pin(ready(Err(refused)));
+        }
+        accepting(call)
+    });
+    let agent = TestAgent::start(owner.known_owner.clone(), |_| worker);
+    agent.send(heartbeat(1)).await;
+    let report = owner.report(|report| !report.refused.is_empty()).await;
+    assert_eq!((report.refused[0].task.clone(), report.refused[0].attempt), (task(0), 1));
+    assert_eq!(stop_count.load(Ordering::Relaxed), 4, "the attempt may still start");
+}
