--- a/crates/teaseltrack-cell/tests/util/simulated_worker.rs
+++ b/crates/teaseltrack-cell/tests/util/simulated_worker.rs
@@ -135,6 +135,13 @@
         self.end_due_runs(&mut self.state.lock().unwrap(), Instant::now());
     }
 
+    /// Forgets the ends that haven't been acknowledged.
+    pub fn forget_ends(&self) {
+        let mut state = self.state.lock().unwrap();
+        self.end_due_runs(&mut state, Instant::now());
+        state.ended.clear();
+    }
+
     pub fn adapter(&self) -> WorkerAdapter {
         let worker = self.clone();
         Arc::new(move |call: AddressedCall| {
--- a/crates/teaseltrack-cell/tests/worker_faults.rs
+++ b/crates/teaseltrack-cell/tests/worker_faults.rs
@@ -314,6 +314,22 @@
     run_seeds(&[LATE, CallFault::ResponseLost, CallFault::Refused]).await;
 }
 
+/// Guards against tasks without a run for as long as their worker lasts, since it has forgotten the ends of
+/// their runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_complete_on_workers_that_forget_ends() {
+    let mut system = System::start(4, Duration::from_millis(300)).await;
+    for _ in 0..4 {
+        system.submit(2, 30);
+    }
+    for round in 0..40 {
+        system.workers[round % 4].forget_ends();
+        sleep(Duration::from_millis(50)).await;
+    }
+    system.assert_completes(Duration::from_secs(20)).await;
+    system.assert_runs();
+}
+
 /// Guards against a recurring job whose progress outgrows a row, so that its owner and each later one
 /// can't commit anything any more.
 #[tokio::test(flavor = "multi_thread")]
