Red test: the wait for a start without an outcome has no bound

An order that the agent has accepted, and that is neither carried out nor refused, leaves its task assigned for as long as worker and session last. One way to that: the worker leaves the start without a response, lists its runs, and goes on refusing the stop, so that the agent may not report the start.

Seen: the task doesn't run 5 s after the assignment.

--- a/crates/teaseltrack/tests/cell/lost_ends.rs
+++ b/crates/teaseltrack/tests/cell/lost_ends.rs
@@ -108,6 +108,27 @@
     assert_eq!(fleet.start_count, 2, "the task runs again within a second");
 }
 
+/// Guards against a task without a run for as long as its worker lasts, since its start is neither carried out
+/// nor refused: its outcome stays unknown while the worker refuses the stop, for example.
+#[test]
+fn process_listing_ends_the_wait_for_a_start_without_outcome() {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.run_steps(4);
+    fleet.submit(stored_job(JOB, vec![long_running(1)]));
+    fleet.cell.plan(fleet.unix_now_ms, fleet.now);
+    fleet.commit();
+    for index in 0..2 {
+        let report = fleet.instances[index].report();
+        let response = fleet.cell.handle_report(report, true, fleet.now);
+        fleet.instances[index].accepted_order += response.orders.len() as u64;
+    }
+    // 5 s
+    fleet.run_steps(100);
+    assert_eq!(fleet.start_count, 1);
+    let has_run = |instance: &Instance| instance.running.contains_key(&task());
+    assert!(fleet.instances.iter().any(has_run));
+}
+
 /// Guards against jobs that never end, and against second runs, on workers that forget ends while owners,
 /// agents and workers restart.
 #[test]
