--- a/crates/teaseltrack-cell/tests/agent.rs
+++ b/crates/teaseltrack-cell/tests/agent.rs
@@ -2,8 +2,12 @@
 //! capacity changes, or whose availability zone is evacuated.
 
 use std::{
+    collections::BTreeSet,
     future::{pending, ready},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -12,7 +16,7 @@
     cell::{
         evacuation::EvacuationNotice,
         protocol::{
-            EndCause, EndedTask, Order, Report, ReportResponse, StartOrder, TaskName,
+            EndCause, EndedTask, Order, Report, ReportResponse, RunningTask, StartOrder, TaskName,
             WorkerListing, WorkerStatus,
         },
     },
@@ -231,6 +235,7 @@
         clock_ms: Some(1_000),
         started_unix_ms: Some(started_unix_ms),
         listing: Some(WorkerListing { running: Some(Vec::new()), ended: Vec::new() }),
+        has_missing_rows: false,
     }
 }
 
@@ -659,3 +664,139 @@
     assert_eq!((report.refused[0].task.clone(), report.refused[0].attempt), (task(0), 1));
     assert_eq!(*remaining.lock().unwrap(), 0, "the attempt may still start");
 }
+
+/// How the agent knows of a run.
+#[derive(Clone, Copy, Debug)]
+enum Evidence {
+    Listed,
+    Accepted,
+}
+
+fn run(index: u32) -> RunningTask {
+    let (checkpoint, percent, gauge) = (String::new(), 10, 0);
+    RunningTask { task: task(index), attempt: 1, checkpoint, percent, gauge }
+}
+
+/// Worker that accepts all starts and responds to each sync call with the listing for its number, from 0.
+fn listing_worker(
+    listing_of: impl Fn(usize) -> WorkerListing + Send + Sync + 'static,
+) -> WorkerAdapter {
+    let sync_count = AtomicUsize::new(0);
+    Arc::new(move |call: AddressedCall| {
+        let is_sync = matches!(call.call, WorkerCall::Sync { .. });
+        let listing = is_sync.then(|| listing_of(sync_count.fetch_add(1, Ordering::Relaxed)));
+        let response = WorkerResponse { listing, ..worker_response(1) };
+        Box::pin(async move {
+            sleep(Duration::from_millis(20)).await;
+            Ok(response)
+        })
+    })
+}
+
+fn listing(running: &[RunningTask], ended: &[EndedTask]) -> WorkerListing {
+    WorkerListing { running: Some(running.to_vec()), ended: ended.to_vec() }
+}
+
+/// Guards against a task without a run for as long as its worker lasts: the worker had started the run,
+/// lists it no longer, and has forgotten its end.
+#[parameterized(
+    listed = { Evidence::Listed },
+    accepted = { Evidence::Accepted },
+)]
+#[test_macro(tokio::test)]
+async fn process_listing_reports_a_run_that_is_gone_without_an_end(evidence: Evidence) {
+    let (starts, listed_count) = match evidence {
+        Evidence::Listed => (Vec::new(), 5),
+        Evidence::Accepted => (vec![start(0, CAPACITY)], 0),
+    };
+    let mut owner = TestOwner::start(orders(starts)).await;
+    let worker = listing_worker(move |number| {
+        let runs = if number < listed_count { vec![run(0), run(1)] } else { vec![run(1)] };
+        listing(&runs, &[])
+    });
+    let agent = TestAgent::start(owner.known_owner.clone(), |_| worker);
+    agent.send(heartbeat(1)).await;
+    let report = owner.report(|report| !report.refused.is_empty()).await;
+    let refused: Vec<_> =
+        report.refused.iter().map(|refused| (refused.task.clone(), refused.attempt)).collect();
+    assert_eq!(refused, [(task(0), 1)]);
+}
+
+/// Guards against a second run of a task whose run has ended with a listed end, or is still listed.
+#[tokio::test]
+async fn process_listing_reports_no_run_whose_end_is_listed() {
+    let mut owner = TestOwner::start(orders(vec![start(0, CAPACITY), start(1, CAPACITY)])).await;
+    let end = EndedTask {
+        number: 1,
+        task: task(0),
+        attempt: 1,
+        cause: EndCause::Done,
+        checkpoint: String::new(),
+    };
+    let worker = listing_worker(move |number| match number {
+        0..=4 => listing(&[run(0), run(1)], &[]),
+        5..=9 => listing(&[run(1)], std::slice::from_ref(&end)),
+        // The end has been acknowledged.
+        _ => listing(&[run(1)], &[]),
+    });
+    let agent = TestAgent::start(owner.known_owner.clone(), |_| worker);
+    agent.send(heartbeat(1)).await;
+    let has_end =
+        |report: &Report| report.listing.as_ref().is_some_and(|listing| !listing.ended.is_empty());
+    owner.report(has_end).await;
+    for _ in 0..6 {
+        assert_eq!(owner.report(|_| true).await.refused, []);
+    }
+}
+
+/// Guards against a second run of a task whose run, or end, a listing with missing rows lacks.
+#[tokio::test]
+async fn process_listing_keeps_a_run_that_a_listing_with_missing_rows_lacks() {
+    let mut owner = TestOwner::start(response(5, 0)).await;
+    let complete = listing_worker(|number| {
+        let runs = if number < 5 { vec![run(0), run(1)] } else { vec![run(1)] };
+        listing(&runs, &[])
+    });
+    let calls = Arc::new(AtomicUsize::new(0));
+    let worker: WorkerAdapter = Arc::new(move |call| {
+        let has_missing_rows = calls.fetch_add(1, Ordering::Relaxed) >= 5;
+        let responding = complete(call);
+        Box::pin(async move {
+            responding.await.map(|response| WorkerResponse { has_missing_rows, ..response })
+        })
+    });
+    let agent = TestAgent::start(owner.known_owner.clone(), |_| worker);
+    agent.send(heartbeat(1)).await;
+    let running = |report: &Report| {
+        let runs = report.listing.as_ref().and_then(|listing| listing.running.as_ref());
+        runs.map(|runs| runs.iter().map(|run| run.task.index).collect::<BTreeSet<u32>>())
+    };
+    for _ in 0..6 {
+        let report = owner.report(|report| running(report).is_some()).await;
+        assert_eq!(running(&report), Some(BTreeSet::from([0, 1])));
+        assert_eq!(report.refused, []);
+    }
+}
+
+/// Guards against a second run of a task whose accepted start isn't carried out, but still may be: the owner
+/// learns that it won't run only once the worker has accepted its stop.
+#[tokio::test]
+async fn process_listing_stops_an_accepted_start_before_it_reports_it() {
+    let mut owner = TestOwner::start(orders(vec![start(0, CAPACITY)])).await;
+    let stop_count = Arc::new(AtomicUsize::new(0));
+    let stops = stop_count.clone();
+    let accepting = listing_worker(|_| listing(&[], &[]));
+    let worker: WorkerAdapter = Arc::new(move |call: AddressedCall| {
+        let is_stop = matches!(call.call, WorkerCall::Stop { .. });
+        if is_stop && stops.fetch_add(1, Ordering::Relaxed) < 3 {
+            let refused = WorkerError::Refused { reason: "status 503".to_owned() };
+            return Box::pin(ready(Err(refused)));
+        }
+        accepting(call)
+    });
+    let agent = TestAgent::start(owner.known_owner.clone(), |_| worker);
+    agent.send(heartbeat(1)).await;
+    let report = owner.report(|report| !report.refused.is_empty()).await;
+    assert_eq!((report.refused[0].task.clone(), report.refused[0].attempt), (task(0), 1));
+    assert_eq!(stop_count.load(Ordering::Relaxed), 4, "the attempt may still start");
+}
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -102,6 +102,11 @@
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum number of orders in one response; keeps the response within the message size limit.
 const MAX_ORDERS_PER_RESPONSE: usize = 64;
+/// Time for which listings may lack a run before the worker gets a new session, which settles whether
+/// it was started: longer than an agent takes to settle a start without a response.
+const START_TIMEOUT: Duration = Duration::from_millis(3_500);
+/// Number of ends in a listing from which on it may lack further ones.
+const MAX_LISTED_ENDS: usize = 500;
 
 /// Settings of a cell's owner.
 #[derive(Clone, Copy, Debug)]
@@ -161,6 +166,8 @@
     is_listed: bool,
     /// Whether the start order may have been sent.
     is_ordered: bool,
+    /// Time of the first listing since the start order that lacks the run.
+    awaited_since: Option<Instant>,
     /// Whether the run has been ordered to stop.
     is_stopping: bool,
     /// Completed share of the work, as last listed.
@@ -1195,6 +1202,11 @@
         if worker.session != 0 && worker.agent_started_unix_ms == agent_started_unix_ms {
             return reported == worker.session;
         }
+        self.begin_session(key, agent_started_unix_ms, agent);
+        false
+    }
+
+    fn begin_session(&mut self, key: WorkerKey, agent_started_unix_ms: u64, agent: &InstanceId) {
         self.session_count += 1;
         let session = self.epoch * SESSIONS_PER_EPOCH + self.session_count;
         let worker = &mut self.workers[key];
@@ -1204,7 +1216,6 @@
             agent: agent.clone(),
             session,
         });
-        false
     }
 
     /// Grants a lease for a reading of the worker's clock. An agent that can't call its worker can't
@@ -1252,6 +1263,7 @@
         clock_ms: u64,
         now: Instant,
     ) {
+        let has_all_ends = listing.ended.len() < MAX_LISTED_ENDS;
         for end in listing.ended {
             self.process_end(key, &end, now);
         }
@@ -1260,12 +1272,15 @@
         for run in &running {
             self.reconcile_run(key, run, clock_ms, now);
         }
+        if has_all_ends {
+            self.reclaim_lost_runs(key, clock_ms);
+        }
         let worker = &mut self.workers[key];
         worker.listed_at = Some(now);
         // Only the first listing of a session shows which start orders of earlier sessions were not
         // executed; later listings may lack runs whose start order is still in transit.
         if worker.is_reconciled {
-            return;
+            return self.limit_wait_for_starts(key, now);
         }
         worker.is_reconciled = true;
         // The worker has responded since its lease expired, so it hasn't crashed.
@@ -1281,12 +1296,56 @@
                 .is_some_and(|run| run.is_listed && run.session == session);
             if !is_listed {
                 self.select_run(task, key);
-                self.reclaim_unstarted_task(task, "start order was not executed");
+                self.reclaim_with_gang(task, "start order was not executed");
             }
         }
         self.needs_plan = true;
     }
 
+    /// Reclaims the runs that the session has listed, that a listing at a later reading of the clock
+    /// lacks, and whose end isn't known: it is lost, since a worker lists each end until it is
+    /// acknowledged. An agent's reports may overtake each other, but one with a later reading was sent
+    /// later, and a run that has ended never comes back.
+    fn reclaim_lost_runs(&mut self, key: WorkerKey, clock_ms: u64) {
+        let worker = &self.workers[key];
+        let session = worker.session;
+        let is_lost = |task: &TaskKey| {
+            self.task(*task).and_then(|task| task.run_on(key)).is_some_and(|run| {
+                run.is_listed
+                    && run.session == session
+                    && run.listed_clock_ms.is_some_and(|(_, last_ms)| last_ms < clock_ms)
+            })
+        };
+        let lost: Vec<TaskKey> = worker.tasks.iter().copied().filter(is_lost).collect();
+        for task in lost {
+            self.select_run(task, key);
+            self.reclaim_with_gang(task, "run is gone, and its end is lost");
+        }
+    }
+
+    /// Starts a new session if the outcome of a start order stays unknown: from its first listing on, the
+    /// worker refuses the start, and the listing shows whether it was carried out before.
+    fn limit_wait_for_starts(&mut self, key: WorkerKey, now: Instant) {
+        let tasks: Vec<TaskKey> = self.workers[key].tasks.iter().copied().collect();
+        let mut is_overdue = false;
+        for task in tasks {
+            let Some(task) = self.task_mut(task) else { continue };
+            let copy = task.copy.as_mut().map(|copy| &mut copy.run);
+            let mut runs = task.run.iter_mut().chain(copy);
+            let is_awaited = |run: &&mut Run| run.worker == key && run.is_ordered && !run.is_listed;
+            let Some(run) = runs.find(is_awaited) else { continue };
+            let awaited_since = *run.awaited_since.get_or_insert(now);
+            if now.duration_since(awaited_since) >= START_TIMEOUT {
+                task.avoided_worker = Some(key);
+                is_overdue = true;
+            }
+        }
+        let worker = &self.workers[key];
+        if is_overdue && let Some(agent) = worker.agent.clone() {
+            self.begin_session(key, worker.agent_started_unix_ms, &agent);
+        }
+    }
+
     fn reconcile_run(&mut self, key: WorkerKey, listed: &RunningTask, clock_ms: u64, now: Instant) {
         let session = self.workers[key].session;
         let clearing_time = self.settings.quarantine.clearing_time;
@@ -1439,10 +1498,8 @@
 
     fn process_refusal(&mut self, key: WorkerKey, refused: &RefusedStart, now: Instant) {
         let Some(task_key) = self.key_of(&refused.task) else { return };
-        let is_current = self.task_mut(task_key).is_some_and(|task| {
-            task.run_mut(key, refused.attempt).is_some_and(|run| !run.is_listed)
-        });
-        if !is_current {
+        let task = self.task_mut(task_key);
+        if task.is_none_or(|task| task.run_mut(key, refused.attempt).is_none()) {
             return;
         }
         self.select_run(task_key, key);
@@ -1452,7 +1509,7 @@
             until: now + self.settings.refusal_backoff,
             cause: ExclusionCause::Refusal,
         });
-        self.reclaim_unstarted_task(task_key, &refused.reason);
+        self.reclaim_with_gang(task_key, &refused.reason);
     }
 
     /// Reclaims all tasks of a worker that can no longer run them, and invalidates its lease and
@@ -1495,12 +1552,12 @@
         self.needs_plan = true;
     }
 
-    /// Reclaims a task whose assigned attempt never ran. The other members of its gang would wait for
+    /// Reclaims a task whose assigned attempt doesn't run. The other members of its gang would wait for
     /// it, so they are stopped and assigned again together.
     ///
     /// A serving task has had no worker meanwhile, so its wait goes on; that of a suspect, which may have
     /// crashed its worker, begins anew.
-    fn reclaim_unstarted_task(&mut self, key: TaskKey, reason: &str) {
+    fn reclaim_with_gang(&mut self, key: TaskKey, reason: &str) {
         let unstarted = self.task(key).filter(|task| {
             !task.is_suspect() && task.run.as_ref().is_some_and(|run| !run.is_listed)
         });
@@ -1659,6 +1716,7 @@
             session,
             is_listed: false,
             is_ordered: false,
+            awaited_since: None,
             is_stopping: false,
             percent: 0,
             first_percent: 0,
--- a/crates/teaseltrack/tests/cell/main.rs
+++ b/crates/teaseltrack/tests/cell/main.rs
@@ -8,6 +8,7 @@
 mod gang_faults;
 mod gangs;
 mod idle_tasks;
+mod lost_ends;
 mod owner_changes;
 mod owner_series;
 mod placement;
