--- a/crates/teaseltrack/tests/cell/restrictions.rs
+++ b/crates/teaseltrack/tests/cell/restrictions.rs
@@ -112,6 +112,28 @@
     assert!(runs_job(&fleet, 1 - first), "the other worker hasn't failed it");
 }
 
+/// Guards against the reserve of batch tasks on a worker on probation, which long-running tasks that have
+/// waited for long would take before batch tasks may use the worker again.
+#[test]
+fn plan_leaves_the_reserve_on_probation_to_batch_tasks() {
+    let mut fleet = fleet(1);
+    let failing = |number: usize| format!("1{number:015x}");
+    for number in 0..3 {
+        fleet.submit(stored_job(&failing(number), vec![with_cpu(10, long_running(1))]));
+    }
+    fleet.run_steps(10);
+    for number in 0..3 {
+        fail_runs(&mut fleet, &failing(number));
+        fleet.cancel(&failing(number));
+    }
+    // Leaves less than the reserve, and there is no room for a second one.
+    fleet.submit(stored_job(JOB, vec![with_cpu(7_800, long_running(1))]));
+    fleet.run_steps(55);
+    assert_eq!(running_count(&fleet, JOB), 0, "the worker is on probation for 3 s");
+    fleet.run_steps(25);
+    assert_eq!(running_count(&fleet, JOB), 1);
+}
+
 /// Guards against a worker that gets no tasks because one task fails there again and again.
 #[test]
 fn update_worker_health_counts_each_failing_task_once() {
