--- a/crates/teaseltrack-cell/tests/agent.rs
+++ b/crates/teaseltrack-cell/tests/agent.rs
@@ -11,9 +11,10 @@
 use teaseltrack::{
     cell::{
         evacuation::EvacuationNotice,
+        interference::{InterferenceEstimates, PairInterference},
         protocol::{
-            EndCause, EndedTask, Order, Report, ReportResponse, StartOrder, TaskName,
-            WorkerListing, WorkerStatus,
+            EndCause, EndedTask, Order, Report, ReportResponse, RunningTask, SharingTraits,
+            StartOrder, TaskName, WorkerListing, WorkerStatus,
         },
     },
     clock::SystemClock,
@@ -587,6 +588,85 @@
     assert_eq!(count_starts(&mut worker_calls).await, 0);
 }
 
+/// Traits of a serving task if it has a target, otherwise of a best-effort task.
+fn traits(index: u32, target_tail_ms: Option<u64>) -> Order {
+    let image = if target_tail_ms.is_some() { "serving" } else { "best-effort" };
+    Order::Traits(SharingTraits {
+        task: task(index),
+        image: Some(image.to_owned()),
+        is_best_effort: target_tail_ms.is_none(),
+        target_tail_ms,
+    })
+}
+
+/// Worker that runs task 0, whose tail is 120 ms, and the best-effort tasks 1 and 2 once they are started.
+fn worker_with_a_busy_serving_task(calls: mpsc::UnboundedSender<WorkerCall>) -> WorkerAdapter {
+    let run = |index, gauge| RunningTask {
+        task: task(index),
+        attempt: 1,
+        checkpoint: String::new(),
+        percent: 0,
+        gauge,
+    };
+    let running = Arc::new(Mutex::new(vec![run(0, 120)]));
+    Arc::new(move |call: AddressedCall| {
+        if let WorkerCall::Start { order, .. } = &call.call {
+            running.lock().unwrap().push(run(order.task.index, 1_000));
+        }
+        if !matches!(call.call, WorkerCall::Sync { .. }) {
+            calls.send(call.call).ok();
+        }
+        let listing =
+            WorkerListing { running: Some(running.lock().unwrap().clone()), ended: Vec::new() };
+        let responding: BoxFuture<'static, _> = Box::pin(async move {
+            sleep(Duration::from_millis(20)).await;
+            Ok(WorkerResponse { listing: Some(listing), ..worker_response(1) })
+        });
+        responding
+    })
+}
+
+async fn next_call(calls: &mut mpsc::UnboundedReceiver<WorkerCall>) -> (&'static str, u32, u32) {
+    let call = timeout(TIMEOUT, calls.recv()).await.expect("no call to the worker");
+    match call.expect("agent task ended") {
+        WorkerCall::Start { order, .. } => ("start", order.task.index, 100),
+        WorkerCall::Pace { task, percent, .. } => ("pace", task.index, percent),
+        call => panic!("unexpected {call:?}"),
+    }
+}
+
+/// Guards against a serving task that stays over its target although best-effort tasks are paused, since new
+/// ones start beside it and work at full pace until they are listed.
+#[tokio::test]
+async fn send_queued_calls_holds_starts_of_best_effort_tasks_during_a_pause() {
+    let (calls, mut worker_calls) = mpsc::unbounded_channel();
+    let (_owner, known_owner) = watch::channel(KnownOwner::default());
+    let agent = TestAgent::start(known_owner, |_| worker_with_a_busy_serving_task(calls));
+    agent.send(heartbeat(1)).await;
+    let harmless = PairInterference {
+        serving: "serving".to_owned(),
+        best_effort: "best-effort".to_owned(),
+        utilization_growth: 0.0,
+    };
+    let estimates =
+        InterferenceEstimates { version: 1, pairs: vec![harmless], ..Default::default() };
+    let first = vec![traits(0, Some(100)), traits(1, None), start(1, CAPACITY)];
+    let response = ReportResponse { interference: Some(estimates), ..orders(first) };
+    agent.send(reported(1, response)).await;
+    assert_eq!(next_call(&mut worker_calls).await, ("start", 1, 100));
+    assert_eq!(next_call(&mut worker_calls).await, ("pace", 1, 0));
+    let later = vec![traits(2, None), start(2, CAPACITY), start(3, CAPACITY)];
+    agent.send(reported(1, ReportResponse { first_order: 4, ..orders(later) })).await;
+    let mut sent = Vec::new();
+    while sent.last() != Some(&("start", 2, 100)) {
+        sent.push(next_call(&mut worker_calls).await);
+    }
+    // Paces are sent again until they are confirmed.
+    sent.retain(|call| *call != ("pace", 1, 0));
+    sent.dedup();
+    assert_eq!(sent, [("start", 3, 100), ("pace", 1, 100), ("start", 2, 100)]);
+}
+
 /// Guards against tasks that wait for the lease of a worker that has stopped responding, although their
 /// starts haven't been sent.
 #[tokio::test]
