Agent: hold starts of best-effort tasks during a pause

Cause of the near misses: a pause set the paces of the runs that were listed, and the starts that arrived during it were sent. Such a run works at full pace until the next listing, up to 500 ms; with several of them the tail stays up, and the pause expires with it. Change: the agent keeps starts of best-effort tasks waiting while they are paused; all that is checked at sending still is. New gauge starts_waiting.

--- a/crates/teaseltrack-cell/src/agent.rs
+++ b/crates/teaseltrack-cell/src/agent.rs
@@ -581,6 +581,7 @@
             let longest_wait = self.unconfirmed_starts.longest_wait(now);
             metrics.gauge("starts_unconfirmed", self.unconfirmed_starts.len() as u64);
             metrics.gauge("start_unconfirmed_ms", longest_wait.as_millis() as u64);
+            metrics.gauge("starts_waiting", self.calls.waiting_start_count() as u64);
             metrics.gauge("stops_pending", self.calls.pending_stop_count() as u64);
         }
         Report {
@@ -741,7 +742,10 @@
             self.record_refusal(&order, reason);
         }
         self.calls = calls;
-        while let Some(order) = self.calls.next_start() {
+        // A new run works at full pace until it is listed, so that starts during a pause would undo it.
+        let pacer = &self.pacer;
+        let is_held = |order: &StartOrder| pacer.is_paused() && pacer.is_best_effort(&order.task);
+        while let Some(order) = self.calls.next_start(is_held) {
             self.send_start(order);
         }
     }
--- a/crates/teaseltrack-cell/src/agent/call_queue.rs
+++ b/crates/teaseltrack-cell/src/agent/call_queue.rs
@@ -93,16 +93,22 @@
         refused
     }
 
-    /// Takes the next start to send, unless too many are in flight.
-    pub fn next_start(&mut self) -> Option<StartOrder> {
+    /// Takes the next start to send that isn't held back, unless too many are in flight.
+    pub fn next_start(&mut self, is_held: impl Fn(&StartOrder) -> bool) -> Option<StartOrder> {
         if self.start_count_in_flight >= MAX_CONCURRENT_CALLS {
             return None;
         }
-        let start = self.starts.pop_front()?;
+        let index = self.starts.iter().position(|start| !is_held(&start.order))?;
+        let start = self.starts.remove(index)?;
         self.start_count_in_flight += 1;
         Some(start.order)
     }
 
+    /// Number of starts that haven't been sent.
+    pub fn waiting_start_count(&self) -> usize {
+        self.starts.len()
+    }
+
     /// Records the end of a start call.
     pub fn start_completed(&mut self) {
         self.start_count_in_flight -= 1;
--- a/crates/teaseltrack/src/cell/pacing.rs
+++ b/crates/teaseltrack/src/cell/pacing.rs
@@ -6,8 +6,8 @@
 //! tasks before paused ones, and to the tasks that are closest to completion, since a few tasks at
 //! full pace finish sooner than many slow ones. A tail over its target immediately sets the pace of
 //! the images that may interfere with it to 0. If a tail stays over its target, all best-effort
-//! tasks are paused for a while, so that the protection of serving tasks doesn't depend on the
-//! owner's interference estimates.
+//! tasks are paused for a while, and none is started, so that the protection of serving tasks doesn't
+//! depend on the owner's interference estimates.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -130,6 +130,11 @@
         self.paused_until.is_some()
     }
 
+    /// Whether the task is known to be a best-effort task.
+    pub fn is_best_effort(&self, task: &TaskName) -> bool {
+        self.traits.get(task).is_some_and(|traits| traits.is_best_effort)
+    }
+
     /// Highest ratio of a serving task's tail latency to its target in the last observation.
     pub fn tail_to_target(&self) -> f64 {
         self.tail_to_target
