Revert "Limit the wait for a start without an outcome"

The session that it begins after 3.5 s reclaims whatever the worker's next listing lacks, also if that listing is cut off or has rows that can't be read, so that a run could start a second time; a start that the agent holds during a pause could use up the time by itself. The agent's own bound on such starts stays.

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -102,9 +102,6 @@
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum number of orders in one response; keeps the response within the message size limit.
 const MAX_ORDERS_PER_RESPONSE: usize = 64;
-/// Time for which listings may lack a run before the worker gets a new session, which settles whether
-/// it was started: longer than an agent takes to settle a start without a response.
-const START_TIMEOUT: Duration = Duration::from_millis(3_500);
 /// Number of ends in a listing from which on it may lack further ones.
 const MAX_LISTED_ENDS: usize = 500;
 
@@ -166,8 +163,6 @@
     is_listed: bool,
     /// Whether the start order may have been sent.
     is_ordered: bool,
-    /// Time of the first listing since the start order that lacks the run.
-    awaited_since: Option<Instant>,
     /// Whether the run has been ordered to stop.
     is_stopping: bool,
     /// Completed share of the work, as last listed.
@@ -1202,11 +1197,6 @@
         if worker.session != 0 && worker.agent_started_unix_ms == agent_started_unix_ms {
             return reported == worker.session;
         }
-        self.begin_session(key, agent_started_unix_ms, agent);
-        false
-    }
-
-    fn begin_session(&mut self, key: WorkerKey, agent_started_unix_ms: u64, agent: &InstanceId) {
         self.session_count += 1;
         let session = self.epoch * SESSIONS_PER_EPOCH + self.session_count;
         let worker = &mut self.workers[key];
@@ -1216,6 +1206,7 @@
             agent: agent.clone(),
             session,
         });
+        false
     }
 
     /// Grants a lease for a reading of the worker's clock. An agent that can't call its worker can't
@@ -1280,7 +1271,7 @@
         // Only the first listing of a session shows which start orders of earlier sessions were not
         // executed; later listings may lack runs whose start order is still in transit.
         if worker.is_reconciled {
-            return self.limit_wait_for_starts(key, now);
+            return;
         }
         worker.is_reconciled = true;
         // The worker has responded since its lease expired, so it hasn't crashed.
@@ -1323,29 +1314,6 @@
         }
     }
 
-    /// Starts a new session if the outcome of a start order stays unknown: from its first listing on, the
-    /// worker refuses the start, and the listing shows whether it was carried out before.
-    fn limit_wait_for_starts(&mut self, key: WorkerKey, now: Instant) {
-        let tasks: Vec<TaskKey> = self.workers[key].tasks.iter().copied().collect();
-        let mut is_overdue = false;
-        for task in tasks {
-            let Some(task) = self.task_mut(task) else { continue };
-            let copy = task.copy.as_mut().map(|copy| &mut copy.run);
-            let mut runs = task.run.iter_mut().chain(copy);
-            let is_awaited = |run: &&mut Run| run.worker == key && run.is_ordered && !run.is_listed;
-            let Some(run) = runs.find(is_awaited) else { continue };
-            let awaited_since = *run.awaited_since.get_or_insert(now);
-            if now.duration_since(awaited_since) >= START_TIMEOUT {
-                task.avoided_worker = Some(key);
-                is_overdue = true;
-            }
-        }
-        let worker = &self.workers[key];
-        if is_overdue && let Some(agent) = worker.agent.clone() {
-            self.begin_session(key, worker.agent_started_unix_ms, &agent);
-        }
-    }
-
     fn reconcile_run(&mut self, key: WorkerKey, listed: &RunningTask, clock_ms: u64, now: Instant) {
         let session = self.workers[key].session;
         let clearing_time = self.settings.quarantine.clearing_time;
@@ -1716,7 +1684,6 @@
             session,
             is_listed: false,
             is_ordered: false,
-            awaited_since: None,
             is_stopping: false,
             percent: 0,
             first_percent: 0,
