Keep ends that a listing with missing rows may lack

Found by review: an end listed once, in a report that was lost, was dropped when the next response had rows that can't be read; the owner then saw neither the run nor its end and would have taken the run for lost, and run a task again that was done. Such a response no longer replaces the known ends. No test of its own yet.

--- a/crates/teaseltrack-cell/src/agent.rs
+++ b/crates/teaseltrack-cell/src/agent.rs
@@ -546,7 +546,10 @@
         for end in &listing.ended {
             self.calls.remove_stop(&end.task, end.attempt);
         }
-        self.ended = listing.ended;
+        let earlier_ends = std::mem::replace(&mut self.ended, listing.ended);
+        if has_missing_rows {
+            self.keep_unlisted_ends(earlier_ends);
+        }
         self.started_runs.remove_ended(&self.ended);
         // Without a list of the current runs, nothing is known of a run that isn't listed.
         if let Some(running) = listing.running {
@@ -576,6 +579,16 @@
         }
     }
 
+    /// Keeps the ends that a listing with missing rows may lack: without them, the owner would take runs
+    /// that have ended for lost.
+    fn keep_unlisted_ends(&mut self, earlier: Vec<EndedTask>) {
+        let is_listed = |end: &EndedTask| self.ended.iter().any(|other| other.number == end.number);
+        let is_open = |end: &EndedTask| end.number > self.forget_until && !is_listed(end);
+        let unlisted: Vec<EndedTask> = earlier.into_iter().filter(is_open).collect();
+        self.ended.extend(unlisted);
+        self.ended.sort_by_key(|end| end.number);
+    }
+
     /// Keeps the runs that a listing with missing rows may lack, so that the owner doesn't take them for
     /// ended.
     fn keep_unlisted_runs(&mut self, earlier: Vec<RunningTask>) {
