Pre-emption: count planned rooms against the limit of a worker

Found by review, the same cause as of rooms held on a worker that may not run their task: two tasks of a stage with max_per_worker 1 could both have runs stopped for them on the same worker, the second ones for nothing. Room for which runs were stopped also outlasts a back-off of its worker. No test of its own yet; the tests of pre-emption and of held rooms pass.

--- a/crates/teaseltrack/src/cell/preemption.rs
+++ b/crates/teaseltrack/src/cell/preemption.rs
@@ -241,6 +241,10 @@
         }
         let planned: Vec<&RoomPlan> =
             planned.iter().map(|(_, room)| room).filter(|room| room.worker == worker_key).collect();
+        let count = worker.stage_task_count(key) + planned.len() as u32;
+        if stage.max_per_worker.is_some_and(|max| count >= max) {
+            return None;
+        }
         let required = reserved_resources(stage);
         let mut needed = planned.iter().fold(required, |sum, _| sum.plus(&required));
         needed = needed.plus(&worker.reserved);
--- a/crates/teaseltrack/src/cell/serving_room.rs
+++ b/crates/teaseltrack/src/cell/serving_room.rs
@@ -84,7 +84,7 @@
 
     /// Releases rooms that their task can't get: its worker isn't among `workers`, already has as many
     /// tasks of the stage as it may, or lacks the capacity beside its serving tasks and the rooms held
-    /// before.
+    /// before. Room for which runs were stopped outlasts a back-off of its worker.
     pub(super) fn release_vain_rooms(&mut self, workers: &[WorkerKey]) {
         let holders = self.workers.iter().filter(|(_, worker)| !worker.held_rooms.is_empty());
         let holders: Vec<WorkerKey> = holders.map(|(key, _)| key).collect();
@@ -109,7 +109,7 @@
                 continue;
             }
             let next = taken.plus(&held.required);
-            let is_attainable = is_open
+            let is_attainable = (is_open || held.is_preempted)
                 && next.cpu_milli <= capacity.cpu_milli
                 && is_below_limit(worker, self.stage(held.task), held.task, &rooms);
             if is_attainable {
