Tests of two points of the review: planned rooms, ends beside missing rows

preempt_stops_no_runs_for_tasks_that_must_run_apart: 2 of 4 runs are left without the check of the limit, 4 with it. process_listing_keeps_an_end_that_a_ listing_with_missing_rows_lacks fails without the ends that are kept. Heads of two modules reworded.

--- a/crates/teaseltrack-cell/tests/agent.rs
+++ b/crates/teaseltrack-cell/tests/agent.rs
@@ -858,6 +858,42 @@
     }
 }
 
+/// Guards against an end that is listed once, in a report that may be lost, and that the next listing lacks
+/// because it has missing rows: the owner would take the run for lost and start its task again.
+#[tokio::test]
+async fn process_listing_keeps_an_end_that_a_listing_with_missing_rows_lacks() {
+    let mut owner = TestOwner::start(response(5, 0)).await;
+    let end = EndedTask {
+        number: 1,
+        task: task(0),
+        attempt: 1,
+        cause: EndCause::Done,
+        checkpoint: String::new(),
+    };
+    let listing = listing_worker(move |number| match number {
+        0..=4 => listing(&[run(0)], &[]),
+        5..=7 => listing(&[], std::slice::from_ref(&end)),
+        _ => listing(&[], &[]),
+    });
+    let calls = Arc::new(AtomicUsize::new(0));
+    let worker: WorkerAdapter = Arc::new(move |call| {
+        let has_missing_rows = calls.fetch_add(1, Ordering::Relaxed) >= 8;
+        let responding = listing(call);
+        Box::pin(async move {
+            responding.await.map(|response| WorkerResponse { has_missing_rows, ..response })
+        })
+    });
+    let agent = TestAgent::start(owner.known_owner.clone(), |_| worker);
+    agent.send(heartbeat(1)).await;
+    let has_end =
+        |report: &Report| report.listing.as_ref().is_some_and(|listing| !listing.ended.is_empty());
+    owner.report(has_end).await;
+    for _ in 0..8 {
+        let report = owner.report(|report| report.listing.is_some()).await;
+        assert!(has_end(&report), "the owner hasn't committed the end");
+    }
+}
+
 /// Guards against a second run of a task whose accepted start isn't carried out, but still may be: the owner
 /// learns that it won't run only once the worker has accepted its stop.
 #[tokio::test]
--- a/crates/teaseltrack/src/cell/health.rs
+++ b/crates/teaseltrack/src/cell/health.rs
@@ -2,8 +2,8 @@
 //!
 //! A worker on which the runs of several tasks in a row fail is put on probation and gets no new tasks
 //! until a run is done there, or for some time. A long-running task is never done; its run counts as a
-//! success once it has lasted. A stalled run is stopped, and its next attempt avoids the worker. Between sound workers and those on
-//! probation, [`reliability`] decides.
+//! success once it has lasted. A stalled run is stopped, and its next attempt avoids the worker. Between
+//! sound workers and those on probation, [`reliability`] decides.
 //!
 //! [`reliability`]: crate::cell::reliability
 
--- a/crates/teaseltrack/src/cell/restrictions.rs
+++ b/crates/teaseltrack/src/cell/restrictions.rs
@@ -1,4 +1,4 @@
-//! Workers that are restricted, and serving tasks that have waited too long to respect it.
+//! Use of restricted workers by serving tasks that have waited too long.
 //!
 //! Probation, quarantine, room held for other serving tasks and the limit of starts on cold workers
 //! protect tasks from workers and from each other. Each ends soon by itself, but several of them together,
--- a/crates/teaseltrack/tests/cell/preemption.rs
+++ b/crates/teaseltrack/tests/cell/preemption.rs
@@ -64,6 +64,16 @@
     assert!(runs_of(&fleet, LONG_JOB) >= 2);
 }
 
+/// Guards against runs that are stopped for more tasks than their worker may run at a time.
+#[test]
+fn preempt_stops_no_runs_for_tasks_that_must_run_apart() {
+    let mut fleet = full_fleet(2, true);
+    let apart = Stage { max_per_worker: Some(1), ..stage(2) };
+    fleet.submit(stored_job(URGENT_JOB, vec![apart]));
+    fleet.run_steps(60);
+    assert_eq!(runs_of(&fleet, LONG_JOB), 4);
+}
+
 /// Guards against work that is stopped again and again by a stream of urgent jobs.
 #[test]
 fn preempt_leaves_a_task_in_peace_after_a_stop() {
