List restored workers in the owner's row before any lease is granted

Cause: a successor can't tell an owner that has granted nothing to a worker from one that has, so it assumes grants.

A takeover now says in the owner's row that no lease was granted. The first commit after loading lists all workers with stored tasks that haven't responded to this owner, with the latest end of their leases; leases wait for that commit, and for a listed worker until a commit has removed it. A brief owner therefore passes on what it found. The row also names the owner's grant period, since one of an earlier build grants leases for 4 s.

Who pays: after a takeover, leases wait for one or two commits; a store that fails between the takeover and the first commit ends tasks 5 s after their last lease.

--- a/crates/teaseltrack-cell/src/candidate.rs
+++ b/crates/teaseltrack-cell/src/candidate.rs
@@ -111,7 +111,8 @@
             let grant_period = self.context.ownership.grant_period;
             let renewed_at = now.checked_sub(grant_period).unwrap_or(now);
             let silent_workers = restore_silent_workers(&record, now);
-            let grants_end = now + grant_period;
+            let own_grants_end = now + record.own_grant_period(grant_period);
+            let grants_end = record.grants_end(now, own_grants_end, grant_period);
             return Ok(Some(self.committer(
                 record,
                 row.version,
@@ -132,7 +133,7 @@
         );
         let takeover_timeout = self.context.ownership.takeover_timeout + delay;
         let Some(since) = monitor.unchanged_since(takeover_timeout, now) else { return Ok(None) };
-        let grants_end = since + self.context.ownership.grant_period;
+        let grants_end = since + record.own_grant_period(self.context.ownership.grant_period);
         self.take_over(Some((record, row)), since, grants_end).await
     }
 
@@ -158,7 +159,7 @@
             return Ok(None);
         }
         let record = OwnerRecord { epoch, ..OwnerRecord::default() };
-        let grants_end = since + ownership.grant_period;
+        let grants_end = since + record.own_grant_period(ownership.grant_period);
         self.take_over(Some((record, row)), since, grants_end).await
     }
 
@@ -189,8 +190,7 @@
         let (stored, version) =
             stored.map_or_else(Default::default, |(record, row)| (record, row.version));
         let grant_period = self.context.ownership.grant_period;
-        let previous_grants_end =
-            owner_grants_end.max(stored.previous_grants_end(committed_by, grant_period));
+        let previous_grants_end = stored.grants_end(committed_by, owner_grants_end, grant_period);
         let silent_workers = restore_silent_workers(&stored, committed_by);
         let sent_at = self.context.clock.now();
         let record = OwnerRecord {
@@ -200,6 +200,8 @@
             started_unix_ms: self.started_unix_ms,
             sequence: 0,
             is_released: false,
+            has_no_grants: true,
+            grant_period_ms: Some(grant_period.as_millis() as u64),
             reads_known_leases: true,
             previous_grants_remaining_ms: Some(recorded_remaining_ms(previous_grants_end, sent_at)),
             silent_workers: silent_workers
--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -141,6 +141,8 @@
     parked: HashMap<InstanceId, ParkedReport>,
     /// Time at which the last successful commit, which also renewed the ownership, was first sent.
     renewed_at: Instant,
+    /// Whether a batch has been committed since the takeover.
+    has_committed: bool,
     next_plan_at: Instant,
     /// Start of the last planning round.
     planned_at: Instant,
@@ -211,6 +213,7 @@
         cell,
         parked,
         renewed_at,
+        has_committed: false,
         next_plan_at,
         planned_at,
         clients: CellClients::default(),
@@ -281,6 +284,7 @@
                     };
                     // The time at which this commit was first sent.
                     self.renewed_at = committer.renewed_at;
+                    self.has_committed = true;
                     let commit_time = self.context.clock.now().duration_since(self.renewed_at);
                     self.context.metrics.time("commit", commit_time);
                     self.cell.commit_rejected(&rejected_jobs);
@@ -370,7 +374,8 @@
 
     fn handle_report(&mut self, report: Report, reply: oneshot::Sender<ReportResponse>) {
         let now = self.context.clock.now();
-        let may_grant = now < self.renewed_at + self.context.ownership.grant_period;
+        let may_grant =
+            self.has_committed && now < self.renewed_at + self.context.ownership.grant_period;
         let wait = Duration::from_millis(report.wait_ms).min(REPORT_WAIT);
         let (agent, session) = (report.agent.clone(), report.session);
         let (accepted_order, forgot_until) = (report.accepted_order, report.forgot_until);
@@ -496,10 +501,11 @@
     }
 
     /// Starts the next commit, which has no rows if only a renewal of the ownership is due; returns
-    /// the committer if there is nothing to commit.
+    /// the committer if there is nothing to commit. The first one is due at once, since leases wait for
+    /// it.
     fn start_commit(&mut self, mut committer: Committer) -> Result<CommitTask, Box<Committer>> {
-        let is_renewal_due =
-            self.context.clock.now().duration_since(self.renewed_at) >= RENEWAL_INTERVAL;
+        let is_renewal_due = !self.has_committed
+            || self.context.clock.now().duration_since(self.renewed_at) >= RENEWAL_INTERVAL;
         let batch = if is_renewal_due {
             self.cell.renewal(MAX_COMMIT_ROWS)
         } else {
--- a/crates/teaseltrack-cell/src/owner/committer.rs
+++ b/crates/teaseltrack-cell/src/owner/committer.rs
@@ -68,6 +68,7 @@
     /// The cell has another owner.
     pub async fn commit(&mut self, batch: CommitBatch) -> Result<Vec<JobId>, OwnershipLost> {
         self.silent_workers = batch.silent_workers;
+        self.record.has_no_grants = false;
         let mut writes = Vec::new();
         for (job, progress) in &batch.rows {
             writes.push(self.progress_write(job, progress));
--- a/crates/teaseltrack-cell/tests/candidate.rs
+++ b/crates/teaseltrack-cell/tests/candidate.rs
@@ -12,11 +12,12 @@
         job::{JobSpec, Stage},
         ownership::{OwnerRecord, OwnershipSettings},
         progress::{JobProgress, JobState, TaskPhase, TaskProgress},
+        protocol::{Report, WorkerStatus},
     },
     clock::SystemClock,
 };
 use teaseltrack_cell::{
-    calls::KnownOwner,
+    calls::{InboundCall, KnownOwner},
     candidate::Candidate,
     constants::cell_settings,
     owner::OwnerContext,
@@ -24,11 +25,12 @@
 };
 use teaseltrack_daemon::{logs::silent, metrics::Metrics};
 use tokio::{
-    sync::watch,
+    sync::{oneshot, watch},
     time::{sleep, timeout},
 };
 use tokio_util::sync::CancellationToken;
 use util::{Rows, operator_source, store};
+use yare::parameterized;
 
 const JOB: &str = "00000000000000aa";
 const OWNER: &str = "instance-1";
@@ -107,6 +109,78 @@
     assert!(reclaimed.is_ok(), "the task still waits for the lease of its lost worker");
 }
 
+/// Guards against a wait for grants of an owner that ended before its first commit: it has granted
+/// nothing. One of an earlier build doesn't say so.
+#[parameterized(
+    no_grants = { true },
+    maybe_granted = { false },
+)]
+fn take_over_waits_for_the_grants_of_an_owner_that_has_committed(has_no_grants: bool) {
+    let brief = OwnerRecord {
+        epoch: 3,
+        owner: "instance-9".to_owned(),
+        address: "127.0.0.1:9".to_owned(),
+        started_unix_ms: 1,
+        has_no_grants,
+        previous_grants_remaining_ms: Some(0),
+        ..OwnerRecord::default()
+    };
+    let rows = rows_of_a_lost_worker(&brief);
+    let runtime = tokio::runtime::Runtime::new().expect("runtime");
+    let is_reclaimed = runtime.block_on(async {
+        let closing = CancellationToken::new();
+        let (_contact, contact) = watch::channel(None);
+        tokio::spawn(candidate(&rows).run(contact, closing.clone()));
+        let reclaimed = async {
+            while rows.lock().unwrap().write_count(&progress_key(0, JOB)) < 2 {
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let is_reclaimed = timeout(Duration::from_secs(6), reclaimed).await.is_ok();
+        closing.cancel();
+        is_reclaimed
+    });
+    assert_eq!(is_reclaimed, has_no_grants);
+}
+
+/// Guards against a lease that the next owner doesn't expect: the row says that none was granted until
+/// the first commit after the takeover.
+#[parameterized(
+    committed = { 4, true },
+    not_committed = { 2, false },
+)]
+fn report_gets_no_lease_before_the_first_commit(max_owner_writes: usize, is_granted: bool) {
+    let released = OwnerRecord { epoch: 3, is_released: true, ..OwnerRecord::default() };
+    let rows = rows_of_a_lost_worker(&released);
+    rows.lock().unwrap().limited_key = Some((owner_key(0), max_owner_writes));
+    let runtime = tokio::runtime::Runtime::new().expect("runtime");
+    let lease_until_ms = runtime.block_on(async {
+        let closing = CancellationToken::new();
+        let (_contact, contact) = watch::channel(None);
+        let (mailbox, mut owner) = watch::channel(None);
+        let mut candidate = candidate(&rows);
+        candidate.context.mailbox = mailbox;
+        tokio::spawn(candidate.run(contact, closing.clone()));
+        let calls = owner.wait_for(Option::is_some).await.expect("owner").clone().expect("owner");
+        sleep(Duration::from_millis(200)).await;
+        let report = Report {
+            agent: "instance-2".to_owned(),
+            started_unix_ms: 1,
+            status: Some(WorkerStatus { worker: "other".to_owned(), ..WorkerStatus::default() }),
+            worker_clock_ms: 1_000,
+            is_worker_reachable: true,
+            ..Report::default()
+        };
+        let (reply, response) = oneshot::channel();
+        let call = InboundCall::Report(Box::new(report), reply);
+        assert!(calls.send(call).await.is_ok());
+        let response = response.await.expect("response");
+        closing.cancel();
+        response.lease_until_ms
+    });
+    assert_eq!(lease_until_ms.is_some(), is_granted);
+}
+
 /// Rows of a cell that a candidate has just taken over from an owner that was cut off from the store,
 /// and that may still grant leases; the candidate's process has then been killed or shut down.
 async fn rows_after_two_owners(is_killed: bool) -> Arc<Mutex<Rows>> {
--- a/crates/teaseltrack-cell/tests/util.rs
+++ b/crates/teaseltrack-cell/tests/util.rs
@@ -31,6 +31,8 @@
     pub failing_reads: u32,
     /// Row to which no transaction is accepted.
     pub refused_key: Option<String>,
+    /// Row to which no transaction is accepted after a number of writes.
+    pub limited_key: Option<(String, usize)>,
     /// Row that is rejected for good.
     pub rejected_key: Option<String>,
     /// Maximum size of a row's value, in bytes; 0 for no limit.
@@ -86,6 +88,12 @@
         if transaction.writes.iter().any(|write| Some(&write.key) == self.refused_key.as_ref()) {
             return Err(StoreError::Unavailable { message: "row refused".to_owned() });
         }
+        if let Some((key, max_count)) = &self.limited_key
+            && transaction.writes.iter().any(|write| write.key == *key)
+            && self.write_count(key) >= *max_count
+        {
+            return Err(StoreError::Unavailable { message: "no more writes".to_owned() });
+        }
         let is_rejected = |write: &Write| {
             let bytes = write.value.as_ref().map_or(0, String::len);
             Some(&write.key) == self.rejected_key.as_ref()
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -828,7 +828,7 @@
     /// whose worker has another owner, is ignored.
     ///
     /// `may_grant` states whether the owner has renewed its ownership recently enough to grant
-    /// leases.
+    /// leases, and has had a batch committed since its takeover.
     pub fn handle_report(
         &mut self,
         mut report: Report,
@@ -1067,6 +1067,7 @@
         }
         let mut worker = Worker::new(incarnation.to_owned(), now);
         worker.lease_end = Some(lease_end);
+        worker.is_unconfirmed = true;
         if let Some(silent) = self.silent_workers.get(incarnation) {
             worker.lease_end = Some(lease_end.min(silent.lease_end));
             worker.reported_clock_ms = silent.clock_ms;
@@ -1233,6 +1234,7 @@
         if !report.is_worker_reachable {
             return;
         }
+        worker.is_unconfirmed = false;
         if is_new {
             worker.clock_reported_at = now;
             worker.is_silent = false;
--- a/crates/teaseltrack/src/cell/ownership.rs
+++ b/crates/teaseltrack/src/cell/ownership.rs
@@ -20,6 +20,8 @@
 const MAX_SEQUENCE: u64 = 1 << 48;
 /// Longest time for which a recorded lease can go on.
 const MAX_LEASE_REMAINING: Duration = Duration::from_secs(120);
+/// Grant period of builds that don't record theirs.
+const UNRECORDED_GRANT_PERIOD: Duration = Duration::from_secs(4);
 /// Highest reading of a worker's clock, in milliseconds.
 const MAX_CLOCK_MS: u64 = 1 << 46;
 
@@ -39,6 +41,13 @@
     /// Whether the owner has shut down and grants no more leases.
     #[serde(default)]
     pub is_released: bool,
+    /// Whether the owner has granted no lease yet. It grants none before its first commit after the
+    /// takeover, which lists the workers that haven't reported to it; one of an earlier build may.
+    #[serde(default)]
+    pub has_no_grants: bool,
+    /// Time for which the owner grants leases after sending its last successful commit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub grant_period_ms: Option<u64>,
     /// Time from the commit of the record until the owner's predecessors grant no more leases. A
     /// predecessor that doesn't know that it was replaced may outlast its successor.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -48,7 +57,8 @@
     /// [`KnownLeases`]: crate::cell::protocol::KnownLeases
     #[serde(default)]
     pub reads_known_leases: bool,
-    /// Workers that get no lease from any owner until they are removed from this list.
+    /// Workers that get no lease from any owner until they are removed from this list: silent ones, and
+    /// those that haven't reported to the owner since its takeover.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub silent_workers: Vec<SilentWorkerRecord>,
 }
@@ -94,13 +104,36 @@
         self.epoch <= MAX_EPOCH && self.sequence <= MAX_SEQUENCE
     }
 
+    /// Grant period of the owner; that of the reading process is `grant_period`.
+    pub fn own_grant_period(&self, grant_period: Duration) -> Duration {
+        let longest = grant_period.max(UNRECORDED_GRANT_PERIOD);
+        self.grant_period_ms.map_or(longest, Duration::from_millis).min(longest)
+    }
+
+    /// Latest time at which the owner or a predecessor may grant a lease, if the record was committed at
+    /// `committed_by` or earlier, and the owner itself grants none after `own_grants_end`.
+    pub fn grants_end(
+        &self,
+        committed_by: Instant,
+        own_grants_end: Instant,
+        grant_period: Duration,
+    ) -> Instant {
+        let previous_grants_end = self.previous_grants_end(committed_by, grant_period);
+        if self.has_no_grants {
+            previous_grants_end
+        } else {
+            previous_grants_end.max(own_grants_end)
+        }
+    }
+
     /// Latest time at which a predecessor of the owner may grant a lease, if the record was
     /// committed at `committed_by` or earlier.
     pub fn previous_grants_end(&self, committed_by: Instant, grant_period: Duration) -> Instant {
         // The first owner has no predecessor; a record without the time is that of an earlier build.
-        let unknown = if self.epoch > 1 { grant_period } else { Duration::ZERO };
+        let longest = grant_period.max(UNRECORDED_GRANT_PERIOD);
+        let unknown = if self.epoch > 1 { longest } else { Duration::ZERO };
         let remaining = self.previous_grants_remaining_ms.map_or(unknown, Duration::from_millis);
-        committed_by + remaining.min(grant_period * 2)
+        committed_by + remaining.min(longest * 2)
     }
 }
 
--- a/crates/teaseltrack/src/cell/silence.rs
+++ b/crates/teaseltrack/src/cell/silence.rs
@@ -6,8 +6,13 @@
 //! therefore records silent workers in its row, with the ends of their leases, and grants a recorded
 //! worker no lease until a commit has removed it from the row.
 //!
-//! An owner that ends before it has recorded a worker leaves nothing to its successor. The worker's
-//! agent knows more ([`KnownLeases`]): leases reach the worker through its agent only. A reading of
+//! A new owner hasn't granted anything to a worker that hasn't responded to it. Its first commit after the
+//! takeover therefore lists all workers with stored tasks that haven't, with the latest end of their
+//! leases from earlier owners, and it grants no lease before that commit. A series of owners of which
+//! each ends too early to take a worker for silent waits for the leases of the first one only.
+//!
+//! An owner that ends before it has recorded a worker that fell silent under it leaves nothing to its
+//! successor. The worker's agent knows more ([`KnownLeases`]): leases reach the worker through its agent only. A reading of
 //! the worker's clock proves that the clock had at least that reading when the agent received it,
 //! however late. A lease therefore ends, in real time, at most its distance from the reading, times
 //! the drift, after that receipt ([`Cell::limit_lease_end`]). This holds for all leases:
@@ -124,7 +129,7 @@
                 self.by_incarnation.get(&silent.incarnation).map(|key| &self.workers[*key])
             };
             let is_kept = |silent: &SilentWorker| {
-                worker_of(silent).is_none_or(|worker| worker.is_silent && !is_listed(worker))
+                worker_of(silent).is_none_or(|worker| has_no_lease(worker) && !is_listed(worker))
             };
             silent_workers.extend(listed.into_iter().filter(is_kept));
         }
@@ -145,6 +150,11 @@
     }
 }
 
+/// Whether the owner has stopped extending the worker's lease, or has never begun to.
+fn has_no_lease(worker: &Worker) -> bool {
+    worker.is_silent || worker.is_unconfirmed
+}
+
 fn is_listed(worker: &Worker) -> bool {
-    worker.is_silent && worker.lease_end.is_some() && !worker.tasks.is_empty()
+    has_no_lease(worker) && worker.lease_end.is_some() && !worker.tasks.is_empty()
 }
--- a/crates/teaseltrack/src/cell/worker.rs
+++ b/crates/teaseltrack/src/cell/worker.rs
@@ -124,6 +124,8 @@
     pub clock_reported_at: Instant,
     /// Whether there was no new reading of the worker's clock for `silence_timeout`.
     pub is_silent: bool,
+    /// Whether the worker is known from stored tasks, and hasn't responded to an agent of this owner.
+    pub is_unconfirmed: bool,
     /// Whether the owner's row may list the worker as silent; it gets no lease until a commit has
     /// removed it from the row.
     pub is_recorded_silent: bool,
@@ -210,6 +212,7 @@
             reported_clock_ms: 0,
             clock_reported_at: now,
             is_silent: false,
+            is_unconfirmed: false,
             is_recorded_silent: false,
             clock_ms: 0,
             last_report_at: now,
--- a/crates/teaseltrack/tests/cell/fleet.rs
+++ b/crates/teaseltrack/tests/cell/fleet.rs
@@ -319,6 +319,9 @@
     pub is_cut: bool,
     /// Latest time at which a predecessor of the owner grants a lease.
     pub previous_grants_end: Instant,
+    /// Whether the owner has granted no lease, as its row has it and as far as it knows.
+    pub has_no_grants: bool,
+    pub has_committed: bool,
     pub previous: Option<(Cell, Instant)>,
 }
 
@@ -459,6 +462,8 @@
             recorded: Vec::new(),
             is_cut: false,
             previous_grants_end: self.now,
+            has_no_grants: true,
+            has_committed: false,
             previous: None,
         };
         Self { slow_store: Some(slow_store), max_run_ms: 8_000, ..self }
@@ -577,6 +582,7 @@
             }
             if commit.is_applied && !store.is_cut && commit.responds_at <= self.now {
                 store.renewed_at = commit.sent_at;
+                store.has_committed = true;
                 self.cell.commit_succeeded();
             } else {
                 store.in_flight = Some(commit);
@@ -584,7 +590,8 @@
         }
         if store.in_flight.is_none() {
             let max_rows = self.max_commit_rows;
-            let is_renewal_due = self.now - store.renewed_at >= RENEWAL_INTERVAL;
+            let is_renewal_due =
+                !store.has_committed || self.now - store.renewed_at >= RENEWAL_INTERVAL;
             let batch = if is_renewal_due {
                 self.cell.renewal(max_rows)
             } else {
@@ -607,6 +614,7 @@
     pub fn apply(&mut self, store: &mut SlowStore, commit: &mut InFlight) {
         commit.is_applied = true;
         store.changed_at = self.now;
+        store.has_no_grants = false;
         let batch = &commit.batch;
         let silent = batch.silent_workers.iter();
         store.recorded =
@@ -659,9 +667,10 @@
         // With a lost response of the takeover, no lease is granted before the next commit.
         let is_response_lost = self.rng.random_bool(0.3);
         store.renewed_at = if is_response_lost { self.now - GRANT_PERIOD } else { self.now };
-        let own_grants_end = self.now + GRANT_PERIOD;
-        let grants_end = if is_response_lost { own_grants_end } else { grants_end };
-        store.previous_grants_end = store.previous_grants_end.max(grants_end);
+        if !store.has_no_grants {
+            store.previous_grants_end = store.previous_grants_end.max(grants_end);
+        }
+        (store.has_no_grants, store.has_committed) = (true, false);
         let grants_end = store.previous_grants_end;
         self.slow_store = Some(store);
         self.start_owner(grants_end);
@@ -702,7 +711,7 @@
             }
         }
         if let Some(store) = &self.slow_store {
-            self.may_grant = self.now < store.renewed_at + GRANT_PERIOD;
+            self.may_grant = store.has_committed && self.now < store.renewed_at + GRANT_PERIOD;
         }
         self.cell.tick(self.now);
         if self.cell.needs_plan() {
--- a/crates/teaseltrack/tests/cell/owner_changes.rs
+++ b/crates/teaseltrack/tests/cell/owner_changes.rs
@@ -178,6 +178,37 @@
     assert_eq!(fleet.silent_workers, Vec::new());
 }
 
+/// Guards against a series of brief owners that wait anew for the leases of the first one, since none of
+/// them lasts long enough to take a worker for silent.
+#[test]
+fn renewal_lists_restored_workers_until_they_respond() {
+    let mut fleet = busy_fleet();
+    fleet.replace_owner();
+    let batch = fleet.cell.renewal(50).expect("no commit is in flight");
+    assert_eq!(batch.silent_workers.len(), 2);
+    fleet.cell.commit_succeeded();
+    let report = fleet.instances[0].report();
+    let response = fleet.cell.handle_report(report.clone(), true, fleet.now);
+    assert_eq!(response.lease_until_ms, None, "the row lists the worker");
+    let batch = fleet.cell.next_commit(50).expect("the list is outdated");
+    let listed: Vec<_> = batch.silent_workers.iter().map(|silent| &silent.incarnation).collect();
+    assert_eq!(listed, ["instance-1@1"]);
+    fleet.cell.commit_succeeded();
+    let response = fleet.cell.handle_report(report, true, fleet.now);
+    assert!(response.lease_until_ms.is_some());
+}
+
+/// Guards against a lost worker that counts as present, since its restarted agent reports it.
+#[test]
+fn renewal_lists_a_restored_worker_that_does_not_respond() {
+    let mut fleet = busy_fleet();
+    fleet.replace_owner();
+    let unreachable = Report { is_worker_reachable: false, ..fleet.instances[0].report() };
+    fleet.cell.handle_report(unreachable, true, fleet.now);
+    let batch = fleet.cell.renewal(50).expect("no commit is in flight");
+    assert_eq!(batch.silent_workers.len(), 2);
+}
+
 /// Guards against a lease for a worker that nobody can call, and against none once it responds again.
 #[test]
 fn grant_lease_of_an_unreachable_worker_follows_its_return() {
--- a/crates/teaseltrack/tests/cell/owner_series.rs
+++ b/crates/teaseltrack/tests/cell/owner_series.rs
@@ -340,7 +340,12 @@
             records.map(|silent| silent.restore(committed_by)).collect::<Vec<_>>()
         };
         let mut silent = restore(&store.recorded, committed_by);
-        let mut grants_end = grants_end.max(committed_by + previous_remaining);
+        let mut grants_end = if store.has_no_grants {
+            committed_by + previous_remaining
+        } else {
+            grants_end.max(committed_by + previous_remaining)
+        };
+        (store.has_no_grants, store.has_committed) = (true, false);
         let taken_at = self.fleet.now;
         store.recorded =
             silent.iter().map(|silent| SilentWorkerRecord::new(silent, taken_at)).collect();
@@ -350,7 +355,7 @@
             self.run_without_owner_until(taken_at + Duration::from_millis(500));
             let found_at = self.fleet.now;
             silent = restore(&store.recorded, found_at);
-            grants_end = found_at + GRANT_PERIOD;
+            grants_end = found_at + grants_end.saturating_duration_since(taken_at);
             store.renewed_at = found_at - GRANT_PERIOD;
         }
         store.previous_grants_end = grants_end;
--- a/crates/teaseltrack/tests/number_limits.rs
+++ b/crates/teaseltrack/tests/number_limits.rs
@@ -31,6 +31,19 @@
     assert_eq!(end.duration_since(now), Duration::from_millis(expected_ms));
 }
 
+/// Guards against leases of an owner of an earlier build, which grants them for 4 s, and against a wait for
+/// years.
+#[parameterized(
+    unrecorded = { None, 4_000 },
+    recorded = { Some(2_500), 2_500 },
+    a_year = { Some(31_536_000_000), 4_000 },
+)]
+fn own_grant_period_is_that_of_the_owner(grant_period_ms: Option<u64>, expected_ms: u64) {
+    let record = OwnerRecord { grant_period_ms, ..OwnerRecord::default() };
+    let grant_period = record.own_grant_period(Duration::from_millis(2_500));
+    assert_eq!(grant_period, Duration::from_millis(expected_ms));
+}
+
 /// Guards against a worker that is waited for for years, and against one that gets no lease since none of
 /// its readings is higher than the recorded one.
 #[parameterized(
