Reclaim by the first complete listing of a session only

What callers could see: a second run of a task. A new owner, or a new session, takes each start that the first listing lacks for one that was not executed, also if that listing is cut off (a worker lists 500 ends at a time) or has rows that can't be read.

The owner now waits for a listing with fewer than 500 ends. The agent also drops ends that were acknowledged meanwhile, so that a cut-off list may be shorter than that in its report; it reports only ends in a session until one response has all rows. That the list becomes complete follows from the acknowledgement: the ends in each report are committed and acknowledged, so that the next list begins behind them. The comparison takes place with each listing until then: the owner's and the agent's knowledge of started runs isn't dropped by an incomplete one.

A worker gets no new tasks in a session before its first complete listing. Where a row can't be read for long, that lasts as long; its runs keep their leases, and ends and stops go on. Metric listings_incomplete_total counts these listings.

Failed before the change and pass with it: process_listing_reclaims_nothing_until_the_first_complete_list (1,200 ends in front of that of the run; end_listed_later and end_lost) and process_listing_withholds_the_runs_of_a_session_until_no_rows_are_missing. Simulated workers list at most 500 ends at a time, as real ones do.

--- a/crates/teaseltrack-cell/src/agent.rs
+++ b/crates/teaseltrack-cell/src/agent.rs
@@ -553,7 +553,12 @@
         self.started_runs.remove_ended(&self.ended);
         // Without a list of the current runs, nothing is known of a run that isn't listed.
         if let Some(running) = listing.running {
-            self.has_listing = true;
+            // The owner takes a run that the first list of a session lacks for one that never started, so
+            // it gets only ends until there is a complete one. Their acknowledgement shortens the list.
+            self.has_listing |= !has_missing_rows;
+            if !self.has_listing {
+                self.context.metrics.count("listings_incomplete");
+            }
             let earlier = std::mem::replace(&mut self.running, running);
             self.started_runs.add_listed(&self.running, now);
             if has_missing_rows {
--- a/crates/teaseltrack-cell/tests/agent.rs
+++ b/crates/teaseltrack-cell/tests/agent.rs
@@ -894,6 +894,41 @@
     }
 }
 
+/// Guards against a second run of a task that the owner takes for one that never started, since the first
+/// listing of a session has missing rows; and against ends that are acknowledged only after that.
+#[tokio::test]
+async fn process_listing_withholds_the_runs_of_a_session_until_no_rows_are_missing() {
+    let mut owner = TestOwner::start(response(5, 0)).await;
+    let end = EndedTask {
+        number: 1,
+        task: task(2),
+        attempt: 1,
+        cause: EndCause::Done,
+        checkpoint: String::new(),
+    };
+    let partial = listing_worker(move |number| {
+        let runs = if number < 4 { vec![run(1)] } else { vec![run(0), run(1)] };
+        listing(&runs, std::slice::from_ref(&end))
+    });
+    let calls = Arc::new(AtomicUsize::new(0));
+    let worker: WorkerAdapter = Arc::new(move |call| {
+        let has_missing_rows = calls.fetch_add(1, Ordering::Relaxed) < 4;
+        let responding = partial(call);
+        Box::pin(async move {
+            responding.await.map(|response| WorkerResponse { has_missing_rows, ..response })
+        })
+    });
+    let agent = TestAgent::start(owner.known_owner.clone(), |_| worker);
+    agent.send(heartbeat(1)).await;
+    let report = owner.report(|report| report.listing.is_some()).await;
+    let listing = report.listing.expect("a listing");
+    assert_eq!((listing.running, listing.ended.len()), (None, 1));
+    let running =
+        |report: &Report| report.listing.as_ref().and_then(|listing| listing.running.clone());
+    let report = owner.report(|report| running(report).is_some()).await;
+    assert_eq!(running(&report), Some(vec![run(0), run(1)]));
+}
+
 /// Guards against a second run of a task whose accepted start isn't carried out, but still may be: the owner
 /// learns that it won't run only once the worker has accepted its stop.
 #[tokio::test]
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -1272,9 +1272,9 @@
         }
         let worker = &mut self.workers[key];
         worker.listed_at = Some(now);
-        // Only the first listing of a session shows which start orders of earlier sessions were not
-        // executed; later listings may lack runs whose start order is still in transit.
-        if worker.is_reconciled {
+        // Only the first complete listing of a session shows which start orders of earlier sessions were
+        // not executed; later listings may lack runs whose start order is still in transit.
+        if worker.is_reconciled || !has_all_ends {
             return;
         }
         worker.is_reconciled = true;
@@ -1297,7 +1297,7 @@
         self.needs_plan = true;
     }
 
-    /// Reclaims the runs that the session has listed, that a listing at a later reading of the clock
+    /// Reclaims the runs that the session has listed, that a complete listing at a later reading of the clock
     /// lacks, and whose end isn't known: it is lost, since a worker lists each end until it is
     /// acknowledged. An agent's reports may overtake each other, but one with a later reading was sent
     /// later, and a run that has ended never comes back.
--- a/crates/teaseltrack/tests/cell/fleet.rs
+++ b/crates/teaseltrack/tests/cell/fleet.rs
@@ -49,6 +49,9 @@
 pub const SMALL_CAPACITY: Resources =
     Resources { cpu_milli: 5_000, memory_mib: 16_000, accelerators: 0 };
 
+/// Maximum number of ends that a worker lists at once.
+pub const MAX_LISTED_ENDS: usize = 500;
+
 pub const HEARTBEAT_INTERVAL_MS: u64 = 1_100;
 
 /// Time after the end of a speculative task within which an order may still start another run.
@@ -249,7 +252,7 @@
             is_worker_reachable: is_up && self.last_clock_ms.is_none(),
             listing: (self.has_listing && self.last_clock_ms.is_none()).then(|| WorkerListing {
                 running: Some(running.collect()),
-                ended: self.ended.clone(),
+                ended: self.ended.iter().take(MAX_LISTED_ENDS).cloned().collect(),
             }),
             refused: self.refused.clone(),
             accepted_order: self.accepted_order,
--- a/crates/teaseltrack/tests/cell/lost_ends.rs
+++ b/crates/teaseltrack/tests/cell/lost_ends.rs
@@ -9,7 +9,9 @@
     protocol::{EndCause, EndedTask, RefusedStart, TaskName, WorkerListing},
 };
 
-use crate::fleet::{Fleet, Instance, STEP, long_running, stage, stored_job};
+use yare::parameterized;
+
+use crate::fleet::{Fleet, Instance, MAX_LISTED_ENDS, STEP, long_running, stage, stored_job};
 
 const JOB: &str = "0000000000000001";
 
@@ -95,6 +97,48 @@
     assert!(!events.iter().any(is_reclaimed), "{events:?}");
 }
 
+/// Ends of runs that the owner doesn't know, in front of which a worker lists no others.
+fn unknown_ends(count: u64) -> Vec<EndedTask> {
+    let end = |number| EndedTask {
+        number,
+        task: TaskName { index: number as u32, ..task() },
+        attempt: 1,
+        cause: EndCause::Stopped,
+        checkpoint: String::new(),
+    };
+    (1..=count).map(end).collect()
+}
+
+/// Guards against a second run of a task that a new owner reclaims, since the first list of its session is
+/// cut off in front of the end of the run; and against a task that is never reclaimed then.
+#[parameterized(
+    end_listed_later = { true },
+    end_lost = { false },
+)]
+fn process_listing_reclaims_nothing_until_the_first_complete_list(has_end: bool) {
+    let (mut fleet, index) = serving_fleet();
+    let instance = &mut fleet.instances[index];
+    (instance.ended, instance.end_count) = (unknown_ends(1_200), 1_200);
+    instance.end(&task(), EndCause::Stopped);
+    if !has_end {
+        instance.ended.pop();
+    }
+    fleet.replace_owner();
+    let mut reclaimed_count = 0;
+    for _ in 0..40 {
+        let is_cut_off = fleet.instances[index].ended.len() >= MAX_LISTED_ENDS;
+        fleet.step();
+        let events = fleet.cell.take_events();
+        let is_reclaimed = |event: &&CellEvent| matches!(event, CellEvent::Reclaimed { .. });
+        let count = events.iter().filter(is_reclaimed).count();
+        assert!(count == 0 || !is_cut_off, "{events:?}");
+        reclaimed_count += count;
+    }
+    assert_eq!(fleet.instances[index].ended, [], "the list becomes complete");
+    assert_eq!(reclaimed_count, usize::from(!has_end));
+    assert_eq!(fleet.start_count, 2, "the task runs again within 2 s");
+}
+
 /// Guards against a run that an agent says is gone, and that the owner keeps since it was listed before.
 #[test]
 fn process_refusal_reclaims_a_listed_run() {
