Limit the wait for a start without an outcome

What callers saw: a task that stays without a run for as long as its worker and the session last. The owner leaves it to the agent to settle a start that the worker hasn't answered or listed. The agent stops the attempt and reports it as refused once the stop is accepted, so that a worker that refuses the stop, or an agent that has lost track of the start, keeps the task for ever.

If a run has been missing from the listings for 3.5 s since its order may have been sent, the owner now starts a new session with the agent. That is the proof, whatever the agent knows and whether or not the worker accepts stops: the first call of the session raises the worker's token, so that it refuses the start from then on, and the response shows whether it was carried out before. The task is reclaimed if the first complete listing of the session lacks the run. A worker that doesn't respond gets no lease either, so its tasks wait for the end of the lease as before.

Two more points: no session begins while the worker is unreachable, and one that begins for this cause doesn't end a probation or back-off of the worker. The other starts that are in transit to the worker are dropped with the old session, and the first listing settles them as well.

--- a/crates/teaseltrack-cell/tests/worker_faults.rs
+++ b/crates/teaseltrack-cell/tests/worker_faults.rs
@@ -229,6 +229,23 @@
     system.assert_runs();
 }
 
+/// Guards against a task that waits for as long as its worker refuses the stop of a start without a
+/// response, and against a second run by the start, which is carried out 5 s later.
+#[tokio::test(flavor = "multi_thread")]
+async fn start_without_outcome_is_settled_while_stops_are_refused() {
+    let mut system = System::start(2, Duration::from_millis(640)).await;
+    sleep(Duration::from_millis(1_000)).await;
+    for worker in &system.workers {
+        let mut state = worker.state.lock().unwrap();
+        state.start_faults = vec![CallFault::Late(Duration::from_secs(5)); 2];
+        state.stop_faults = vec![CallFault::Refused; 1_000];
+    }
+    system.submit(1, 8);
+    system.assert_completes(Duration::from_secs(30)).await;
+    sleep(Duration::from_secs(5)).await;
+    system.assert_runs();
+}
+
 /// Disturbs a random worker: cuts it off or restarts it, or adds faults of its next calls.
 fn disturb(system: &System, rng: &mut ChaCha8Rng, faults: &[CallFault]) {
     let worker = &system.workers[rng.random_range(0..system.workers.len())];
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -83,6 +83,7 @@
 mod serving_room;
 pub mod silence;
 pub mod tail_model;
+mod unsettled_starts;
 pub mod worker;
 
 new_key_type! {
@@ -163,6 +164,8 @@
     is_listed: bool,
     /// Whether the start order may have been sent.
     is_ordered: bool,
+    /// Time of the first listing since the start order that lacks the run.
+    unsettled_since: Option<Instant>,
     /// Whether the run has been ordered to stop.
     is_stopping: bool,
     /// Completed share of the work, as last listed.
@@ -1201,6 +1204,11 @@
         if worker.session != 0 && worker.agent_started_unix_ms == agent_started_unix_ms {
             return reported == worker.session;
         }
+        self.begin_session(key, agent_started_unix_ms, agent);
+        false
+    }
+
+    fn begin_session(&mut self, key: WorkerKey, agent_started_unix_ms: u64, agent: &InstanceId) {
         self.session_count += 1;
         let session = self.epoch * SESSIONS_PER_EPOCH + self.session_count;
         let worker = &mut self.workers[key];
@@ -1210,7 +1218,6 @@
             agent: agent.clone(),
             session,
         });
-        false
     }
 
     /// Grants a lease for a reading of the worker's clock. An agent that can't call its worker can't
@@ -1274,14 +1281,19 @@
         worker.listed_at = Some(now);
         // Only the first complete listing of a session shows which start orders of earlier sessions were
         // not executed; later listings may lack runs whose start order is still in transit.
-        if worker.is_reconciled || !has_all_ends {
+        if worker.is_reconciled {
+            return self.limit_wait_for_starts(key, now);
+        }
+        if !has_all_ends {
             return;
         }
         worker.is_reconciled = true;
         // The worker has responded since its lease expired, so it hasn't crashed.
         worker.expired_suspects.clear();
         // A new session ends a refusal back-off or probation.
-        (worker.exclusion, worker.refused_at) = (None, None);
+        if !worker.has_session_for_starts {
+            (worker.exclusion, worker.refused_at) = (None, None);
+        }
         let session = worker.session;
         let assigned: Vec<TaskKey> = worker.tasks.iter().copied().collect();
         for task in assigned {
@@ -1688,6 +1700,7 @@
             session,
             is_listed: false,
             is_ordered: false,
+            unsettled_since: None,
             is_stopping: false,
             percent: 0,
             first_percent: 0,
--- a/crates/teaseltrack/tests/cell/lost_ends.rs
+++ b/crates/teaseltrack/tests/cell/lost_ends.rs
@@ -1,19 +1,22 @@
-//! Runs that have ended without a listed end: their worker has forgotten it.
+//! Runs that have ended without a listed end: their worker has forgotten it. Starts without an outcome.
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use teaseltrack::cell::{
-    CellEvent,
-    job::Stage,
-    progress::JobState,
-    protocol::{EndCause, EndedTask, RefusedStart, TaskName, WorkerListing},
+use teaseltrack::{
+    cell::{
+        CellEvent,
+        job::Stage,
+        progress::JobState,
+        protocol::{EndCause, EndedTask, Order, RefusedStart, StartOrder, TaskName, WorkerListing},
+    },
+    placement::Resources,
 };
-
 use yare::parameterized;
 
 use crate::fleet::{Fleet, Instance, MAX_LISTED_ENDS, STEP, long_running, stage, stored_job};
 
 const JOB: &str = "0000000000000001";
+const OTHER_JOB: &str = "0000000000000002";
 
 fn task() -> TaskName {
     TaskName { job: JOB.to_owned(), occurrence: 0, stage: 0, index: 0 }
@@ -173,6 +176,88 @@
     assert!(fleet.instances.iter().any(has_run));
 }
 
+/// Lets the agents accept the orders for a job that was just submitted, and none carry them out. Returns
+/// the starts, with the index of each agent.
+fn lose_starts(fleet: &mut Fleet) -> Vec<(usize, StartOrder)> {
+    fleet.cell.plan(fleet.unix_now_ms, fleet.now);
+    fleet.commit();
+    let mut starts = Vec::new();
+    for (index, instance) in fleet.instances.iter_mut().enumerate() {
+        let response = fleet.cell.handle_report(instance.report(), true, fleet.now);
+        instance.accepted_order += response.orders.len() as u64;
+        starts.extend(response.orders.into_iter().filter_map(|order| match order {
+            Order::Start(start) => Some((index, start)),
+            Order::Stop(..) | Order::Traits(_) => None,
+        }));
+    }
+    starts
+}
+
+/// Guards against a second run of a task whose start is carried out late, in the session in which it was
+/// sent or after it; and against a session that begins although the run is listed.
+#[parameterized(
+    before_the_next_session = { 2_000, false },
+    just_before_the_next_session = { 3_550, true },
+    after_its_begin = { 3_700, true },
+    long_after_its_begin = { 6_000, true },
+)]
+fn process_listing_settles_a_start_that_is_carried_out_late(delay_ms: u64, is_settled: bool) {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.run_steps(4);
+    fleet.submit(stored_job(JOB, vec![long_running(1)]));
+    let (index, start) = lose_starts(&mut fleet).pop().expect("a start");
+    let instance = &mut fleet.instances[index];
+    let session = instance.session;
+    instance.delayed_starts.push((instance.clock_ms + delay_ms, session, start));
+    fleet.run_steps(200);
+    assert_eq!(fleet.instances[index].session > session, is_settled);
+    assert_eq!(fleet.start_count, 1);
+}
+
+/// Guards against a session that begins, and drops the other starts in transit, while the agent may still
+/// settle the start, or holds back that of a best-effort task.
+#[parameterized(
+    serving = { false, 3_400 },
+    best_effort = { true, 5_900 },
+)]
+fn process_listing_leaves_an_agent_time_to_settle_a_start(is_best_effort: bool, min_ms: usize) {
+    let mut fleet = Fleet::new(1, 1);
+    fleet.run_steps(4);
+    let session = fleet.instances[0].session;
+    fleet.submit(stored_job(JOB, vec![Stage { is_best_effort, ..long_running(1) }]));
+    lose_starts(&mut fleet);
+    let step_ms = STEP.as_millis() as usize;
+    fleet.run_steps(min_ms / step_ms);
+    assert_eq!(fleet.instances[0].session, session);
+    fleet.run_steps(400 / step_ms);
+    assert!(fleet.instances[0].session > session);
+}
+
+/// Guards against the end of a worker's probation by a session that settles a start.
+#[test]
+fn process_listing_keeps_probation_while_it_settles_a_start() {
+    let mut fleet = Fleet::new(1, 1);
+    (fleet.is_every_start_answered, fleet.max_run_ms) = (true, 60_000);
+    fleet.run_steps(4);
+    let session = fleet.instances[0].session;
+    let resources = Resources { cpu_milli: 500, memory_mib: 100, accelerators: 0 };
+    fleet.submit(stored_job(OTHER_JOB, vec![Stage { resources, ..long_running(3) }]));
+    fleet.run_steps(4);
+    assert_eq!(fleet.start_count, 3);
+    fleet.submit(stored_job(JOB, vec![Stage { resources, ..stage(1) }]));
+    assert_eq!(lose_starts(&mut fleet).len(), 1);
+    fleet.run_steps(60);
+    let runs: Vec<TaskName> = fleet.instances[0].running.keys().cloned().collect();
+    runs.iter().for_each(|task| fleet.instances[0].end(task, EndCause::Failed));
+    fleet.run_steps(20);
+    assert!(fleet.instances[0].session > session);
+    fleet.run_steps(20);
+    let has_run = |fleet: &Fleet| fleet.instances[0].running.contains_key(&task());
+    assert!(!has_run(&fleet), "the worker is on probation for 3 s");
+    fleet.run_steps(30);
+    assert!(has_run(&fleet));
+}
+
 /// Guards against jobs that never end, and against second runs, on workers that forget ends while owners,
 /// agents and workers restart.
 #[test]
