Reclaim starts in transit at once from a replaced worker

What callers saw: a task without a run for up to 10.5 s. If a worker restarts with a start in transit, the task is moved to its next incarnation, which may execute the start, until that one has listed its runs. If it is cut off before, the task waits for the longest lease that a worker accepts.

An incarnation executes such a start only under the identifier that the call names: the adapter sends the worker's identifier with each call (X-Expected-Instance), and the platform says that any other incarnation responds with 421. So a task is moved only to an incarnation with the same identifier, which a worker may keep when it restarts; the header can't tell these two apart, since it has no start time. Otherwise it is reclaimed at once.

For the same identifier, no shorter wait is shown to be sound: the call carries the end of a lease on the earlier clock, the next clock starts anew, and the worker shortens the lease to its longest one only.

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -39,7 +39,7 @@
         },
         protocol::{
             EndCause, EndedTask, Order, RefusedStart, Report, ReportResponse, RunningTask,
-            SessionToken, TaskName, WorkerListing, WorkerStatus,
+            SessionToken, TaskName, WorkerListing, WorkerStatus, worker_of,
         },
         room_promises::RoomPromise,
         silence::SilentWorker,
@@ -1159,14 +1159,15 @@
     }
 
     /// Ends a worker's incarnation and reclaims its runs. Starts that it hasn't listed may still
-    /// reach the next incarnation, which can't tell them from its own, so these tasks stay assigned
-    /// until the first listing of the next one.
+    /// reach the next incarnation. One with the same identifier can't tell them from its own, so these
+    /// tasks stay assigned until its first listing; any other refuses them.
     fn replace_worker(&mut self, ended: WorkerKey, next: &str, now: Instant) {
+        let is_same_worker = worker_of(next) == worker_of(&self.workers[ended].incarnation);
         let assigned: Vec<TaskKey> = self.workers[ended].tasks.iter().copied().collect();
         let mut in_transit = assigned;
         in_transit.retain(|task| {
             let run = self.task(*task).and_then(|task| task.run_on(ended));
-            run.is_some_and(|run| run.is_ordered && !run.is_listed)
+            is_same_worker && run.is_some_and(|run| run.is_ordered && !run.is_listed)
         });
         if !in_transit.is_empty() {
             let next = self.get_or_insert_worker(next, now + self.settings.longest_lease(), now);
--- a/crates/teaseltrack/src/cell/protocol.rs
+++ b/crates/teaseltrack/src/cell/protocol.rs
@@ -72,6 +72,11 @@
     }
 }
 
+/// Identifier of the worker of an incarnation. A worker may keep it when it restarts.
+pub fn worker_of(incarnation: &str) -> &str {
+    incarnation.rsplit_once('@').map_or(incarnation, |(worker, _)| worker)
+}
+
 /// A run on a worker.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RunningTask {
--- a/crates/teaseltrack/tests/cell/fleet.rs
+++ b/crates/teaseltrack/tests/cell/fleet.rs
@@ -110,6 +110,8 @@
 #[derive(Debug, Default)]
 pub struct Instance {
     pub name: String,
+    /// Identifier of the worker.
+    pub worker: String,
     pub incarnation: u64,
     pub agent_incarnation: u64,
     pub session: u64,
@@ -178,6 +180,7 @@
     pub fn new(index: usize) -> Self {
         Self {
             name: format!("instance-{index}"),
+            worker: format!("instance-{index}"),
             incarnation: 1,
             agent_incarnation: 1,
             clock_ms: 1_000,
@@ -238,7 +241,7 @@
             started_unix_ms: self.agent_incarnation,
             session: self.session,
             status: Some(WorkerStatus {
-                worker: self.name.clone(),
+                worker: self.worker.clone(),
                 started_unix_ms: self.incarnation,
                 service: "service".to_owned(),
                 capacity: self.announced_capacity,
--- a/crates/teaseltrack/tests/cell/lost_ends.rs
+++ b/crates/teaseltrack/tests/cell/lost_ends.rs
@@ -1,10 +1,12 @@
 //! Runs that have ended without a listed end: their worker has forgotten it. Starts without an outcome.
 
+use std::time::Duration;
+
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use teaseltrack::{
     cell::{
-        CellEvent,
+        Cell, CellEvent,
         job::Stage,
         progress::JobState,
         protocol::{EndCause, EndedTask, Order, RefusedStart, StartOrder, TaskName, WorkerListing},
@@ -13,7 +15,9 @@
 };
 use yare::parameterized;
 
-use crate::fleet::{Fleet, Instance, MAX_LISTED_ENDS, STEP, long_running, stage, stored_job};
+use crate::fleet::{
+    Fleet, Instance, MAX_LISTED_ENDS, STEP, configuration, long_running, stage, stored_job,
+};
 
 const JOB: &str = "0000000000000001";
 const OTHER_JOB: &str = "0000000000000002";
@@ -233,6 +237,46 @@
     assert!(fleet.instances[0].session > session);
 }
 
+/// Time until a long-running task runs whose start is in transit while its worker restarts, under the same
+/// identifier or another one, and whose next incarnation is cut off for good after its first report.
+fn run_restart_in_transit(is_same_worker: bool) -> Duration {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.settings.max_lease = Duration::from_secs(10);
+    fleet.cell = Cell::new(0, fleet.settings, 1, configuration(), fleet.now);
+    fleet.run_steps(4);
+    fleet.submit(stored_job(JOB, vec![long_running(1)]));
+    let (index, _) = lose_starts(&mut fleet).pop().expect("a start");
+    fleet.restart_worker(index);
+    if !is_same_worker {
+        fleet.instances[index].worker = "next".to_owned();
+    }
+    // Without it, the task would be isolated as a possible cause of the crash.
+    fleet.restart_agent(index);
+    let restarted_at = fleet.now;
+    fleet.step();
+    fleet.instances[index].is_disconnected = true;
+    while fleet.start_count == 0 {
+        fleet.step();
+    }
+    fleet.now - restarted_at
+}
+
+/// Guards against a wait for a start that the next worker of the instance refuses, since it names another
+/// one.
+#[test]
+fn replace_worker_reclaims_a_start_in_transit_to_another_worker() {
+    let wait = run_restart_in_transit(false);
+    assert!(wait <= Duration::from_secs(1), "waited for {wait:?}");
+}
+
+/// Guards against a long-running task without a run for longer than the platform allows: 3 s, from 6 s
+/// after its last run.
+#[test]
+fn replace_worker_limits_the_wait_for_a_start_in_transit_to_the_same_worker() {
+    let wait = run_restart_in_transit(true);
+    assert!(wait <= Duration::from_secs(9), "waited for {wait:?}");
+}
+
 /// Guards against the end of a worker's probation by a session that settles a start.
 #[test]
 fn process_listing_keeps_probation_while_it_settles_a_start() {
