Let long-running gangs use held room after their wait

What callers saw: a gang of long-running tasks without a run, beside room for it twice over. A single long-running task that has waited for 1.5 s may use room that is held for a larger one; the members of a gang had to leave all held rooms to others, however long they waited. Such a room is held for 3 s, and may be held for other tasks by turns, so that there was no bound.

A gang of long-running tasks that has waited for as long now gets the workers on which there is room for all members beside the rooms that they must leave, if no list of workers has room for them otherwise, and its members may be placed as single tasks are. The rooms that they take are restored if the gang isn't placed as a whole; no test brings that about.

--- a/crates/teaseltrack/src/cell/feasibility.rs
+++ b/crates/teaseltrack/src/cell/feasibility.rs
@@ -180,7 +180,7 @@
 }
 
 /// Whether the numbers add up to `wanted` or more; stops as soon as they do.
-fn has_sum_of(numbers: impl Iterator<Item = u32>, wanted: u32) -> bool {
+pub(super) fn has_sum_of(numbers: impl Iterator<Item = u32>, wanted: u32) -> bool {
     let mut sum: u32 = 0;
     numbers.into_iter().any(|number| {
         sum = sum.saturating_add(number);
--- a/crates/teaseltrack/src/cell/planning.rs
+++ b/crates/teaseltrack/src/cell/planning.rs
@@ -27,7 +27,7 @@
         progress::{JobState, TaskPhase},
         restrictions::RoundWorkers,
         scoring::StageScores,
-        worker::{RecentAssignment, TaskKey},
+        worker::{HeldRoom, RecentAssignment, TaskKey},
     },
     ids::{AttemptNumber, ServiceName},
     placement::Resources,
@@ -170,6 +170,8 @@
     worker: WorkerKey,
     /// The task before the assignment.
     previous: Task,
+    /// Rooms that were held on the worker before the assignment.
+    held_rooms: Vec<HeldRoom>,
 }
 
 impl UnplaceableSizes {
@@ -555,11 +557,10 @@
         for &key in &waiting {
             let batch_reserve = self.batch_reserve_for(key, now);
             let mut chosen = self.choose_worker_by(&mut scores, key, stage, workers, batch_reserve);
-            if chosen.is_none() && !stage.is_gang {
-                chosen = self.choose_restricted_worker(key, stage, &round.usable, now);
-                if let Some(worker) = chosen {
-                    self.release_taken_room(key, worker, now);
-                }
+            let is_restricted = chosen.is_none();
+            if is_restricted {
+                let usable = if stage.is_gang { workers } else { round.usable.as_slice() };
+                chosen = self.choose_restricted_worker(key, stage, usable, now);
             }
             let Some(worker) = chosen else {
                 // The members of a gang leave the room again that they have taken.
@@ -575,7 +576,11 @@
             };
             if stage.is_gang {
                 let previous = self.task(key).cloned().unwrap_or_default();
-                tentative.push(TentativeAssignment { task: key, worker, previous });
+                let held_rooms = self.workers[worker].held_rooms.clone();
+                tentative.push(TentativeAssignment { task: key, worker, previous, held_rooms });
+            }
+            if is_restricted {
+                self.release_taken_room(key, worker, now);
             }
             self.assign(key, stage, worker, attempt);
             if stage.is_long_running && !stage.is_gang {
@@ -697,9 +702,10 @@
     /// Takes back the last assignment of this planning round to its worker, so that it leaves no trace but
     /// stale headrooms: the task has been without a worker all along.
     fn revert_assignment(&mut self, assignment: TentativeAssignment, stage: &Stage) {
-        let TentativeAssignment { task: key, worker, previous } = assignment;
+        let TentativeAssignment { task: key, worker, previous, held_rooms } = assignment;
         let worker = &mut self.workers[worker];
         worker.release(key, stage);
+        worker.held_rooms = held_rooms;
         if stage.is_best_effort {
             worker.recent_assignments.pop();
         }
--- a/crates/teaseltrack/src/cell/restrictions.rs
+++ b/crates/teaseltrack/src/cell/restrictions.rs
@@ -15,7 +15,7 @@
 use crate::{
     cell::{
         Cell, WorkerKey,
-        feasibility::{Occupancy, fitting_count},
+        feasibility::{Occupancy, fitting_count, has_sum_of},
         job::Stage,
         planning::Candidate,
         worker::{HeldRoom, TaskKey, Worker, reserved_resources},
@@ -99,7 +99,8 @@
     }
 
     /// Workers for the members of a gang: for serving tasks that have waited too long, also restricted
-    /// ones, if there is room for all members only then.
+    /// ones, if there is room for all members only then, and at last those on which there is room for
+    /// them beside the rooms that they must leave to others.
     pub(super) fn gang_workers<'a>(
         &self,
         candidate: &Candidate,
@@ -114,7 +115,14 @@
         let allowed = if has_waited { lists.len() } else { 1 };
         let is_enough =
             |workers: &&&Vec<WorkerKey>| self.is_feasible(first_task, workers, Occupancy::Present);
-        lists[..allowed].iter().find(is_enough).map(|workers| workers.as_slice())
+        let is_enough_after_wait = |workers: &&&Vec<WorkerKey>| {
+            let rooms = workers.iter().map(|worker| self.room_after_wait(*worker, first_task, now));
+            has_sum_of(rooms, self.stage(first_task).task_count)
+        };
+        let chosen = lists[..allowed].iter().find(is_enough);
+        let mut restricted = lists.iter().filter(|_| has_waited);
+        let chosen = chosen.or_else(|| restricted.find(is_enough_after_wait));
+        chosen.map(|workers| workers.as_slice())
     }
 
     /// Number of tasks like a serving task that has waited too long for which a worker has the capacity.
--- a/crates/teaseltrack/tests/cell/restrictions.rs
+++ b/crates/teaseltrack/tests/cell/restrictions.rs
@@ -255,6 +255,49 @@
     assert_short(wait_for(&mut fleet, JOB, 1, |_, _| {}));
 }
 
+/// Guards against the members of a long-running gang that are kept out of free room by larger tasks, for
+/// which the same room is held by turns.
+#[test]
+fn plan_places_a_serving_gang_in_room_held_for_larger_tasks_by_turns() {
+    let mut fleet = overrun_fleet();
+    let larger = with_cpu(3_500, long_running(1));
+    fleet.submit(stored_job("2000000000000000", vec![larger.clone()]));
+    fleet.run_steps(30);
+    fleet.submit(stored_job("2000000000000001", vec![larger]));
+    fleet.run_steps(30);
+    let gang = Stage { is_gang: true, ..with_cpu(700, long_running(2)) };
+    fleet.submit(stored_job(JOB, vec![gang]));
+    assert_short(wait_for(&mut fleet, JOB, 2, |_, _| {}));
+}
+
+/// Guards against a long-running task that waits beside room for it twice over, because a stream of smaller
+/// ones uses the room that is held for it.
+#[test]
+fn plan_places_a_serving_task_beside_a_stream_of_smaller_ones() {
+    let mut fleet = overrun_fleet();
+    fleet.submit(stored_job(JOB, vec![with_cpu(3_500, long_running(1))]));
+    let id = |number: u64| format!("4{number:015x}");
+    let mut step_count = 0;
+    let mut send = |fleet: &mut Fleet| {
+        // Each lasts for 2 s.
+        if step_count % 10 == 0 {
+            let number = step_count / 10;
+            fleet.submit(stored_job(&id(number), vec![with_cpu(900, long_running(1))]));
+            if number >= 4 {
+                fleet.cancel(&id(number - 4));
+            }
+        }
+        step_count += 1;
+    };
+    for _ in 0..200 {
+        send(&mut fleet);
+        fleet.step();
+    }
+    assert_eq!(running_count(&fleet, JOB), 0);
+    fleet.instances[1].running.values_mut().for_each(|(_, end_ms)| *end_ms = 0);
+    assert_short(wait_for(&mut fleet, JOB, 1, |fleet, _| send(fleet)));
+}
+
 /// Guards against room that isn't held against batch tasks any more.
 #[test]
 fn plan_keeps_batch_tasks_out_of_room_held_for_a_serving_task() {
