--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -39,7 +39,7 @@
         },
         protocol::{
             EndCause, EndedTask, Order, RefusedStart, Report, ReportResponse, RunningTask,
-            SessionToken, TaskName, WorkerListing, WorkerStatus,
+            SessionToken, TaskName, WorkerListing, WorkerStatus, worker_of,
         },
         room_promises::RoomPromise,
         silence::SilentWorker,
@@ -83,6 +83,7 @@
 mod serving_room;
 pub mod silence;
 pub mod tail_model;
+mod unsettled_starts;
 pub mod worker;
 
 new_key_type! {
@@ -163,6 +164,8 @@
     is_listed: bool,
     /// Whether the start order may have been sent.
     is_ordered: bool,
+    /// Time of the first listing since the start order that lacks the run.
+    unsettled_since: Option<Instant>,
     /// Whether the run has been ordered to stop.
     is_stopping: bool,
     /// Completed share of the work, as last listed.
@@ -1157,14 +1160,15 @@
     }
 
     /// Ends a worker's incarnation and reclaims its runs. Starts that it hasn't listed may still
-    /// reach the next incarnation, which can't tell them from its own, so these tasks stay assigned
-    /// until the first listing of the next one.
+    /// reach the next incarnation. One with the same identifier can't tell them from its own, so these
+    /// tasks stay assigned until its first listing; any other refuses them.
     fn replace_worker(&mut self, ended: WorkerKey, next: &str, now: Instant) {
+        let is_same_worker = worker_of(next) == worker_of(&self.workers[ended].incarnation);
         let assigned: Vec<TaskKey> = self.workers[ended].tasks.iter().copied().collect();
         let mut in_transit = assigned;
         in_transit.retain(|task| {
             let run = self.task(*task).and_then(|task| task.run_on(ended));
-            run.is_some_and(|run| run.is_ordered && !run.is_listed)
+            is_same_worker && run.is_some_and(|run| run.is_ordered && !run.is_listed)
         });
         if !in_transit.is_empty() {
             let next = self.get_or_insert_worker(next, now + self.settings.longest_lease(), now);
@@ -1202,6 +1206,11 @@
         if worker.session != 0 && worker.agent_started_unix_ms == agent_started_unix_ms {
             return reported == worker.session;
         }
+        self.begin_session(key, agent_started_unix_ms, agent);
+        false
+    }
+
+    fn begin_session(&mut self, key: WorkerKey, agent_started_unix_ms: u64, agent: &InstanceId) {
         self.session_count += 1;
         let session = self.epoch * SESSIONS_PER_EPOCH + self.session_count;
         let worker = &mut self.workers[key];
@@ -1211,7 +1220,6 @@
             agent: agent.clone(),
             session,
         });
-        false
     }
 
     /// Grants a lease for a reading of the worker's clock. An agent that can't call its worker can't
@@ -1274,16 +1282,21 @@
         }
         let worker = &mut self.workers[key];
         worker.listed_at = Some(now);
-        // Only the first listing of a session shows which start orders of earlier sessions were not
-        // executed; later listings may lack runs whose start order is still in transit.
+        // Only the first complete listing of a session shows which start orders of earlier sessions were
+        // not executed; later listings may lack runs whose start order is still in transit.
         if worker.is_reconciled {
+            return self.limit_wait_for_starts(key, now);
+        }
+        if !has_all_ends {
             return;
         }
         worker.is_reconciled = true;
         // The worker has responded since its lease expired, so it hasn't crashed.
         worker.expired_suspects.clear();
         // A new session ends a refusal back-off or probation.
-        (worker.exclusion, worker.refused_at) = (None, None);
+        if !worker.has_session_for_starts {
+            (worker.exclusion, worker.refused_at) = (None, None);
+        }
         let session = worker.session;
         let assigned: Vec<TaskKey> = worker.tasks.iter().copied().collect();
         for task in assigned {
@@ -1299,7 +1312,7 @@
         self.needs_plan = true;
     }
 
-    /// Reclaims the runs that the session has listed, that a listing at a later reading of the clock
+    /// Reclaims the runs that the session has listed, that a complete listing at a later reading of the clock
     /// lacks, and whose end isn't known: it is lost, since a worker lists each end until it is
     /// acknowledged. An agent's reports may overtake each other, but one with a later reading was sent
     /// later, and a run that has ended never comes back.
@@ -1690,6 +1703,7 @@
             session,
             is_listed: false,
             is_ordered: false,
+            unsettled_since: None,
             is_stopping: false,
             percent: 0,
             first_percent: 0,
--- a/crates/teaseltrack/tests/cell/fleet.rs
+++ b/crates/teaseltrack/tests/cell/fleet.rs
@@ -49,6 +49,9 @@
 pub const SMALL_CAPACITY: Resources =
     Resources { cpu_milli: 5_000, memory_mib: 16_000, accelerators: 0 };
 
+/// Maximum number of ends that a worker lists at once.
+pub const MAX_LISTED_ENDS: usize = 500;
+
 pub const HEARTBEAT_INTERVAL_MS: u64 = 1_100;
 
 /// Time after the end of a speculative task within which an order may still start another run.
@@ -107,6 +110,8 @@
 #[derive(Debug, Default)]
 pub struct Instance {
     pub name: String,
+    /// Identifier of the worker.
+    pub worker: String,
     pub incarnation: u64,
     pub agent_incarnation: u64,
     pub session: u64,
@@ -175,6 +180,7 @@
     pub fn new(index: usize) -> Self {
         Self {
             name: format!("instance-{index}"),
+            worker: format!("instance-{index}"),
             incarnation: 1,
             agent_incarnation: 1,
             clock_ms: 1_000,
@@ -235,7 +241,7 @@
             started_unix_ms: self.agent_incarnation,
             session: self.session,
             status: Some(WorkerStatus {
-                worker: self.name.clone(),
+                worker: self.worker.clone(),
                 started_unix_ms: self.incarnation,
                 service: "service".to_owned(),
                 capacity: self.announced_capacity,
@@ -249,7 +255,7 @@
             is_worker_reachable: is_up && self.last_clock_ms.is_none(),
             listing: (self.has_listing && self.last_clock_ms.is_none()).then(|| WorkerListing {
                 running: Some(running.collect()),
-                ended: self.ended.clone(),
+                ended: self.ended.iter().take(MAX_LISTED_ENDS).cloned().collect(),
             }),
             refused: self.refused.clone(),
             accepted_order: self.accepted_order,
--- a/crates/teaseltrack/tests/cell/lost_ends.rs
+++ b/crates/teaseltrack/tests/cell/lost_ends.rs
@@ -1,17 +1,26 @@
-//! Runs that have ended without a listed end: their worker has forgotten it.
+//! Runs that have ended without a listed end: their worker has forgotten it. Starts without an outcome.
+
+use std::time::Duration;
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use teaseltrack::cell::{
-    CellEvent,
-    job::Stage,
-    progress::JobState,
-    protocol::{EndCause, EndedTask, RefusedStart, TaskName, WorkerListing},
+use teaseltrack::{
+    cell::{
+        Cell, CellEvent,
+        job::Stage,
+        progress::JobState,
+        protocol::{EndCause, EndedTask, Order, RefusedStart, StartOrder, TaskName, WorkerListing},
+    },
+    placement::Resources,
 };
+use yare::parameterized;
 
-use crate::fleet::{Fleet, Instance, STEP, long_running, stage, stored_job};
+use crate::fleet::{
+    Fleet, Instance, MAX_LISTED_ENDS, STEP, configuration, long_running, stage, stored_job,
+};
 
 const JOB: &str = "0000000000000001";
+const OTHER_JOB: &str = "0000000000000002";
 
 fn task() -> TaskName {
     TaskName { job: JOB.to_owned(), occurrence: 0, stage: 0, index: 0 }
@@ -95,6 +104,48 @@
     assert!(!events.iter().any(is_reclaimed), "{events:?}");
 }
 
+/// Ends of runs that the owner doesn't know, in front of which a worker lists no others.
+fn unknown_ends(count: u64) -> Vec<EndedTask> {
+    let end = |number| EndedTask {
+        number,
+        task: TaskName { index: number as u32, ..task() },
+        attempt: 1,
+        cause: EndCause::Stopped,
+        checkpoint: String::new(),
+    };
+    (1..=count).map(end).collect()
+}
+
+/// Guards against a second run of a task that a new owner reclaims, since the first list of its session is
+/// cut off in front of the end of the run; and against a task that is never reclaimed then.
+#[parameterized(
+    end_listed_later = { true },
+    end_lost = { false },
+)]
+fn process_listing_reclaims_nothing_until_the_first_complete_list(has_end: bool) {
+    let (mut fleet, index) = serving_fleet();
+    let instance = &mut fleet.instances[index];
+    (instance.ended, instance.end_count) = (unknown_ends(1_200), 1_200);
+    instance.end(&task(), EndCause::Stopped);
+    if !has_end {
+        instance.ended.pop();
+    }
+    fleet.replace_owner();
+    let mut reclaimed_count = 0;
+    for _ in 0..40 {
+        let is_cut_off = fleet.instances[index].ended.len() >= MAX_LISTED_ENDS;
+        fleet.step();
+        let events = fleet.cell.take_events();
+        let is_reclaimed = |event: &&CellEvent| matches!(event, CellEvent::Reclaimed { .. });
+        let count = events.iter().filter(is_reclaimed).count();
+        assert!(count == 0 || !is_cut_off, "{events:?}");
+        reclaimed_count += count;
+    }
+    assert_eq!(fleet.instances[index].ended, [], "the list becomes complete");
+    assert_eq!(reclaimed_count, usize::from(!has_end));
+    assert_eq!(fleet.start_count, 2, "the task runs again within 2 s");
+}
+
 /// Guards against a run that an agent says is gone, and that the owner keeps since it was listed before.
 #[test]
 fn process_refusal_reclaims_a_listed_run() {
@@ -129,6 +180,128 @@
     assert!(fleet.instances.iter().any(has_run));
 }
 
+/// Lets the agents accept the orders for a job that was just submitted, and none carry them out. Returns
+/// the starts, with the index of each agent.
+fn lose_starts(fleet: &mut Fleet) -> Vec<(usize, StartOrder)> {
+    fleet.cell.plan(fleet.unix_now_ms, fleet.now);
+    fleet.commit();
+    let mut starts = Vec::new();
+    for (index, instance) in fleet.instances.iter_mut().enumerate() {
+        let response = fleet.cell.handle_report(instance.report(), true, fleet.now);
+        instance.accepted_order += response.orders.len() as u64;
+        starts.extend(response.orders.into_iter().filter_map(|order| match order {
+            Order::Start(start) => Some((index, start)),
+            Order::Stop(..) | Order::Traits(_) => None,
+        }));
+    }
+    starts
+}
+
+/// Guards against a second run of a task whose start is carried out late, in the session in which it was
+/// sent or after it; and against a session that begins although the run is listed.
+#[parameterized(
+    before_the_next_session = { 2_000, false },
+    just_before_the_next_session = { 3_550, true },
+    after_its_begin = { 3_700, true },
+    long_after_its_begin = { 6_000, true },
+)]
+fn process_listing_settles_a_start_that_is_carried_out_late(delay_ms: u64, is_settled: bool) {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.run_steps(4);
+    fleet.submit(stored_job(JOB, vec![long_running(1)]));
+    let (index, start) = lose_starts(&mut fleet).pop().expect("a start");
+    let instance = &mut fleet.instances[index];
+    let session = instance.session;
+    instance.delayed_starts.push((instance.clock_ms + delay_ms, session, start));
+    fleet.run_steps(200);
+    assert_eq!(fleet.instances[index].session > session, is_settled);
+    assert_eq!(fleet.start_count, 1);
+}
+
+/// Guards against a session that begins, and drops the other starts in transit, while the agent may still
+/// settle the start, or holds back that of a best-effort task.
+#[parameterized(
+    serving = { false, 3_400 },
+    best_effort = { true, 5_900 },
+)]
+fn process_listing_leaves_an_agent_time_to_settle_a_start(is_best_effort: bool, min_ms: usize) {
+    let mut fleet = Fleet::new(1, 1);
+    fleet.run_steps(4);
+    let session = fleet.instances[0].session;
+    fleet.submit(stored_job(JOB, vec![Stage { is_best_effort, ..long_running(1) }]));
+    lose_starts(&mut fleet);
+    let step_ms = STEP.as_millis() as usize;
+    fleet.run_steps(min_ms / step_ms);
+    assert_eq!(fleet.instances[0].session, session);
+    fleet.run_steps(400 / step_ms);
+    assert!(fleet.instances[0].session > session);
+}
+
+/// Time until a long-running task runs whose start is in transit while its worker restarts, under the same
+/// identifier or another one, and whose next incarnation is cut off for good after its first report.
+fn run_restart_in_transit(is_same_worker: bool) -> Duration {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.settings.max_lease = Duration::from_secs(10);
+    fleet.cell = Cell::new(0, fleet.settings, 1, configuration(), fleet.now);
+    fleet.run_steps(4);
+    fleet.submit(stored_job(JOB, vec![long_running(1)]));
+    let (index, _) = lose_starts(&mut fleet).pop().expect("a start");
+    fleet.restart_worker(index);
+    if !is_same_worker {
+        fleet.instances[index].worker = "next".to_owned();
+    }
+    // Without it, the task would be isolated as a possible cause of the crash.
+    fleet.restart_agent(index);
+    let restarted_at = fleet.now;
+    fleet.step();
+    fleet.instances[index].is_disconnected = true;
+    while fleet.start_count == 0 {
+        fleet.step();
+    }
+    fleet.now - restarted_at
+}
+
+/// Guards against a wait for a start that the next worker of the instance refuses, since it names another
+/// one.
+#[test]
+fn replace_worker_reclaims_a_start_in_transit_to_another_worker() {
+    let wait = run_restart_in_transit(false);
+    assert!(wait <= Duration::from_secs(1), "waited for {wait:?}");
+}
+
+/// Guards against a long-running task without a run for longer than the platform allows: 3 s, from 6 s
+/// after its last run.
+#[test]
+fn replace_worker_limits_the_wait_for_a_start_in_transit_to_the_same_worker() {
+    let wait = run_restart_in_transit(true);
+    assert!(wait <= Duration::from_secs(9), "waited for {wait:?}");
+}
+
+/// Guards against the end of a worker's probation by a session that settles a start.
+#[test]
+fn process_listing_keeps_probation_while_it_settles_a_start() {
+    let mut fleet = Fleet::new(1, 1);
+    (fleet.is_every_start_answered, fleet.max_run_ms) = (true, 60_000);
+    fleet.run_steps(4);
+    let session = fleet.instances[0].session;
+    let resources = Resources { cpu_milli: 500, memory_mib: 100, accelerators: 0 };
+    fleet.submit(stored_job(OTHER_JOB, vec![Stage { resources, ..long_running(3) }]));
+    fleet.run_steps(4);
+    assert_eq!(fleet.start_count, 3);
+    fleet.submit(stored_job(JOB, vec![Stage { resources, ..stage(1) }]));
+    assert_eq!(lose_starts(&mut fleet).len(), 1);
+    fleet.run_steps(60);
+    let runs: Vec<TaskName> = fleet.instances[0].running.keys().cloned().collect();
+    runs.iter().for_each(|task| fleet.instances[0].end(task, EndCause::Failed));
+    fleet.run_steps(20);
+    assert!(fleet.instances[0].session > session);
+    fleet.run_steps(20);
+    let has_run = |fleet: &Fleet| fleet.instances[0].running.contains_key(&task());
+    assert!(!has_run(&fleet), "the worker is on probation for 3 s");
+    fleet.run_steps(30);
+    assert!(has_run(&fleet));
+}
+
 /// Guards against jobs that never end, and against second runs, on workers that forget ends while owners,
 /// agents and workers restart.
 #[test]
