Don't convict tasks for crashes that their workers explain

What callers saw: a worker goes down and up by turns, and one or two accepted jobs are shown as `failed` for good, although none of their runs has ended so. The same for a long-running task whose worker crashes 300 ms after its start, twice.

Cause: each crash counted against all its suspects, whatever else could have caused it. A suspect was tried alone on the emptiest worker, the one that had just crashed, so that a worker that goes down and up convicted one suspect after the other.

Change: a crash doesn't count as one with a single suspect if the worker has crashed under the task before, or within 20 s without it. Suspects are tried on other workers, as long as one has room or will once its batch tasks end. Four crashes with several suspects convict a task only if they were of three workers, or if no other worker is left to try. What a convicted task has crashed speaks against no worker and no other task. Long-running tasks are never given up: from the second crash on they start again after 250 ms, twice as late each time, up to 2 s, which is within the platform's 3 s beside room from 6 s after the last run; once convicted they are kept to workers without other long-running tasks, unless they have waited for 1.5 s. Progress rows list the agents of a task's last three crashed workers in a new optional field; other builds ignore it.

Tests: `flapping_workers_give_up_no_job` (two of four cases; a third failed for a check of the test itself, which is made over all seeds since) and `long_running_task_starts_again_after_each_crash` (all cases) failed before. `FLAP_SEEDS=30`: all four cases passed.

--- a/crates/teaseltrack-cell/src/constants.rs
+++ b/crates/teaseltrack-cell/src/constants.rs
@@ -150,6 +150,9 @@
     clearing_time: Duration::from_millis(350),
     max_sole_crashes: 2,
     max_crashes: 4,
+    flapping_time: Duration::from_secs(20),
+    min_start_delay: Duration::from_millis(250),
+    max_start_delay: Duration::from_millis(2_000),
     max_share: 0.3,
     max_wait: Duration::from_millis(3_000),
 };
--- a/crates/teaseltrack-cell/tests/odd_entries.rs
+++ b/crates/teaseltrack-cell/tests/odd_entries.rs
@@ -81,6 +81,7 @@
         failed_attempts: vec![1],
         crash_count: 1,
         sole_crash_count: 1,
+        crashed_workers: vec!["crashed".to_owned()],
         hand_over: 2,
         checkpoint: "saved".to_owned(),
         other_runs: vec![RunRecord { attempt: 1, worker: INCARNATION.to_owned() }],
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -215,6 +215,8 @@
     received_at: Option<Instant>,
     /// Whether the last crash under the task preceded the first listing of its run.
     has_crashed_unlisted: bool,
+    /// Time at which the last crash under the task was attributed to it.
+    crashed_at: Option<Instant>,
     /// Worker on which a run failed or stalled, or from which the task was moved.
     avoided_worker: Option<WorkerKey>,
     /// Time of the last move by [`regrouping`].
@@ -631,6 +633,8 @@
     histories: Histories,
     /// Decayed number of losses of each agent's worker, and when it was last changed.
     losses: HashMap<InstanceId, (f64, Instant)>,
+    /// Recent crashes of each agent's worker that no convicted task explains.
+    crashes: HashMap<InstanceId, Vec<quarantine::Crash>>,
     maintained_at: Option<Instant>,
     regrouped_at: Option<Instant>,
     relocated_at: Option<Instant>,
@@ -665,6 +669,7 @@
             evacuation: EvacuationState::default(),
             histories: Histories::default(),
             losses: HashMap::new(),
+            crashes: HashMap::new(),
             maintained_at: None,
             regrouped_at: None,
             relocated_at: None,
@@ -948,6 +953,7 @@
             self.end_exclusions(now);
             self.review_idle_tasks(now);
             self.decay_reliability(now.duration_since(maintained_at), now);
+            self.forget_crashes(now);
             // Back-offs, waiting times and due occurrences change what planning decides without any
             // report.
             self.needs_plan = true;
@@ -1093,7 +1099,7 @@
                 }
                 // If the agent has restarted as well, so has the instance, and no task is to blame.
                 if worker.agent_started_unix_ms == report.started_unix_ms {
-                    self.attribute_crash(current);
+                    self.attribute_crash(current, agent, now);
                 }
                 let status = self.workers[current].status.as_ref();
                 if status.is_none_or(|status| !status.is_draining) {
@@ -1148,7 +1154,7 @@
             && let Some(&ended) = self.by_incarnation.get(&stored.incarnation)
         {
             if has_same_agent {
-                self.attribute_crash(ended);
+                self.attribute_crash(ended, &report.agent, now);
             }
             self.replace_worker(ended, &status.incarnation(), now);
         }
--- a/crates/teaseltrack/src/cell/progress.rs
+++ b/crates/teaseltrack/src/cell/progress.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     cell::{job::JobSpec, partition::CellId},
-    ids::AttemptNumber,
+    ids::{AttemptNumber, InstanceId},
 };
 
 pub mod stored;
@@ -112,9 +112,13 @@
     /// Number of crashes of workers for which the task was a suspect, since it was last cleared.
     #[serde(rename = "k", default, skip_serializing_if = "is_zero")]
     pub crash_count: u32,
-    /// Number of those crashes for which the task was the only suspect.
+    /// Number of those crashes for which the task was the only suspect, and the worker wasn't in doubt
+    /// itself.
     #[serde(rename = "s", default, skip_serializing_if = "is_zero")]
     pub sole_crash_count: u32,
+    /// Agents of the workers that crashed then, the latest first; a few only.
+    #[serde(rename = "b", default, skip_serializing_if = "Vec::is_empty")]
+    pub crashed_workers: Vec<InstanceId>,
     /// Number of the task's last hand-over that this cell knows of; 0 before the first.
     #[serde(rename = "h", default, skip_serializing_if = "is_zero")]
     pub hand_over: HandOverNumber,
--- a/crates/teaseltrack/src/cell/progress/stored.rs
+++ b/crates/teaseltrack/src/cell/progress/stored.rs
@@ -89,7 +89,8 @@
 pub struct ProgressRow {
     /// The row's value.
     pub text: String,
-    /// Whether checkpoints were left out, because the row had no room for them.
+    /// Whether checkpoints, and the workers that crashed under the tasks, were left out, because the row
+    /// had no room for them.
     pub lacks_checkpoints: bool,
 }
 
@@ -110,6 +111,7 @@
             let mut shorter = self.clone();
             for task in shorter.occurrences.iter_mut().flatten().flatten() {
                 task.checkpoint.clear();
+                task.crashed_workers.clear();
             }
             text = serde_json::to_string(&shorter.pack().map_err(serde_json::Error::custom)?)?;
         }
@@ -126,8 +128,10 @@
             };
             let other_runs = task.other_runs.iter().map(|run| TASK_BYTES + run.worker.len());
             let failed_attempts = ATTEMPT_BYTES * task.failed_attempts.len();
+            let crashed_workers = task.crashed_workers.iter().map(|agent| 3 + agent.len());
             TASK_BYTES
                 + worker
+                + crashed_workers.sum::<usize>()
                 + task.checkpoint.len()
                 + failed_attempts
                 + other_runs.sum::<usize>()
--- a/crates/teaseltrack/src/cell/quarantine.rs
+++ b/crates/teaseltrack/src/cell/quarantine.rs
@@ -3,40 +3,77 @@
 //! A crash ends all runs of a worker, and the owner can't see which of them caused it. It suspects
 //! the runs that haven't been listed for long enough to be cleared. A suspect is tried again on a
 //! quarantined worker, which gets no other new tasks and on which all other runs are cleared, so that
-//! a second crash has one suspect only. A task that was the only suspect of `max_sole_crashes`
-//! crashes is given up, and its job fails.
+//! a second crash has one suspect only.
+//!
+//! A worker may also crash by itself, time and again. A crash therefore convicts nobody if the worker
+//! has crashed under the task before, or has lately crashed without it. Suspects are tried on workers
+//! of which neither is known, as long as there are any. A task that was the only suspect of
+//! `max_sole_crashes` other crashes is given up, and its job fails; so does one that was among the
+//! suspects of `max_crashes`, if these were of several workers or no other one is left to try.
+//!
+//! A long-running task is never given up. It stays isolated, on workers without other long-running
+//! tasks once it is convicted, and starts again after a delay that grows with its crashes.
 //!
 //! Only a part of the workers is quarantined. A serving task that has waited too long for one of them is
 //! tried on another worker, where it can do the least harm.
 //!
-//! Quarantined workers are those with the least to lose: few serving tasks, then few tasks. A worker
-//! that has just restarted is empty and comes first. Counts are part of the committed progress, so
-//! that they survive the owner.
+//! Quarantined workers are those with the least to lose: few serving tasks, then few tasks. Counts are
+//! part of the committed progress, so that they survive the owner.
 
 use std::time::{Duration, Instant};
 
-use crate::cell::{
-    Cell, CellEvent, Run, Task, WorkerKey,
-    planning::{Candidate, TaskKind},
-    progress::{JobState, TaskPhase},
-    worker::{TaskKey, Worker},
+use crate::{
+    cell::{
+        Cell, CellEvent, Run, Task, WorkerKey,
+        feasibility::Occupancy,
+        planning::{Candidate, TaskKind},
+        progress::{JobState, TaskPhase},
+        worker::{TaskKey, Worker},
+    },
+    ids::InstanceId,
 };
 
+/// Number of workers that are remembered of a task, and from which on they can't all be at fault.
+const MAX_CRASHED_WORKERS: usize = 3;
+
 /// Settings of the isolation of tasks that may crash their workers.
 #[derive(Clone, Copy, Debug)]
 pub struct QuarantineSettings {
     /// Time for which a run must have been listed to be cleared of later crashes of its worker.
     pub clearing_time: Duration,
-    /// Crashes with the task as the only suspect after which it is given up.
+    /// Crashes of different workers with the task as the only suspect after which it is convicted.
     pub max_sole_crashes: u32,
-    /// Crashes after which a task is given up although others were suspects as well.
+    /// Crashes after which a task is convicted although others were suspects as well.
     pub max_crashes: u32,
+    /// Time for which a worker that has crashed may crash again by the same cause.
+    pub flapping_time: Duration,
+    /// Delay of the next start of a long-running task after its second crash; doubles with each crash.
+    pub min_start_delay: Duration,
+    /// Longest such delay.
+    pub max_start_delay: Duration,
     /// Share of a service's workers that may be quarantined; at least one.
     pub max_share: f64,
     /// Waiting time after which a task that was suspected only once is placed like any other.
     pub max_wait: Duration,
 }
 
+/// Crash of a worker.
+#[derive(Clone, Debug)]
+pub(super) struct Crash {
+    at: Instant,
+    suspects: Vec<TaskKey>,
+}
+
+/// Suspect that waits for a trial.
+#[derive(Clone, Copy, Debug)]
+struct Trial {
+    task: TaskKey,
+    /// Whether it is a long-running task that must be the cause of the crashes.
+    is_convicted: bool,
+    /// Whether only preferred workers will do.
+    is_choosy: bool,
+}
+
 impl Run {
     /// Whether a crash of the worker can't be attributed to the run any more. The worker's clock
     /// decides, since an agent repeats the last listing of a crashed worker.
@@ -71,46 +108,162 @@
         let was_suspect = self.is_suspect();
         self.progress.crash_count = 0;
         self.progress.sole_crash_count = 0;
+        self.progress.crashed_workers.clear();
         was_suspect
     }
 }
 
 impl Cell {
-    /// Suspects the runs of a crashed worker, and gives up tasks that have caused too many crashes.
-    pub(super) fn attribute_crash(&mut self, key: WorkerKey) {
-        let settings = self.settings.quarantine;
+    /// Suspects the runs of an agent's crashed worker, and gives up tasks that have caused too many
+    /// crashes.
+    pub(super) fn attribute_crash(&mut self, key: WorkerKey, agent: &InstanceId, now: Instant) {
         let mut suspects = self.uncleared_tasks(key);
         suspects.append(&mut self.workers[key].expired_suspects);
+        suspects.retain(|suspect| {
+            self.task(*suspect).is_some_and(|task| task.progress.phase != TaskPhase::Done)
+        });
+        if suspects.iter().any(|suspect| self.is_convicted(*suspect, now)) {
+            suspects.retain(|suspect| self.is_convicted(*suspect, now));
+        }
         let is_sole = suspects.len() == 1;
-        let worker = self.workers[key].incarnation.clone();
-        for suspect in suspects {
-            let Some(name) = self.name_of(suspect) else { continue };
-            let Some(task) =
-                self.task_mut(suspect).filter(|task| task.progress.phase != TaskPhase::Done)
-            else {
-                continue;
-            };
+        for suspect in &suspects {
+            let is_worker_doubtful = self.is_worker_doubtful(agent, *suspect, now);
+            let Some(task) = self.task_mut(*suspect) else { continue };
             task.has_crashed_unlisted =
                 task.run_on(key).is_some_and(|run| run.listed_clock_ms.is_none());
-            task.progress.crash_count += 1;
-            task.progress.sole_crash_count += u32::from(is_sole);
-            let (crash_count, sole_crash_count) =
-                (task.progress.crash_count, task.progress.sole_crash_count);
-            self.may_have_suspects = true;
-            self.jobs[suspect.job].is_dirty = true;
-            let is_given_up = sole_crash_count >= settings.max_sole_crashes
-                || crash_count >= settings.max_crashes;
-            self.events.push(CellEvent::Suspected {
-                task: name,
-                worker: worker.clone(),
-                crash_count,
-                sole_crash_count,
-                is_given_up,
-            });
-            if is_given_up {
-                self.finish(suspect.job, JobState::Failed);
+            task.crashed_at = Some(now);
+            let progress = &mut task.progress;
+            progress.crash_count = progress.crash_count.saturating_add(1);
+            if is_sole && !is_worker_doubtful {
+                progress.sole_crash_count = progress.sole_crash_count.saturating_add(1);
+            }
+            if !progress.crashed_workers.contains(agent) {
+                progress.crashed_workers.truncate(MAX_CRASHED_WORKERS - 1);
+                progress.crashed_workers.insert(0, agent.clone());
             }
         }
+        let status = self.workers[key].status.as_ref();
+        if status.is_none_or(|status| !status.is_draining) {
+            let crash = Crash { at: now, suspects: suspects.clone() };
+            self.crashes.entry(agent.clone()).or_default().push(crash);
+        }
+        for suspect in suspects {
+            self.judge(suspect, key, now);
+        }
+    }
+
+    /// Gives up a suspect of a crash that is convicted, unless it is long-running.
+    fn judge(&mut self, key: TaskKey, worker: WorkerKey, now: Instant) {
+        let (Some(name), Some(task)) = (self.name_of(key), self.task(key)) else { return };
+        let (crash_count, sole_crash_count) =
+            (task.progress.crash_count, task.progress.sole_crash_count);
+        let is_convicted = self.is_convicted(key, now);
+        let is_given_up = is_convicted && !self.stage(key).is_long_running;
+        self.may_have_suspects = true;
+        self.jobs[key.job].is_dirty = true;
+        if is_convicted {
+            // These crashes say nothing about the workers any more.
+            for crashes in self.crashes.values_mut() {
+                crashes.retain(|crash| !crash.suspects.contains(&key));
+            }
+        }
+        self.events.push(CellEvent::Suspected {
+            task: name,
+            worker: self.workers[worker].incarnation.clone(),
+            crash_count,
+            sole_crash_count,
+            is_given_up,
+        });
+        if is_given_up {
+            self.finish(key.job, JobState::Failed);
+        }
+    }
+
+    /// Whether the task, and not the workers, must be the cause of the crashes for which it was a suspect.
+    fn is_convicted(&self, key: TaskKey, now: Instant) -> bool {
+        let settings = self.settings.quarantine;
+        let Some(progress) = self.task(key).map(|task| &task.progress) else { return false };
+        if progress.sole_crash_count >= settings.max_sole_crashes {
+            return true;
+        }
+        progress.crash_count >= settings.max_crashes
+            && (progress.crashed_workers.len() >= MAX_CRASHED_WORKERS
+                || !self.can_be_had(key, &self.usable_workers(now), |worker| {
+                    self.is_trusted(worker, key, now)
+                }))
+    }
+
+    /// Whether the crash of an agent's worker under a task may be the worker's own fault: it has crashed
+    /// under the task before, or has lately crashed without it.
+    fn is_worker_doubtful(&self, agent: &InstanceId, key: TaskKey, now: Instant) -> bool {
+        let has_crashed_under =
+            self.task(key).is_some_and(|task| task.progress.crashed_workers.contains(agent));
+        let mut crashes = self.crashes.get(agent).into_iter().flatten();
+        has_crashed_under
+            || crashes.any(|crash| {
+                now.duration_since(crash.at) < self.settings.quarantine.flapping_time
+                    && !crash.suspects.contains(&key)
+            })
+    }
+
+    /// Whether a crash of the worker under the task would have no other explanation.
+    fn is_trusted(&self, worker: WorkerKey, key: TaskKey, now: Instant) -> bool {
+        let agent = self.workers[worker].agent.as_ref();
+        agent.is_none_or(|agent| !self.is_worker_doubtful(agent, key, now))
+    }
+
+    /// Whether a suspect is rather tried on the worker than on others; a convicted one where no other
+    /// long-running task is lost.
+    fn is_preferred(&self, worker: WorkerKey, trial: Trial, now: Instant) -> bool {
+        if trial.is_convicted {
+            return self.workers[worker].serving_images.is_empty();
+        }
+        self.is_trusted(worker, trial.task, now)
+    }
+
+    /// Whether any of the workers that the predicate holds for has room for the task, at the latest once
+    /// the batch tasks there end.
+    fn can_be_had(
+        &self,
+        key: TaskKey,
+        workers: &[WorkerKey],
+        is_wanted: impl Fn(WorkerKey) -> bool,
+    ) -> bool {
+        let first_task = TaskKey { index: 0, ..key };
+        let stage = self.stage(key);
+        workers.iter().any(|worker| {
+            is_wanted(*worker)
+                && self.worker_room_count(*worker, (first_task, stage), Occupancy::Serving) > 0
+        })
+    }
+
+    /// How a waiting suspect is tried.
+    fn trial(&self, task: TaskKey, workers: &[WorkerKey], now: Instant) -> Trial {
+        let is_convicted = self.stage(task).is_long_running && self.is_convicted(task, now);
+        let is_choosy = is_convicted
+            || self.can_be_had(task, workers, |worker| self.is_trusted(worker, task, now));
+        Trial { task, is_convicted, is_choosy }
+    }
+
+    /// Whether a long-running suspect isn't to start yet.
+    fn is_delayed(&self, key: TaskKey, now: Instant) -> bool {
+        let settings = self.settings.quarantine;
+        let Some(task) = self.task(key).filter(|_| self.stage(key).is_long_running) else {
+            return false;
+        };
+        let Some(doublings) = task.progress.crash_count.checked_sub(2) else { return false };
+        let delay = settings.min_start_delay.saturating_mul(1 << doublings.min(16));
+        let delay = delay.min(settings.max_start_delay);
+        task.crashed_at.is_some_and(|crashed_at| now.duration_since(crashed_at) < delay)
+    }
+
+    /// Forgets crashes that can't have the same cause as a present one.
+    pub(super) fn forget_crashes(&mut self, now: Instant) {
+        let flapping_time = self.settings.quarantine.flapping_time;
+        self.crashes.retain(|_, crashes| {
+            crashes.retain(|crash| now.duration_since(crash.at) < flapping_time);
+            !crashes.is_empty()
+        });
     }
 
     /// Keeps the suspects of a worker whose lease expires: whether it has crashed or is merely
@@ -156,13 +309,19 @@
             return workers.to_vec();
         }
         let suspects = self.waiting_suspects(candidates, now);
-        self.release_quarantined_workers(&suspects);
-        for key in suspects {
+        let trials: Vec<Trial> =
+            suspects.into_iter().map(|task| self.trial(task, workers, now)).collect();
+        self.release_quarantined_workers(&trials, now);
+        for trial in trials {
+            let key = trial.task;
             self.begin_wait(key, now);
-            let quarantined = self.quarantined_worker_for(key, workers);
+            let quarantined = self.quarantined_worker_for(trial, workers, now);
+            if self.is_delayed(key, now) {
+                continue;
+            }
             let worker = quarantined
                 .filter(|worker| !self.has_uncleared_run(*worker))
-                .or_else(|| self.least_harmful_worker(key, usable_workers, now));
+                .or_else(|| self.least_harmful_worker(trial, usable_workers, now));
             let Some(worker) = worker else { continue };
             self.release_taken_room(key, worker, now);
             let stage = self.stage(key).clone();
@@ -184,10 +343,11 @@
     /// worker will do.
     fn least_harmful_worker(
         &self,
-        key: TaskKey,
+        trial: Trial,
         workers: &[WorkerKey],
         now: Instant,
     ) -> Option<WorkerKey> {
+        let key = trial.task;
         let max_wait = self.settings.planning.max_serving_wait;
         if !self.stage(key).is_long_running || !self.has_waited(key, max_wait, now) {
             return None;
@@ -195,12 +355,15 @@
         let is_any_allowed = self.has_waited(key, self.settings.quarantine.max_wait, now);
         let harms = workers.iter().copied().filter_map(|worker| {
             let has_uncleared_run = self.has_uncleared_run(worker);
-            let is_allowed = is_any_allowed || !has_uncleared_run;
+            let is_allowed = is_any_allowed || trial.is_convicted || !has_uncleared_run;
             (is_allowed && self.room_after_wait(worker, key, now) > 0).then(|| {
                 let Worker { serving_images, tasks, .. } = &self.workers[worker];
                 let serving_count: u32 = serving_images.values().sum();
                 let is_on_probation = self.workers[worker].active_exclusion(now).is_some();
-                (has_uncleared_run, is_on_probation, serving_count, tasks.len(), worker)
+                let is_preferred = self.is_preferred(worker, trial, now);
+                let harm = (is_on_probation, !is_preferred, serving_count, tasks.len());
+                // What a convicted task crashes makes no other task a suspect.
+                (has_uncleared_run && !trial.is_convicted, harm, worker)
             })
         });
         harms.min().map(|(.., worker)| worker)
@@ -231,7 +394,7 @@
     }
 
     /// Ends the quarantine of workers that can run no waiting suspect.
-    fn release_quarantined_workers(&mut self, suspects: &[TaskKey]) {
+    fn release_quarantined_workers(&mut self, trials: &[Trial], now: Instant) {
         let quarantined: Vec<WorkerKey> = self
             .workers
             .iter()
@@ -239,21 +402,29 @@
             .map(|(key, _)| key)
             .collect();
         for key in quarantined {
-            let is_needed = suspects.iter().any(|suspect| self.fits_suspect(key, *suspect));
+            let is_needed = trials.iter().any(|trial| self.fits_trial(key, *trial, now));
             self.workers[key].is_quarantined = is_needed;
         }
     }
 
-    fn fits_suspect(&self, worker: WorkerKey, key: TaskKey) -> bool {
+    fn fits_trial(&self, worker: WorkerKey, trial: Trial, now: Instant) -> bool {
+        let key = trial.task;
         let service = &self.jobs[key.job].queue.service;
         self.can_place(&self.workers[worker], service, (key, self.stage(key)))
+            && (!trial.is_choosy || self.is_preferred(worker, trial, now))
     }
 
     /// Quarantined worker that can run the suspect, preferably at once; quarantines another worker
     /// if all are in use and the service's share allows it.
-    fn quarantined_worker_for(&mut self, key: TaskKey, workers: &[WorkerKey]) -> Option<WorkerKey> {
-        let fitting: Vec<WorkerKey> =
-            workers.iter().copied().filter(|worker| self.fits_suspect(*worker, key)).collect();
+    fn quarantined_worker_for(
+        &mut self,
+        trial: Trial,
+        workers: &[WorkerKey],
+        now: Instant,
+    ) -> Option<WorkerKey> {
+        let key = trial.task;
+        let fits = |worker: &WorkerKey| self.fits_trial(*worker, trial, now);
+        let fitting: Vec<WorkerKey> = workers.iter().copied().filter(fits).collect();
         let is_free = |worker: &WorkerKey| {
             self.workers[*worker].is_quarantined && !self.has_uncleared_run(*worker)
         };
--- a/crates/teaseltrack/tests/cell/quarantine.rs
+++ b/crates/teaseltrack/tests/cell/quarantine.rs
@@ -15,7 +15,7 @@
 };
 use yare::parameterized;
 
-use crate::fleet::{CAPACITY, Fleet, long_running, queue, stage, stored_job};
+use crate::fleet::{CAPACITY, Fleet, STEP, long_running, queue, stage, stored_job};
 
 /// Name of the first task of a job's first stage.
 fn first_task(job: &str) -> TaskName {
@@ -141,6 +141,163 @@
     }
 }
 
+/// Guards against jobs that are given up for the crashes of workers that go down and up by turns.
+#[parameterized(
+    one_worker = { 1, 14, 28 },
+    one_worker_briefly_up = { 1, 14, 20 },
+    one_worker_slowly = { 1, 40, 80 },
+    two_workers = { 2, 14, 28 },
+)]
+fn flapping_workers_give_up_no_job(flapping_count: usize, down_steps: u32, period_steps: usize) {
+    let seeds = std::env::var("FLAP_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(3);
+    let mut suspicion_count = 0;
+    for seed in 1..=seeds {
+        let mut fleet = Fleet::new(8, seed);
+        fleet.down_step_count = down_steps;
+        for watch in 0..3 {
+            fleet.submit(stored_job(&format!("a{watch:015x}"), vec![small(long_running(5))]));
+        }
+        let mut events = Vec::new();
+        for step in 0..1_400 {
+            if step % 5 == 0 && step < 1_000 {
+                fleet.submit(stored_job(&format!("b{step:015x}"), vec![small(stage(6))]));
+            }
+            if step % 50 == 0 && step < 1_000 {
+                fleet.submit(stored_job(&format!("a1{step:014x}"), vec![small(long_running(1))]));
+            }
+            if (100..1_000).contains(&step) && step % period_steps == 0 {
+                (0..flapping_count).for_each(|index| fleet.crash_worker(3 + index));
+            }
+            fleet.step();
+            events.extend(fleet.cell.take_events());
+        }
+        let is_suspicion = |event: &CellEvent| matches!(event, CellEvent::Suspected { .. });
+        suspicion_count += events.iter().filter(|event| is_suspicion(event)).count();
+        assert_eq!(given_up(&events), BTreeSet::new(), "seed {seed}");
+        let exhausted = exhausted_jobs(&events);
+        for (id, job) in &fleet.jobs {
+            let expected = if job.spec.is_long_running() {
+                JobState::Active
+            } else if exhausted.contains(id) {
+                JobState::Failed
+            } else {
+                JobState::Completed
+            };
+            assert_eq!(fleet.cell.state(id), Some(expected), "seed {seed}: {id}");
+        }
+    }
+    assert!(suspicion_count > 0, "no crash had a suspect");
+}
+
+/// Guards against a task that is started without end on the workers that it crashes, because another
+/// worker crashes as well.
+#[parameterized(
+    seed_1 = { 1 },
+    seed_2 = { 2 },
+    seed_3 = { 3 },
+    seed_4 = { 4 },
+)]
+fn task_that_crashes_its_workers_is_given_up_beside_a_flapping_worker(seed: u64) {
+    let mut fleet = Fleet::new(8, seed);
+    fleet.down_step_count = 14;
+    let crashing = first_task("a000000000000000");
+    fleet.crashing.insert(crashing.clone(), 0);
+    let mut events = Vec::new();
+    for step in 0..1_200 {
+        if step % 5 == 0 && step < 800 {
+            fleet.submit(stored_job(&format!("b{step:015x}"), vec![small(stage(6))]));
+        }
+        if step == 200 {
+            fleet.submit(stored_job(&crashing.job, vec![small(stage(4))]));
+        }
+        if (100..800).contains(&step) && step % 28 == 0 {
+            fleet.crash_worker(3);
+        }
+        fleet.step();
+        events.extend(fleet.cell.take_events());
+    }
+    assert_eq!(given_up(&events), BTreeSet::from([crashing.clone()]));
+    assert!(fleet.crashing[&crashing] <= 5, "{:?}", fleet.crashing);
+}
+
+/// Guards against a task that is started without end where it can be tried on few workers only.
+#[parameterized(
+    one_worker = { 1, 0 },
+    two_workers = { 2, 0 },
+    three_workers = { 3, 0 },
+    one_worker_by_later_owners = { 1, 2 },
+    two_workers_by_later_owners = { 2, 2 },
+)]
+fn task_that_crashes_its_workers_is_given_up_in_a_small_service(
+    worker_count: usize,
+    replaced_after_steps: usize,
+) {
+    for seed in 1..=4 {
+        let mut fleet = Fleet::new(worker_count, seed);
+        let crashing = first_task("0000000000000001");
+        fleet.crashing.insert(crashing.clone(), 0);
+        fleet.submit(stored_job(&crashing.job, vec![small(stage(4))]));
+        fleet.submit(stored_job("0000000000000002", vec![small(long_running(2))]));
+        let mut start_count = 0;
+        for _ in 0..1_600 {
+            fleet.step();
+            let present_count = fleet.crashing[&crashing];
+            if present_count > start_count && replaced_after_steps > 0 {
+                fleet.run_steps(replaced_after_steps);
+                fleet.replace_owner();
+            }
+            start_count = present_count;
+        }
+        assert!(start_count <= 5, "seed {seed}: started {start_count} times");
+        assert_eq!(fleet.cell.state(&crashing.job), Some(JobState::Failed), "seed {seed}");
+        assert_eq!(fleet.cell.state("0000000000000002"), Some(JobState::Active), "seed {seed}");
+    }
+}
+
+/// Guards against a long-running task that is given up, or kept waiting beside room for it, because its
+/// worker crashes soon after each start.
+#[parameterized(
+    down_for_1_s = { 20 },
+    down_for_3_s = { 65 },
+    down_for_longer_than_a_lease = { 160 },
+)]
+fn long_running_task_starts_again_after_each_crash(down_steps: u32) {
+    for seed in 1..=4 {
+        let mut fleet = Fleet::new(6, seed);
+        fleet.is_every_start_answered = true;
+        fleet.down_step_count = down_steps;
+        let task = first_task("0000000000000001");
+        fleet.submit(stored_job(&task.job, vec![small(long_running(1))]));
+        fleet.submit(stored_job("0000000000000002", vec![small(long_running(8))]));
+        let (mut run_count, mut started_step, mut ended_step) = (0, 0, 0);
+        for step in 0..1_600_usize {
+            fleet.step();
+            let index = fleet.instances.iter().position(|it| it.running.contains_key(&task));
+            let Some(index) = index else {
+                // The platform allows 3 s beside room, from 6 s after the last run.
+                let idle_ms = (step - ended_step) as u128 * STEP.as_millis();
+                assert!(idle_ms <= 8_500, "seed {seed}: no run for {idle_ms} ms");
+                continue;
+            };
+            if ended_step >= started_step {
+                (run_count, started_step) = (run_count + 1, step);
+            }
+            if step >= started_step + 6 {
+                fleet.crash_worker(index);
+                ended_step = step;
+            }
+        }
+        assert_eq!(fleet.cell.state(&task.job), Some(JobState::Active), "seed {seed}");
+        // The delay grows.
+        assert!((8..=26).contains(&run_count), "seed {seed}: {run_count} runs in 80 s");
+    }
+}
+
+fn small(stage: Stage) -> Stage {
+    let resources = Resources { cpu_milli: 500, ..CAPACITY.minus(&CAPACITY) };
+    Stage { resources, ..stage }
+}
+
 /// Jobs with a task of which the workers reported as many failed runs as its queue allows.
 fn exhausted_jobs(events: &[CellEvent]) -> BTreeSet<String> {
     let mut failures: BTreeMap<&TaskName, u32> = BTreeMap::new();
--- a/crates/teaseltrack/tests/progress_rows.rs
+++ b/crates/teaseltrack/tests/progress_rows.rs
@@ -89,6 +89,35 @@
     assert_eq!(JobProgress { state, occurrences, ..JobProgress::default() }, small);
 }
 
+/// Guards against crash counts that another build can't read, or that are lost in its rows.
+#[test]
+fn to_row_with_crashed_workers_is_read_by_other_builds() {
+    let earlier = r#"{"state":"active","occurrences":[[[{"p":"w","n":2,"k":3,"s":1}]]]}"#;
+    let mut progress: JobProgress = serde_json::from_str(earlier).unwrap();
+    assert_eq!(progress.to_row(MAX_BYTES).unwrap().text, earlier);
+    let task = &mut progress.occurrences[0][0][0];
+    assert_eq!((task.crash_count, task.sole_crash_count), (3, 1));
+    task.crashed_workers = vec!["i-1".to_owned()];
+    // Earlier builds ignore the additional field.
+    let present =
+        r#"{"state":"active","occurrences":[[[{"p":"w","n":2,"k":3,"s":1,"b":["i-1"]}]]]}"#;
+    assert_eq!(progress.to_row(MAX_BYTES).unwrap().text, present);
+    assert_eq!(serde_json::from_str::<JobProgress>(present).unwrap(), progress);
+}
+
+/// Guards against a progress row that the store rejects because many tasks are suspects at the same time.
+#[test]
+fn to_row_of_the_largest_job_of_suspects_fits() {
+    let mut progress = largest_progress();
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    for task in &mut progress.occurrences[0][0] {
+        let agent = || format!("i-{:010x}", rng.random_range(0..80) * 7_919);
+        task.crashed_workers = std::iter::repeat_with(agent).take(3).collect();
+    }
+    let row = progress.to_row(MAX_BYTES).unwrap();
+    assert!(row.text.len() <= MAX_BYTES, "{} bytes", row.text.len());
+}
+
 /// Guards against rows of another writer that stop the owner.
 #[test]
 fn packed_progress_of_another_writer_is_unreadable() {
