Test that no handed-over task waits beside room at calm times

Rule: no long-running task waits for 3 s beside room for it twice over, in whichever cells, from 6 s after its last run and after 4 calm seconds; room is what the workers' runs leave free. calm_room checks it within one cell. For several cells there was hand_overs_keep_one_run_and_short_waits, which leaves out: rooms in different cells taken together, room as workers see it rather than the sum of equal tasks, more than one worker a cell, labels, limits of tasks on a worker and unequal sizes, batch and best-effort tasks, leases, commits that take time, late or lost calls, cells without an owner for a while, and workers that restart, hang, drain, refuse or go silent.

The new test runs two or three cells of the simulated fleet of calm_room, with a slow store and an owner each. Rows of hand-overs are stored late and out of order, lost with their owner, and read again; calls between owners are lost; owners are replaced on the same or another machine; workers fail all runs, restart, hang, drain, refuse, go for good; agents go silent or restart; some jobs' runs all fail. It also checks that no task runs in two cells. Fleet gets the number of its cell; nothing else changes there.

--- a/crates/teaseltrack/tests/cell/fleet.rs
+++ b/crates/teaseltrack/tests/cell/fleet.rs
@@ -21,6 +21,7 @@
         evacuation::{EvacuationNotice, EvacuationSettings, Evacuations},
         job::{JobSpec, Queue, QueueConfiguration, Stage},
         ownership::SilentWorkerRecord,
+        partition::CellId,
         progress::{JobProgress, WorkerRecord},
         protocol::{
             EndCause, EndedTask, KnownLeases, Order, RefusedStart, Report, ReportResponse,
@@ -107,6 +108,7 @@
 #[derive(Debug, Default)]
 pub struct Instance {
     pub name: String,
+    pub cell: CellId,
     pub incarnation: u64,
     pub agent_incarnation: u64,
     pub session: u64,
@@ -231,6 +233,7 @@
             gauge: 0,
         });
         Report {
+            cell: self.cell,
             agent: self.name.clone(),
             started_unix_ms: self.agent_incarnation,
             session: self.session,
@@ -361,6 +364,7 @@
 
 /// Simulated workers and agents, the owner and its committed progress.
 pub struct Fleet {
+    pub cell_id: CellId,
     pub settings: CellSettings,
     pub requests: Option<Requests>,
     pub rng: ChaCha8Rng,
@@ -408,6 +412,7 @@
         let now = Instant::now();
         let instances = (0..instance_count).map(Instance::new).collect();
         Self {
+            cell_id: 0,
             settings: CELL_SETTINGS,
             requests: None,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -540,7 +545,7 @@
     pub fn start_owner(&mut self, grants_end: Instant) {
         self.epoch += 1;
         self.in_flight = None;
-        self.cell = Cell::new(0, self.settings, self.epoch, configuration(), grants_end);
+        self.cell = Cell::new(self.cell_id, self.settings, self.epoch, configuration(), grants_end);
         self.cell.adopt_silent_workers(self.silent_workers.clone());
         self.cell.adopt_workers(self.workers.clone().into_iter().collect());
         for job in self.jobs.values() {
--- a/crates/teaseltrack/tests/delegation/main.rs
+++ b/crates/teaseltrack/tests/delegation/main.rs
@@ -1,5 +1,9 @@
 //! Delegation of long-running tasks between cells.
 
+mod calm_cells;
+#[allow(dead_code)]
+#[path = "../cell/fleet.rs"]
+mod fleet;
 mod given_up;
 mod hand_overs;
 mod model;
