Promise restricted workers to tasks that have waited in vain

What callers saw: a task of a full cell waits without end while another cell's workers have room, if they are on probation each time that it asks. Probation ends after 3 s, but the failures of four tasks that fail in turn, or of batch tasks, start it anew, also at calm times.

Cause: a cell's own long-running tasks may use workers on probation, kept for suspects or warming up after 1.5 s without other room. Rooms for other cells left them out, however long a task had waited.

Change: a request says whether its tasks have waited for 2 s (1.5 s, and half a second of searches for other room); the cell then also promises rooms on restricted workers, after those on open ones, if it has room for two such tasks (the last room of a worker on probation may be left to batch tasks). Workers that drain, are evacuated, out of contact or have just refused a start are left out, as before. Quarantine and cold starts end by themselves at calm times (a run is cleared within 350 ms, a start is listed); there is no test of them by themselves. Rooms that are held for a cell's own waiting tasks stay theirs; they are held for 3 s at most.

Evidence: promise_rooms_includes_workers_on_probation_after_a_wait failed before (0 of 2 tasks run 9 s after their submission).

The field comes last and is left out while it is false; that an owner of an earlier build reads such requests, and what it does with the others, was not tested.

--- a/crates/teaseltrack/src/cell/delegation.rs
+++ b/crates/teaseltrack/src/cell/delegation.rs
@@ -24,6 +24,7 @@
         planning::TaskKind,
         progress::{HandOverNumber, MAX_ATTEMPT, TaskPhase, TaskProgress},
         protocol::TaskName,
+        room_promises::MIN_SEARCH_TIME,
         worker::TaskKey,
     },
     ids::{AttemptNumber, ServiceName},
@@ -109,16 +110,20 @@
     pub stage: Stage,
     /// The tasks.
     pub tasks: Vec<TaskName>,
+    /// Whether other cells may place them on restricted workers: one of them has waited for so long that
+    /// its own cell may, and searches have found no other room since.
+    pub may_use_restricted: bool,
 }
 
 impl Cell {
     /// Long-running tasks that have waited for at least `wait` and may be handed over, by stage. The
     /// members of a gang are handed over together, since they must run in one cell.
     pub fn unplaced_tasks(&self, wait: Duration, now: Instant) -> Vec<UnplacedTasks> {
+        let has_waited = |since: Option<Instant>, wait: Duration| {
+            since.is_some_and(|since| now.saturating_duration_since(since) >= wait)
+        };
+        let restricted_wait = self.settings.planning.max_serving_wait + MIN_SEARCH_TIME;
         let may_leave = |task: &Task| {
-            let has_waited = |since: Option<Instant>, wait: Duration| {
-                since.is_some_and(|since| now.saturating_duration_since(since) >= wait)
-            };
             task.is_waiting()
                 && has_waited(task.unplaced_since, wait)
                 && (task.received_at.is_none() || has_waited(task.received_at, MIN_STAY))
@@ -135,11 +140,16 @@
                 if TaskKind::of(stage) != TaskKind::Serving {
                     continue;
                 }
-                let tasks: Vec<TaskName> = (0..stage.task_count)
+                let leaving: Vec<(TaskKey, &Task)> = (0..stage.task_count)
                     .map(|index| TaskKey { index, ..first_task })
-                    .filter(|task_key| self.task(*task_key).is_some_and(may_leave))
-                    .filter_map(|task_key| self.name_of(task_key))
+                    .filter_map(|task_key| Some((task_key, self.task(task_key)?)))
+                    .filter(|(_, task)| may_leave(task))
                     .collect();
+                let may_use_restricted = leaving
+                    .iter()
+                    .any(|(_, task)| has_waited(task.unplaced_since, restricted_wait));
+                let tasks: Vec<TaskName> =
+                    leaving.iter().filter_map(|(task_key, _)| self.name_of(*task_key)).collect();
                 let is_complete = tasks.len() == stage.task_count as usize;
                 if tasks.is_empty() || (stage.is_gang && !is_complete) {
                     continue;
@@ -151,6 +161,7 @@
                     priority: *priority,
                     stage,
                     tasks,
+                    may_use_restricted,
                 });
             }
         }
--- a/crates/teaseltrack/src/cell/room_promises.rs
+++ b/crates/teaseltrack/src/cell/room_promises.rs
@@ -4,6 +4,11 @@
 //! can run, and hands over as many. A room is promised for as long as a hand-over takes, so that it
 //! isn't offered to a second cell meanwhile. Promises don't bind planning: a task that finds its
 //! room taken is handed over again.
+//!
+//! Rooms on restricted workers are promised to tasks that may use them by the time they arrive, and for
+//! which no cell had other room before; see [`restrictions`].
+//!
+//! [`restrictions`]: crate::cell::restrictions
 
 use std::{
     collections::HashMap,
@@ -15,7 +20,7 @@
 
 use crate::{
     cell::{
-        Cell, WorkerKey,
+        Cell, JobKey, WorkerKey,
         delegation::UnplacedTasks,
         job::JobId,
         partition::CellId,
@@ -29,9 +34,11 @@
 
 /// Time for which a room is promised.
 const PROMISE_TIME: Duration = Duration::from_millis(500);
+/// Time for which a task that may use restricted workers in its own cell waits for other room elsewhere.
+pub(super) const MIN_SEARCH_TIME: Duration = Duration::from_millis(500);
 
-/// Request for rooms for the waiting tasks of a stage. Leaves out no field when serialized, as
-/// formats without field names need.
+/// Request for rooms for the waiting tasks of a stage. Leaves out no field but the last one when
+/// serialized, as formats without field names need.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RoomRequest {
     /// Service whose workers can run the tasks.
@@ -48,6 +55,14 @@
     pub is_gang: bool,
     /// What the waiting tasks require.
     pub demand: StageDemand,
+    /// Whether the tasks may use restricted workers. Comes last and is left out unless they may, so that
+    /// owners of earlier builds can read the rest.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub may_use_restricted: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
 impl RoomRequest {
@@ -62,6 +77,7 @@
             stage,
             is_gang: unplaced.stage.is_gang,
             demand: StageDemand::of(&unplaced.stage),
+            may_use_restricted: unplaced.may_use_restricted,
         })
     }
 
@@ -92,9 +108,11 @@
         for promise in &self.room_promises {
             add_promised(&mut promised, promise.worker, &promise.required);
         }
-        let mut workers = self.open_workers(now);
+        let (mut open, mut restricted) = self.workers_for_others(now);
         // As in planning, workers are filled up, so that others keep room for larger tasks.
-        workers.sort_by_key(|key| (self.workers[*key].available().cpu_milli, *key));
+        for workers in [&mut open, &mut restricted] {
+            workers.sort_by_key(|key| (self.workers[*key].available().cpu_milli, *key));
+        }
         // The cell's own tasks that planning hasn't had the time to place come first.
         let mut own_counts: HashMap<&str, u32> = HashMap::new();
         requests
@@ -104,7 +122,7 @@
                 let own = own_counts
                     .entry(service)
                     .or_insert_with(|| self.new_serving_count(service, now));
-                let rooms = self.rooms(request, &workers, &promised, *own);
+                let rooms = self.rooms(request, (&open, &restricted), &promised, *own);
                 for worker in &rooms {
                     add_promised(&mut promised, *worker, &request.demand.reserved);
                 }
@@ -127,7 +145,7 @@
     fn rooms(
         &self,
         request: &RoomRequest,
-        workers: &[WorkerKey],
+        (open, restricted): (&[WorkerKey], &[WorkerKey]),
         promised: &SecondaryMap<WorkerKey, Resources>,
         own_count: u32,
     ) -> Vec<WorkerKey> {
@@ -136,34 +154,62 @@
         if job.is_some_and(|job| self.jobs[job].state.is_final()) {
             return Vec::new();
         }
+        let rooms_of = |workers: &[WorkerKey]| -> Vec<(WorkerKey, u32)> {
+            workers.iter().map(|key| (*key, self.room_on(*key, request, job, promised))).collect()
+        };
+        let mut counts = rooms_of(open);
+        if request.may_use_restricted {
+            let more = rooms_of(restricted);
+            let total = counts
+                .iter()
+                .chain(&more)
+                .fold(0, |sum: u32, (_, count)| sum.saturating_add(*count));
+            // The last room of a restricted worker may be left to batch tasks.
+            if total >= 2 {
+                counts.extend(more);
+            }
+        }
         let mut rooms = Vec::new();
-        for &key in workers {
-            let worker = &self.workers[key];
-            let running = job.map_or(0, |job| {
-                let RoomRequest { occurrence, stage, .. } = *request;
-                worker.stage_task_count(TaskKey { job, occurrence, stage, index: 0 })
-            });
-            let is_coming =
-                |promise: &&RoomPromise| promise.worker == key && request.is_for(promise);
-            let coming = self.room_promises.iter().filter(is_coming).count() as u32;
-            let max_count = request.demand.max_per_worker.unwrap_or(u32::MAX);
-            let limit = max_count.saturating_sub(running.saturating_add(coming));
-            let reserved = promised.get(key).copied().unwrap_or_default();
-            let count = worker.room_beside(request, reserved).min(limit) as usize;
-            rooms.extend(std::iter::repeat_n(key, count.min(wanted - rooms.len())));
+        for (key, count) in counts {
+            let count = (count as usize).min(wanted - rooms.len());
+            rooms.extend(std::iter::repeat_n(key, count));
         }
         let rooms = rooms.split_off(rooms.len().min(own_count as usize));
         let is_useful = !request.is_gang || rooms.len() == request.demand.task_count as usize;
         if is_useful { rooms } else { Vec::new() }
     }
 
-    /// Eligible workers that aren't kept for suspects and aren't warming up.
-    fn open_workers(&self, now: Instant) -> Vec<WorkerKey> {
+    /// Number of tasks of the request for which a worker has room beside what is promised.
+    fn room_on(
+        &self,
+        key: WorkerKey,
+        request: &RoomRequest,
+        job: Option<JobKey>,
+        promised: &SecondaryMap<WorkerKey, Resources>,
+    ) -> u32 {
+        let worker = &self.workers[key];
+        let running = job.map_or(0, |job| {
+            let RoomRequest { occurrence, stage, .. } = *request;
+            worker.stage_task_count(TaskKey { job, occurrence, stage, index: 0 })
+        });
+        let is_coming = |promise: &&RoomPromise| promise.worker == key && request.is_for(promise);
+        let coming = self.room_promises.iter().filter(is_coming).count() as u32;
+        let max_count = request.demand.max_per_worker.unwrap_or(u32::MAX);
+        let limit = max_count.saturating_sub(running.saturating_add(coming));
+        let reserved = promised.get(key).copied().unwrap_or_default();
+        worker.room_beside(request, reserved).min(limit)
+    }
+
+    /// Workers that any task may use, and those that are restricted: on probation, kept for suspects, or
+    /// warming up with as many starts as they may have.
+    fn workers_for_others(&self, now: Instant) -> (Vec<WorkerKey>, Vec<WorkerKey>) {
         let is_open = |key: &WorkerKey| {
             let worker = &self.workers[*key];
-            !worker.is_quarantined && !self.is_cold_limit_reached(worker)
+            worker.active_exclusion(now).is_none()
+                && !worker.is_quarantined
+                && !self.is_cold_limit_reached(worker)
         };
-        self.eligible_workers(now).into_iter().filter(is_open).collect()
+        self.usable_workers(now).into_iter().partition(is_open)
     }
 
     /// Ends the promise of the room for a task that was handed over to this cell.
--- a/crates/teaseltrack/tests/delegation/main.rs
+++ b/crates/teaseltrack/tests/delegation/main.rs
@@ -7,6 +7,7 @@
 mod given_up;
 mod hand_overs;
 mod model;
+mod restricted;
 #[path = "../util.rs"]
 mod util;
 
