Leave room to a cell's own new tasks only where they can use it

What callers saw: long-running tasks of a full cell wait for 9 s and more beside room in another one, at calm times, if that one has a job whose runs all fail at once.

Cause: of the rooms for another cell's tasks, as many were left out as the cell had new tasks of its own, whatever these required. Tasks that need a label, of which each worker may run one only, or that are larger or smaller took rooms off other tasks that they could never use; tasks that always fail are new again each time.

Change: the cell's own new tasks are placed first, as a request of their own, on the workers that any task may use; the rest is promised. Tasks that fit nowhere take nothing.

Evidence: promise_rooms_leaves_no_room_to_own_tasks_that_require_a_label failed before (1 room of 4).

--- a/crates/teaseltrack/src/cell/quote.rs
+++ b/crates/teaseltrack/src/cell/quote.rs
@@ -15,7 +15,7 @@
         planning::TaskKind,
         progress::TaskPhase,
         protocol::WorkerStatus,
-        worker::{Worker, reserved_resources},
+        worker::{TaskKey, Worker, reserved_resources},
     },
     placement::Resources,
 };
@@ -114,23 +114,33 @@
 
     /// Number of serving tasks that have waited for less than `reserve_wait`, or were handed over to
     /// this cell within that time.
-    pub(super) fn new_serving_count(&self, service: &str, now: Instant) -> u32 {
+    fn new_serving_count(&self, service: &str, now: Instant) -> u32 {
+        let stages = self.new_serving_stages(now);
+        let of_service = stages.filter(|(key, _)| self.jobs[key.job].queue.service == service);
+        of_service.map(|(_, count)| count).sum()
+    }
+
+    /// Stages with such tasks, by the key of their first task, with their number.
+    pub(super) fn new_serving_stages(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (TaskKey, u32)> + '_ {
         let reserve_wait = self.settings.planning.reserve_wait;
-        let is_new = |task: &Task| {
+        let is_new = move |task: &&Task| {
             let since = task.received_at.or(task.waiting_since).or(task.unplaced_since);
-            since.is_none_or(|since| now.saturating_duration_since(since) < reserve_wait)
+            task.is_waiting()
+                && since.is_none_or(|since| now.saturating_duration_since(since) < reserve_wait)
         };
-        let jobs = self.unfinished_jobs().map(|key| &self.jobs[key]);
-        let waiting = jobs.filter(|job| job.queue.service == service).flat_map(|job| {
-            job.occurrences.iter().flat_map(|(_, occurrence)| {
-                let stages = job.spec.stages.iter().zip(&occurrence.stages);
-                stages
-                    .filter(|(stage, _)| TaskKind::of(stage) == TaskKind::Serving)
-                    .filter(|(stage, _)| job.is_ready(occurrence, stage))
-                    .flat_map(|(_, tasks)| tasks)
-            })
-        });
-        waiting.filter(|task| task.is_waiting() && is_new(task)).count() as u32
+        let stages = self.unfinished_jobs().flat_map(|key| self.stages_of(key));
+        stages.filter_map(move |(first_task, stage)| {
+            let job = &self.jobs[first_task.job];
+            let occurrence = job.occurrences.get(first_task.occurrence)?;
+            let is_waiting =
+                TaskKind::of(stage) == TaskKind::Serving && job.is_ready(occurrence, stage);
+            let tasks = occurrence.stages.get(first_task.stage as usize)?;
+            let count = tasks.iter().filter(is_new).count() as u32;
+            (is_waiting && count > 0).then_some((first_task, count))
+        })
     }
 
     /// Time in which the workers would finish all accepted work with the CPU that serving tasks
--- a/crates/teaseltrack/src/cell/room_promises.rs
+++ b/crates/teaseltrack/src/cell/room_promises.rs
@@ -11,7 +11,7 @@
 //! [`restrictions`]: crate::cell::restrictions
 
 use std::{
-    collections::HashMap,
+    collections::HashSet,
     time::{Duration, Instant},
 };
 
@@ -114,15 +114,15 @@
             workers.sort_by_key(|key| (self.workers[*key].available().cpu_milli, *key));
         }
         // The cell's own tasks that planning hasn't had the time to place come first.
-        let mut own_counts: HashMap<&str, u32> = HashMap::new();
+        for own in self.own_requests(requests, now) {
+            for worker in self.rooms(&own, (&open, &[]), &promised) {
+                add_promised(&mut promised, worker, &own.demand.reserved);
+            }
+        }
         requests
             .iter()
             .map(|request| {
-                let service = request.service.as_str();
-                let own = own_counts
-                    .entry(service)
-                    .or_insert_with(|| self.new_serving_count(service, now));
-                let rooms = self.rooms(request, (&open, &restricted), &promised, *own);
+                let rooms = self.rooms(request, (&open, &restricted), &promised);
                 for worker in &rooms {
                     add_promised(&mut promised, *worker, &request.demand.reserved);
                 }
@@ -140,16 +140,40 @@
             .collect()
     }
 
-    /// Workers with room for tasks of the request beside what is promised, once for each task, after
-    /// `own_count` rooms that are left to the cell's own tasks; none for a part of a gang.
+    /// The cell's own new tasks of the services of the requests, as requests.
+    fn own_requests(&self, requests: &[RoomRequest], now: Instant) -> Vec<RoomRequest> {
+        let services: HashSet<&str> =
+            requests.iter().map(|request| request.service.as_str()).collect();
+        let stages = self.new_serving_stages(now);
+        let wanted = stages.filter(|(first_task, _)| {
+            services.contains(self.jobs[first_task.job].queue.service.as_str())
+        });
+        let request = |(first_task, task_count): (TaskKey, u32)| {
+            let job = &self.jobs[first_task.job];
+            let stage = self.stage(first_task);
+            RoomRequest {
+                service: job.queue.service.clone(),
+                priority: job.queue.priority,
+                job: job.id.clone(),
+                occurrence: first_task.occurrence,
+                stage: first_task.stage,
+                is_gang: stage.is_gang,
+                demand: StageDemand { task_count, ..StageDemand::of(stage) },
+                may_use_restricted: false,
+            }
+        };
+        wanted.map(request).collect()
+    }
+
+    /// Workers with room for tasks of the request beside what is promised, once for each task; none for a
+    /// part of a gang.
     fn rooms(
         &self,
         request: &RoomRequest,
         (open, restricted): (&[WorkerKey], &[WorkerKey]),
         promised: &SecondaryMap<WorkerKey, Resources>,
-        own_count: u32,
     ) -> Vec<WorkerKey> {
-        let wanted = own_count.saturating_add(request.demand.task_count) as usize;
+        let wanted = request.demand.task_count as usize;
         let job = self.by_id.get(&request.job).copied();
         if job.is_some_and(|job| self.jobs[job].state.is_final()) {
             return Vec::new();
@@ -174,8 +198,7 @@
             let count = (count as usize).min(wanted - rooms.len());
             rooms.extend(std::iter::repeat_n(key, count));
         }
-        let rooms = rooms.split_off(rooms.len().min(own_count as usize));
-        let is_useful = !request.is_gang || rooms.len() == request.demand.task_count as usize;
+        let is_useful = !request.is_gang || rooms.len() == wanted;
         if is_useful { rooms } else { Vec::new() }
     }
 
@@ -188,16 +211,18 @@
         promised: &SecondaryMap<WorkerKey, Resources>,
     ) -> u32 {
         let worker = &self.workers[key];
+        let reserved = promised.get(key).copied().unwrap_or_default();
+        let room = worker.room_beside(request, reserved);
+        let Some(max_count) = request.demand.max_per_worker.filter(|_| room > 0) else {
+            return room;
+        };
         let running = job.map_or(0, |job| {
             let RoomRequest { occurrence, stage, .. } = *request;
             worker.stage_task_count(TaskKey { job, occurrence, stage, index: 0 })
         });
         let is_coming = |promise: &&RoomPromise| promise.worker == key && request.is_for(promise);
         let coming = self.room_promises.iter().filter(is_coming).count() as u32;
-        let max_count = request.demand.max_per_worker.unwrap_or(u32::MAX);
-        let limit = max_count.saturating_sub(running.saturating_add(coming));
-        let reserved = promised.get(key).copied().unwrap_or_default();
-        worker.room_beside(request, reserved).min(limit)
+        room.min(max_count.saturating_sub(running.saturating_add(coming)))
     }
 
     /// Workers that any task may use, and those that are restricted: on probation, kept for suspects, or
--- a/crates/teaseltrack/tests/delegation/hand_overs.rs
+++ b/crates/teaseltrack/tests/delegation/hand_overs.rs
@@ -4,7 +4,9 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use teaseltrack::cell::{StoredJob, job::Stage, protocol::EndCause};
+use teaseltrack::cell::{
+    StoredJob, job::Stage, protocol::EndCause, quote::StageDemand, room_promises::RoomRequest,
+};
 use yare::parameterized;
 
 use crate::model::{MAX_WAIT_BESIDE_ROOM, Model, WAIT, capacity, job, job_of, stage, task};
@@ -192,6 +194,23 @@
     assert_eq!(model.unstored.len(), 0, "the room is needed by the cell's own task");
 }
 
+/// Guards against room that is kept from other cells for the cell's own new tasks, which can't use it.
+#[test]
+fn promise_rooms_leaves_no_room_to_own_tasks_that_require_a_label() {
+    let mut model = Model::with_cells(2);
+    model.run_steps(5);
+    let labelled = Stage { required_label: Some("ssd".to_owned()), ..stage(3) };
+    model.submit_to(1, job_of(OTHER_JOB, vec![labelled]));
+    model.run_steps(2);
+    let request = RoomRequest {
+        service: "service".to_owned(),
+        job: JOB.to_owned(),
+        demand: StageDemand::of(&stage(4)),
+        ..RoomRequest::default()
+    };
+    assert_eq!(model.sites[1].cell.promise_rooms(&[request], model.now), [4]);
+}
+
 /// Guards against a promise that holds a second room while its task, which has arrived, takes the first.
 #[test]
 fn admit_delegation_ends_the_promise() {
