Stop the delegated tasks of a job that has failed in its own cell

Cause: a cell learns of cancellations from the store, but of no other end of a job of another cell. What can end a job while tasks of it are delegated: its owner gives up a task for crashes, or a task of another stage, which never leaves its cell, has used up its attempts. A job with long-running tasks never completes, and cancellations were followed before.

Change: once the failure is committed, the owner stores a row of the job's end; owners of other cells follow it, check for it before they accept a hand-over, and load it, like a cancellation. The committed state is the only source: each owner of the job's cell that finds a hand-over of it in the store, at its start or later, stores the row again, so it isn't lost with an owner, nor overtaken by a row of a hand-over that an owner which was cut off stores late. The row never changes how the job is shown.

The model of the tests follows the new rows. An owner of an earlier build takes the row for an odd submission and goes on with the tasks; not tested.

--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -44,7 +44,7 @@
     evacuation::{OperatorSenders, OperatorSource, follow_operator},
     owner::{
         committer::{Committer, OwnershipLost},
-        delegator::{FoundCells, find_cells, next_stages, store_delegations},
+        delegator::{FoundCells, find_cells, next_stages, store_delegations, store_ends},
         loader::{JobChanges, LoadedCell, follow_jobs, load},
         withdrawals::delete_withdrawn_jobs,
     },
@@ -177,6 +177,7 @@
     for delegation in loaded.delegations {
         cell.admit_delegation(delegation, now);
     }
+    loaded.handed_over.iter().for_each(|job| cell.note_hand_over(job));
     info!(context.logger, "cell loaded"; "cell" => context.cell_id, "epoch" => epoch, "jobs" => job_count,
         "open_jobs" => cell.open_count());
     let (mailbox, calls) = mpsc::channel(MAILBOX_SIZE);
@@ -286,10 +287,12 @@
                     self.cell.commit_rejected(&rejected_jobs);
                     self.cell.commit_succeeded();
                     self.store_delegations();
+                    self.store_ends();
                     idle_committer = Some(committer);
                 }
                 _ = ticks.tick() => {
                     self.cell.tick(self.context.clock.now());
+                    self.store_ends();
                     self.record_evacuations();
                     self.record_waiting_tasks();
                     self.search_cells();
@@ -458,6 +461,16 @@
         }
     }
 
+    /// Stores the ends of jobs for other cells. An owner learns of hand-overs by its predecessors without
+    /// any commit, so ticks call this as well.
+    fn store_ends(&mut self) {
+        let jobs = self.cell.take_ended_jobs();
+        if !jobs.is_empty() {
+            let (store, logger) = (self.context.store.clone(), self.context.logger.clone());
+            tokio::spawn(store_ends(jobs, store, logger));
+        }
+    }
+
     fn handle_job_changes(&mut self, changes: JobChanges) {
         let now = self.context.clock.now();
         for job in changes.jobs {
@@ -471,6 +484,8 @@
                 "waited_ms" => delegation.wait.waited_ms);
             self.cell.admit_delegation(delegation, now);
         }
+        changes.handed_over.iter().for_each(|job| self.cell.note_hand_over(job));
+        changes.ended.iter().for_each(|job| self.cell.end_partial_job(job));
         for job in changes.cancelled {
             let is_known = self.cell.cancel(&job);
             debug!(self.context.logger, "cancellation received from the store";
--- a/crates/teaseltrack-cell/src/owner/delegator.rs
+++ b/crates/teaseltrack-cell/src/owner/delegator.rs
@@ -6,6 +6,7 @@
 use slog::{Logger, debug, info, warn};
 use teaseltrack::cell::{
     delegation::{Delegation, UnplacedTasks},
+    job::JobId,
     ownership::OwnerRecord,
     partition::CellId,
     protocol::TaskName,
@@ -19,7 +20,7 @@
 use crate::{
     calls::CellClients,
     constants::RETRY_DELAY,
-    rows::{delegation_key, owner_notice_key},
+    rows::{delegation_key, end_key, owner_notice_key},
 };
 
 /// Maximum number of stages for which cells are searched at a time.
@@ -123,6 +124,41 @@
     }
 }
 
+/// Stores the ends of jobs for the other cells that have tasks of them; retries until each is stored.
+pub async fn store_ends(jobs: Vec<JobId>, store: Store, logger: Logger) {
+    let mut unstored = jobs;
+    let mut delay = RETRY_DELAY;
+    loop {
+        let mut failed = Vec::new();
+        for job in unstored {
+            let key = end_key(&job);
+            let transaction = Transaction {
+                id: key.clone(),
+                conditions: vec![Condition { key: key.clone(), version: 0 }],
+                writes: vec![Write::put(key, &true)],
+            };
+            match store.commit(transaction).await {
+                Ok(CommitOutcome::Committed { .. }) => {
+                    info!(logger, "end of a job stored for other cells"; "request_id" => &job);
+                }
+                // An owner has stored it before.
+                Ok(CommitOutcome::Conflict { .. }) => {}
+                Err(error) => {
+                    warn!(logger, "failed to store the end of a job for other cells; retrying";
+                        "request_id" => &job, "error" => %error);
+                    failed.push(job);
+                }
+            }
+        }
+        if failed.is_empty() {
+            return;
+        }
+        unstored = failed;
+        sleep(delay).await;
+        delay = (delay * 2).min(MAX_RETRY_DELAY);
+    }
+}
+
 /// Stores a delegation in place of an earlier hand-over of the task; returns whether it wasn't stored
 /// before.
 async fn try_store(delegation: &Delegation, store: &Store) -> Result<bool, StoreError> {
--- a/crates/teaseltrack-cell/src/owner/loader.rs
+++ b/crates/teaseltrack-cell/src/owner/loader.rs
@@ -23,8 +23,8 @@
 use crate::{
     constants::{MAX_CHANGES_WAIT, RETRY_DELAY},
     rows::{
-        JOB_PARTS, JOBS_TABLE, JobRowKey, Submission, cancellation_key, key_name, parse_job_key,
-        progress_key, progress_prefix, stored_job, worker_prefix,
+        JOB_PARTS, JOBS_TABLE, JobRowKey, Submission, cancellation_key, end_key, key_name,
+        parse_job_key, progress_key, progress_prefix, stored_job, worker_prefix,
     },
 };
 
@@ -37,6 +37,10 @@
     pub cancelled: Vec<JobId>,
     /// Tasks of other cells' jobs that have been delegated to this cell.
     pub delegations: Vec<Delegation>,
+    /// Jobs of which a task has been delegated to any cell.
+    pub handed_over: HashSet<JobId>,
+    /// Jobs that have ended in their own cell, other than by a cancellation.
+    pub ended: Vec<JobId>,
 }
 
 /// Stored state of a cell.
@@ -46,6 +50,8 @@
     pub jobs: Vec<StoredJob>,
     /// Tasks that have been delegated to this cell.
     pub delegations: Vec<Delegation>,
+    /// Jobs of which a task has been delegated to any cell.
+    pub handed_over: HashSet<JobId>,
     /// Workers of the cell's agents.
     pub workers: Vec<(InstanceId, WorkerRecord)>,
     /// Version of the jobs table from which changes are followed.
@@ -87,7 +93,9 @@
     for row in store.list_all(&worker_prefix(cell)).await? {
         workers.extend(store.parse(&row).map(|worker| (key_name(&row.key).to_owned(), worker)));
     }
-    let JobRows { submissions, cancelled, delegations } = group_rows(cell, &rows, store, logger);
+    let JobRows { submissions, cancelled, ended, delegations } =
+        group_rows(cell, &rows, store, logger);
+    let handed_over = jobs_of(&delegations);
     let progress_jobs: HashSet<JobId> = progress.keys().cloned().collect();
     let now_ms = unix_ms(wall_now());
     let mut restore = |id: JobId, submission: Submission| {
@@ -116,10 +124,12 @@
     jobs.extend(partial.into_iter().map(|(id, Delegation { spec, queue, .. })| {
         let submission =
             Submission { spec: spec.clone(), queue: queue.clone(), cell, is_withdrawn: false };
-        StoredJob { is_partial: true, ..restore(id.clone(), submission) }
+        let restored = restore(id.clone(), submission);
+        let is_cancelled = restored.is_cancelled || ended.contains(id);
+        StoredJob { is_partial: true, is_cancelled, ..restored }
     }));
     let delegations = delegations_to(cell, delegations);
-    Ok(LoadedCell { jobs, delegations, workers, version })
+    Ok(LoadedCell { jobs, delegations, handed_over, workers, version })
 }
 
 /// Follows submissions and cancellations after a version and sends them to the owner.
@@ -143,8 +153,9 @@
                 continue;
             }
         };
+        let handed_over = jobs_of(&grouped.delegations);
         let delegations = delegations_to(cell, grouped.delegations);
-        let delegations = without_cancelled(delegations, &store, &logger).await;
+        let delegations = without_ended(delegations, &store, &logger).await;
         let now_ms = unix_ms(wall_now());
         let jobs = grouped
             .submissions
@@ -152,32 +163,32 @@
             .map(|(id, submission)| stored_job(id, submission, None, false, now_ms))
             .collect();
         let cancelled = grouped.cancelled.into_iter().collect();
-        let changes = JobChanges { jobs, cancelled, delegations };
+        let ended = grouped.ended.into_iter().collect();
+        let changes = JobChanges { jobs, cancelled, delegations, handed_over, ended };
         if sender.send(changes).await.is_err() {
             return;
         }
     }
 }
 
-/// Drops delegations of jobs that were cancelled before: the owner has ignored the cancellation of a
-/// job that it didn't know. Later cancellations follow the delegation.
-async fn without_cancelled(
+/// Drops delegations of jobs that were cancelled or have ended before: the owner has ignored the
+/// cancellation or the end of a job that it didn't know. Later ones follow the delegation.
+async fn without_ended(
     delegations: Vec<Delegation>,
     store: &Store,
     logger: &Logger,
 ) -> Vec<Delegation> {
     let mut open = Vec::new();
     for delegation in delegations {
-        let key = cancellation_key(&delegation.task.job);
         loop {
-            match store.read(&key).await {
-                Ok(Some(_)) => break,
-                Ok(None) => {
+            match has_ended(&delegation.task.job, store).await {
+                Ok(true) => break,
+                Ok(false) => {
                     open.push(delegation);
                     break;
                 }
                 Err(error) => {
-                    warn!(logger, "failed to check a delegated job for its cancellation; retrying";
+                    warn!(logger, "failed to check whether a delegated job has ended; retrying";
                         "request_id" => &delegation.task.job, "error" => %error);
                     sleep(RETRY_DELAY).await;
                 }
@@ -187,6 +198,15 @@
     open
 }
 
+async fn has_ended(job: &str, store: &Store) -> Result<bool, StoreError> {
+    for key in [cancellation_key(job), end_key(job)] {
+        if store.read(&key).await?.is_some() {
+            return Ok(true);
+        }
+    }
+    Ok(false)
+}
+
 async fn next_rows(store: &Store, after: u64) -> Result<(u64, Vec<Row>), StoreError> {
     let page = store.changes(JOBS_TABLE, after, MAX_CHANGES_WAIT).await?;
     if page.is_history_lost {
@@ -219,22 +239,34 @@
     delegations.into_iter().filter(|delegation| delegation.cell == cell).collect()
 }
 
+fn jobs_of(delegations: &[Delegation]) -> HashSet<JobId> {
+    delegations.iter().map(|delegation| delegation.task.job.clone()).collect()
+}
+
 struct JobRows {
     submissions: Vec<(JobId, Submission)>,
     cancelled: HashSet<JobId>,
+    ended: HashSet<JobId>,
     delegations: Vec<Delegation>,
 }
 
-/// Submissions to the cell, and all delegations and cancellations: the rows of cancellations don't
-/// name the cell.
+/// Submissions to the cell, and all delegations, cancellations and ends: the rows of these two don't name
+/// the cell.
 fn group_rows(cell: CellId, rows: &[Row], store: &Store, logger: &Logger) -> JobRows {
-    let mut grouped =
-        JobRows { submissions: Vec::new(), cancelled: HashSet::new(), delegations: Vec::new() };
+    let mut grouped = JobRows {
+        submissions: Vec::new(),
+        cancelled: HashSet::new(),
+        ended: HashSet::new(),
+        delegations: Vec::new(),
+    };
     for row in rows {
         match parse_job_key(&row.key) {
             JobRowKey::Cancellation(job) => {
                 grouped.cancelled.insert(job);
             }
+            JobRowKey::End(job) => {
+                grouped.ended.insert(job);
+            }
             JobRowKey::Delegation => {
                 let delegation: Option<Delegation> = store.parse(row);
                 let Some(delegation) = delegation else { continue };
--- a/crates/teaseltrack-cell/src/rows.rs
+++ b/crates/teaseltrack-cell/src/rows.rs
@@ -37,6 +37,7 @@
 const WITHDRAWALS_TABLE: &str = "withdrawals";
 
 const CANCEL_SUFFIX: &str = ".cancel";
+const END_SUFFIX: &str = ".end";
 const DELEGATION_INFIX: &str = ".delegated.";
 
 /// Key of the row of a cell's owner, which is rewritten with each commit.
@@ -127,6 +128,8 @@
     Submission(JobId),
     /// Row of a cancellation.
     Cancellation(JobId),
+    /// Row of the end of a job, for the other cells that have tasks of it.
+    End(JobId),
     /// Row of a task's delegation to another cell.
     Delegation,
 }
@@ -147,6 +150,11 @@
     format!("{}{CANCEL_SUFFIX}", submission_key(job))
 }
 
+/// Key of the row of a job's end, for the other cells that have tasks of it.
+pub fn end_key(job: &str) -> String {
+    format!("{}{END_SUFFIX}", submission_key(job))
+}
+
 /// Prefix of the rows of withdrawn jobs in one of [`JOB_PARTS`].
 pub fn withdrawal_prefix(part: &str) -> String {
     format!("{WITHDRAWALS_TABLE}/{part}/")
@@ -185,8 +193,11 @@
     if name.contains(DELEGATION_INFIX) {
         return JobRowKey::Delegation;
     }
-    match name.strip_suffix(CANCEL_SUFFIX) {
-        Some(job) => JobRowKey::Cancellation(job.to_owned()),
+    if let Some(job) = name.strip_suffix(CANCEL_SUFFIX) {
+        return JobRowKey::Cancellation(job.to_owned());
+    }
+    match name.strip_suffix(END_SUFFIX) {
+        Some(job) => JobRowKey::End(job.to_owned()),
         None => JobRowKey::Submission(name.to_owned()),
     }
 }
--- a/crates/teaseltrack-cell/tests/delegation.rs
+++ b/crates/teaseltrack-cell/tests/delegation.rs
@@ -9,6 +9,7 @@
 };
 
 use teaseltrack::cell::{
+    StoredJob,
     delegation::{Delegation, TaskWait, UnplacedTasks},
     job::{JobSpec, Queue, Stage},
     progress::{JobProgress, TaskPhase, TaskProgress},
@@ -16,10 +17,10 @@
 };
 use teaseltrack_cell::{
     owner::{
-        delegator::{MAX_SEARCHED_STAGES, next_stages, store_delegations},
+        delegator::{MAX_SEARCHED_STAGES, next_stages, store_delegations, store_ends},
         loader::{follow_jobs, load},
     },
-    rows::{Submission, cancellation_key, delegation_key, progress_key, submission_key},
+    rows::{Submission, cancellation_key, delegation_key, end_key, progress_key, submission_key},
 };
 use teaseltrack_daemon::logs::silent;
 use tokio::{sync::mpsc, time::timeout};
@@ -210,3 +211,59 @@
     assert!(timeout(Duration::from_secs(5), late).await.is_err());
     follower.abort();
 }
+
+#[tokio::test(start_paused = true)]
+async fn store_ends_stores_each_once_with_lost_responses() {
+    let rows = submitted();
+    rows.lock().unwrap().lost_responses = 3;
+    let jobs = vec![JOB.to_owned(), "00000000000000ab".to_owned()];
+    store_ends(jobs.clone(), store(&rows), silent()).await;
+    store_ends(jobs.clone(), store(&rows), silent()).await;
+    for job in jobs {
+        assert_eq!(rows.lock().unwrap().write_count(&end_key(&job)), 1);
+    }
+}
+
+/// Guards against an owner that goes on with the tasks of a job that has ended in its own cell, and one that
+/// shows its own job as cancelled for that.
+#[tokio::test(start_paused = true)]
+async fn load_cancels_a_partial_job_that_has_ended() {
+    let rows = submitted();
+    store_delegations(vec![delegation(2)], store(&rows), silent()).await;
+    store_ends(vec![JOB.to_owned()], store(&rows), silent()).await;
+    let loaded = load(1, store(&rows), SystemTime::now, silent()).await;
+    let states = |jobs: &[StoredJob]| -> Vec<(bool, bool)> {
+        jobs.iter().map(|job| (job.is_partial, job.is_cancelled)).collect()
+    };
+    assert_eq!(states(&loaded.jobs), [(true, true)]);
+    let home = load(0, store(&rows), SystemTime::now, silent()).await;
+    assert_eq!(states(&home.jobs), [(false, false)]);
+    assert!(home.handed_over.contains(JOB), "its owner stores the end again");
+}
+
+/// Guards against a hand-over that is read after the job has ended, and ends that owners don't learn of.
+#[tokio::test(start_paused = true)]
+async fn follow_jobs_drops_delegations_after_an_end() {
+    let rows = submitted();
+    let (sender, mut changes) = mpsc::channel(16);
+    let follower = follow_jobs(1, store(&rows), 1, sender, SystemTime::now, silent());
+    let follower = tokio::spawn(follower);
+    store_ends(vec![JOB.to_owned()], store(&rows), silent()).await;
+    let mut ended = Vec::new();
+    while ended.is_empty() {
+        ended = changes.recv().await.expect("the follower runs").ended;
+    }
+    assert_eq!(ended, [JOB]);
+    store_delegations(vec![delegation(1)], store(&rows), silent()).await;
+    let mut has_hand_over = false;
+    let late = async {
+        loop {
+            let changes = changes.recv().await.expect("the follower runs");
+            assert_eq!(changes.delegations, [], "an ended job was delegated");
+            has_hand_over |= changes.handed_over.contains(JOB);
+        }
+    };
+    assert!(timeout(Duration::from_secs(5), late).await.is_err());
+    assert!(has_hand_over, "the owner of the job's cell learns of the hand-over");
+    follower.abort();
+}
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -260,6 +260,8 @@
     promoted_in_vain_at: Option<Instant>,
     uncommitted_starts: Vec<UncommittedStart>,
     uncommitted_hand_overs: Vec<UncommittedHandOver>,
+    /// Whether the store may have a hand-over of any task.
+    has_hand_overs: bool,
 }
 
 /// State to commit in one transaction.
@@ -611,6 +613,8 @@
     stored_workers: HashMap<InstanceId, WorkerRecord>,
     pending_effects: Option<PendingEffects>,
     committed_delegations: Vec<Delegation>,
+    /// Jobs whose end other cells must learn of.
+    ended_jobs: Vec<JobId>,
     /// Rooms that other cells have been told of.
     room_promises: Vec<RoomPromise>,
     needs_plan: bool,
@@ -689,6 +693,7 @@
             stored_workers: HashMap::new(),
             pending_effects: None,
             committed_delegations: Vec::new(),
+            ended_jobs: Vec::new(),
             room_promises: Vec::new(),
             needs_plan: true,
             may_have_suspects: true,
@@ -761,6 +766,7 @@
             promoted_in_vain_at: None,
             uncommitted_starts: Vec::new(),
             uncommitted_hand_overs: Vec::new(),
+            has_hand_overs: false,
         });
         self.by_id.insert(stored.id, key);
         self.restore_occurrences(key, progress, now);
--- a/crates/teaseltrack/src/cell/commits.rs
+++ b/crates/teaseltrack/src/cell/commits.rs
@@ -127,8 +127,11 @@
     pub fn commit_succeeded(&mut self) {
         let Some(effects) = self.pending_effects.take() else { return };
         for (key, state) in effects.states {
-            self.jobs[key].committed_state = state;
+            let previous = std::mem::replace(&mut self.jobs[key].committed_state, state);
             self.jobs[key].is_rejected = false;
+            if previous != state {
+                self.announce_end(key);
+            }
         }
         for (worker, end) in effects.ends {
             if let Some(worker) = self.workers.get_mut(worker) {
--- a/crates/teaseltrack/src/cell/delegation.rs
+++ b/crates/teaseltrack/src/cell/delegation.rs
@@ -11,6 +11,10 @@
 //! higher number in the store. Late and repeated rows therefore have no effect, and a task has one
 //! owner at any time. A cell that has accepted a task needs no record of that until it assigns the
 //! task: the row stays as it is until this cell itself hands the task over.
+//!
+//! A job may fail in its own cell while others run tasks of it. Once that is committed, the owner stores a
+//! row of its end, which the other cells follow like a cancellation. Each owner stores it again if the store
+//! has a hand-over of a task of the job, so that the committed state alone decides.
 
 use std::time::{Duration, Instant};
 
@@ -19,10 +23,10 @@
 use crate::{
     cell::{
         Cell, JobKey, Occurrence, Task,
-        job::{JobSpec, Queue, Stage},
+        job::{JobId, JobSpec, Queue, Stage},
         partition::CellId,
         planning::TaskKind,
-        progress::{HandOverNumber, MAX_ATTEMPT, TaskPhase, TaskProgress},
+        progress::{HandOverNumber, JobState, MAX_ATTEMPT, TaskPhase, TaskProgress},
         protocol::TaskName,
         room_promises::MIN_SEARCH_TIME,
         worker::TaskKey,
@@ -254,10 +258,48 @@
         for hand_over in hand_overs {
             if let Some(delegation) = self.delegation_of(hand_over) {
                 self.committed_delegations.push(delegation);
+                self.note_hand_over_of(hand_over.task.job);
             }
         }
     }
 
+    /// Notes that the store has a hand-over of a task of a job, to whichever cell.
+    pub fn note_hand_over(&mut self, id: &str) {
+        if let Some(&key) = self.by_id.get(id) {
+            self.note_hand_over_of(key);
+        }
+    }
+
+    fn note_hand_over_of(&mut self, key: JobKey) {
+        if !std::mem::replace(&mut self.jobs[key].has_hand_overs, true) {
+            self.announce_end(key);
+        }
+    }
+
+    /// Lets other cells learn of the committed end of a job of this cell, if they may run tasks of it. They
+    /// follow cancellations themselves.
+    pub(super) fn announce_end(&mut self, key: JobKey) {
+        let job = &self.jobs[key];
+        let has_ended = matches!(job.committed_state, JobState::Completed | JobState::Failed);
+        if has_ended && job.has_hand_overs && !job.is_partial {
+            self.ended_jobs.push(job.id.clone());
+        }
+    }
+
+    /// Returns and clears the jobs whose end is to be stored for other cells. It may be stored already.
+    pub fn take_ended_jobs(&mut self) -> Vec<JobId> {
+        std::mem::take(&mut self.ended_jobs)
+    }
+
+    /// Stops the tasks of a job of another cell, which has ended there.
+    pub fn end_partial_job(&mut self, id: &str) {
+        if let Some(&key) = self.by_id.get(id)
+            && self.jobs[key].is_partial
+        {
+            self.cancel_job(key);
+        }
+    }
+
     /// Prepares the delegations of a restored job to be stored again: the previous owner may have
     /// failed between the commit and the row.
     pub(super) fn restore_delegations(&mut self, key: JobKey) {
--- a/crates/teaseltrack/tests/delegation/main.rs
+++ b/crates/teaseltrack/tests/delegation/main.rs
@@ -1,6 +1,7 @@
 //! Delegation of long-running tasks between cells.
 
 mod calm_cells;
+mod ended;
 #[allow(dead_code)]
 #[path = "../cell/fleet.rs"]
 mod fleet;
--- a/crates/teaseltrack/tests/delegation/model.rs
+++ b/crates/teaseltrack/tests/delegation/model.rs
@@ -129,6 +129,9 @@
     pub received: Vec<Delegation>,
     pub now: Instant,
     stored: Vec<Delegation>,
+    /// Ends of jobs on the way to the store.
+    pub unstored_ends: Vec<JobId>,
+    stored_ends: BTreeSet<JobId>,
     started: BTreeSet<(TaskName, u32)>,
     /// Tasks that wait, with the time since which there has been room for two of them in a cell.
     beside_room: BTreeMap<TaskName, Instant>,
@@ -157,6 +160,8 @@
             received: Vec::new(),
             now,
             stored: Vec::new(),
+            unstored_ends: Vec::new(),
+            stored_ends: BTreeSet::new(),
             started: BTreeSet::new(),
             beside_room: BTreeMap::new(),
             longest_wait: Duration::ZERO,
@@ -194,12 +199,16 @@
             let progress = site.progress.get(&job.id).cloned();
             let is_delegated = delegations.iter().any(|found| found.task.job == job.id);
             if !is_partial || is_delegated || progress.is_some() {
-                site.cell.admit(StoredJob { progress, is_partial, ..job.clone() }, self.now);
+                let has_ended = is_partial && self.stored_ends.contains(&job.id);
+                let is_cancelled = job.is_cancelled || has_ended;
+                let stored = StoredJob { progress, is_partial, is_cancelled, ..job.clone() };
+                site.cell.admit(stored, self.now);
             }
         }
         for delegation in delegations {
             site.cell.admit_delegation(delegation, self.now);
         }
+        self.stored.iter().for_each(|found| site.cell.note_hand_over(&found.task.job));
         self.beside_room.clear();
     }
 
@@ -248,12 +257,22 @@
             Some(stored) => *stored = delegation.clone(),
             None => self.stored.push(delegation.clone()),
         }
+        self.sites.iter_mut().for_each(|site| site.cell.note_hand_over(&delegation.task.job));
         (0..count).for_each(|_| self.receive(delegation.clone()));
     }
 
+    /// Stores the ends of jobs on the way; the owners of all cells read them.
+    pub fn store_ends(&mut self) {
+        for id in std::mem::take(&mut self.unstored_ends) {
+            self.sites.iter_mut().for_each(|site| site.cell.end_partial_job(&id));
+            self.stored_ends.insert(id);
+        }
+    }
+
     /// Delivers a delegation that was read from the store.
     pub fn receive(&mut self, delegation: Delegation) {
-        if self.jobs[&delegation.task.job].1.is_cancelled {
+        let id = &delegation.task.job;
+        if self.jobs[id].1.is_cancelled || self.stored_ends.contains(id) {
             return;
         }
         self.received.push(delegation.clone());
@@ -273,6 +292,7 @@
             site.cell.commit_succeeded();
         }
         self.unstored.extend(site.cell.take_delegations());
+        self.unstored_ends.extend(site.cell.take_ended_jobs());
     }
 
     pub fn step(&mut self) {
@@ -293,6 +313,7 @@
             self.step();
             (0..self.sites.len()).for_each(|index| self.search_cells(index));
             self.store_all_delegations();
+            self.store_ends();
         }
     }
 
