Test that another cell's batch tasks don't take all room

In its own cell a long-running task comes before batch tasks and gets room held; a task of another cell only learns of room that is left over.

--- a/crates/teaseltrack/tests/delegation/main.rs
+++ b/crates/teaseltrack/tests/delegation/main.rs
@@ -1,5 +1,6 @@
 //! Delegation of long-running tasks between cells.
 
+mod batch;
 mod calm_cells;
 mod ended;
 #[allow(dead_code)]
