--- a/crates/teaseltrack/src/cell/delegation.rs
+++ b/crates/teaseltrack/src/cell/delegation.rs
@@ -11,6 +11,10 @@
 //! higher number in the store. Late and repeated rows therefore have no effect, and a task has one
 //! owner at any time. A cell that has accepted a task needs no record of that until it assigns the
 //! task: the row stays as it is until this cell itself hands the task over.
+//!
+//! A job may fail in its own cell while others run tasks of it. Once that is committed, the owner stores a
+//! row of its end, which the other cells follow like a cancellation. Each owner stores it again if the store
+//! has a hand-over of a task of the job, so that the committed state alone decides.
 
 use std::time::{Duration, Instant};
 
@@ -19,11 +23,12 @@
 use crate::{
     cell::{
         Cell, JobKey, Occurrence, Task,
-        job::{JobSpec, Queue, Stage},
+        job::{JobId, JobSpec, Queue, Stage},
         partition::CellId,
         planning::TaskKind,
-        progress::{HandOverNumber, MAX_ATTEMPT, TaskPhase, TaskProgress},
+        progress::{HandOverNumber, JobState, MAX_ATTEMPT, TaskPhase, TaskProgress},
         protocol::TaskName,
+        room_promises::MIN_SEARCH_TIME,
         worker::TaskKey,
     },
     ids::{AttemptNumber, ServiceName},
@@ -109,16 +114,20 @@
     pub stage: Stage,
     /// The tasks.
     pub tasks: Vec<TaskName>,
+    /// Whether other cells may place them on restricted workers: one of them has waited for so long that
+    /// its own cell may, and searches have found no other room since.
+    pub may_use_restricted: bool,
 }
 
 impl Cell {
     /// Long-running tasks that have waited for at least `wait` and may be handed over, by stage. The
     /// members of a gang are handed over together, since they must run in one cell.
     pub fn unplaced_tasks(&self, wait: Duration, now: Instant) -> Vec<UnplacedTasks> {
+        let has_waited = |since: Option<Instant>, wait: Duration| {
+            since.is_some_and(|since| now.saturating_duration_since(since) >= wait)
+        };
+        let restricted_wait = self.settings.planning.max_serving_wait + MIN_SEARCH_TIME;
         let may_leave = |task: &Task| {
-            let has_waited = |since: Option<Instant>, wait: Duration| {
-                since.is_some_and(|since| now.saturating_duration_since(since) >= wait)
-            };
             task.is_waiting()
                 && has_waited(task.unplaced_since, wait)
                 && (task.received_at.is_none() || has_waited(task.received_at, MIN_STAY))
@@ -135,11 +144,16 @@
                 if TaskKind::of(stage) != TaskKind::Serving {
                     continue;
                 }
-                let tasks: Vec<TaskName> = (0..stage.task_count)
+                let leaving: Vec<(TaskKey, &Task)> = (0..stage.task_count)
                     .map(|index| TaskKey { index, ..first_task })
-                    .filter(|task_key| self.task(*task_key).is_some_and(may_leave))
-                    .filter_map(|task_key| self.name_of(task_key))
+                    .filter_map(|task_key| Some((task_key, self.task(task_key)?)))
+                    .filter(|(_, task)| may_leave(task))
                     .collect();
+                let may_use_restricted = leaving
+                    .iter()
+                    .any(|(_, task)| has_waited(task.unplaced_since, restricted_wait));
+                let tasks: Vec<TaskName> =
+                    leaving.iter().filter_map(|(task_key, _)| self.name_of(*task_key)).collect();
                 let is_complete = tasks.len() == stage.task_count as usize;
                 if tasks.is_empty() || (stage.is_gang && !is_complete) {
                     continue;
@@ -151,6 +165,7 @@
                     priority: *priority,
                     stage,
                     tasks,
+                    may_use_restricted,
                 });
             }
         }
@@ -243,10 +258,48 @@
         for hand_over in hand_overs {
             if let Some(delegation) = self.delegation_of(hand_over) {
                 self.committed_delegations.push(delegation);
+                self.note_hand_over_of(hand_over.task.job);
             }
         }
     }
 
+    /// Notes that the store has a hand-over of a task of a job, to whichever cell.
+    pub fn note_hand_over(&mut self, id: &str) {
+        if let Some(&key) = self.by_id.get(id) {
+            self.note_hand_over_of(key);
+        }
+    }
+
+    fn note_hand_over_of(&mut self, key: JobKey) {
+        if !std::mem::replace(&mut self.jobs[key].has_hand_overs, true) {
+            self.announce_end(key);
+        }
+    }
+
+    /// Lets other cells learn of the committed end of a job of this cell, if they may run tasks of it. They
+    /// follow cancellations themselves.
+    pub(super) fn announce_end(&mut self, key: JobKey) {
+        let job = &self.jobs[key];
+        let has_ended = matches!(job.committed_state, JobState::Completed | JobState::Failed);
+        if has_ended && job.has_hand_overs && !job.is_partial {
+            self.ended_jobs.push(job.id.clone());
+        }
+    }
+
+    /// Returns and clears the jobs whose end is to be stored for other cells. It may be stored already.
+    pub fn take_ended_jobs(&mut self) -> Vec<JobId> {
+        std::mem::take(&mut self.ended_jobs)
+    }
+
+    /// Stops the tasks of a job of another cell, which has ended there.
+    pub fn end_partial_job(&mut self, id: &str) {
+        if let Some(&key) = self.by_id.get(id)
+            && self.jobs[key].is_partial
+        {
+            self.cancel_job(key);
+        }
+    }
+
     /// Prepares the delegations of a restored job to be stored again: the previous owner may have
     /// failed between the commit and the row.
     pub(super) fn restore_delegations(&mut self, key: JobKey) {
--- a/crates/teaseltrack/tests/delegation/main.rs
+++ b/crates/teaseltrack/tests/delegation/main.rs
@@ -1,8 +1,15 @@
 //! Delegation of long-running tasks between cells.
 
+mod batch;
+mod calm_cells;
+mod ended;
+#[allow(dead_code)]
+#[path = "../cell/fleet.rs"]
+mod fleet;
 mod given_up;
 mod hand_overs;
 mod model;
+mod restricted;
 #[path = "../util.rs"]
 mod util;
 
