Hand tasks over to room that batch tasks will make

Cause: in its own cell a long-running task comes before batch tasks, and after 1 s room is held for it. A task of another cell counted only room that was left over when it was asked for, and a busy cell's owner assigns each core that a batch task frees in the same round.

Change: for tasks that have found no open room for 2 s, a cell also promises the room that its batch tasks are expected to make within 3 s, the time for which room is held, on at most the share of its workers (0.3) that may hold room, beside the batch reserve, and for no gang, since none is held for one. The task waits on there and room is held for it in the next round. A task for which room is held leaves for open room only, so that it isn't passed on from one busy cell to the next. Tasks of one stage that differ in that are asked for separately. The flag of the requests is now called is_overdue.

Who pays: batch tasks of a busy cell wait for other cells' long-running tasks as for its own. Deployments of one cell are served as before. Batch tasks of a higher priority than the task's aren't held up. The instance of the test model gets the listed progress of its runs as a field.

--- a/crates/teaseltrack-cell/tests/calls.rs
+++ b/crates/teaseltrack-cell/tests/calls.rs
@@ -77,7 +77,7 @@
         occurrence: 1,
         stage: 2,
         is_gang: true,
-        may_use_restricted: stage.required_label.is_some(),
+        is_overdue: stage.required_label.is_some(),
         demand: StageDemand::of(&stage),
     });
     let expected = requests.to_vec();
--- a/crates/teaseltrack-cell/tests/delegation.rs
+++ b/crates/teaseltrack-cell/tests/delegation.rs
@@ -61,7 +61,7 @@
             priority: 0,
             stage: Stage::default(),
             tasks: vec![delegation(index).task],
-            may_use_restricted: false,
+            is_overdue: false,
         })
         .collect();
     let searched: BTreeSet<u32> = (0..3)
--- a/crates/teaseltrack/src/cell/delegation.rs
+++ b/crates/teaseltrack/src/cell/delegation.rs
@@ -22,7 +22,7 @@
 
 use crate::{
     cell::{
-        Cell, JobKey, Occurrence, Task,
+        Cell, JobKey, Occurrence, Task, WorkerKey,
         job::{JobId, JobSpec, Queue, Stage},
         partition::CellId,
         planning::TaskKind,
@@ -114,9 +114,9 @@
     pub stage: Stage,
     /// The tasks.
     pub tasks: Vec<TaskName>,
-    /// Whether other cells may place them on restricted workers: one of them has waited for so long that
-    /// its own cell may, and searches have found no other room since.
-    pub may_use_restricted: bool,
+    /// Whether they have waited for so long that their own cell may place them on restricted workers, and
+    /// searches have found no open room elsewhere since.
+    pub is_overdue: bool,
 }
 
 impl Cell {
@@ -126,12 +126,13 @@
         let has_waited = |since: Option<Instant>, wait: Duration| {
             since.is_some_and(|since| now.saturating_duration_since(since) >= wait)
         };
-        let restricted_wait = self.settings.planning.max_serving_wait + MIN_SEARCH_TIME;
+        let overdue_wait = self.settings.planning.max_serving_wait + MIN_SEARCH_TIME;
         let may_leave = |task: &Task| {
             task.is_waiting()
                 && has_waited(task.unplaced_since, wait)
                 && (task.received_at.is_none() || has_waited(task.received_at, MIN_STAY))
         };
+        let workers: Vec<WorkerKey> = self.workers.keys().collect();
         let mut unplaced = Vec::new();
         for &key in &self.open_jobs {
             let Some(job) = self.jobs.get(key).filter(|job| !job.state.is_final()) else {
@@ -149,24 +150,31 @@
                     .filter_map(|task_key| Some((task_key, self.task(task_key)?)))
                     .filter(|(_, task)| may_leave(task))
                     .collect();
-                let may_use_restricted = leaving
-                    .iter()
-                    .any(|(_, task)| has_waited(task.unplaced_since, restricted_wait));
-                let tasks: Vec<TaskName> =
-                    leaving.iter().filter_map(|(task_key, _)| self.name_of(*task_key)).collect();
-                let is_complete = tasks.len() == stage.task_count as usize;
-                if tasks.is_empty() || (stage.is_gang && !is_complete) {
+                if stage.is_gang && leaving.len() < stage.task_count as usize {
                     continue;
                 }
-                let stage = Stage { task_count: tasks.len() as u32, ..stage.clone() };
-                let Queue { service, priority, .. } = &job.queue;
-                unplaced.push(UnplacedTasks {
-                    service: service.clone(),
-                    priority: *priority,
-                    stage,
-                    tasks,
-                    may_use_restricted,
-                });
+                // A task for which room is held in this cell gets it, or finds open room elsewhere.
+                let is_overdue = |(task_key, task): &(TaskKey, &Task)| {
+                    has_waited(task.unplaced_since, overdue_wait)
+                        && !self.has_room(*task_key, &workers)
+                };
+                let is_gang_overdue = stage.is_gang && leaving.iter().any(is_overdue);
+                let (overdue, others): (Vec<_>, Vec<_>) =
+                    leaving.into_iter().partition(|task| is_gang_overdue || is_overdue(task));
+                for (tasks, is_overdue) in [(overdue, true), (others, false)] {
+                    let tasks: Vec<TaskName> =
+                        tasks.iter().filter_map(|(task_key, _)| self.name_of(*task_key)).collect();
+                    if tasks.is_empty() {
+                        continue;
+                    }
+                    unplaced.push(UnplacedTasks {
+                        service: job.queue.service.clone(),
+                        priority: job.queue.priority,
+                        stage: Stage { task_count: tasks.len() as u32, ..stage.clone() },
+                        tasks,
+                        is_overdue,
+                    });
+                }
             }
         }
         unplaced
--- a/crates/teaseltrack/src/cell/quote.rs
+++ b/crates/teaseltrack/src/cell/quote.rs
@@ -193,12 +193,25 @@
 
     /// Number of tasks of a stage that fit into the free capacity, beside what is `taken`.
     pub(super) fn room_for(&self, stage: &StageDemand, taken: &Resources) -> u32 {
+        self.room_after(stage, taken, &Resources::default())
+    }
+
+    /// The same once runs that reserve `freed` have ended.
+    pub(super) fn room_after(
+        &self,
+        stage: &StageDemand,
+        taken: &Resources,
+        freed: &Resources,
+    ) -> u32 {
         let required = stage.reserved;
-        let is_met = self.status.as_ref().is_some_and(|status| stage.is_met_by(status));
-        if !is_met || !self.can_fit(&required.plus(taken)) {
+        let Some(status) = self.status.as_ref().filter(|status| stage.is_met_by(status)) else {
+            return 0;
+        };
+        let reserved = self.reserved.minus(freed);
+        if !status.capacity.can_fit(&reserved.plus(&required).plus(taken)) {
             return 0;
         }
-        let room = fitting_count(&self.available().minus(taken), &required);
+        let room = fitting_count(&status.capacity.minus(&reserved).minus(taken), &required);
         room.min(stage.max_per_worker.unwrap_or(u32::MAX))
     }
 }
--- a/crates/teaseltrack/src/cell/room_promises.rs
+++ b/crates/teaseltrack/src/cell/room_promises.rs
@@ -5,10 +5,12 @@
 //! isn't offered to a second cell meanwhile. Promises don't bind planning: a task that finds its
 //! room taken is handed over again.
 //!
-//! Rooms on restricted workers are promised to tasks that may use them by the time they arrive, and for
-//! which no cell had other room before; see [`restrictions`].
+//! Rooms on restricted workers, and rooms that batch tasks will make, are promised to tasks for which no
+//! cell had other room before. They may use the former by the time they arrive ([`restrictions`]), and the
+//! latter is held for them then ([`serving_room`]).
 //!
 //! [`restrictions`]: crate::cell::restrictions
+//! [`serving_room`]: crate::cell::serving_room
 
 use std::{
     collections::HashSet,
@@ -24,9 +26,10 @@
         delegation::UnplacedTasks,
         job::JobId,
         partition::CellId,
+        planning::TaskKind,
         protocol::TaskName,
         quote::StageDemand,
-        worker::{HeldRoom, TaskKey, Worker},
+        worker::{HeldRoom, TaskKey, Worker, reserved_resources},
     },
     ids::ServiceName,
     placement::Resources,
@@ -55,10 +58,10 @@
     pub is_gang: bool,
     /// What the waiting tasks require.
     pub demand: StageDemand,
-    /// Whether the tasks may use restricted workers. Comes last and is left out unless they may, so that
-    /// owners of earlier builds can read the rest.
+    /// Whether the tasks may also use restricted workers and room that batch tasks will make. Comes last and
+    /// is left out unless they may, so that owners of earlier builds can read the rest.
     #[serde(default, skip_serializing_if = "is_false")]
-    pub may_use_restricted: bool,
+    pub is_overdue: bool,
 }
 
 fn is_false(value: &bool) -> bool {
@@ -77,7 +80,7 @@
             stage,
             is_gang: unplaced.stage.is_gang,
             demand: StageDemand::of(&unplaced.stage),
-            may_use_restricted: unplaced.may_use_restricted,
+            is_overdue: unplaced.is_overdue,
         })
     }
 
@@ -159,7 +162,7 @@
                 stage: first_task.stage,
                 is_gang: stage.is_gang,
                 demand: StageDemand { task_count, ..StageDemand::of(stage) },
-                may_use_restricted: false,
+                is_overdue: false,
             }
         };
         wanted.map(request).collect()
@@ -179,10 +182,14 @@
             return Vec::new();
         }
         let rooms_of = |workers: &[WorkerKey]| -> Vec<(WorkerKey, u32)> {
-            workers.iter().map(|key| (*key, self.room_on(*key, request, job, promised))).collect()
+            let room = |key: WorkerKey| {
+                let taken = promised.get(key).copied().unwrap_or_default();
+                self.room_on(key, request, job, (taken, Resources::default()))
+            };
+            workers.iter().map(|key| (*key, room(*key))).collect()
         };
         let mut counts = rooms_of(open);
-        if request.may_use_restricted {
+        if request.is_overdue {
             let more = rooms_of(restricted);
             let total = counts
                 .iter()
@@ -192,6 +199,9 @@
             if total >= 2 {
                 counts.extend(more);
             }
+            if !request.is_gang {
+                counts.extend(self.rooms_after_batch(request, job, open, promised));
+            }
         }
         let mut rooms = Vec::new();
         for (key, count) in counts {
@@ -202,17 +212,54 @@
         if is_useful { rooms } else { Vec::new() }
     }
 
-    /// Number of tasks of the request for which a worker has room beside what is promised.
+    /// Workers on which batch tasks are expected to end soon, with the number of tasks of the request for
+    /// which that makes room. Such a room is held for a task that waits for it in this cell, and as for the
+    /// cell's own tasks, on a part of the workers at a time.
+    fn rooms_after_batch(
+        &self,
+        request: &RoomRequest,
+        job: Option<JobKey>,
+        open: &[WorkerKey],
+        promised: &SecondaryMap<WorkerKey, Resources>,
+    ) -> Vec<(WorkerKey, u32)> {
+        let workers = self.workers_of(&request.service, open);
+        let limit = (workers.len() as f64 * self.settings.planning.max_held_share).ceil() as usize;
+        let is_in_use = |key: &WorkerKey| self.holds_room(*key) || promised.contains_key(*key);
+        let (in_use, others): (Vec<WorkerKey>, _) = workers.into_iter().partition(is_in_use);
+        let rooms = others.into_iter().filter_map(|key| {
+            let capacity = self.workers[key].status.as_ref()?.capacity;
+            let reserve_milli = capacity.cpu_milli as f64 * self.settings.planning.batch_reserve;
+            let reserve = Resources { cpu_milli: reserve_milli as u64, ..Resources::default() };
+            let room = self.room_on(key, request, job, (reserve, self.freed_by_batch(key)));
+            let present = self.room_on(key, request, job, Default::default());
+            (room > present).then(|| (key, room - present))
+        });
+        rooms.take(limit.saturating_sub(in_use.len())).collect()
+    }
+
+    /// What a worker's batch tasks reserve that are expected to end within the time for which room is held.
+    fn freed_by_batch(&self, worker: WorkerKey) -> Resources {
+        let max_wait = self.settings.planning.max_held_time;
+        let ends_soon = |task: &&TaskKey| {
+            TaskKind::of(self.stage(**task)) == TaskKind::Batch
+                && self.expected_remaining(**task).is_some_and(|remaining| remaining <= max_wait)
+        };
+        let ending = self.workers[worker].tasks.iter().filter(ends_soon);
+        ending.fold(Resources::default(), |sum, task| {
+            sum.plus(&reserved_resources(self.stage(*task)))
+        })
+    }
+
+    /// Number of tasks of the request for which a worker has room beside what is taken, once some is freed.
     fn room_on(
         &self,
         key: WorkerKey,
         request: &RoomRequest,
         job: Option<JobKey>,
-        promised: &SecondaryMap<WorkerKey, Resources>,
+        (taken, freed): (Resources, Resources),
     ) -> u32 {
         let worker = &self.workers[key];
-        let reserved = promised.get(key).copied().unwrap_or_default();
-        let room = worker.room_beside(request, reserved);
+        let room = worker.room_beside(request, taken, &freed);
         let Some(max_count) = request.demand.max_per_worker.filter(|_| room > 0) else {
             return room;
         };
@@ -278,8 +325,8 @@
 }
 
 impl Worker {
-    /// Number of tasks of the request that fit beside promised and held rooms.
-    fn room_beside(&self, request: &RoomRequest, promised: Resources) -> u32 {
+    /// Number of tasks of the request that fit beside promised and held rooms, once some room is freed.
+    fn room_beside(&self, request: &RoomRequest, promised: Resources, freed: &Resources) -> u32 {
         let is_of_service =
             self.status.as_ref().is_some_and(|status| status.service == request.service);
         if !is_of_service {
@@ -289,6 +336,6 @@
             |held: &&HeldRoom| held.priority <= request.priority && !held.is_open_to_serving;
         let held = self.held_rooms.iter().filter(is_in_the_way);
         let taken = held.fold(promised, |sum, held| sum.plus(&held.required));
-        self.room_for(&request.demand, &taken)
+        self.room_after(&request.demand, &taken, freed)
     }
 }
--- a/crates/teaseltrack/src/cell/serving_room.rs
+++ b/crates/teaseltrack/src/cell/serving_room.rs
@@ -131,19 +131,19 @@
         }
     }
 
-    fn workers_of(&self, service: &str, workers: &[WorkerKey]) -> Vec<WorkerKey> {
+    pub(super) fn workers_of(&self, service: &str, workers: &[WorkerKey]) -> Vec<WorkerKey> {
         let is_of_service = |key: &WorkerKey| {
             self.workers[*key].status.as_ref().is_some_and(|status| status.service == service)
         };
         workers.iter().copied().filter(is_of_service).collect()
     }
 
-    fn holds_room(&self, worker: WorkerKey) -> bool {
+    pub(super) fn holds_room(&self, worker: WorkerKey) -> bool {
         let held = &self.workers[worker].held_rooms;
         held.iter().any(|held| !held.is_open_to_serving)
     }
 
-    fn has_room(&self, key: TaskKey, workers: &[WorkerKey]) -> bool {
+    pub(super) fn has_room(&self, key: TaskKey, workers: &[WorkerKey]) -> bool {
         let mut rooms = workers.iter().flat_map(|worker| &self.workers[*worker].held_rooms);
         rooms.any(|held| held.task == key)
     }
--- a/crates/teaseltrack/tests/delegation/model.rs
+++ b/crates/teaseltrack/tests/delegation/model.rs
@@ -78,6 +78,8 @@
     /// Whether the agent has stopped reporting.
     pub is_silent: bool,
     pub running: BTreeMap<TaskName, u32>,
+    /// Completed share of all runs as listed.
+    pub percent: u32,
     /// Start of the worker's current incarnation.
     started_unix_ms: u64,
     session: u64,
@@ -105,6 +107,7 @@
                 labels: Vec::new(),
                 is_silent: false,
                 running: BTreeMap::new(),
+                percent: 100,
                 started_unix_ms: 1,
                 session: 0,
                 accepted_order: 0,
@@ -331,7 +334,7 @@
             task: task.clone(),
             attempt: *attempt,
             checkpoint: String::new(),
-            percent: 100,
+            percent: instance.percent,
             gauge: 1,
         });
         let listing =
--- a/crates/teaseltrack/tests/delegation/restricted.rs
+++ b/crates/teaseltrack/tests/delegation/restricted.rs
@@ -46,12 +46,12 @@
 }
 
 /// Rooms that cell 1 promises to tasks of a job of another cell.
-fn promised_rooms(model: &mut Model, task_count: u32, may_use_restricted: bool) -> u32 {
+fn promised_rooms(model: &mut Model, task_count: u32, is_overdue: bool) -> u32 {
     let request = RoomRequest {
         service: "service".to_owned(),
         job: JOB.to_owned(),
         demand: StageDemand::of(&stage(task_count)),
-        may_use_restricted,
+        is_overdue,
         ..RoomRequest::default()
     };
     model.sites[1].cell.promise_rooms(&[request], model.now)[0]
@@ -76,32 +76,28 @@
     last_but_one_room = { 2, true, 2 },
     last_room = { 1, true, 0 },
 )]
-fn promise_rooms_of_a_worker_on_probation(
-    room_count: u64,
-    may_use_restricted: bool,
-    expected: u32,
-) {
+fn promise_rooms_of_a_worker_on_probation(room_count: u64, is_overdue: bool, expected: u32) {
     let mut model = idle_worker_on_probation(room_count);
-    assert_eq!(promised_rooms(&mut model, 3, may_use_restricted), expected);
+    assert_eq!(promised_rooms(&mut model, 3, is_overdue), expected);
 }
 
 /// Guards against tasks that may use restricted workers elsewhere before open ones have been searched for, or
 /// never.
 #[test]
-fn unplaced_tasks_may_use_restricted_workers_after_a_wait() {
+fn unplaced_tasks_are_overdue_after_a_wait() {
     let mut model = Model::new();
     model.submit(job(JOB, 5));
     model.run_steps(14);
-    let may_use_restricted = |model: &Model| -> Vec<bool> {
+    let is_overdue = |model: &Model| -> Vec<bool> {
         let unplaced = model.sites[0].cell.unplaced_tasks(WAIT, model.now);
-        unplaced.iter().map(|unplaced| unplaced.may_use_restricted).collect()
+        unplaced.iter().map(|unplaced| unplaced.is_overdue).collect()
     };
     let waited = |model: &Model| model.sites[0].cell.waiting_serving_tasks(model.now).longest;
     while waited(&model) < Duration::from_millis(2_000) {
         if waited(&model) >= WAIT {
-            assert_eq!(may_use_restricted(&model), [false], "after {:?}", waited(&model));
+            assert_eq!(is_overdue(&model), [false], "after {:?}", waited(&model));
         }
         model.run_steps(1);
     }
-    assert_eq!(may_use_restricted(&model), [true]);
+    assert_eq!(is_overdue(&model), [true]);
 }
