Check with real owner and agents that long-running tasks run again in time

`long_running_tasks_run_again_after_worker_faults` runs an owner and four agents with their calls over TCP, leases and reports in real time. Workers and the store are stand-ins in the same process. Workers restart, are cut off for up to 6.5 s, and lose, refuse and delay calls, for 0.5 to 5 s, and are left alone then until the longest cut and the bound are over; twice in each run, beside batch jobs. An observer looks at the workers 20 times a second: runs, room and disturbances are what the workers themselves have, not what the owner believes. If the test process itself is held up for 0.4 s, that counts as a disturbance. Owners aren't disturbed, and there are no sockets to workers.

--- a/crates/teaseltrack-cell/tests/util/simulated_worker.rs
+++ b/crates/teaseltrack-cell/tests/util/simulated_worker.rs
@@ -21,7 +21,9 @@
 
 /// Longest lease that a worker accepts.
 pub const MAX_LEASE: Duration = Duration::from_millis(6_000);
-const CAPACITY: Resources = Resources { cpu_milli: 8_000, memory_mib: 16_000, accelerators: 0 };
+/// Payload of tasks that run until they are stopped.
+pub const LASTING: &str = "lasts";
+pub const CAPACITY: Resources = Resources { cpu_milli: 8_000, memory_mib: 16_000, accelerators: 0 };
 
 /// Run that has started.
 #[derive(Clone, Debug)]
@@ -130,6 +132,27 @@
         };
     }
 
+    /// Tasks that run now.
+    pub fn running(&self) -> Vec<TaskName> {
+        let mut state = self.state.lock().unwrap();
+        self.end_due_runs(&mut state, Instant::now());
+        state.running.keys().cloned().collect()
+    }
+
+    /// Ends the faults of the next calls.
+    pub fn clear_faults(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.start_faults.clear();
+        state.stop_faults.clear();
+    }
+
+    /// Whether calls are lost or will fail, and the start of the present incarnation.
+    pub fn disturbance(&self) -> (bool, u64) {
+        let state = self.state.lock().unwrap();
+        let has_faults = !state.start_faults.is_empty() || !state.stop_faults.is_empty();
+        (state.is_cut || has_faults, state.started_unix_ms)
+    }
+
     /// Records the ends of the runs until now.
     pub fn settle(&self) {
         self.end_due_runs(&mut self.state.lock().unwrap(), Instant::now());
@@ -240,7 +263,8 @@
                     return Ok(response);
                 }
                 let mut runs = self.runs.lock().unwrap();
-                let due_at = now + state.run_time;
+                let is_lasting = order.payload == LASTING;
+                let due_at = now + if is_lasting { 100 * MAX_LEASE } else { state.run_time };
                 state.running.insert(task.clone(), (attempt, due_at, runs.len()));
                 runs.push(Run {
                     task,
--- a/crates/teaseltrack-cell/tests/worker_faults.rs
+++ b/crates/teaseltrack-cell/tests/worker_faults.rs
@@ -6,15 +6,19 @@
 mod util;
 
 use std::{
+    collections::BTreeMap,
     sync::{Arc, Mutex},
     time::{Duration, Instant, SystemTime},
 };
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use simulated_worker::{CallFault, MAX_LEASE, Run, Runs, SimulatedWorker};
+use simulated_worker::{CAPACITY, CallFault, LASTING, MAX_LEASE, Run, Runs, SimulatedWorker};
 use teaseltrack::{
-    cell::job::{JobSpec, Queue, Schedule, Stage},
+    cell::{
+        job::{JobSpec, Queue, Schedule, Stage},
+        protocol::TaskName,
+    },
     clock::{SystemClock, unix_ms},
     placement::Resources,
 };
@@ -142,6 +146,17 @@
             schedule,
             ..JobSpec::default()
         };
+        self.store(job, spec);
+    }
+
+    /// Submits a job of one stage.
+    fn submit_stage(&mut self, payload: &str, stage: Stage) {
+        let job = format!("{:016x}", self.jobs.len() + self.cancelled.len());
+        let (queue, payload) = ("queue".to_owned(), payload.to_owned());
+        self.store(job, JobSpec { queue, payload, stages: vec![stage], ..JobSpec::default() });
+    }
+
+    fn store(&mut self, job: String, spec: JobSpec) {
         let queue = Queue {
             name: "queue".to_owned(),
             service: "service".to_owned(),
@@ -358,3 +373,146 @@
     let runs = system.runs.lock().unwrap();
     assert!(!runs.iter().any(|run| run.task.job == rejected), "started without being stored");
 }
+
+/// Longest time for which a long-running task may have no run beside room for two of it.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(3);
+/// Time after its last run from which that counts.
+const IDLE_GRACE: Duration = Duration::from_secs(6);
+/// Time without disturbances from which that counts.
+const CALM_TIME: Duration = Duration::from_secs(4);
+const LASTING_TASKS: u32 = 8;
+const LASTING_RESOURCES: Resources =
+    Resources { cpu_milli: 1_000, memory_mib: 500, accelerators: 0 };
+const FILLING_RESOURCES: Resources = Resources { cpu_milli: 600, memory_mib: 100, accelerators: 0 };
+
+/// Watches the long-running tasks of a system: what runs is what the workers say, not the owner.
+struct IdleObserver {
+    /// Time of each task's last run.
+    seen_at: BTreeMap<TaskName, Instant>,
+    lives: Vec<u64>,
+    sampled_at: Instant,
+    calm_since: Instant,
+    /// Time since which the workers have had room for two of the tasks.
+    room_since: Option<Instant>,
+}
+
+impl IdleObserver {
+    fn new(jobs: &[String]) -> Self {
+        let now = Instant::now();
+        let tasks = jobs.iter().flat_map(|job| {
+            (0..LASTING_TASKS).map(|index| {
+                let task = TaskName { job: job.clone(), occurrence: 0, stage: 0, index };
+                (task, now)
+            })
+        });
+        Self {
+            seen_at: tasks.collect(),
+            lives: Vec::new(),
+            sampled_at: now,
+            calm_since: now,
+            room_since: None,
+        }
+    }
+
+    /// Compares what the workers run with what the platform demands; returns a task that is idle beside
+    /// room for too long.
+    fn sample(&mut self, system: &System) -> Option<String> {
+        let now = Instant::now();
+        let disturbances = system.workers.iter().map(SimulatedWorker::disturbance);
+        let (disturbed, lives): (Vec<bool>, Vec<u64>) = disturbances.unzip();
+        // A process that was held up has disturbed its owner and workers as well.
+        let is_held_up = now - self.sampled_at > Duration::from_millis(400);
+        if disturbed.contains(&true) || lives != self.lives || is_held_up {
+            self.calm_since = now;
+        }
+        (self.lives, self.sampled_at) = (lives, now);
+        let mut room_count = 0;
+        for worker in &system.workers {
+            let running = worker.running();
+            let used = running.iter().fold(Resources::default(), |used, task| {
+                let is_lasting = self.seen_at.contains_key(task);
+                used.plus(if is_lasting { &LASTING_RESOURCES } else { &FILLING_RESOURCES })
+            });
+            assert!(CAPACITY.can_fit(&used), "beyond its capacity: {used:?}");
+            room_count += CAPACITY.minus(&used).cpu_milli / LASTING_RESOURCES.cpu_milli;
+            for task in running {
+                self.seen_at.entry(task).and_modify(|seen_at| *seen_at = now);
+            }
+        }
+        self.room_since = (room_count >= 2).then(|| self.room_since.unwrap_or(now));
+        let room_since = self.room_since?;
+        let counts_from = room_since.max(self.calm_since + CALM_TIME);
+        let (task, idle) = self.seen_at.iter().find_map(|(task, seen_at)| {
+            let idle = now.checked_duration_since(counts_from.max(*seen_at + IDLE_GRACE))?;
+            (idle > MAX_IDLE_TIME).then_some((task, idle))
+        })?;
+        Some(format!("{task} has been idle for {idle:?}, beside room for {room_count}"))
+    }
+}
+
+/// Runs long-running tasks beside others while workers are disturbed for some seconds and then calm,
+/// twice; returns a task that was idle for too long.
+async fn run_lasting(seed: u64) -> Option<String> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let faults = [LATE, CallFault::ResponseLost, CallFault::Refused];
+    let mut system = System::start(4, Duration::from_millis(600)).await;
+    for _ in 0..2 {
+        system.submit_stage(LASTING, lasting_stage());
+    }
+    let mut observer = IdleObserver::new(&system.jobs);
+    for _ in 0..2 {
+        let disturbed_until = Instant::now() + Duration::from_millis(rng.random_range(500..5_000));
+        // The longest cut, and some time to look at what is idle by then.
+        let calm_until = disturbed_until + Duration::from_secs(8) + CALM_TIME + MAX_IDLE_TIME;
+        let mut step = 0;
+        while Instant::now() < calm_until {
+            if Instant::now() < disturbed_until && step % 4 == 0 {
+                disturb(&system, &mut rng, &faults);
+            } else if Instant::now() >= disturbed_until {
+                system.workers.iter().for_each(SimulatedWorker::clear_faults);
+            }
+            if step % 12 == 0 {
+                let task_count = rng.random_range(1..20);
+                let resources = FILLING_RESOURCES;
+                system.submit_stage("", Stage { task_count, resources, ..Stage::default() });
+            }
+            if let Some(idle) = observer.sample(&system) {
+                return Some(idle);
+            }
+            step += 1;
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+    system.assert_runs();
+    None
+}
+
+fn lasting_stage() -> Stage {
+    Stage {
+        task_count: LASTING_TASKS,
+        resources: LASTING_RESOURCES,
+        is_long_running: true,
+        ..Stage::default()
+    }
+}
+
+/// Guards against long-running tasks that wait beside room for them, whatever their owner believes, after
+/// workers have restarted, were cut off, or have lost, refused and delayed calls.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_running_tasks_run_again_after_worker_faults() {
+    let count = std::env::var("LASTING_SEEDS").ok().and_then(|count| count.parse().ok());
+    let seeds: Vec<u64> = (1..=count.unwrap_or(4)).collect();
+    let mut failed = Vec::new();
+    for seeds in seeds.chunks(10) {
+        let runs: Vec<_> =
+            seeds.iter().map(|seed| (*seed, tokio::spawn(run_lasting(*seed)))).collect();
+        for (seed, run) in runs {
+            match run.await {
+                Ok(None) => {}
+                Ok(Some(idle)) => failed.push(format!("seed {seed}: {idle}")),
+                Err(error) => failed.push(format!("seed {seed}: {error}")),
+            }
+        }
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
