New owner asks its predecessor's process for its leases

Callers saw tasks of a lost worker idle beside room: a worker is lost with its agent at 15.4 s, its owner's store is cut at 16.1 s, and the next owner, which took over at 17.6 s without a response to the takeover, reclaimed the tasks at 27.0 s. It doesn't know which leases its predecessor granted, and waits for the latest possible end. The predecessor is alive, reachable, and knows.

A new owner now calls the predecessor's process beside loading, and again every 0.5 s until it is answered or all leases have ended. The process ends an owner of a lower epoch for good, bars those that haven't begun, and answers with the ends of all leases; without such an owner it answers that it grants none. The new owner shortens the bounds that it has inherited, and never extends one. The process remembers the predecessor of its last try, so that a takeover without a response has one too. An earlier build doesn't know the call, which fails there (tested with a server of the earlier calls); nothing else changes.

In the simulated fleet, predecessors are called at random times, with late answers and restarts, from a source of random numbers of their own; in the test of calm times they answer early. No existing check is changed.

--- a/crates/teaseltrack-cell/src/calls.rs
+++ b/crates/teaseltrack-cell/src/calls.rs
@@ -19,8 +19,9 @@
         protocol::{Report, ReportResponse},
         quote::{Quote, StageDemand},
         room_promises::RoomRequest,
+        succession::Superseded,
     },
-    ids::ServiceName,
+    ids::{Epoch, ServiceName},
 };
 use teaseltrack_wire::cell::{CellControl, CellControlClient, JobLookup, MAX_MESSAGE_BYTES};
 use tokio::{
@@ -34,7 +35,10 @@
     sync::CancellationToken,
 };
 
-use crate::constants::{CALL_TIMEOUT, CONNECT_TIMEOUT, QUOTE_TIMEOUT};
+use crate::{
+    constants::{CALL_TIMEOUT, CONNECT_TIMEOUT, QUOTE_TIMEOUT},
+    local_owner::LocalOwner,
+};
 
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
@@ -71,12 +75,14 @@
 pub type KnownOwners = BTreeMap<CellId, KnownOwner>;
 
 /// RPC server; forwards calls to the owner task while this process owns the cell.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct CallServer {
     /// Mailbox of the owner task, if this process owns the cell.
     pub owner: watch::Receiver<Option<mpsc::Sender<InboundCall>>>,
     /// Last known owner, returned while this process isn't the owner.
     pub known_owner: watch::Receiver<KnownOwner>,
+    /// The owner that runs in this process, for its successors.
+    pub local_owner: LocalOwner,
 }
 
 impl CallServer {
@@ -129,6 +135,15 @@
     ) -> Option<Vec<u32>> {
         self.call_owner(|reply| InboundCall::PromiseRooms(cell, requests, reply)).await.flatten()
     }
+
+    async fn supersede(
+        self,
+        _: context::Context,
+        cell: CellId,
+        epoch: Epoch,
+    ) -> Option<Superseded> {
+        self.local_owner.supersede(cell, epoch).await
+    }
 }
 
 /// Serves connections until `closing` is cancelled.
@@ -215,6 +230,19 @@
         self.response_or_reset(address, timeout(QUOTE_TIMEOUT, call).await).flatten()
     }
 
+    /// Ends the owner of a cell at `address` for a successor with the given epoch; `None` without an
+    /// answer in time, or from a process that runs a later owner.
+    pub async fn supersede(
+        &self,
+        address: SocketAddr,
+        cell: CellId,
+        epoch: Epoch,
+    ) -> Option<Superseded> {
+        let client = self.client(address).await?;
+        let call = client.supersede(context_with_timeout(CALL_TIMEOUT), cell, epoch);
+        self.response_or_reset(address, timeout(CALL_TIMEOUT, call).await).flatten()
+    }
+
     async fn client(&self, address: SocketAddr) -> Option<CellControlClient> {
         if let Some((connected_address, client)) = &*self.lock()
             && *connected_address == address
--- a/crates/teaseltrack-cell/src/candidate.rs
+++ b/crates/teaseltrack-cell/src/candidate.rs
@@ -15,6 +15,7 @@
             recorded_remaining_ms,
         },
         silence::SilentWorker,
+        succession::Predecessor,
     },
     ids::InstanceId,
 };
@@ -112,12 +113,14 @@
             let renewed_at = now.checked_sub(grant_period).unwrap_or(now);
             let silent_workers = restore_silent_workers(&record, now);
             let grants_end = now + grant_period;
+            let predecessor = self.context.local_owner.predecessor_of(record.epoch);
             return Ok(Some(self.committer(
                 record,
                 row.version,
                 renewed_at,
                 grants_end,
                 silent_workers,
+                predecessor,
             )));
         }
         if record.owner == self.instance && record.address == self.address {
@@ -193,6 +196,13 @@
             owner_grants_end.max(stored.previous_grants_end(committed_by, grant_period));
         let silent_workers = restore_silent_workers(&stored, committed_by);
         let sent_at = self.context.clock.now();
+        let predecessor = (owner_grants_end > sent_at).then(|| Predecessor {
+            instance: stored.owner.clone(),
+            address: stored.address.clone(),
+            epoch: stored.epoch,
+            earlier_grants_end: stored.previous_grants_end(committed_by, grant_period),
+        });
+        self.context.local_owner.note_takeover(predecessor.clone());
         let record = OwnerRecord {
             epoch: stored.epoch + 1,
             owner: self.instance.clone(),
@@ -227,6 +237,7 @@
                     sent_at,
                     previous_grants_end,
                     silent_workers,
+                    predecessor,
                 )))
             }
         }
@@ -239,6 +250,7 @@
         renewed_at: Instant,
         previous_grants_end: Instant,
         silent_workers: Vec<SilentWorker>,
+        predecessor: Option<Predecessor>,
     ) -> Committer {
         Committer {
             cell: self.context.cell_id,
@@ -249,6 +261,7 @@
             renewed_at,
             previous_grants_end,
             silent_workers,
+            predecessor,
             logger: self.context.logger.clone(),
             metrics: self.context.metrics.clone(),
         }
--- a/crates/teaseltrack-cell/src/lib.rs
+++ b/crates/teaseltrack-cell/src/lib.rs
@@ -4,7 +4,8 @@
 //! - [`agent`] manages the worker on its instance: it renews the worker's lease, executes orders
 //!   and reports to the owner.
 //! - [`candidate`] runs in each agent process and takes over the cell when its owner fails or
-//!   releases it; [`owner`] is the async task that it then runs.
+//!   releases it; [`owner`] is the async task that it then runs, and [`local_owner`] lets a later
+//!   owner end it.
 //! - [`partition`] decides how a fleet is divided into cells; each has an owner of its own.
 //! - [`rows`] defines the stored rows, [`configuration`] and [`evacuation`] follow the operator's
 //!   rows, and [`calls`] implements the RPCs between processes.
@@ -18,6 +19,7 @@
 pub mod constants;
 pub mod entry;
 pub mod evacuation;
+pub mod local_owner;
 pub mod owner;
 pub mod partition;
 pub mod rows;
--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -21,6 +21,7 @@
         ownership::OwnershipSettings,
         partition::CellId,
         protocol::{Report, ReportResponse},
+        succession::{OwnerLeases, Predecessor},
     },
     clock::{SharedClock, unix_ms},
     ids::InstanceId,
@@ -30,22 +31,23 @@
 use teaseltrack_wire::cell::JobLookup;
 use tokio::{
     sync::{mpsc, oneshot, watch},
-    task::JoinHandle,
     time::{MissedTickBehavior, interval, sleep},
 };
-use tokio_util::sync::CancellationToken;
+use tokio_util::{sync::CancellationToken, task::AbortOnDropHandle};
 
 use crate::{
     calls::{CellClients, InboundCall},
     constants::{
-        DELEGATION_WAIT, MAX_COMMIT_ROWS, OWNER_TICK_INTERVAL, RENEWAL_INTERVAL, REPORT_WAIT,
-        STORE_LOST_TIMEOUT,
+        CANDIDATE_CHECK_INTERVAL, DELEGATION_WAIT, MAX_COMMIT_ROWS, OWNER_TICK_INTERVAL,
+        RENEWAL_INTERVAL, REPORT_WAIT, STORE_LOST_TIMEOUT,
     },
     evacuation::{OperatorSenders, OperatorSource, follow_operator},
+    local_owner::LocalOwner,
     owner::{
         committer::{Committer, OwnershipLost},
         delegator::{FoundCells, find_cells, next_stages, store_delegations},
         loader::{JobChanges, LoadedCell, follow_jobs, load},
+        predecessor::{ReceivedAnswer, ask_predecessor},
         withdrawals::delete_withdrawn_jobs,
     },
 };
@@ -53,6 +55,7 @@
 pub mod committer;
 pub mod delegator;
 pub mod loader;
+pub mod predecessor;
 pub mod withdrawals;
 
 /// Capacity of the owner's mailbox, the channel for inbound calls, in calls.
@@ -93,6 +96,8 @@
     pub operator: OperatorSource<QueueConfiguration>,
     /// Publishes the owner's mailbox to the RPC server.
     pub mailbox: watch::Sender<Option<mpsc::Sender<InboundCall>>>,
+    /// The owner that runs in this process, for its successors.
+    pub local_owner: LocalOwner,
     /// Logger.
     pub logger: Logger,
     /// Metrics.
@@ -123,9 +128,11 @@
 }
 
 /// Commit in flight; returns the committer with the result.
-type CommitTask = JoinHandle<(Committer, Result<Vec<JobId>, OwnershipLost>)>;
+type CommitTask = AbortOnDropHandle<(Committer, Result<Vec<JobId>, OwnershipLost>)>;
 /// Search for cells with room for waiting tasks in progress.
-type SearchTask = JoinHandle<FoundCells>;
+type SearchTask = AbortOnDropHandle<FoundCells>;
+/// Call to the predecessor in progress.
+type PredecessorTask = AbortOnDropHandle<Option<ReceivedAnswer>>;
 
 /// Receiving ends of the owner's channels.
 struct Receivers {
@@ -150,16 +157,49 @@
     next_search_at: Instant,
     search_logged_at: Option<Instant>,
     is_stopping: bool,
+    predecessor: Option<Predecessor>,
+    asking: Option<PredecessorTask>,
 }
 
 /// Runs a cell until it has another owner or `closing` is cancelled.
-pub async fn run_owner(
+pub async fn run_owner(context: OwnerContext, committer: Committer, closing: CancellationToken) {
+    let (local_owner, cell, epoch) =
+        (context.local_owner.clone(), context.cell_id, committer.record.epoch);
+    if !local_owner.begin(cell, epoch) {
+        info!(context.logger, "a later owner has called; not running the cell"; "cell" => cell,
+            "epoch" => epoch);
+        sleep(CANDIDATE_CHECK_INTERVAL).await;
+        return;
+    }
+    let leases = run_cell(context, committer, closing).await;
+    local_owner.end(cell, leases);
+}
+
+/// Runs a cell and returns the leases that it has granted; `None` if it wasn't loaded.
+async fn run_cell(
     context: OwnerContext,
     mut committer: Committer,
     closing: CancellationToken,
-) {
-    let Some(loaded) = load_while_renewing(&context, &mut committer).await else { return };
+) -> Option<OwnerLeases> {
     let epoch = committer.record.epoch;
+    let predecessor = committer.predecessor.clone();
+    let asking = predecessor.clone().map(|predecessor| {
+        let leases_end = committer.previous_grants_end + context.cell.worst_case_lease();
+        let clock = context.clock.clone();
+        let call = ask_predecessor(predecessor, context.cell_id, epoch, leases_end, clock);
+        AbortOnDropHandle::new(tokio::spawn(call))
+    });
+    let local_owner = context.local_owner.clone();
+    let superseded = local_owner.wait_until_superseded(context.cell_id, epoch);
+    tokio::pin!(superseded);
+    let loaded = tokio::select! {
+        () = &mut superseded => {
+            info!(context.logger, "superseded while loading the cell; returning to candidate";
+                "cell" => context.cell_id, "epoch" => epoch);
+            return None;
+        }
+        loaded = load_while_renewing(&context, &mut committer) => loaded?,
+    };
     let mut cell = Cell::new(
         context.cell_id,
         context.cell,
@@ -219,9 +259,16 @@
         next_search_at: next_plan_at,
         search_logged_at: None,
         is_stopping: false,
+        predecessor,
+        asking,
     };
     let receivers = Receivers { calls, job_changes, configuration, evacuations };
-    owner.run(committer, receivers, closing).await;
+    let is_superseded = tokio::select! {
+        biased;
+        // Aborts the commit in flight, which a cut off store may keep for long; it would fail.
+        () = &mut superseded => true,
+        () = owner.run(committer, receivers, closing) => false,
+    };
     owner.context.mailbox.send_replace(None);
     // The next owner reports its own.
     owner.context.record_serving_waits(ServingWaits::default());
@@ -230,6 +277,16 @@
     if let Some(cleaner) = withdrawal_cleaner {
         cleaner.abort();
     }
+    let Owner { context, cell, .. } = owner;
+    let leases = cell.into_leases();
+    if is_superseded {
+        let remaining = leases.leases_end.saturating_duration_since(context.clock.now());
+        info!(context.logger, "superseded by a later owner; returning to candidate";
+            "cell" => context.cell_id, "epoch" => epoch, "workers" => leases.workers.len(),
+            "lease_remaining_ms" => remaining.as_millis() as u64);
+        context.metrics.count("owners_superseded");
+    }
+    Some(leases)
 }
 
 async fn load_while_renewing(
@@ -237,14 +294,14 @@
     committer: &mut Committer,
 ) -> Option<LoadedCell> {
     let (store, logger) = (context.store.clone(), context.logger.clone());
-    let mut loading = tokio::spawn(load(context.cell_id, store, context.wall_now, logger));
+    let loading = load(context.cell_id, store, context.wall_now, logger);
+    let mut loading = AbortOnDropHandle::new(tokio::spawn(loading));
     loop {
         tokio::select! {
             loaded = &mut loading => return loaded.ok(),
             () = sleep(RENEWAL_INTERVAL) => {}
         }
         if committer.renew().await.is_err() {
-            loading.abort();
             warn!(context.logger, "ownership lost while loading the cell; returning to candidate");
             return None;
         }
@@ -298,6 +355,10 @@
                     self.searching = None;
                     self.delegate(found.unwrap_or_default());
                 }
+                answer = task_result(&mut self.asking) => {
+                    self.asking = None;
+                    self.handle_predecessor(answer.flatten());
+                }
                 Ok(()) = receivers.configuration.changed() => {
                     let active = receivers.configuration.borrow_and_update().as_deref().cloned();
                     if let Some(active) = active {
@@ -424,7 +485,23 @@
         let others: Vec<CellId> = (1..count).map(|step| (own + step) % count).collect();
         let (store, logger) = (self.context.store.clone(), self.context.logger.clone());
         let search = find_cells(others, unplaced, store, self.clients.clone(), logger);
-        self.searching = Some(tokio::spawn(search));
+        self.searching = Some(AbortOnDropHandle::new(tokio::spawn(search)));
+    }
+
+    /// Shortens the waits for leases by the predecessor's answer.
+    fn handle_predecessor(&mut self, answer: Option<ReceivedAnswer>) {
+        let OwnerContext { logger, metrics, .. } = &self.context;
+        let (Some(predecessor), Some((answer, received_at))) = (self.predecessor.take(), answer)
+        else {
+            return;
+        };
+        let shortened = self.cell.shorten_inherited_leases(&predecessor, &answer, received_at);
+        let Some(shortened) = shortened else { return };
+        info!(logger, "predecessor has ended and has told what leases it has granted";
+            "predecessor" => &predecessor.instance, "epoch" => predecessor.epoch,
+            "has_run" => answer.leases.is_some(), "workers_shortened" => shortened.worker_count,
+            "lease_remaining_ms" => shortened.longest_remaining.as_millis() as u64);
+        metrics.count("predecessors_answered");
     }
 
     /// Hands over tasks to the cells that have promised room for them.
@@ -506,10 +583,10 @@
             self.cell.next_commit(MAX_COMMIT_ROWS)
         };
         let Some(batch) = batch else { return Err(Box::new(committer)) };
-        Ok(tokio::spawn(async move {
+        Ok(AbortOnDropHandle::new(tokio::spawn(async move {
             let result = committer.commit(batch).await;
             (committer, result)
-        }))
+        })))
     }
 
     /// Responds to the parked reports that have waited long enough or whose agent has a pending
@@ -718,7 +795,7 @@
 }
 
 /// Result of a task; `None` if it failed. Never completes without a task.
-async fn task_result<T>(running: &mut Option<JoinHandle<T>>) -> Option<T> {
+async fn task_result<T>(running: &mut Option<AbortOnDropHandle<T>>) -> Option<T> {
     match running {
         Some(task) => task.await.ok(),
         None => pending().await,
--- a/crates/teaseltrack-cell/src/owner/committer.rs
+++ b/crates/teaseltrack-cell/src/owner/committer.rs
@@ -14,6 +14,7 @@
         partition::CellId,
         progress::{JobProgress, stored::ProgressRow},
         silence::SilentWorker,
+        succession::Predecessor,
     },
     clock::SharedClock,
 };
@@ -51,6 +52,8 @@
     pub renewed_at: Instant,
     /// Latest time at which a predecessor may grant a lease.
     pub previous_grants_end: Instant,
+    /// Owner from which the cell was taken over, if it may still grant leases.
+    pub predecessor: Option<Predecessor>,
     /// Silent workers to record with each commit.
     pub silent_workers: Vec<SilentWorker>,
     /// Logger for failed tries.
--- a/crates/teaseltrack-cell/tests/agent.rs
+++ b/crates/teaseltrack-cell/tests/agent.rs
@@ -28,6 +28,7 @@
     agent::{AGENT_MAILBOX_SIZE, AgentContext, AgentEvent, ClockReading, Heartbeat, run_agent},
     calls::{CallServer, InboundCall, KnownOwner, serve_calls},
     constants::WORKER_CALL_TIMEOUT,
+    local_owner::LocalOwner,
     worker_port::{AddressedCall, WorkerAdapter, WorkerCall, WorkerError, WorkerResponse},
 };
 use teaseltrack_daemon::{logs::silent, metrics::Metrics};
@@ -160,7 +161,8 @@
         let (_, known_owner) = watch::channel(KnownOwner { epoch: 1, address, reads_known_leases });
         let (mailbox, mut calls) = mpsc::channel(16);
         let (mailbox, owner) = watch::channel(Some(mailbox));
-        let server = CallServer { owner, known_owner: known_owner.clone() };
+        let local_owner = LocalOwner::new("instance-1".to_owned(), Arc::new(SystemClock));
+        let server = CallServer { owner, known_owner: known_owner.clone(), local_owner };
         let closing = CancellationToken::new();
         tokio::spawn(serve_calls(listener, server, closing.clone()));
         let (sender, reports) = mpsc::unbounded_channel();
--- a/crates/teaseltrack-cell/tests/calls.rs
+++ b/crates/teaseltrack-cell/tests/calls.rs
@@ -1,21 +1,34 @@
 //! Calls between processes over a real connection.
 
-use std::{pin::pin, time::Duration};
+use std::{pin::pin, sync::Arc, time::Duration};
 
+use futures::StreamExt;
 use serde::{Deserialize, Serialize};
+use tarpc::{
+    context,
+    server::{BaseChannel, Channel},
+};
 use teaseltrack::{
     cell::{
         interference::InterferenceEstimates,
-        job::Stage,
+        job::{JobId, QueueName, Stage},
+        partition::CellId,
         protocol::{
-            KnownLeases, RefusedStart, Report, StartOrder, TaskName, WorkerListing, WorkerStatus,
+            KnownLeases, RefusedStart, Report, ReportResponse, StartOrder, TaskName, WorkerListing,
+            WorkerStatus,
         },
         quote::{Quote, StageDemand},
         room_promises::RoomRequest,
     },
+    clock::SystemClock,
+    ids::ServiceName,
     placement::Resources,
 };
-use teaseltrack_cell::calls::{CallServer, CellClient, InboundCall, KnownOwner, serve_calls};
+use teaseltrack_cell::{
+    calls::{CallServer, CellClient, InboundCall, KnownOwner, serve_calls},
+    local_owner::LocalOwner,
+};
+use teaseltrack_wire::cell::JobLookup;
 use tokio::{
     net::TcpListener,
     sync::{mpsc, watch},
@@ -23,6 +36,7 @@
 use tokio_serde::{Deserializer, Serializer, formats::MessagePack};
 use tokio_util::{
     bytes::{Bytes, BytesMut},
+    codec::{Framed, LengthDelimitedCodec},
     sync::CancellationToken,
 };
 
@@ -34,7 +48,9 @@
     let (_owner, owner) = watch::channel(Some(mailbox));
     let (_known, known_owner) = watch::channel(KnownOwner::default());
     let closing = CancellationToken::new();
-    tokio::spawn(serve_calls(listener, CallServer { owner, known_owner }, closing.clone()));
+    let local_owner = LocalOwner::new("instance-1".to_owned(), Arc::new(SystemClock));
+    let server = CallServer { owner, known_owner, local_owner };
+    tokio::spawn(serve_calls(listener, server, closing.clone()));
     let resources = Resources { cpu_milli: 7_000, memory_mib: 13_000, accelerators: 0 };
     let stages = [
         Stage { task_count: 24, resources, is_long_running: true, ..Stage::default() },
@@ -67,7 +83,9 @@
     let (_owner, owner) = watch::channel(Some(mailbox));
     let (_known, known_owner) = watch::channel(KnownOwner::default());
     let closing = CancellationToken::new();
-    tokio::spawn(serve_calls(listener, CallServer { owner, known_owner }, closing.clone()));
+    let local_owner = LocalOwner::new("instance-1".to_owned(), Arc::new(SystemClock));
+    let server = CallServer { owner, known_owner, local_owner };
+    tokio::spawn(serve_calls(listener, server, closing.clone()));
     let stage = Stage { task_count: 5, is_long_running: true, ..Stage::default() };
     let labelled = Stage { required_label: Some("ssd".to_owned()), ..stage.clone() };
     let requests = [stage, labelled].map(|stage| RoomRequest {
@@ -170,3 +188,72 @@
     assert_eq!(decode::<Report>(&encode(&report)).expect("later report is read"), report);
     decode::<EarlierReport>(&encode(&report)).expect_err("earlier owners read no longer report");
 }
+
+/// Calls of a build that doesn't know of successions.
+#[tarpc::service]
+trait EarlierCellControl {
+    async fn report(report: Report) -> ReportResponse;
+    async fn job_state(job: JobId) -> JobLookup;
+    async fn quote(cell: CellId, service: ServiceName, stages: Vec<StageDemand>) -> Option<Quote>;
+    async fn pending_count(queue: QueueName) -> Option<u64>;
+    async fn promise_rooms(cell: CellId, requests: Vec<RoomRequest>) -> Option<Vec<u32>>;
+}
+
+#[derive(Clone)]
+struct EarlierServer;
+
+impl EarlierCellControl for EarlierServer {
+    async fn report(self, _: context::Context, _: Report) -> ReportResponse {
+        ReportResponse::default()
+    }
+
+    async fn job_state(self, _: context::Context, _: JobId) -> JobLookup {
+        JobLookup::Unknown
+    }
+
+    async fn quote(
+        self,
+        _: context::Context,
+        _: CellId,
+        _: ServiceName,
+        _: Vec<StageDemand>,
+    ) -> Option<Quote> {
+        None
+    }
+
+    async fn pending_count(self, _: context::Context, _: QueueName) -> Option<u64> {
+        Some(3)
+    }
+
+    async fn promise_rooms(
+        self,
+        _: context::Context,
+        _: CellId,
+        _: Vec<RoomRequest>,
+    ) -> Option<Vec<u32>> {
+        None
+    }
+}
+
+/// Guards against a process of an earlier build that takes the call for another one, or that answers
+/// no calls any more after it.
+#[tokio::test]
+async fn supersede_fails_at_an_earlier_build() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let framed = Framed::new(stream, LengthDelimitedCodec::new());
+            let transport = tarpc::serde_transport::new(framed, MessagePack::default());
+            let calls = BaseChannel::with_defaults(transport).execute(EarlierServer.serve());
+            tokio::spawn(calls.for_each(|call| async {
+                tokio::spawn(call);
+            }));
+        }
+    });
+    let client = CellClient::default();
+    for _ in 0..2 {
+        assert_eq!(client.pending_count(address, "queue".to_owned()).await, Some(3));
+        assert_eq!(client.supersede(address, 0, 2).await, None);
+    }
+}
--- a/crates/teaseltrack-cell/tests/candidate.rs
+++ b/crates/teaseltrack-cell/tests/candidate.rs
@@ -19,6 +19,7 @@
     calls::KnownOwner,
     candidate::Candidate,
     constants::cell_settings,
+    local_owner::LocalOwner,
     owner::OwnerContext,
     rows::{Submission, owner_key, progress_key, submission_key},
 };
@@ -74,6 +75,7 @@
             },
             operator: operator_source(),
             mailbox: watch::channel(None).0,
+            local_owner: LocalOwner::new(OWNER.to_owned(), Arc::new(SystemClock)),
             logger: silent(),
             metrics: Metrics::scrape_only(),
         },
--- a/crates/teaseltrack-cell/tests/odd_owner_rows.rs
+++ b/crates/teaseltrack-cell/tests/odd_owner_rows.rs
@@ -15,6 +15,7 @@
     calls::KnownOwner,
     candidate::Candidate,
     constants::cell_settings,
+    local_owner::LocalOwner,
     owner::OwnerContext,
     rows::{owner_key, owner_notice_key},
 };
@@ -54,6 +55,7 @@
             },
             operator: operator_source(),
             mailbox: watch::channel(None).0,
+            local_owner: LocalOwner::new("instance-1".to_owned(), Arc::new(SystemClock)),
             logger: silent(),
             metrics: Metrics::scrape_only(),
         },
--- a/crates/teaseltrack-cell/tests/util.rs
+++ b/crates/teaseltrack-cell/tests/util.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -164,12 +167,21 @@
 }
 
 /// Client of a simulated store with a response time of 4 ms.
+#[allow(dead_code, reason = "not all test programs use it")]
 pub fn store(rows: &Arc<Mutex<Rows>>) -> Store {
-    let rows = rows.clone();
+    store_with_cut(rows, &Arc::default())
+}
+
+/// Client of a simulated store with a response time of 4 ms, which can be cut off from it.
+pub fn store_with_cut(rows: &Arc<Mutex<Rows>>, is_cut: &Arc<AtomicBool>) -> Store {
+    let (rows, is_cut) = (rows.clone(), is_cut.clone());
     let adapter = Arc::new(move |call| {
-        let rows = rows.clone();
+        let (rows, is_cut) = (rows.clone(), is_cut.clone());
         let responding: futures::future::BoxFuture<'static, _> = Box::pin(async move {
             sleep(Duration::from_millis(4)).await;
+            if is_cut.load(Ordering::Relaxed) {
+                return Err(StoreError::Unavailable { message: "cut off".to_owned() });
+            }
             rows.lock().unwrap().call(call)
         });
         responding
--- a/crates/teaseltrack-cell/tests/worker_faults.rs
+++ b/crates/teaseltrack-cell/tests/worker_faults.rs
@@ -23,6 +23,7 @@
     calls::{CallServer, KnownOwner, serve_calls},
     candidate::Candidate,
     constants::{OWNERSHIP, cell_settings},
+    local_owner::LocalOwner,
     owner::OwnerContext,
     rows::{Submission, cancellation_key, progress_key, submission_key},
 };
@@ -59,7 +60,12 @@
         let (known_sender, known_owner) = watch::channel(KnownOwner::default());
         let (contact_sender, contact) = watch::channel(None);
         let closing = CancellationToken::new();
-        let server = CallServer { owner, known_owner: known_owner.clone() };
+        let local_owner = LocalOwner::new("instance-0".to_owned(), Arc::new(SystemClock));
+        let server = CallServer {
+            owner,
+            known_owner: known_owner.clone(),
+            local_owner: local_owner.clone(),
+        };
         tokio::spawn(serve_calls(listener, server, closing.clone()));
         let (rows, runs) = (Arc::new(Mutex::new(Rows::default())), Runs::default());
         let candidate = Candidate {
@@ -76,6 +82,7 @@
                 ownership: OWNERSHIP,
                 operator: operator_source(),
                 mailbox,
+                local_owner,
                 logger: silent(),
                 metrics: Metrics::scrape_only(),
             },
--- a/crates/teaseltrack-wire/src/cell.rs
+++ b/crates/teaseltrack-wire/src/cell.rs
@@ -8,8 +8,9 @@
         protocol::{Report, ReportResponse},
         quote::{Quote, StageDemand},
         room_promises::RoomRequest,
+        succession::Superseded,
     },
-    ids::ServiceName,
+    ids::{Epoch, ServiceName},
 };
 
 /// Maximum size of a message, in bytes.
@@ -42,4 +43,7 @@
     /// Promises rooms for waiting tasks of other cells and returns their number for each request;
     /// `None` from a process that isn't the owner of the cell.
     async fn promise_rooms(cell: CellId, requests: Vec<RoomRequest>) -> Option<Vec<u32>>;
+    /// Ends the owner of the cell that runs in the process if its epoch is lower than the caller's, and
+    /// returns what leases it knows of; `None` from a process that runs a later owner.
+    async fn supersede(cell: CellId, epoch: Epoch) -> Option<Superseded>;
 }
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -82,6 +82,7 @@
 pub mod scoring;
 mod serving_room;
 pub mod silence;
+pub mod succession;
 pub mod tail_model;
 pub mod worker;
 
@@ -1067,6 +1068,7 @@
         }
         let mut worker = Worker::new(incarnation.to_owned(), now);
         worker.lease_end = Some(lease_end);
+        worker.is_lease_inherited = true;
         if let Some(silent) = self.silent_workers.get(incarnation) {
             worker.lease_end = Some(lease_end.min(silent.lease_end));
             worker.reported_clock_ms = silent.clock_ms;
@@ -1167,6 +1169,8 @@
         });
         if !in_transit.is_empty() {
             let next = self.get_or_insert_worker(next, now + self.settings.longest_lease(), now);
+            // Not a bound of the previous owner.
+            self.workers[next].is_lease_inherited = false;
             for task in in_transit {
                 self.move_run(task, ended, next);
             }
--- a/crates/teaseltrack/src/cell/ownership.rs
+++ b/crates/teaseltrack/src/cell/ownership.rs
@@ -19,9 +19,9 @@
 /// Highest number of commits in an epoch.
 const MAX_SEQUENCE: u64 = 1 << 48;
 /// Longest time for which a recorded lease can go on.
-const MAX_LEASE_REMAINING: Duration = Duration::from_secs(120);
+pub const MAX_LEASE_REMAINING: Duration = Duration::from_secs(120);
 /// Highest reading of a worker's clock, in milliseconds.
-const MAX_CLOCK_MS: u64 = 1 << 46;
+pub const MAX_CLOCK_MS: u64 = 1 << 46;
 
 /// The row that names a cell's owner.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/teaseltrack/src/cell/worker.rs
+++ b/crates/teaseltrack/src/cell/worker.rs
@@ -118,6 +118,8 @@
     /// Time by which the lease has expired on the worker, so that nothing runs there any more;
     /// `None` if no lease was granted.
     pub lease_end: Option<Instant>,
+    /// Whether `lease_end` was set on loading, for leases of earlier owners.
+    pub is_lease_inherited: bool,
     /// Highest reported reading of the worker's clock, in milliseconds.
     pub reported_clock_ms: u64,
     /// Time of the report with that reading, or at which this owner learned of the worker.
@@ -207,6 +209,7 @@
             agent_started_unix_ms: 0,
             is_reconciled: false,
             lease_end: None,
+            is_lease_inherited: false,
             reported_clock_ms: 0,
             clock_reported_at: now,
             is_silent: false,
--- a/crates/teaseltrack/tests/cell/calm_room.rs
+++ b/crates/teaseltrack/tests/cell/calm_room.rs
@@ -134,6 +134,7 @@
         (fleet.max_run_ms, fleet.max_stop_ms) = (1_500, 400);
         (fleet.is_every_start_answered, fleet.max_commit_rows) = (true, 90);
         fleet.report_share = 0.7;
+        fleet.call_rng = None;
         for (index, instance) in fleet.instances.iter_mut().enumerate() {
             instance.settle_capacity(WORKER);
             instance.labels = vec![format!("kind-{}", index % 2)];
--- a/crates/teaseltrack/tests/cell/fleet.rs
+++ b/crates/teaseltrack/tests/cell/fleet.rs
@@ -27,6 +27,7 @@
             RunningTask, StartOrder, TaskName, WorkerListing, WorkerStatus,
         },
         silence::SilentWorker,
+        succession::{Predecessor, Superseded},
         worker::reserved_resources,
     },
     placement::Resources,
@@ -320,6 +321,20 @@
     /// Latest time at which a predecessor of the owner grants a lease.
     pub previous_grants_end: Instant,
     pub previous: Option<(Cell, Instant)>,
+    /// Call to that owner's process.
+    pub call: Option<PredecessorCall>,
+}
+
+/// Call of a new owner to its predecessor's process.
+pub struct PredecessorCall {
+    pub predecessor: Predecessor,
+    pub successor_epoch: u64,
+    /// Whether the process has restarted, so that it knows no leases.
+    pub has_restarted: bool,
+    /// Time at which the predecessor ends, and at which its answer is received.
+    pub answers_at: Instant,
+    pub received_at: Instant,
+    pub answer: Option<Superseded>,
 }
 
 /// Response in transit to an agent.
@@ -399,6 +414,9 @@
     pub max_run_ms: u64,
     pub slow_store: Option<SlowStore>,
     pub slow_network: Option<SlowNetwork>,
+    /// Source of how replaced owners are called: early, late or never, and some after a restart of
+    /// their process. Without it, all answer early.
+    pub call_rng: Option<ChaCha8Rng>,
     /// Whether start calls are answered in time, but for those that a test names.
     pub is_every_start_answered: bool,
 }
@@ -436,6 +454,7 @@
             max_run_ms: 1_500,
             slow_store: None,
             slow_network: None,
+            call_rng: Some(ChaCha8Rng::seed_from_u64(seed + 4_000)),
             is_every_start_answered: false,
         }
     }
@@ -460,6 +479,7 @@
             is_cut: false,
             previous_grants_end: self.now,
             previous: None,
+            call: None,
         };
         Self { slow_store: Some(slow_store), max_run_ms: 8_000, ..self }
     }
@@ -626,20 +646,73 @@
     pub fn replace_cut_owner(&mut self) {
         let Some(store) = self.slow_store.as_ref().filter(|store| store.is_cut) else { return };
         let (since, renewed_at) = (store.changed_at, store.renewed_at);
+        let earlier_grants_end = store.previous_grants_end;
         if self.now < since + TAKEOVER_TIMEOUT {
             return;
         }
         let placeholder = Cell::new(0, CELL_SETTINGS, 0, configuration(), self.now);
         let previous = replace(&mut self.cell, placeholder);
         self.take_over(since, since + GRANT_PERIOD);
+        let call = self.call_predecessor(earlier_grants_end);
         if let Some(store) = &mut self.slow_store {
             store.previous = Some((previous, renewed_at + GRANT_PERIOD));
+            store.call = call;
         }
         for instance in &mut self.instances {
             instance.follows_previous = self.rng.random_bool(0.5);
         }
     }
 
+    fn call_predecessor(&mut self, earlier_grants_end: Instant) -> Option<PredecessorCall> {
+        let (answer_ms, transit_ms, has_restarted) = match &mut self.call_rng {
+            None => (150, 50, false),
+            Some(rng) => {
+                if rng.random_bool(0.3) {
+                    return None;
+                }
+                let max_transit_ms = if rng.random_bool(0.2) { 3_000 } else { 200 };
+                (
+                    rng.random_range(0..4_000),
+                    rng.random_range(0..=max_transit_ms),
+                    rng.random_bool(0.2),
+                )
+            }
+        };
+        let answers_at = self.now + Duration::from_millis(answer_ms);
+        Some(PredecessorCall {
+            predecessor: Predecessor {
+                instance: format!("owner-{}", self.epoch - 1),
+                address: String::new(),
+                epoch: self.epoch - 1,
+                earlier_grants_end,
+            },
+            successor_epoch: self.epoch,
+            has_restarted,
+            answers_at,
+            received_at: answers_at + Duration::from_millis(transit_ms),
+            answer: None,
+        })
+    }
+
+    /// Ends the previous owner once it is called, and lets the present one receive the answer.
+    fn receive_predecessor(&mut self) {
+        let Some(store) = &mut self.slow_store else { return };
+        let Some(call) = &mut store.call else { return };
+        if call.answer.is_none() && self.now >= call.answers_at {
+            let previous = store.previous.take().filter(|_| !call.has_restarted);
+            let leases = previous.map(|(previous, _)| previous.into_leases());
+            let instance = call.predecessor.instance.clone();
+            let epoch = call.successor_epoch;
+            call.answer = Some(Superseded::new(instance, epoch, leases.as_ref(), self.now));
+        }
+        if self.now < call.received_at {
+            return;
+        }
+        if let Some(PredecessorCall { predecessor, answer: Some(answer), .. }) = store.call.take() {
+            self.cell.shorten_inherited_leases(&predecessor, &answer, self.now);
+        }
+    }
+
     pub fn take_over(&mut self, committed_by: Instant, grants_end: Instant) {
         let Some(mut store) = self.slow_store.take() else { return };
         // A commit in flight may take effect before the takeover, but not after it.
@@ -691,6 +764,7 @@
         self.unix_now_ms += STEP.as_millis() as u64;
         self.read_requests();
         self.receive_late_responses();
+        self.receive_predecessor();
         for index in 0..self.instances.len() {
             self.run_worker(index);
             let is_due = self.slow_store.is_none() || self.rng.random_bool(self.report_share);
--- a/crates/teaseltrack/tests/cell/main.rs
+++ b/crates/teaseltrack/tests/cell/main.rs
@@ -17,6 +17,7 @@
 mod reliability;
 mod restrictions;
 mod serving_waits;
+mod succession;
 #[path = "../util.rs"]
 mod util;
 
