Try suspects on workers that haven't crashed under them

With several tasks that crash their workers at once, all workers have crashed lately. A suspect was then tried on the emptiest worker, the one that it had just crashed, up to four times, and could not be convicted by that.

Change: if no trusted worker can be had, a suspect is tried on one that hasn't crashed under it, and a task with four crashes is convicted once there is none of these either.

--- a/crates/teaseltrack/src/cell/quarantine.rs
+++ b/crates/teaseltrack/src/cell/quarantine.rs
@@ -7,7 +7,7 @@
 //!
 //! A worker may also crash by itself, time and again. A crash therefore convicts nobody if the worker
 //! has crashed under the task before, or has lately crashed without it. Suspects are tried on workers
-//! of which neither is known, as long as there are any. A task that was the only suspect of
+//! of which neither is known, as long as there are any, or else at least on others. A task that was the only suspect of
 //! `max_sole_crashes` other crashes is given up, and its job fails; so does one that was among the
 //! suspects of `max_crashes`, if these were of several workers or no other one is left to try.
 //!
@@ -20,7 +20,10 @@
 //! Quarantined workers are those with the least to lose: few serving tasks, then few tasks. Counts are
 //! part of the committed progress, so that they survive the owner.
 
-use std::time::{Duration, Instant};
+use std::{
+    cmp::Reverse,
+    time::{Duration, Instant},
+};
 
 use crate::{
     cell::{
@@ -70,8 +73,20 @@
     task: TaskKey,
     /// Whether it is a long-running task that must be the cause of the crashes.
     is_convicted: bool,
-    /// Whether only preferred workers will do.
-    is_choosy: bool,
+    /// Least suitable worker that will do.
+    min_suitability: Suitability,
+}
+
+/// How much the crash of a worker would say about a suspect; the last variant is the best. A convicted
+/// task is rather tried where no other long-running task is lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Suitability {
+    /// It has crashed under the task before.
+    Tried,
+    /// It has lately crashed without the task.
+    Doubtful,
+    /// The crash would have no other explanation.
+    Trusted,
 }
 
 impl Run {
@@ -127,14 +142,14 @@
         }
         let is_sole = suspects.len() == 1;
         for suspect in &suspects {
-            let is_worker_doubtful = self.is_worker_doubtful(agent, *suspect, now);
+            let is_worker_trusted = self.suitability(agent, *suspect, now) == Suitability::Trusted;
             let Some(task) = self.task_mut(*suspect) else { continue };
             task.has_crashed_unlisted =
                 task.run_on(key).is_some_and(|run| run.listed_clock_ms.is_none());
             task.crashed_at = Some(now);
             let progress = &mut task.progress;
             progress.crash_count = progress.crash_count.saturating_add(1);
-            if is_sole && !is_worker_doubtful {
+            if is_sole && is_worker_trusted {
                 progress.sole_crash_count = progress.sole_crash_count.saturating_add(1);
             }
             if !progress.crashed_workers.contains(agent) {
@@ -189,36 +204,35 @@
         progress.crash_count >= settings.max_crashes
             && (progress.crashed_workers.len() >= MAX_CRASHED_WORKERS
                 || !self.can_be_had(key, &self.usable_workers(now), |worker| {
-                    self.is_trusted(worker, key, now)
+                    self.worker_suitability(worker, (key, false), now) > Suitability::Tried
                 }))
     }
 
-    /// Whether the crash of an agent's worker under a task may be the worker's own fault: it has crashed
-    /// under the task before, or has lately crashed without it.
-    fn is_worker_doubtful(&self, agent: &InstanceId, key: TaskKey, now: Instant) -> bool {
-        let has_crashed_under =
-            self.task(key).is_some_and(|task| task.progress.crashed_workers.contains(agent));
+    /// What the crash of an agent's worker under a task may be due to.
+    fn suitability(&self, agent: &InstanceId, key: TaskKey, now: Instant) -> Suitability {
+        if self.task(key).is_some_and(|task| task.progress.crashed_workers.contains(agent)) {
+            return Suitability::Tried;
+        }
+        let flapping_time = self.settings.quarantine.flapping_time;
         let mut crashes = self.crashes.get(agent).into_iter().flatten();
-        has_crashed_under
-            || crashes.any(|crash| {
-                now.duration_since(crash.at) < self.settings.quarantine.flapping_time
-                    && !crash.suspects.contains(&key)
-            })
-    }
-
-    /// Whether a crash of the worker under the task would have no other explanation.
-    fn is_trusted(&self, worker: WorkerKey, key: TaskKey, now: Instant) -> bool {
-        let agent = self.workers[worker].agent.as_ref();
-        agent.is_none_or(|agent| !self.is_worker_doubtful(agent, key, now))
+        let is_doubtful = crashes.any(|crash| {
+            now.duration_since(crash.at) < flapping_time && !crash.suspects.contains(&key)
+        });
+        if is_doubtful { Suitability::Doubtful } else { Suitability::Trusted }
     }
 
-    /// Whether a suspect is rather tried on the worker than on others; a convicted one where no other
-    /// long-running task is lost.
-    fn is_preferred(&self, worker: WorkerKey, trial: Trial, now: Instant) -> bool {
-        if trial.is_convicted {
-            return self.workers[worker].serving_images.is_empty();
+    fn worker_suitability(
+        &self,
+        worker: WorkerKey,
+        (key, is_convicted): (TaskKey, bool),
+        now: Instant,
+    ) -> Suitability {
+        let worker = &self.workers[worker];
+        match &worker.agent {
+            _ if is_convicted && !worker.serving_images.is_empty() => Suitability::Tried,
+            Some(agent) if !is_convicted => self.suitability(agent, key, now),
+            _ => Suitability::Trusted,
         }
-        self.is_trusted(worker, trial.task, now)
     }
 
     /// Whether any of the workers that the predicate holds for has room for the task, at the latest once
@@ -240,9 +254,18 @@
     /// How a waiting suspect is tried.
     fn trial(&self, task: TaskKey, workers: &[WorkerKey], now: Instant) -> Trial {
         let is_convicted = self.stage(task).is_long_running && self.is_convicted(task, now);
-        let is_choosy = is_convicted
-            || self.can_be_had(task, workers, |worker| self.is_trusted(worker, task, now));
-        Trial { task, is_convicted, is_choosy }
+        let can_be_had = |suitability: &Suitability| {
+            self.can_be_had(task, workers, |worker| {
+                self.worker_suitability(worker, (task, false), now) == *suitability
+            })
+        };
+        let min_suitability = if is_convicted {
+            Suitability::Trusted
+        } else {
+            let present = [Suitability::Trusted, Suitability::Doubtful];
+            present.into_iter().find(can_be_had).unwrap_or(Suitability::Tried)
+        };
+        Trial { task, is_convicted, min_suitability }
     }
 
     /// Whether a long-running suspect isn't to start yet.
@@ -360,8 +383,8 @@
                 let Worker { serving_images, tasks, .. } = &self.workers[worker];
                 let serving_count: u32 = serving_images.values().sum();
                 let is_on_probation = self.workers[worker].active_exclusion(now).is_some();
-                let is_preferred = self.is_preferred(worker, trial, now);
-                let harm = (is_on_probation, !is_preferred, serving_count, tasks.len());
+                let suitability = self.worker_suitability(worker, (key, trial.is_convicted), now);
+                let harm = (is_on_probation, Reverse(suitability), serving_count, tasks.len());
                 // What a convicted task crashes makes no other task a suspect.
                 (has_uncleared_run && !trial.is_convicted, harm, worker)
             })
@@ -388,7 +411,7 @@
             let is_serving = TaskKind::of(self.stage(*key)) == TaskKind::Serving;
             let likelihood =
                 self.task(*key).map(|task| (task.progress.crash_count, task.has_crashed_unlisted));
-            (!is_serving, std::cmp::Reverse(likelihood))
+            (!is_serving, Reverse(likelihood))
         });
         suspects
     }
@@ -411,7 +434,8 @@
         let key = trial.task;
         let service = &self.jobs[key.job].queue.service;
         self.can_place(&self.workers[worker], service, (key, self.stage(key)))
-            && (!trial.is_choosy || self.is_preferred(worker, trial, now))
+            && self.worker_suitability(worker, (key, trial.is_convicted), now)
+                >= trial.min_suitability
     }
 
     /// Quarantined worker that can run the suspect, preferably at once; quarantines another worker
--- a/crates/teaseltrack/tests/cell/quarantine.rs
+++ b/crates/teaseltrack/tests/cell/quarantine.rs
@@ -39,6 +39,8 @@
     seed_4 = { 4 },
     seed_5 = { 5 },
     seed_6 = { 6 },
+    seed_11 = { 11 },
+    seed_53 = { 53 },
 )]
 fn task_that_crashes_its_workers_is_given_up(seed: u64) {
     let mut fleet = Fleet::new(8, seed);
