--- a/crates/teaseltrack/src/cell/quarantine.rs
+++ b/crates/teaseltrack/src/cell/quarantine.rs
@@ -7,9 +7,10 @@
 //!
 //! A worker may also crash by itself, time and again. A crash therefore convicts nobody if the worker
 //! has crashed under the task before, or has lately crashed without it. Suspects are tried on workers
-//! of which neither is known, as long as there are any, or else at least on others. A task that was the only suspect of
-//! `max_sole_crashes` other crashes is given up, and its job fails; so does one that was among the
-//! suspects of `max_crashes`, if these were of several workers or no other one is left to try.
+//! of which neither is known, as long as there are any, or else on ones that they haven't crashed. A
+//! task that was the only suspect of `max_sole_crashes` other crashes is given up, and its job fails; so
+//! does one that was among the suspects of `max_crashes`, if these were of several workers or no other
+//! one is left to try.
 //!
 //! A long-running task is never given up. It stays isolated, on workers without other long-running
 //! tasks once it is convicted, and starts again after a delay that grows with its crashes.
