Write the owner's row also if all rows of a commit are rejected

Callers could see two runs of one task. If the store rejects each row of a commit for good, the tries row by row write nothing, and the owner's row with the list of workers stays as it was. The owner took the commit for done: it granted leases to workers that the stored row still lists, which the next owner takes for expired. Found by review.

The owner's row is committed by itself then. commit_writes_the_row_of_the_owner::all_rows_rejected fails without the change.

--- a/crates/teaseltrack-cell/src/owner/committer.rs
+++ b/crates/teaseltrack-cell/src/owner/committer.rs
@@ -83,8 +83,10 @@
             return Ok(Vec::new());
         }
         let mut rejected = Vec::new();
+        let mut is_committed = false;
         for write in writes {
             if self.commit_writes(std::slice::from_ref(&write)).await? {
+                is_committed = true;
                 continue;
             }
             self.metrics.count("rows_rejected");
@@ -93,6 +95,10 @@
             let job = batch.rows.iter().find(|(job, _)| progress_key(self.cell, job) == write.key);
             rejected.extend(job.map(|(job, _)| job.clone()));
         }
+        // Leases depend on the owner's row, not on the rejected ones.
+        if !is_committed {
+            self.renew().await?;
+        }
         Ok(rejected)
     }
 
