Ask a predecessor as long as its leases may last

After an outage of the store for all, of 3 s for example, a predecessor that lives wasn't asked, and the tasks of a lost worker waited for the latest possible end.

--- a/crates/teaseltrack-cell/src/candidate.rs
+++ b/crates/teaseltrack-cell/src/candidate.rs
@@ -196,7 +196,9 @@
         let previous_grants_end = stored.grants_end(committed_by, owner_grants_end, grant_period);
         let silent_workers = restore_silent_workers(&stored, committed_by);
         let sent_at = self.context.clock.now();
-        let predecessor = (owner_grants_end > sent_at).then(|| Predecessor {
+        let leases_end = owner_grants_end + self.context.cell.worst_case_lease();
+        let is_other_process = !stored.is_released && stored.owner != self.instance;
+        let predecessor = (is_other_process && leases_end > sent_at).then(|| Predecessor {
             instance: stored.owner.clone(),
             address: stored.address.clone(),
             epoch: stored.epoch,
