Accept longer grant periods of other builds

A recorded grant period was cut to 4 s, so that leases of a later build that grants them for longer would have counted as expired too early. The limit against odd rows is 60 s now.

Found by review, like the missing test of what a candidate assumes of an earlier build: take_over_waits_for_the_grant_period_of_the_owner::earlier_build fails if the candidate takes its own period instead.

--- a/crates/teaseltrack-cell/tests/candidate.rs
+++ b/crates/teaseltrack-cell/tests/candidate.rs
@@ -145,6 +145,45 @@
     assert_eq!(is_reclaimed, has_no_grants);
 }
 
+/// Guards against a second run of a task whose worker has a lease from an owner of an earlier build, which
+/// grants leases for longer than this one.
+#[parameterized(
+    earlier_build = { None, false },
+    same_build = { Some(300), true },
+)]
+fn take_over_waits_for_the_grant_period_of_the_owner(
+    grant_period_ms: Option<u64>,
+    is_expected_soon: bool,
+) {
+    let cut_off = OwnerRecord {
+        epoch: 3,
+        owner: "instance-9".to_owned(),
+        address: "127.0.0.1:9".to_owned(),
+        started_unix_ms: 1,
+        grant_period_ms,
+        previous_grants_remaining_ms: Some(0),
+        ..OwnerRecord::default()
+    };
+    let rows = rows_of_a_lost_worker(&cut_off);
+    let runtime = tokio::runtime::Runtime::new().expect("runtime");
+    let is_reclaimed = runtime.block_on(async {
+        let closing = CancellationToken::new();
+        let (_contact, contact) = watch::channel(None);
+        let mut candidate = candidate(&rows);
+        candidate.context.ownership.grant_period = Duration::from_millis(300);
+        tokio::spawn(candidate.run(contact, closing.clone()));
+        let reclaimed = async {
+            while rows.lock().unwrap().write_count(&progress_key(0, JOB)) < 2 {
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let is_reclaimed = timeout(Duration::from_millis(3_500), reclaimed).await.is_ok();
+        closing.cancel();
+        is_reclaimed
+    });
+    assert_eq!(is_reclaimed, is_expected_soon);
+}
+
 /// Guards against a lease that the next owner doesn't expect: the row says that none was granted until
 /// the first commit after the takeover.
 #[parameterized(
--- a/crates/teaseltrack/src/cell/ownership.rs
+++ b/crates/teaseltrack/src/cell/ownership.rs
@@ -22,6 +22,8 @@
 pub const MAX_LEASE_REMAINING: Duration = Duration::from_secs(120);
 /// Grant period of builds that don't record theirs.
 const UNRECORDED_GRANT_PERIOD: Duration = Duration::from_secs(4);
+/// Longest recorded grant period that can be right.
+const MAX_GRANT_PERIOD: Duration = Duration::from_secs(60);
 /// Highest reading of a worker's clock, in milliseconds.
 pub const MAX_CLOCK_MS: u64 = 1 << 46;
 
@@ -42,7 +44,8 @@
     #[serde(default)]
     pub is_released: bool,
     /// Whether the owner has granted no lease yet. It grants none before its first commit after the
-    /// takeover, which lists the workers that haven't reported to it; one of an earlier build may.
+    /// takeover, which lists the workers that haven't reported to it. Owners of earlier builds may have
+    /// granted leases at any time.
     #[serde(default)]
     pub has_no_grants: bool,
     /// Time for which the owner grants leases after sending its last successful commit.
@@ -106,8 +109,8 @@
 
     /// Grant period of the owner; that of the reading process is `grant_period`.
     pub fn own_grant_period(&self, grant_period: Duration) -> Duration {
-        let longest = grant_period.max(UNRECORDED_GRANT_PERIOD);
-        self.grant_period_ms.map_or(longest, Duration::from_millis).min(longest)
+        let unrecorded = grant_period.max(UNRECORDED_GRANT_PERIOD);
+        self.grant_period_ms.map_or(unrecorded, Duration::from_millis).min(MAX_GRANT_PERIOD)
     }
 
     /// Latest time at which the owner or a predecessor may grant a lease, if the record was committed at
--- a/crates/teaseltrack/tests/number_limits.rs
+++ b/crates/teaseltrack/tests/number_limits.rs
@@ -31,12 +31,13 @@
     assert_eq!(end.duration_since(now), Duration::from_millis(expected_ms));
 }
 
-/// Guards against leases of an owner of an earlier build, which grants them for 4 s, and against a wait for
-/// years.
+/// Guards against leases of an owner of an earlier or later build, which grants them for longer, and against
+/// a wait for years.
 #[parameterized(
     unrecorded = { None, 4_000 },
     recorded = { Some(2_500), 2_500 },
-    a_year = { Some(31_536_000_000), 4_000 },
+    longer = { Some(5_000), 5_000 },
+    a_year = { Some(31_536_000_000), 60_000 },
 )]
 fn own_grant_period_is_that_of_the_owner(grant_period_ms: Option<u64>, expected_ms: u64) {
     let record = OwnerRecord { grant_period_ms, ..OwnerRecord::default() };
