Renew leases sooner after a takeover

Workers that respond got their next lease up to 0.4 s later than they could: the report of an agent stays parked while a commit takes its worker from the list in the owner's row. Agents are answered once that commit has succeeded now, so that their next report brings the lease.

A worker that no report had reached by the end of a brief owner was listed, and the next owner took it for silent: its first reading didn't count, and the lease waited for a second one. A recorded worker without a reading counts as one that hasn't responded yet.

Found by review.

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -902,13 +902,15 @@
         response
     }
 
-    /// Whether the agent's worker has orders that the agent has not accepted, or committed ends
-    /// that it may discard.
+    /// Whether the agent's worker has orders that the agent has not accepted, committed ends
+    /// that it may discard, or a lease to get with its next report.
     pub fn has_pending_update(&self, agent: &str, accepted_order: u64, forgot_until: u64) -> bool {
         self.by_agent.get(agent).is_some_and(|key| {
             let worker = &self.workers[*key];
             let next_order = worker.first_order + worker.orders.len() as u64;
-            next_order > accepted_order + 1 || worker.committed_end > forgot_until
+            next_order > accepted_order + 1
+                || worker.committed_end > forgot_until
+                || worker.is_lease_due
         })
     }
 
@@ -1088,7 +1090,8 @@
         if let Some(silent) = self.silent_workers.get(incarnation) {
             worker.lease_end = Some(lease_end.min(silent.lease_end));
             worker.reported_clock_ms = silent.clock_ms;
-            worker.is_silent = true;
+            // Without a reading, the worker hasn't responded to the owner that recorded it.
+            worker.is_silent = silent.clock_ms > 0;
             worker.is_recorded_silent = true;
         }
         let key = self.workers.insert(worker);
@@ -1268,6 +1271,7 @@
         }
         let lease_ms = self.settings.lease.as_millis() as u64;
         response.lease_until_ms = Some(worker_clock_ms.saturating_add(lease_ms));
+        worker.is_lease_due = false;
         // A repeated or late clock reading yields a lease that ends no later than one already
         // granted.
         if worker_clock_ms > worker.clock_ms {
--- a/crates/teaseltrack/src/cell/commits.rs
+++ b/crates/teaseltrack/src/cell/commits.rs
@@ -143,6 +143,7 @@
         for worker in effects.returned {
             if let Some(worker) = self.workers.get_mut(worker) {
                 worker.is_recorded_silent = false;
+                (worker.is_lease_due, worker.has_update) = (true, true);
             }
         }
         for start in effects.starts {
--- a/crates/teaseltrack/src/cell/worker.rs
+++ b/crates/teaseltrack/src/cell/worker.rs
@@ -133,6 +133,8 @@
     /// Whether the owner's row may list the worker as silent; it gets no lease until a commit has
     /// removed it from the row.
     pub is_recorded_silent: bool,
+    /// Whether the worker gets a lease with its next report, after it had to wait for that removal.
+    pub is_lease_due: bool,
     /// Highest reading of the worker's clock for which a lease was granted, in milliseconds.
     pub clock_ms: u64,
     /// Time of the last report from its agent.
@@ -220,6 +222,7 @@
             is_silent: false,
             is_unconfirmed: false,
             is_recorded_silent: false,
+            is_lease_due: false,
             clock_ms: 0,
             last_report_at: now,
             is_reachable: false,
--- a/crates/teaseltrack/tests/cell/owner_changes.rs
+++ b/crates/teaseltrack/tests/cell/owner_changes.rs
@@ -193,6 +193,32 @@
     let batch = fleet.cell.next_commit(50).expect("the list is outdated");
     let listed: Vec<_> = batch.silent_workers.iter().map(|silent| &silent.incarnation).collect();
     assert_eq!(listed, ["instance-1@1"]);
+    fleet.cell.take_updated_agents();
+    fleet.cell.commit_succeeded();
+    assert_eq!(
+        fleet.cell.take_updated_agents(),
+        ["instance-0"],
+        "its report isn't parked for long"
+    );
+    assert!(fleet.cell.has_pending_update("instance-0", u64::MAX - 1, u64::MAX));
+    let response = fleet.cell.handle_report(report, true, fleet.now);
+    assert!(response.lease_until_ms.is_some());
+    assert!(!fleet.cell.has_pending_update("instance-0", u64::MAX - 1, u64::MAX));
+}
+
+/// Guards against workers that respond and lose their lease in a series of brief owners, since each takes
+/// those that its predecessor hasn't heard of for silent.
+#[test]
+fn restore_takes_no_worker_for_silent_that_has_not_responded_before() {
+    let mut fleet = busy_fleet();
+    fleet.replace_owner();
+    let batch = fleet.cell.renewal(50).expect("no commit is in flight");
+    fleet.silent_workers = batch.silent_workers;
+    fleet.replace_owner();
+    let report = fleet.instances[0].report();
+    fleet.cell.handle_report(report.clone(), true, fleet.now);
+    let batch = fleet.cell.renewal(50).expect("no commit is in flight");
+    assert_eq!(batch.silent_workers.len(), 1, "the first report is enough");
     fleet.cell.commit_succeeded();
     let response = fleet.cell.handle_report(report, true, fleet.now);
     assert!(response.lease_until_ms.is_some());
