--- a/crates/teaseltrack-cell/src/local_owner.rs
+++ b/crates/teaseltrack-cell/src/local_owner.rs
@@ -53,8 +53,8 @@
         self.state.send_modify(|state| state.predecessor = predecessor);
     }
 
-    /// Predecessor of the owner of `epoch`, which this process has taken over without a response. All
-    /// its tries for an epoch have the same predecessor.
+    /// Predecessor of the owner of `epoch`, if this process has become that owner by a takeover that got
+    /// no response. All its tries for an epoch have the same predecessor.
     pub fn predecessor_of(&self, epoch: Epoch) -> Option<Predecessor> {
         let predecessor = self.state.borrow().predecessor.clone();
         predecessor.filter(|predecessor| predecessor.epoch + 1 == epoch)
--- a/crates/teaseltrack-cell/src/owner.rs
+++ b/crates/teaseltrack-cell/src/owner.rs
@@ -170,6 +170,7 @@
     if !local_owner.begin(cell, epoch) {
         info!(context.logger, "a later owner has called; not running the cell"; "cell" => cell,
             "epoch" => epoch);
+        // The row may name this process until the later owner's takeover is visible.
         sleep(CANDIDATE_CHECK_INTERVAL).await;
         return;
     }
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -1314,7 +1314,7 @@
         // The worker has responded since its lease expired, so it hasn't crashed.
         worker.expired_suspects.clear();
         // A new session ends a refusal back-off or probation.
-        if !worker.has_session_for_starts {
+        if !worker.is_settling_starts {
             (worker.exclusion, worker.refused_at) = (None, None);
         }
         let session = worker.session;
--- a/crates/teaseltrack/src/cell/unsettled_starts.rs
+++ b/crates/teaseltrack/src/cell/unsettled_starts.rs
@@ -49,7 +49,7 @@
         let worker = &self.workers[key];
         if is_overdue && let Some(agent) = worker.agent.clone() {
             self.begin_session(key, worker.agent_started_unix_ms, &agent);
-            self.workers[key].has_session_for_starts = true;
+            self.workers[key].is_settling_starts = true;
         }
     }
 }
--- a/crates/teaseltrack/src/cell/worker.rs
+++ b/crates/teaseltrack/src/cell/worker.rs
@@ -114,7 +114,7 @@
     /// epoch.
     pub agent_started_unix_ms: u64,
     /// Whether the session began only to settle starts of the one before.
-    pub has_session_for_starts: bool,
+    pub is_settling_starts: bool,
     /// Whether the worker has listed its runs under the session.
     pub is_reconciled: bool,
     /// Time by which the lease has expired on the worker, so that nothing runs there any more;
@@ -213,7 +213,7 @@
             status_clock_ms: 0,
             session: 0,
             agent_started_unix_ms: 0,
-            has_session_for_starts: false,
+            is_settling_starts: false,
             is_reconciled: false,
             lease_end: None,
             is_lease_inherited: false,
@@ -261,7 +261,7 @@
         self.session = session;
         self.is_recorded &= self.agent_started_unix_ms == agent_started_unix_ms;
         self.agent_started_unix_ms = agent_started_unix_ms;
-        self.has_session_for_starts = false;
+        self.is_settling_starts = false;
         self.is_reconciled = false;
         self.orders.clear();
         self.first_order = 1;
