--- /dev/null
+++ b/review/stand_ins_3/cases.rs
@@ -0,0 +1,226 @@
+//! The cases.
+
+use std::{
+    thread::sleep,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    fleet::{Event, Fleet, MAX_ATTEMPTS, Record, job},
+    json::{Json, number},
+    worker::unix_ms,
+};
+
+pub enum Verdict {
+    Broken(String),
+    Held(String),
+    NotRun(String),
+}
+
+pub fn play(case: &str, record: &Record, has_trouble: bool) -> Verdict {
+    match case {
+        "crashes" => crashes(record, has_trouble),
+        "silent_workers" => silent_workers(record, has_trouble),
+        "silent_store" => silent_store(record, has_trouble),
+        _ => Verdict::NotRun(format!("no case {case}")),
+    }
+}
+
+fn not_run(why: &str) -> Verdict {
+    Verdict::NotRun(why.to_owned())
+}
+
+/// A worker crashes soon after it has started a job's only task, and so does the next one.
+fn crashes(record: &Record, has_trouble: bool) -> Verdict {
+    const CRASH_DELAY_MS: u64 = 300;
+    const DOWN: Duration = Duration::from_millis(1_500);
+    const MAX_CRASHES: usize = 2;
+    let Some(mut fleet) = Fleet::start(record.clone(), 3, 11, 1) else {
+        return not_run("the deployment didn't come up");
+    };
+    let id = "5c0e7a21d94b36f8";
+    if fleet.submit(id, &job(1, "run_ms=3000", 2_000, 1_024, 3_000, &[])).is_none() {
+        return not_run("the job wasn't accepted");
+    }
+    let started_at = Instant::now();
+    let (mut crash_count, mut seen_starts) = (0, 0);
+    let mut down: Vec<(usize, Instant)> = Vec::new();
+    let mut polled_at = Instant::now();
+    while started_at.elapsed() < Duration::from_secs(60) {
+        let starts: Vec<_> = fleet
+            .events()
+            .into_iter()
+            .filter(|event| event.what == "start" && event.task.starts_with(id))
+            .collect();
+        if has_trouble && crash_count < MAX_CRASHES && starts.len() > seen_starts {
+            let start = &starts[seen_starts];
+            if unix_ms() >= start.at_ms + CRASH_DELAY_MS {
+                seen_starts += 1;
+                crash_count += 1;
+                fleet.kill_worker(start.worker);
+                down.push((start.worker, Instant::now()));
+            }
+        }
+        let up: Vec<usize> =
+            down.iter().filter(|(_, at)| at.elapsed() >= DOWN).map(|(worker, _)| *worker).collect();
+        down.retain(|(worker, _)| !up.contains(worker));
+        for worker in up {
+            if fleet.start_worker(worker).is_none() {
+                return not_run("a worker didn't start again");
+            }
+        }
+        if polled_at.elapsed() >= Duration::from_millis(500) {
+            polled_at = Instant::now();
+            let state = fleet.state(id);
+            let failed_count = fleet
+                .events()
+                .iter()
+                .filter(|event| event.task.starts_with(id) && event.how == "failed")
+                .count();
+            match state.as_deref() {
+                Some("failed") if (failed_count as u64) < MAX_ATTEMPTS => {
+                    return Verdict::Broken(format!(
+                        "the job is shown as failed; {failed_count} of its runs have ended failed, and \
+                         MaxAttempts is {MAX_ATTEMPTS}"
+                    ));
+                }
+                Some("completed") => {
+                    return Verdict::Held(format!(
+                        "the job is completed after {crash_count} crashes of workers"
+                    ));
+                }
+                _ => {}
+            }
+        }
+        sleep(Duration::from_millis(10));
+    }
+    not_run("the job was neither completed nor failed within a minute")
+}
+
+/// All open connections to the store go silent at once, some seconds after a burst of requests. Later, in
+/// calm, a client cancels a job that lasts.
+fn silent_store(record: &Record, has_trouble: bool) -> Verdict {
+    const BURST: usize = 24;
+    /// From the burst to the disruption, and from there to the cancellation; longer than `ContactMs`.
+    const CALM_TIME: Duration = Duration::from_millis(4_000);
+    const ACK_MS: u64 = 4_000;
+    const CANCEL_MS: u64 = 3_000;
+    const STOP_TIMEOUT_MS: u64 = 200;
+    /// A client's retries.
+    const RETRIES: usize = 4;
+    let Some(mut fleet) = Fleet::start(record.clone(), 3, 11, 1) else {
+        return not_run("the deployment didn't come up");
+    };
+    let id = "5c0e7a21d94b36f8";
+    let lasting = [("LongRunning", Json::Bool(true))];
+    if fleet.submit(id, &job(1, "lasts", 2_000, 1_024, 400, &lasting)).is_none() {
+        return not_run("the job wasn't accepted");
+    }
+    sleep(Duration::from_secs(1));
+    let accepted = fleet.burst(BURST, &job(1, "run_ms=300", 100, 64, 300, &[]));
+    record.add(format!("clients: {accepted} of {} jobs accepted in a burst", 3 * BURST));
+    sleep(CALM_TIME);
+    let task = format!("{id}.0.0.0");
+    if !open_run(&fleet.events(), &task) {
+        return not_run("the job that lasts doesn't run");
+    }
+    if has_trouble {
+        let count = fleet.store_proxy.silence();
+        record.add(format!("the {count} open connections to the store go silent"));
+    }
+    sleep(CALM_TIME);
+    let sent_ms = unix_ms();
+    let mut acknowledged_ms = None;
+    for _ in 0..=RETRIES {
+        let status = fleet.cancel(id);
+        if status / 100 == 2 || status == 410 {
+            acknowledged_ms = Some(unix_ms());
+            break;
+        }
+    }
+    let counted_from = acknowledged_ms.map_or(sent_ms + ACK_MS, |at| at.min(sent_ms + ACK_MS));
+    let must_be_gone_ms = counted_from + CANCEL_MS + STOP_TIMEOUT_MS;
+    while unix_ms() <= must_be_gone_ms + 500 {
+        sleep(Duration::from_millis(50));
+    }
+    if fleet.has_lost_program() {
+        return not_run("a program has ended");
+    }
+    let events = fleet.events();
+    let end = events.iter().filter(|event| event.task == task && event.what == "end").next_back();
+    let runs_on = open_run(&events, &task) || end.is_none_or(|end| end.at_ms > must_be_gone_ms);
+    let answer = acknowledged_ms.map_or("never".to_owned(), |at| {
+        format!("{:.1} s after it was first sent", (at - sent_ms) as f64 / 1_000.0)
+    });
+    let ran = end.filter(|_| !open_run(&events, &task)).map_or("still runs".to_owned(), |end| {
+        format!("ran until {:.1} s after it was first sent", (end.at_ms as f64 - sent_ms as f64) / 1_000.0)
+    });
+    let what = format!("the cancellation was acknowledged {answer}, and the task {ran}");
+    if runs_on { Verdict::Broken(what) } else { Verdict::Held(what) }
+}
+
+/// All open connections to the workers go silent at once, some seconds after the last of two batch jobs was
+/// cancelled. A job that lasts is running.
+fn silent_workers(record: &Record, has_trouble: bool) -> Verdict {
+    const WORKERS: usize = 11;
+    const BATCH_TIME: Duration = Duration::from_secs(3);
+    const CALM_TIME: Duration = Duration::from_secs(5);
+    const OBSERVED: Duration = Duration::from_secs(15);
+    const CONTACT_MS: u64 = 3_000;
+    const MAX_UNAVAILABLE: u64 = 1;
+    let Some(mut fleet) = Fleet::start(record.clone(), 3, WORKERS, 30) else {
+        return not_run("the deployment didn't come up");
+    };
+    let watch = "5c0e7a21d94b36f8";
+    let lasting = [
+        ("LongRunning", Json::Bool(true)),
+        ("MaxPerServer", number(1)),
+        ("MaxUnavailable", number(MAX_UNAVAILABLE)),
+    ];
+    if fleet.submit(watch, &job(6, "lasts", 8_000, 4_096, 400, &lasting)).is_none() {
+        return not_run("the job that lasts wasn't accepted");
+    }
+    sleep(BATCH_TIME);
+    let batch = job(12 * WORKERS as u64, "run_ms=60000", 500, 256, 60_000, &[]);
+    let [first, second] = ["5c0e7a21d94b3701", "5c0e7a21d94b3702"];
+    fleet.submit(first, &batch);
+    sleep(BATCH_TIME);
+    fleet.cancel(first);
+    fleet.submit(second, &batch);
+    sleep(BATCH_TIME);
+    fleet.cancel(second);
+    sleep(CALM_TIME);
+    let tasks: Vec<String> = (0..6).map(|index| format!("{watch}.0.0.{index}")).collect();
+    let events = fleet.events();
+    if !tasks.iter().all(|task| open_run(&events, task)) {
+        return not_run("the job that lasts doesn't run");
+    }
+    let trouble_ms = unix_ms();
+    if has_trouble {
+        let counts: Vec<usize> =
+            fleet.worker_proxies.iter().map(|proxy| proxy.silence()).collect();
+        record.add(format!("the open connections to the workers go silent: {counts:?} of each"));
+    }
+    sleep(OBSERVED);
+    if fleet.has_lost_program() {
+        return not_run("a program has ended");
+    }
+    let events = fleet.events();
+    let lapsed = events.iter().filter(|event| {
+        tasks.contains(&event.task)
+            && event.how == "lapsed"
+            && event.at_ms > trouble_ms + CONTACT_MS
+    });
+    let lapsed_count = lapsed.count() as u64;
+    let what = format!(
+        "{lapsed_count} of the 6 tasks of a step with MaxUnavailable {MAX_UNAVAILABLE} were ended by leases \
+         that lapsed more than {CONTACT_MS} ms after the disruption"
+    );
+    if lapsed_count > MAX_UNAVAILABLE { Verdict::Broken(what) } else { Verdict::Held(what) }
+}
+
+/// Whether a task has a run that hasn't ended.
+fn open_run(events: &[Event], task: &str) -> bool {
+    let own = events.iter().filter(|event| event.task == task);
+    own.last().is_some_and(|event| event.what == "start")
+}
