Review case 11: a heartbeat of another writer makes tasks run twice

One heartbeat without Version and Slots is accepted as that of a new life of the agent's worker, whose tasks are then started elsewhere while they run on under its lease.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts of review/11 and later start.
+# Builds the stand-ins that the scripts of review/11 to 15 start.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
--- a/review/stand_ins_3/cases.rs
+++ b/review/stand_ins_3/cases.rs
@@ -21,6 +21,7 @@
     match case {
         "crashes" => crashes(record, has_trouble),
         "silent_workers" => silent_workers(record, has_trouble),
+        "odd_heartbeat" => odd_heartbeat(record, has_trouble),
         "silent_store" => silent_store(record, has_trouble),
         _ => Verdict::NotRun(format!("no case {case}")),
     }
@@ -97,6 +98,58 @@
     not_run("the job was neither completed nor failed within a minute")
 }
 
+/// While a job runs, an agent gets one heartbeat of another writer.
+fn odd_heartbeat(record: &Record, has_trouble: bool) -> Verdict {
+    let Some(mut fleet) = Fleet::start(record.clone(), 3, 11, 1) else {
+        return not_run("the deployment didn't come up");
+    };
+    let id = "5c0e7a21d94b36f8";
+    if fleet.submit(id, &job(22, "run_ms=8000", 2_000, 1_024, 8_000, &[])).is_none() {
+        return not_run("the job wasn't accepted");
+    }
+    sleep(Duration::from_millis(2_500));
+    let Some(first) = fleet.events().into_iter().find(|event| event.task.starts_with(id)) else {
+        return not_run("the job hasn't started");
+    };
+    if has_trouble {
+        fleet.send_odd_heartbeat(first.worker);
+    }
+    let started_at = Instant::now();
+    while fleet.state(id).as_deref() != Some("completed") {
+        if started_at.elapsed() > Duration::from_secs(40) {
+            break;
+        }
+        sleep(Duration::from_millis(500));
+    }
+    if fleet.has_lost_program() {
+        return not_run("a program has ended");
+    }
+    let mut events = fleet.events();
+    events.sort_by_key(|event| event.at_ms);
+    let mut running: Vec<&Event> = Vec::new();
+    let mut doubled = Vec::new();
+    for event in events.iter().filter(|event| event.task.starts_with(id)) {
+        let other = running.iter().position(|run| run.task == event.task);
+        if event.what == "start" {
+            if let Some(run) = other.map(|index| running[index]) {
+                record.add(format!(
+                    "{} starts on worker {} while it runs on worker {}",
+                    event.task, event.worker, run.worker
+                ));
+                doubled.push(event.task.clone());
+            }
+            running.push(event);
+        } else {
+            running.retain(|run| run.task != event.task || run.worker != event.worker);
+        }
+    }
+    if doubled.is_empty() {
+        Verdict::Held("no task ran twice".to_owned())
+    } else {
+        Verdict::Broken(format!("{} tasks had two runs at the same time", doubled.len()))
+    }
+}
+
 /// All open connections to the store go silent at once, some seconds after a burst of requests. Later, in
 /// calm, a client cancels a job that lasts.
 fn silent_store(record: &Record, has_trouble: bool) -> Verdict {
--- a/review/stand_ins_3/fleet.rs
+++ b/review/stand_ins_3/fleet.rs
@@ -47,7 +47,6 @@
     pub worker: usize,
     pub what: String,
     pub task: String,
-    pub attempt: u64,
     /// How a run ended.
     pub how: String,
 }
@@ -357,7 +356,6 @@
                     worker: index,
                     what: word(1),
                     task: word(2),
-                    attempt: word(3).parse().unwrap_or(0),
                     how: word(4),
                 });
             }
@@ -446,6 +444,32 @@
         status
     }
 
+    /// Sends a heartbeat of another writer to an agent. It is like that of a worker that has just started at
+    /// the address of the agent's worker, but that it lacks two of the fields of a heartbeat: `Version` and
+    /// `Slots`. Returns the status of the answer.
+    pub fn send_odd_heartbeat(&self, index: usize) -> u16 {
+        let WorkerMachine { ip, zone, rack, .. } = &self.workers[index];
+        let capacity = object([("Cpu", number(64_000)), ("MemMb", number(256_000)), ("Gpu", number(0))]);
+        let body = object([
+            ("Service", text(SERVICE)),
+            ("Address", text(format!("{ip}:{PROXY_PORT}"))),
+            ("Zone", text(*zone)),
+            ("State", text("ready")),
+            ("ColdLeftMs", number(0)),
+            ("Capacity", capacity),
+            ("Labels", Json::List(vec![text("a"), text(&**rack)])),
+            ("ClockMs", number(1_000)),
+            ("Seq", number(1)),
+            ("born", number(unix_ms() - 1_000)),
+        ]);
+        let (address, second) = ((*ip, CONTROL_PORT).into(), Duration::from_secs(1));
+        let path = "/instances/i-0badbea7/heartbeat";
+        let answer = call(address, "POST", path, &[], &body.to_string(), second);
+        let status = answer.map_or(0, |(status, _)| status);
+        self.record.add(format!("another writer: heartbeat to the agent of worker {index} -> {status}"));
+        status
+    }
+
     pub fn events(&self) -> Vec<Event> {
         self.events.lock().unwrap().clone()
     }
