--- a/review/stand_ins_3/cases.rs
+++ b/review/stand_ins_3/cases.rs
@@ -221,6 +221,7 @@
     const OBSERVED: Duration = Duration::from_secs(15);
     const CONTACT_MS: u64 = 3_000;
     const MAX_UNAVAILABLE: u64 = 1;
+    const BATCH_TASKS: u64 = 22;
     let Some(mut fleet) = Fleet::start(record.clone(), 3, WORKERS, 30) else {
         return not_run("the deployment didn't come up");
     };
@@ -243,6 +244,11 @@
     sleep(BATCH_TIME);
     fleet.cancel(second);
     sleep(CALM_TIME);
+    let work = "5c0e7a21d94b3703";
+    if fleet.submit(work, &job(BATCH_TASKS, "run_ms=30000", 500, 256, 30_000, &[])).is_none() {
+        return not_run("the batch job wasn't accepted");
+    }
+    sleep(BATCH_TIME);
     let tasks: Vec<String> = (0..6).map(|index| format!("{watch}.0.0.{index}")).collect();
     let events = fleet.events();
     if !tasks.iter().all(|task| open_run(&events, task)) {
@@ -259,15 +265,15 @@
         return not_run("a program has ended");
     }
     let events = fleet.events();
-    let lapsed = events.iter().filter(|event| {
-        tasks.contains(&event.task)
-            && event.how == "lapsed"
-            && event.at_ms > trouble_ms + CONTACT_MS
-    });
-    let lapsed_count = lapsed.count() as u64;
+    let is_late_lapse =
+        |event: &&Event| event.how == "lapsed" && event.at_ms > trouble_ms + CONTACT_MS;
+    let lapsed: Vec<&Event> = events.iter().filter(is_late_lapse).collect();
+    let lapsed_count = lapsed.iter().filter(|event| tasks.contains(&event.task)).count() as u64;
+    let lost_count = lapsed.iter().filter(|event| event.task.starts_with(work)).count();
     let what = format!(
         "{lapsed_count} of the 6 tasks of a step with MaxUnavailable {MAX_UNAVAILABLE} were ended by leases \
-         that lapsed more than {CONTACT_MS} ms after the disruption"
+         that lapsed more than {CONTACT_MS} ms after the disruption, and {lost_count} of {BATCH_TASKS} runs of \
+         a batch job with them"
     );
     if lapsed_count > MAX_UNAVAILABLE { Verdict::Broken(what) } else { Verdict::Held(what) }
 }
