--- a/review/stand_ins_3/cases.rs
+++ b/review/stand_ins_3/cases.rs
@@ -153,7 +153,7 @@
 /// All open connections to the store go silent at once, some seconds after a burst of requests. Later, in
 /// calm, a client cancels a job that lasts.
 fn silent_store(record: &Record, has_trouble: bool) -> Verdict {
-    const BURST: usize = 24;
+    const BURST: usize = 8;
     /// From the burst to the disruption, and from there to the cancellation; longer than `ContactMs`.
     const CALM_TIME: Duration = Duration::from_millis(4_000);
     const ACK_MS: u64 = 4_000;
