--- a/review/stand_ins_3/cases.rs
+++ b/review/stand_ins_3/cases.rs
@@ -6,7 +6,7 @@
 };
 
 use crate::{
-    fleet::{Event, Fleet, MAX_ATTEMPTS, Record, job},
+    fleet::{Event, Fleet, Record, job},
     json::{Json, number},
     worker::unix_ms,
 };
@@ -19,7 +19,6 @@
 
 pub fn play(case: &str, record: &Record, has_trouble: bool) -> Verdict {
     match case {
-        "crashes" => crashes(record, has_trouble),
         "silent_workers" => silent_workers(record, has_trouble),
         "odd_heartbeat" => odd_heartbeat(record, has_trouble),
         "silent_store" => silent_store(record, has_trouble),
@@ -31,73 +30,6 @@
     Verdict::NotRun(why.to_owned())
 }
 
-/// A worker crashes soon after it has started a job's only task, and so does the next one.
-fn crashes(record: &Record, has_trouble: bool) -> Verdict {
-    const CRASH_DELAY_MS: u64 = 300;
-    const DOWN: Duration = Duration::from_millis(1_500);
-    const MAX_CRASHES: usize = 2;
-    let Some(mut fleet) = Fleet::start(record.clone(), 3, 11, 1) else {
-        return not_run("the deployment didn't come up");
-    };
-    let id = "5c0e7a21d94b36f8";
-    if fleet.submit(id, &job(1, "run_ms=3000", 2_000, 1_024, 3_000, &[])).is_none() {
-        return not_run("the job wasn't accepted");
-    }
-    let started_at = Instant::now();
-    let (mut crash_count, mut seen_starts) = (0, 0);
-    let mut down: Vec<(usize, Instant)> = Vec::new();
-    let mut polled_at = Instant::now();
-    while started_at.elapsed() < Duration::from_secs(60) {
-        let starts: Vec<_> = fleet
-            .events()
-            .into_iter()
-            .filter(|event| event.what == "start" && event.task.starts_with(id))
-            .collect();
-        if has_trouble && crash_count < MAX_CRASHES && starts.len() > seen_starts {
-            let start = &starts[seen_starts];
-            if unix_ms() >= start.at_ms + CRASH_DELAY_MS {
-                seen_starts += 1;
-                crash_count += 1;
-                fleet.kill_worker(start.worker);
-                down.push((start.worker, Instant::now()));
-            }
-        }
-        let up: Vec<usize> =
-            down.iter().filter(|(_, at)| at.elapsed() >= DOWN).map(|(worker, _)| *worker).collect();
-        down.retain(|(worker, _)| !up.contains(worker));
-        for worker in up {
-            if fleet.start_worker(worker).is_none() {
-                return not_run("a worker didn't start again");
-            }
-        }
-        if polled_at.elapsed() >= Duration::from_millis(500) {
-            polled_at = Instant::now();
-            let state = fleet.state(id);
-            let failed_count = fleet
-                .events()
-                .iter()
-                .filter(|event| event.task.starts_with(id) && event.how == "failed")
-                .count();
-            match state.as_deref() {
-                Some("failed") if (failed_count as u64) < MAX_ATTEMPTS => {
-                    return Verdict::Broken(format!(
-                        "the job is shown as failed; {failed_count} of its runs have ended failed, and \
-                         MaxAttempts is {MAX_ATTEMPTS}"
-                    ));
-                }
-                Some("completed") => {
-                    return Verdict::Held(format!(
-                        "the job is completed after {crash_count} crashes of workers"
-                    ));
-                }
-                _ => {}
-            }
-        }
-        sleep(Duration::from_millis(10));
-    }
-    not_run("the job was neither completed nor failed within a minute")
-}
-
 /// While a job runs, an agent gets one heartbeat of another writer.
 fn odd_heartbeat(record: &Record, has_trouble: bool) -> Verdict {
     let Some(mut fleet) = Fleet::start(record.clone(), 3, 11, 1) else {
--- a/review/stand_ins_3/fleet.rs
+++ b/review/stand_ins_3/fleet.rs
@@ -24,7 +24,7 @@
 pub const SERVICE: &str = "huvo11a";
 pub const HOST: &str = "nony24.example";
 pub const PREFIX: &str = "/lohu930/";
-pub const MAX_ATTEMPTS: u64 = 3;
+const MAX_ATTEMPTS: u64 = 3;
 const ZONES: [&str; 3] = ["zilina-a", "martin-b", "cadca-c"];
 /// Port at which the programs find the store, behind a proxy.
 const STORE_PORT: u16 = 8169;
@@ -331,8 +331,7 @@
         self.start_program("entry", &name, &settings)
     }
 
-    /// Starts a new life of a worker.
-    pub fn start_worker(&mut self, index: usize) -> Option<()> {
+    fn start_worker(&mut self, index: usize) -> Option<()> {
         let WorkerMachine { ip, zone, rack, answer_ms } = &self.workers[index];
         let mut child = Command::new(std::env::current_exe().ok()?)
             .arg("worker")
@@ -364,12 +363,6 @@
         Some(())
     }
 
-    /// Kills a worker's process.
-    pub fn kill_worker(&mut self, index: usize) {
-        self.kill(&format!("worker-{index}"));
-        self.record.add(format!("worker {index}: killed"));
-    }
-
     fn kill(&mut self, name: &str) {
         if let Some(mut child) = self.processes.remove(name) {
             drop(child.kill());
