--- a/review/stand_ins_3/cases.rs
+++ b/review/stand_ins_3/cases.rs
@@ -138,7 +138,10 @@
         format!("{:.1} s after it was first sent", (at - sent_ms) as f64 / 1_000.0)
     });
     let ran = end.filter(|_| !open_run(&events, &task)).map_or("still runs".to_owned(), |end| {
-        format!("ran until {:.1} s after it was first sent", (end.at_ms as f64 - sent_ms as f64) / 1_000.0)
+        format!(
+            "ran until {:.1} s after it was first sent",
+            (end.at_ms as f64 - sent_ms as f64) / 1_000.0
+        )
     });
     let what = format!("the cancellation was acknowledged {answer}, and the task {ran}");
     if runs_on { Verdict::Broken(what) } else { Verdict::Held(what) }
@@ -188,8 +191,7 @@
     }
     let trouble_ms = unix_ms();
     if has_trouble {
-        let counts: Vec<usize> =
-            fleet.worker_proxies.iter().map(|proxy| proxy.silence()).collect();
+        let counts: Vec<usize> = fleet.worker_proxies.iter().map(|proxy| proxy.silence()).collect();
         record.add(format!("the open connections to the workers go silent: {counts:?} of each"));
     }
     sleep(OBSERVED);
--- a/review/stand_ins_3/fleet.rs
+++ b/review/stand_ins_3/fleet.rs
@@ -79,7 +79,8 @@
         lines.sort_by_key(|(at_ms, _)| *at_ms);
         let mut file = File::create(path).expect("record.txt can be written");
         for (at_ms, line) in lines {
-            writeln!(file, "{:9.3} {line}", self.seconds(at_ms)).expect("record.txt can be written");
+            writeln!(file, "{:9.3} {line}", self.seconds(at_ms))
+                .expect("record.txt can be written");
         }
     }
 }
@@ -149,7 +150,12 @@
 
 impl Fleet {
     /// Starts everything, and waits until the entries are ready and a first job is done.
-    pub fn start(record: Record, entry_count: usize, worker_count: usize, answer_ms: u64) -> Option<Self> {
+    pub fn start(
+        record: Record,
+        entry_count: usize,
+        worker_count: usize,
+        answer_ms: u64,
+    ) -> Option<Self> {
         let network = free_network(entry_count, worker_count)?;
         let store_address = (ip(network, 1), STORE_OWN_PORT).into();
         let store = Store::start(store_address).ok()?;
@@ -211,7 +217,8 @@
             .map(|index| format!("\"{}:{CONTROL_PORT}\"", worker_ip(self.network, index)))
             .collect();
         let (seeds, store_ip) = (seeds.join(","), crate::fleet::ip(self.network, 1));
-        let zones: Vec<String> = ZONES.iter().map(|zone| format!("{zone} = \"sk-north\"")).collect();
+        let zones: Vec<String> =
+            ZONES.iter().map(|zone| format!("{zone} = \"sk-north\"")).collect();
         let (zones, is_edge) = (zones.join("\n"), class == "edge");
         let worker = if is_edge {
             String::new()
@@ -322,12 +329,8 @@
 
     fn start_entry(&mut self, index: usize) -> Option<()> {
         let name = format!("edge-{index}");
-        let settings = self.settings(
-            &name,
-            "edge",
-            entry_ip(self.network, index),
-            ZONES[index % ZONES.len()],
-        );
+        let settings =
+            self.settings(&name, "edge", entry_ip(self.network, index), ZONES[index % ZONES.len()]);
         self.start_program("entry", &name, &settings)
     }
 
@@ -442,7 +445,8 @@
     /// `Slots`. Returns the status of the answer.
     pub fn send_odd_heartbeat(&self, index: usize) -> u16 {
         let WorkerMachine { ip, zone, rack, .. } = &self.workers[index];
-        let capacity = object([("Cpu", number(64_000)), ("MemMb", number(256_000)), ("Gpu", number(0))]);
+        let capacity =
+            object([("Cpu", number(64_000)), ("MemMb", number(256_000)), ("Gpu", number(0))]);
         let body = object([
             ("Service", text(SERVICE)),
             ("Address", text(format!("{ip}:{PROXY_PORT}"))),
@@ -459,7 +463,8 @@
         let path = "/instances/i-0badbea7/heartbeat";
         let answer = call(address, "POST", path, &[], &body.to_string(), second);
         let status = answer.map_or(0, |(status, _)| status);
-        self.record.add(format!("another writer: heartbeat to the agent of worker {index} -> {status}"));
+        self.record
+            .add(format!("another writer: heartbeat to the agent of worker {index} -> {status}"));
         status
     }
 
@@ -519,7 +524,14 @@
 }
 
 /// Job of one stage; `more` are further fields of the stage.
-pub fn job(count: u64, spec: &str, cpu: u64, mem_mb: u64, estimate_ms: u64, more: &[(&str, Json)]) -> Json {
+pub fn job(
+    count: u64,
+    spec: &str,
+    cpu: u64,
+    mem_mb: u64,
+    estimate_ms: u64,
+    more: &[(&str, Json)],
+) -> Json {
     let Json::Object(mut stage) = object([
         ("Count", number(count)),
         ("Cpu", number(cpu)),
--- a/review/stand_ins_3/store.rs
+++ b/review/stand_ins_3/store.rs
@@ -54,11 +54,8 @@
 
 impl Store {
     pub fn start(address: SocketAddr) -> std::io::Result<Self> {
-        let store = Self {
-            state: Arc::default(),
-            parts: Arc::default(),
-            started_at: Instant::now(),
-        };
+        let store =
+            Self { state: Arc::default(), parts: Arc::default(), started_at: Instant::now() };
         let listener = listen(address)?;
         let served = store.clone();
         serve(listener, move |request| served.handle(request));
@@ -85,7 +82,9 @@
     }
 
     fn answer(&self, rows: Vec<Json>, has_more: Option<bool>, version: u64) -> String {
-        let Json::Object(mut members) = object([("rows", Json::List(rows))]) else { unreachable!() };
+        let Json::Object(mut members) = object([("rows", Json::List(rows))]) else {
+            unreachable!()
+        };
         if let Some(has_more) = has_more {
             members.push(("HasMore".to_owned(), Json::Bool(has_more)));
         }
@@ -136,8 +135,7 @@
         let _turn = lock.lock().unwrap();
         sleep(TRANSACTION_TIME);
         let mut state = self.state.0.lock().unwrap();
-        let version_of =
-            |key: &RowKey| state.rows.get(key).map_or(0, |row| row.version);
+        let version_of = |key: &RowKey| state.rows.get(key).map_or(0, |row| row.version);
         if conditions.iter().any(|(key, version)| version_of(key) != *version) {
             let present = conditions.iter().filter_map(|(key, _)| {
                 let row = state.rows.get(key)?;
@@ -157,10 +155,10 @@
         let (table, part) = (request.param("Table").to_owned(), request.param("part").to_owned());
         let (from, to) = (request.param("From").to_owned(), request.param("To"));
         let limit = request.param("Limit").parse().unwrap_or(MAX_ROWS).min(MAX_ROWS);
-        let mut found = state
-            .rows
-            .range((table.clone(), part.clone(), from)..)
-            .take_while(|((t, p, k), _)| *t == table && *p == part && (to.is_empty() || k.as_str() < to));
+        let mut found =
+            state.rows.range((table.clone(), part.clone(), from)..).take_while(|((t, p, k), _)| {
+                *t == table && *p == part && (to.is_empty() || k.as_str() < to)
+            });
         let mut rows = Vec::new();
         let mut bytes = 0;
         let mut has_more = false;
--- a/review/stand_ins_3/worker.rs
+++ b/review/stand_ins_3/worker.rs
@@ -224,14 +224,16 @@
                 let barred = state.barred.entry(task.clone()).or_default();
                 *barred = attempt.max(*barred);
                 let stop_at = Instant::now() + self.options.stop;
-                if let Some(run) = state.running.get_mut(&task).filter(|run| run.attempt == attempt) {
+                if let Some(run) = state.running.get_mut(&task).filter(|run| run.attempt == attempt)
+                {
                     run.stop_at.get_or_insert(stop_at);
                 }
                 (200, self.body(&[]))
             }
             "/pace" => {
                 let percent = body.number("Percent").unwrap_or(100);
-                if let Some(run) = state.running.get_mut(&task).filter(|run| run.attempt == attempt) {
+                if let Some(run) = state.running.get_mut(&task).filter(|run| run.attempt == attempt)
+                {
                     run.percent = percent;
                 }
                 (200, self.body(&[]))
@@ -263,12 +265,12 @@
         });
         // A task that lasts tells its tail latency, any other the processor time that it uses.
         let gauge = if run.duration.is_some() { 500 } else { 20 };
-        let row = [text(task.clone()), number(run.attempt), text(""), number(percent), number(gauge)];
+        let row =
+            [text(task.clone()), number(run.attempt), text(""), number(percent), number(gauge)];
         Json::List(row.into())
     });
     let ended = state.ended.iter().take(MAX_LISTED_ENDS).map(|(end_number, task, attempt, how)| {
-        let row =
-            [number(*end_number), text(task.clone()), number(*attempt), text(*how), text("")];
+        let row = [number(*end_number), text(task.clone()), number(*attempt), text(*how), text("")];
         Json::List(row.into())
     });
     [("Running", Json::List(running.collect())), ("Ended", Json::List(ended.collect()))]
