Review case 12: an agent ignores its sound worker for good after a heartbeat of another writer

The agent of the only worker with a label gets one heartbeat without Version and Slots; an accepted job that needs the label is never started.

--- a/review/stand_ins_3/cases.rs
+++ b/review/stand_ins_3/cases.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     fleet::{Event, Fleet, Record, job},
-    json::{Json, number},
+    json::{Json, number, text},
     worker::unix_ms,
 };
 
@@ -20,6 +20,7 @@
 pub fn play(case: &str, record: &Record, has_trouble: bool) -> Verdict {
     match case {
         "silent_workers" => silent_workers(record, has_trouble),
+        "ignored_worker" => ignored_worker(record, has_trouble),
         "odd_heartbeat" => odd_heartbeat(record, has_trouble),
         "silent_store" => silent_store(record, has_trouble),
         _ => Verdict::NotRun(format!("no case {case}")),
@@ -82,6 +83,56 @@
     }
 }
 
+/// The agent of the only worker in a rack gets one heartbeat of another writer. Later, a job comes that needs
+/// the label of this rack.
+fn ignored_worker(record: &Record, has_trouble: bool) -> Verdict {
+    /// The last of them is alone in its rack.
+    const WORKERS: usize = 10;
+    /// Longer than `ContactMs`, and than any lease.
+    const CALM_TIME: Duration = Duration::from_secs(11);
+    /// `finish_s` and the 3 s in which nothing runs.
+    const OBSERVED: Duration = Duration::from_secs(14 + 3);
+    let Some(mut fleet) = Fleet::start(record.clone(), 3, WORKERS, 1) else {
+        return not_run("the deployment didn't come up");
+    };
+    let label = [("RequiredLabel", text(fleet.rack(WORKERS - 1)))];
+    let body = job(4, "run_ms=500", 2_000, 1_024, 500, &label);
+    let [before, after] = ["5c0e7a21d94b3701", "5c0e7a21d94b3702"];
+    if fleet.submit(before, &body).is_none() {
+        return not_run("the first job wasn't accepted");
+    }
+    sleep(Duration::from_secs(3));
+    if fleet.state(before).as_deref() != Some("completed") {
+        return not_run("the first job isn't completed");
+    }
+    if has_trouble {
+        fleet.send_odd_heartbeat(WORKERS - 1);
+    }
+    sleep(CALM_TIME);
+    if fleet.submit(after, &body).is_none() {
+        return not_run("the second job wasn't accepted");
+    }
+    let accepted_at = Instant::now();
+    while accepted_at.elapsed() < OBSERVED {
+        sleep(Duration::from_secs(1));
+        if fleet.state(after).as_deref() == Some("completed") {
+            return Verdict::Held("the job was done".to_owned());
+        }
+    }
+    if fleet.has_lost_program() {
+        return not_run("a program has ended");
+    }
+    let events = fleet.events();
+    let mut own = events.iter().filter(|event| event.task.starts_with(after));
+    if own.any(|event| event.what == "start") {
+        return Verdict::Held("the job has started".to_owned());
+    }
+    Verdict::Broken(format!(
+        "no task of the accepted job has started within {} s, with its worker sound and empty",
+        OBSERVED.as_secs()
+    ))
+}
+
 /// All open connections to the store go silent at once, some seconds after a burst of requests. Later, in
 /// calm, a client cancels a job that lasts.
 fn silent_store(record: &Record, has_trouble: bool) -> Verdict {
--- a/review/stand_ins_3/fleet.rs
+++ b/review/stand_ins_3/fleet.rs
@@ -468,6 +468,11 @@
         status
     }
 
+    /// Label of a worker's rack.
+    pub fn rack(&self, index: usize) -> String {
+        self.workers[index].rack.clone()
+    }
+
     pub fn events(&self) -> Vec<Event> {
         self.events.lock().unwrap().clone()
     }
