Third review: check AVAIL as written, sounder stand-ins, a line for each entry

Case 14 counts a lapse only while another task of the step is away, and its load is within the sheet. Batch tasks list the CPU that they ask for; edges have the sheet's settings; run-3.sh ends all processes also if the stand-ins are killed (tried once).

--- a/review/run-3.sh
+++ b/review/run-3.sh
@@ -7,20 +7,20 @@
 [ -x target/review/stand_ins_3 ] || { echo "run review/build-3.sh first" >&2; exit 2; }
 [ -x target/release/teaseltrack-site-agent ] || { echo "run the build of the deploy file first" >&2; exit 2; }
 case_pid=
+CASE_PIDS=$(mktemp) || exit 2
+export CASE_PIDS
 end_all() {
-    [ -n "$case_pid" ] && kill -0 "$case_pid" 2>/dev/null || return 0
-    kill -STOP "$case_pid"
-    for stat in /proc/[0-9]*/stat; do
-        { read -r pid _ _ parent _ <"$stat"; } 2>/dev/null || continue
-        [ "$parent" = "$case_pid" ] && kill -KILL "$pid" 2>/dev/null
-    done
-    kill -KILL "$case_pid" 2>/dev/null
-    rm -rf "${TMPDIR:-/tmp}/teaseltrack-review-$case_pid"-*
+    while read -r pid; do
+        grep -qE 'teaseltrack-site|stand_ins_3' "/proc/$pid/cmdline" 2>/dev/null && kill -KILL "$pid"
+    done <"$CASE_PIDS"
+    rm -f "$CASE_PIDS"
+    [ -n "$case_pid" ] && rm -rf "${TMPDIR:-/tmp}/teaseltrack-review-$case_pid"-*
 }
 trap end_all EXIT
 trap 'exit 2' INT TERM HUP
 target/review/stand_ins_3 "$1" "review/$2" &
 case_pid=$!
+echo "$case_pid" >>"$CASE_PIDS"
 for _ in $(seq 115); do
     kill -0 "$case_pid" 2>/dev/null || break
     sleep 1 &
@@ -29,7 +29,6 @@
 kill -0 "$case_pid" 2>/dev/null && { echo "the case took too long" >&2; exit 2; }
 wait "$case_pid"
 status=$?
-case_pid=
 case $status in
     0 | 1) exit "$status" ;;
     *) exit 2 ;;
--- a/review/stand_ins_3/cases.rs
+++ b/review/stand_ins_3/cases.rs
@@ -127,6 +127,11 @@
     if own.any(|event| event.what == "start") {
         return Verdict::Held("the job has started".to_owned());
     }
+    let ended =
+        |start: &Event| events.iter().any(|event| event.what == "end" && event.task == start.task);
+    if !events.iter().filter(|event| event.what == "start").all(ended) {
+        return not_run("the workers aren't empty");
+    }
     Verdict::Broken(format!(
         "no task of the accepted job has started within {} s, with its worker sound and empty",
         OBSERVED.as_secs()
@@ -198,16 +203,17 @@
     if runs_on { Verdict::Broken(what) } else { Verdict::Held(what) }
 }
 
-/// All open connections to the workers go silent at once, some seconds after the last of two batch jobs was
-/// cancelled. A job that lasts is running.
+/// All open connections to the workers go silent at once, some seconds after some short jobs are done.
+/// A job that lasts and a batch job are running.
 fn silent_workers(record: &Record, has_trouble: bool) -> Verdict {
     const WORKERS: usize = 11;
     const BATCH_TIME: Duration = Duration::from_secs(3);
     const CALM_TIME: Duration = Duration::from_secs(5);
     const OBSERVED: Duration = Duration::from_secs(15);
     const CONTACT_MS: u64 = 3_000;
-    const MAX_UNAVAILABLE: u64 = 1;
+    const MAX_UNAVAILABLE: usize = 1;
     const BATCH_TASKS: u64 = 22;
+    const SHORT_JOBS: usize = 5;
     let Some(mut fleet) = Fleet::start(record.clone(), 3, WORKERS, 30) else {
         return not_run("the deployment didn't come up");
     };
@@ -215,23 +221,21 @@
     let lasting = [
         ("LongRunning", Json::Bool(true)),
         ("MaxPerServer", number(1)),
-        ("MaxUnavailable", number(MAX_UNAVAILABLE)),
+        ("MaxUnavailable", number(MAX_UNAVAILABLE as u64)),
     ];
     if fleet.submit(watch, &job(6, "lasts", 8_000, 4_096, 400, &lasting)).is_none() {
         return not_run("the job that lasts wasn't accepted");
     }
     sleep(BATCH_TIME);
-    let batch = job(12 * WORKERS as u64, "run_ms=60000", 500, 256, 60_000, &[]);
-    let [first, second] = ["5c0e7a21d94b3701", "5c0e7a21d94b3702"];
-    fleet.submit(first, &batch);
-    sleep(BATCH_TIME);
-    fleet.cancel(first);
-    fleet.submit(second, &batch);
-    sleep(BATCH_TIME);
-    fleet.cancel(second);
+    for index in 0..SHORT_JOBS {
+        let short = job(27, "run_ms=1000", 500, 256, 1_000, &[]);
+        if fleet.submit(&format!("5c0e7a21d94b370{index}"), &short).is_none() {
+            return not_run("a short job wasn't accepted");
+        }
+    }
     sleep(CALM_TIME);
-    let work = "5c0e7a21d94b3703";
-    if fleet.submit(work, &job(BATCH_TASKS, "run_ms=30000", 500, 256, 30_000, &[])).is_none() {
+    let work = "5c0e7a21d94b3777";
+    if fleet.submit(work, &job(BATCH_TASKS, "run_ms=10000", 500, 256, 10_000, &[])).is_none() {
         return not_run("the batch job wasn't accepted");
     }
     sleep(BATCH_TIME);
@@ -249,18 +253,28 @@
     if fleet.has_lost_program() {
         return not_run("a program has ended");
     }
-    let events = fleet.events();
+    let mut events = fleet.events();
+    events.sort_by_key(|event| event.at_ms);
     let is_late_lapse =
         |event: &&Event| event.how == "lapsed" && event.at_ms > trouble_ms + CONTACT_MS;
     let lapsed: Vec<&Event> = events.iter().filter(is_late_lapse).collect();
-    let lapsed_count = lapsed.iter().filter(|event| tasks.contains(&event.task)).count() as u64;
+    // What a lapse ends counts as away until it has a run again.
+    let mut away: Vec<&str> = Vec::new();
+    let mut broken_count = 0;
+    for event in events.iter().filter(|event| tasks.contains(&event.task)) {
+        away.retain(|task| event.what != "start" || *task != event.task);
+        if is_late_lapse(&event) {
+            broken_count += usize::from(away.len() >= MAX_UNAVAILABLE);
+            away.push(event.task.as_str());
+        }
+    }
     let lost_count = lapsed.iter().filter(|event| event.task.starts_with(work)).count();
     let what = format!(
-        "{lapsed_count} of the 6 tasks of a step with MaxUnavailable {MAX_UNAVAILABLE} were ended by leases \
-         that lapsed more than {CONTACT_MS} ms after the disruption, and {lost_count} of {BATCH_TASKS} runs of \
-         a batch job with them"
+        "{broken_count} tasks of a step with MaxUnavailable {MAX_UNAVAILABLE} were ended, while as many others were \
+         away, by leases that lapsed more than {CONTACT_MS} ms after the disruption; {lost_count} of {BATCH_TASKS} \
+         runs of a batch job lapsed with them"
     );
-    if lapsed_count > MAX_UNAVAILABLE { Verdict::Broken(what) } else { Verdict::Held(what) }
+    if broken_count > 0 { Verdict::Broken(what) } else { Verdict::Held(what) }
 }
 
 /// Whether a task has a run that hasn't ended.
--- a/review/stand_ins_3/fleet.rs
+++ b/review/stand_ins_3/fleet.rs
@@ -139,6 +139,14 @@
     })
 }
 
+/// Tells the script what to end if this process is killed.
+fn note_process(child: &Child) {
+    let Some(path) = std::env::var_os("CASE_PIDS") else { return };
+    if let Ok(mut file) = File::options().append(true).create(true).open(path) {
+        drop(writeln!(file, "{}", child.id()));
+    }
+}
+
 /// The command of a role in the deploy file.
 fn role_command(role: &str) -> Option<Vec<String>> {
     let deploy = fs::read_to_string("deploy/system.toml").ok()?;
@@ -230,6 +238,8 @@
         } else {
             format!("Control = \"{ip}:{CONTROL_PORT}\"")
         };
+        let (cpu_share, memory_mb, max_fds) =
+            if is_edge { (0.1, 260, 4_100) } else { (0.15, 128, 4_096) };
         let (first_port, last_port) = INTERNAL_PORTS;
         format!(
             r#"NodeName = "{name}"
@@ -246,7 +256,7 @@
 Discovery = "local"
 Entry = "vip"
 HeartbeatMs = 1500
-Contracts = ["base","drain","config","cost","recover","sched","platform","sharing"]
+Contracts = ["base","drain","config","cost","recover","sched","platform","advice","upkeep","sharing"]
 ControlMode = "invoke"
 {worker}
 [Zones]
@@ -256,10 +266,10 @@
 {listen}
 
 [Limits]
-CpuShare = 0.15
+CpuShare = {cpu_share}
 Cores = 1
-MemoryMb = 128
-MaxFds = 4096
+MemoryMb = {memory_mb}
+MaxFds = {max_fds}
 LinkMbps = 1000.0
 DiskMb = 0
 
@@ -316,6 +326,7 @@
             .stderr(log)
             .spawn()
             .ok()?;
+        note_process(&child);
         self.processes.insert(name.to_owned(), child);
         Some(())
     }
@@ -362,6 +373,7 @@
                 });
             }
         });
+        note_process(&child);
         self.processes.insert(format!("worker-{index}"), child);
         Some(())
     }
@@ -477,10 +489,9 @@
         self.events.lock().unwrap().clone()
     }
 
-    /// Whether a program of the project has ended by itself.
+    /// Whether a program of the project or a worker has ended by itself.
     pub fn has_lost_program(&mut self) -> bool {
-        let programs = self.processes.iter_mut().filter(|(name, _)| !name.starts_with("worker"));
-        programs.into_iter().any(|(_, child)| child.try_wait().ok().flatten().is_some())
+        self.processes.values_mut().any(|child| child.try_wait().ok().flatten().is_some())
     }
 }
 
@@ -546,5 +557,8 @@
         unreachable!()
     };
     stage.extend(more.iter().map(|(key, value)| ((*key).to_owned(), value.clone())));
-    object([("Spec", text(spec)), ("JobStages", Json::List(vec![Json::Object(stage)]))])
+    object([
+        ("Spec", text(format!("{spec} cpu={cpu}"))),
+        ("JobStages", Json::List(vec![Json::Object(stage)])),
+    ])
 }
--- a/review/stand_ins_3/worker.rs
+++ b/review/stand_ins_3/worker.rs
@@ -1,7 +1,8 @@
 //! Stand-in of a worker: a process of its own, so that a crash is a SIGKILL. It does what the users' pages
 //! say of a sound worker. Each life has a new identifier, a clock of its own and knows nothing of before.
 //!
-//! A job's `Spec` tells how long its tasks run: `run_ms=N`, or `lasts`. What starts and ends is printed.
+//! A job's `Spec` tells how long its tasks run, `run_ms=N` or `lasts`, and after a space what CPU they use, `cpu=N`.
+//! What starts and ends is printed.
 
 use std::{
     collections::BTreeMap,
@@ -46,6 +47,7 @@
     duration: Option<Duration>,
     stop_at: Option<Instant>,
     percent: u64,
+    cpu: u64,
 }
 
 #[derive(Default)]
@@ -208,11 +210,14 @@
                     return self.refuse("late");
                 }
                 let spec = body.text("Spec").unwrap_or_default();
-                let duration = spec.strip_prefix("run_ms=").and_then(|ms| ms.parse().ok());
+                let value = |name: &str| {
+                    spec.split(' ').find_map(|word| word.strip_prefix(name)?.parse::<u64>().ok())
+                };
                 let run = Run {
                     attempt,
                     started_at: Instant::now(),
-                    duration: duration.map(Duration::from_millis),
+                    duration: value("run_ms=").map(Duration::from_millis),
+                    cpu: value("cpu=").unwrap_or(0),
                     stop_at: None,
                     percent: 100,
                 };
@@ -263,10 +268,8 @@
             let worked = now.duration_since(run.started_at).as_millis() as u64;
             (worked * 100 / (duration.as_millis() as u64).max(1)).min(99)
         });
-        // A task that lasts tells its tail latency, any other the processor time that it uses.
-        let gauge = if run.duration.is_some() { 500 } else { 20 };
         let row =
-            [text(task.clone()), number(run.attempt), text(""), number(percent), number(gauge)];
+            [text(task.clone()), number(run.attempt), text(""), number(percent), number(run.cpu)];
         Json::List(row.into())
     });
     let ended = state.ended.iter().take(MAX_LISTED_ENDS).map(|(end_number, task, attempt, how)| {
