Stop using idle connections once a request got no response

Cause: a call without a response closed its own connection only, and the next call took another idle connection, which was as silent. An agent ended its calls before the client's timeout, so that these left no trace at all.

Change: a request without a response puts in doubt all idle connections to the same server that haven't been proven since it was sent. They are used only while no new one can be opened, and closed once a new one works. Requests that were sent run until their timeout also without their caller. Calls and long polls to the store share their connections. Counters and logs tell, by address, silent connections from a slow server.

--- a/crates/teaseltrack-cell/src/agent.rs
+++ b/crates/teaseltrack-cell/src/agent.rs
@@ -40,7 +40,7 @@
     },
     calls::{CellClient, KnownOwner},
     constants::{
-        CALL_TIMEOUT, FULL_REPORT_INTERVAL, MAX_LEASE, PACING, REPORT_WAIT, RETRY_DELAY, SYNC_WAIT,
+        FULL_REPORT_INTERVAL, MAX_LEASE, PACING, REPORT_WAIT, RETRY_DELAY, SYNC_WAIT,
         WORKER_CALL_TIMEOUT,
     },
     worker_port::{AddressedCall, WorkerAdapter, WorkerCall, WorkerError, WorkerResponse},
@@ -452,10 +452,11 @@
         // acknowledgement of ends, for its own.
         let lease_until_ms = self.lease_until_ms.filter(|_| self.is_reachable);
         let forget_until = if self.is_reachable { self.forget_until } else { 0 };
-        let call = self.addressed(WorkerCall::Sync { lease_until_ms, forget_until, wait });
+        let call = WorkerCall::Sync { lease_until_ms, forget_until, wait };
+        let (limit, call) = (call.timeout(), self.addressed(call));
         let (worker, events) = (self.context.worker.clone(), self.events.clone());
         tokio::spawn(async move {
-            let result = with_timeout(wait + CALL_TIMEOUT, worker(call)).await;
+            let result = with_timeout(limit, worker(call)).await;
             drop(events.send(AgentEvent::Synced { number, sent_at: now, result }).await);
         });
     }
@@ -965,7 +966,7 @@
         call: WorkerCall,
         event: impl FnOnce(Result<WorkerResponse, WorkerError>) -> AgentEvent + Send + 'static,
     ) {
-        let call = self.addressed(call);
+        let (limit, call) = (call.timeout(), self.addressed(call));
         let (worker, events) = (self.context.worker.clone(), self.events.clone());
         let session_end = self.session_end.clone();
         tokio::spawn(async move {
@@ -974,7 +975,7 @@
                 () = session_end.cancelled() => {
                     Err(WorkerError::Unavailable { message: "session has ended".to_owned() })
                 }
-                result = with_timeout(WORKER_CALL_TIMEOUT, worker(call)) => result,
+                result = with_timeout(limit, worker(call)) => result,
             };
             drop(events.send(event(result)).await);
         });
--- a/crates/teaseltrack-cell/src/worker_port.rs
+++ b/crates/teaseltrack-cell/src/worker_port.rs
@@ -11,6 +11,8 @@
     ids::AttemptNumber,
 };
 
+use crate::constants::{CALL_TIMEOUT, WORKER_CALL_TIMEOUT};
+
 /// Failure of a call to the worker.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum WorkerError {
@@ -65,6 +67,16 @@
     },
 }
 
+impl WorkerCall {
+    /// Time after which the agent no longer waits for the response.
+    pub fn timeout(&self) -> Duration {
+        match self {
+            Self::Sync { wait, .. } => *wait + CALL_TIMEOUT,
+            Self::Start { .. } | Self::Stop { .. } | Self::Pace { .. } => WORKER_CALL_TIMEOUT,
+        }
+    }
+}
+
 /// Call with its intended worker and session.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AddressedCall {
--- a/crates/teaseltrack-daemon/src/http_client.rs
+++ b/crates/teaseltrack-daemon/src/http_client.rs
@@ -1,29 +1,54 @@
 //! HTTP client with a connection pool and a timeout for each call.
+//!
+//! A call gets an idle connection, or opens one and takes the first that is available; which idle
+//! connections may be used is decided in [`idle_connections`]. Once it is sent, a request runs until its
+//! timeout, also if its caller no longer waits: a caller with less time than that would leave the next one
+//! another connection that is as silent. A request is sent again only if the connection was closed before
+//! it was sent.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    collections::HashMap,
+    fmt,
+    net::SocketAddr,
+    pin::pin,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode, header::CONTENT_TYPE};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
-    rt::{TokioExecutor, TokioTimer},
+use http::{
+    HeaderValue, Method, Request, StatusCode, Uri,
+    header::{CONTENT_TYPE, HOST},
 };
+use http_body_util::Full;
 use serde::{Serialize, de::DeserializeOwned};
 use snafu::{ResultExt, Snafu};
-use teaseltrack::outcome::ErrorKind;
-use tokio::time::timeout;
+use teaseltrack::{
+    clock::{SharedClock, SystemClock},
+    outcome::ErrorKind,
+};
+use tokio::{
+    sync::{Notify, oneshot},
+    time::{timeout, timeout_at},
+};
 
-use crate::problem::Problem;
+use crate::{
+    http_client::{
+        connection::{Connection, RequestError},
+        idle_connections::IdleConnections,
+        monitor::{ConnectionMonitor, LostResponse},
+    },
+    problem::Problem,
+};
+
+pub mod connection;
+pub mod idle_connections;
+pub mod monitor;
 
-/// Maximum size of a response body, in bytes.
-const MAX_RESPONSE_BYTES: usize = 64 << 20;
-/// Timeout after which an idle connection is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Timeout for connecting.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Maximum idle connections per address.
-const MAX_IDLE_CONNECTIONS: usize = 16;
+/// Fraction of a call's timeout after which it uses a connection in doubt if no other is available.
+const CONNECT_SHARE: f64 = 0.5;
 
 /// Failure of an HTTP call.
 #[derive(Debug, Snafu)]
@@ -77,25 +102,46 @@
     pub body: Bytes,
 }
 
-/// HTTP client; cheap to clone.
-#[derive(Clone, Debug)]
+/// Connections to one server.
+struct Server {
+    address: SocketAddr,
+    idle: Mutex<IdleConnections<Connection>>,
+    /// Notified when a connection becomes idle.
+    returned: Notify,
+    clock: SharedClock,
+    monitor: ConnectionMonitor,
+}
+
+/// HTTP client; cheap to clone. All clones share their connections.
+#[derive(Clone)]
 pub struct HttpClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    servers: Arc<Mutex<HashMap<SocketAddr, Arc<Server>>>>,
     timeout: Duration,
+    clock: SharedClock,
+    monitor: ConnectionMonitor,
+}
+
+impl fmt::Debug for HttpClient {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("HttpClient").field("timeout", &self.timeout).finish_non_exhaustive()
+    }
 }
 
 impl HttpClient {
     /// Creates a client that waits up to `timeout` for each complete response.
     pub fn new(timeout: Duration) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
-            .build(connector);
-        Self { client, timeout }
+        let clock = Arc::new(SystemClock);
+        Self { servers: Arc::default(), timeout, clock, monitor: ConnectionMonitor::silent() }
+    }
+
+    /// Reports the connections to `monitor`.
+    pub fn with_monitor(self, monitor: ConnectionMonitor) -> Self {
+        Self { servers: Arc::default(), monitor, ..self }
+    }
+
+    /// Returns a client with another timeout that uses the same connections.
+    pub fn with_timeout(&self, timeout: Duration) -> Self {
+        Self { timeout, ..self.clone() }
     }
 
     /// Sends a request and reads the complete response.
@@ -108,29 +154,40 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Result<BufferedResponse, CallError> {
-        let exchange = async {
-            let response = self.client.request(request).await.map_err(|error| {
-                if error.is_connect() {
-                    CallError::Unreachable { address }
-                } else {
-                    CallError::ResponseLost { address }
-                }
-            })?;
-            let (parts, body) = response.into_parts();
-            let body = Limited::new(body, MAX_RESPONSE_BYTES)
-                .collect()
-                .await
-                .map_err(|_| CallError::ResponseLost { address })?;
-            Ok(BufferedResponse {
-                status: parts.status,
-                headers: parts.headers,
-                body: body.to_bytes(),
+        let deadline = tokio::time::Instant::now() + self.timeout;
+        let server = self.server(address);
+        let mut request = Box::new(to_origin_form(address, request));
+        loop {
+            let connection = timeout_at(deadline, server.connection(self.timeout)).await;
+            let Ok(Some(connection)) = connection else {
+                return UnreachableSnafu { address }.fail();
+            };
+            let is_proven = connection.is_proven;
+            let (reply, response) = oneshot::channel();
+            let exchange =
+                server.clone().exchange(connection, *request, self.timeout, deadline, reply);
+            tokio::spawn(exchange);
+            match response.await {
+                Ok(Ok(response)) => return Ok(response),
+                // The server may close a connection while it is idle, but has no reason to close a new one.
+                Ok(Err(RequestError::NotSent(unsent))) if is_proven => request = unsent,
+                Ok(Err(_)) | Err(_) => return ResponseLostSnafu { address }.fail(),
+            }
+        }
+    }
+
+    fn server(&self, address: SocketAddr) -> Arc<Server> {
+        let mut servers = self.servers.lock().unwrap_or_else(PoisonError::into_inner);
+        let new_server = || {
+            Arc::new(Server {
+                address,
+                idle: Mutex::default(),
+                returned: Notify::new(),
+                clock: self.clock.clone(),
+                monitor: self.monitor.clone(),
             })
         };
-        match timeout(self.timeout, exchange).await {
-            Ok(result) => result,
-            Err(_) => ResponseLostSnafu { address }.fail(),
-        }
+        servers.entry(address).or_insert_with(new_server).clone()
     }
 
     /// Sends a JSON body and parses the JSON response; a status of 400 or above is a refusal.
@@ -172,6 +229,131 @@
     }
 }
 
+impl Server {
+    /// Returns an idle connection or opens one; `None` if there is none in time.
+    async fn connection(self: &Arc<Self>, call_timeout: Duration) -> Option<Connection> {
+        let mut returned = pin!(self.returned.notified());
+        returned.as_mut().enable();
+        if let Some(connection) = self.take_idle() {
+            return Some(connection);
+        }
+        let mut opened = self.open_connection();
+        let first_available = async {
+            loop {
+                tokio::select! {
+                    biased;
+                    connection = &mut opened => return connection.ok().flatten(),
+                    () = &mut returned => {}
+                }
+                if let Some(connection) = self.take_idle() {
+                    return Some(connection);
+                }
+                returned.set(self.returned.notified());
+            }
+        };
+        let limit = if self.lock().has_doubtful() {
+            CONNECT_TIMEOUT.min(call_timeout.mul_f64(CONNECT_SHARE))
+        } else {
+            CONNECT_TIMEOUT
+        };
+        let connection = timeout(limit, first_available).await.ok().flatten();
+        connection.or_else(|| self.lock().take_any(self.clock.now(), Connection::is_open))
+    }
+
+    /// Opens a connection, which becomes idle if the receiver is dropped.
+    fn open_connection(self: &Arc<Self>) -> oneshot::Receiver<Option<Connection>> {
+        let (sender, receiver) = oneshot::channel();
+        let server = self.clone();
+        tokio::spawn(async move {
+            let connection =
+                Connection::open(server.address, CONNECT_TIMEOUT, || server.clock.now()).await;
+            match connection {
+                Some(_) => server.monitor.opened(server.address),
+                None => server.monitor.not_opened(server.address),
+            }
+            if let Err(Some(connection)) = sender.send(connection) {
+                let opened_at = connection.opened_at;
+                server.put_idle(connection, opened_at);
+            }
+        });
+        receiver
+    }
+
+    /// Sends a request until `deadline`, passes the result on, and keeps the connection.
+    async fn exchange(
+        self: Arc<Self>,
+        mut connection: Connection,
+        request: Request<Full<Bytes>>,
+        call_timeout: Duration,
+        deadline: tokio::time::Instant,
+        reply: oneshot::Sender<Result<BufferedResponse, RequestError>>,
+    ) {
+        let sent_at = self.clock.now();
+        let Ok(result) = timeout_at(deadline, connection.request(request)).await else {
+            self.response_lost(&connection, sent_at, call_timeout);
+            drop(reply.send(Err(RequestError::Broken)));
+            return;
+        };
+        let has_response = result.is_ok();
+        // The caller may no longer wait.
+        drop(reply.send(result));
+        if !has_response {
+            return;
+        }
+        let answered_at = self.clock.now();
+        let recovery = self.lock().response_received(connection.opened_at, sent_at, answered_at);
+        if let Some(recovery) = recovery {
+            self.monitor.recovered(self.address, recovery);
+        }
+        connection.is_proven = true;
+        if timeout_at(deadline, connection.wait_until_idle()).await == Ok(true) {
+            self.put_idle(connection, answered_at);
+        }
+    }
+
+    fn response_lost(&self, connection: &Connection, sent_at: Instant, call_timeout: Duration) {
+        let (doubtful_count, is_first) = {
+            let mut idle = self.lock();
+            let is_first = !idle.is_silent();
+            (idle.response_lost(sent_at), is_first)
+        };
+        let lost = LostResponse {
+            timeout_ms: call_timeout.as_millis() as u64,
+            was_used_before: connection.is_proven,
+            doubtful_count,
+            is_first,
+        };
+        self.monitor.response_lost(self.address, &lost);
+    }
+
+    fn take_idle(&self) -> Option<Connection> {
+        self.lock().take(self.clock.now(), Connection::is_open)
+    }
+
+    fn put_idle(&self, connection: Connection, proven_at: Instant) {
+        self.lock().put(connection, proven_at, self.clock.now());
+        self.returned.notify_one();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, IdleConnections<Connection>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Request as it is sent to the server itself: the path as its target, and the address in a header.
+fn to_origin_form(address: SocketAddr, mut request: Request<Full<Bytes>>) -> Request<Full<Bytes>> {
+    if !request.headers().contains_key(HOST) {
+        let host = request.uri().authority().map(http::uri::Authority::as_str);
+        let host = host.map_or_else(|| address.to_string(), ToOwned::to_owned);
+        if let Ok(host) = HeaderValue::try_from(host) {
+            request.headers_mut().insert(HOST, host);
+        }
+    }
+    let path = request.uri().path_and_query().cloned();
+    *request.uri_mut() = path.map_or_else(|| Uri::from_static("/"), Uri::from);
+    request
+}
+
 fn refused(kind: ErrorKind, detail: String) -> CallError {
     CallError::Refused { problem: Box::new(Problem::new(kind, detail)) }
 }
--- a/crates/teaseltrack-lab/src/relay.rs
+++ b/crates/teaseltrack-lab/src/relay.rs
@@ -1,8 +1,15 @@
-//! TCP relay that injects connection faults: refusal, truncation, delay and stalls.
+//! TCP relay that injects connection faults: refusal, truncation, delay, stalls and silence.
+//!
+//! A silent connection stays open and takes what is sent on it, but passes nothing on any more; neither
+//! end is told.
 
 use std::{
+    future::pending,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError, Weak,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -36,6 +43,24 @@
     pub stalls_responses: bool,
 }
 
+/// What a silent connection no longer passes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Silence {
+    /// Requests.
+    Requests,
+    /// Responses.
+    Responses,
+    /// Both.
+    Both,
+}
+
+/// Directions in which a connection is silent.
+#[derive(Debug, Default)]
+struct SilentDirections {
+    to_upstream: AtomicBool,
+    to_client: AtomicBool,
+}
+
 /// Interval for checking whether a stall has ended.
 const STALL_POLL_PERIOD: Duration = Duration::from_millis(20);
 
@@ -45,6 +70,9 @@
     address: SocketAddr,
     faults: Arc<Mutex<RelayFaults>>,
     connections: Arc<Mutex<CancellationToken>>,
+    /// The open connections, in the order in which they were opened.
+    open: Arc<Mutex<Vec<Weak<SilentDirections>>>>,
+    accepted_count: Arc<AtomicU64>,
 }
 
 impl Relay {
@@ -59,6 +87,8 @@
             address: listener.local_addr()?,
             faults: Arc::default(),
             connections: Arc::default(),
+            open: Arc::default(),
+            accepted_count: Arc::default(),
         };
         tokio::spawn(relay.clone().accept(listener, upstream));
         Ok(relay)
@@ -81,6 +111,31 @@
         *connections = CancellationToken::new();
     }
 
+    /// Silences the open connections whose index `is_chosen`, for good; new ones work. Returns their
+    /// number.
+    pub fn silence(&self, silence: Silence, is_chosen: impl Fn(usize) -> bool) -> usize {
+        let open: Vec<_> = self.lock_open().iter().filter_map(Weak::upgrade).collect();
+        let chosen = open.iter().enumerate().filter(|(index, _)| is_chosen(*index));
+        let count = chosen.map(|(_, directions)| {
+            if silence != Silence::Responses {
+                directions.to_upstream.store(true, Ordering::Relaxed);
+            }
+            if silence != Silence::Requests {
+                directions.to_client.store(true, Ordering::Relaxed);
+            }
+        });
+        count.count()
+    }
+
+    /// Number of connections that were accepted.
+    pub fn accepted_count(&self) -> u64 {
+        self.accepted_count.load(Ordering::Relaxed)
+    }
+
+    fn lock_open(&self) -> MutexGuard<'_, Vec<Weak<SilentDirections>>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn faults(&self) -> RelayFaults {
         *self.faults.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -93,6 +148,13 @@
             }
             let (to_upstream, to_client) = (self.clone(), self.clone());
             let cut = self.connections.lock().unwrap_or_else(PoisonError::into_inner).clone();
+            self.accepted_count.fetch_add(1, Ordering::Relaxed);
+            let silent = Arc::new(SilentDirections::default());
+            {
+                let mut open = self.lock_open();
+                open.retain(|directions| directions.strong_count() > 0);
+                open.push(Arc::downgrade(&silent));
+            }
             tokio::spawn(async move {
                 let Ok(upstream) = TcpStream::connect(upstream).await else { return };
                 drop(client.set_nodelay(true));
@@ -102,12 +164,14 @@
                 let (delay, request_limit) = (faults.delay, faults.cut_after_request_bytes);
                 let response_limit = faults.cut_after_response_bytes;
                 tokio::select! {
-                    () = copy(client_read, upstream_write, request_limit, delay, || {
-                        to_upstream.faults().stalls_requests
-                    }) => {}
-                    () = copy(upstream_read, client_write, response_limit, delay, || {
-                        to_client.faults().stalls_responses
-                    }) => {}
+                    () = copy(
+                        client_read, upstream_write, request_limit, delay, &silent.to_upstream,
+                        || to_upstream.faults().stalls_requests,
+                    ) => {}
+                    () = copy(
+                        upstream_read, client_write, response_limit, delay, &silent.to_client,
+                        || to_client.faults().stalls_responses,
+                    ) => {}
                     () = cut.cancelled() => {}
                 }
             });
@@ -115,18 +179,25 @@
     }
 }
 
-/// Copies until end of stream, an I/O error, or the byte limit.
+/// Copies until end of stream, an I/O error, or the byte limit; once silent, reads without an end.
 async fn copy(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     limit_bytes: Option<u64>,
     delay: Duration,
+    is_silent: &AtomicBool,
     is_stalled: impl Fn() -> bool,
 ) {
     let mut buffer = vec![0; BUFFER_BYTES];
     let mut copied = 0;
     loop {
-        let Ok(read) = from.read(&mut buffer).await else { return };
+        let read = from.read(&mut buffer).await.unwrap_or(0);
+        if is_silent.load(Ordering::Relaxed) {
+            if read == 0 {
+                pending::<()>().await;
+            }
+            continue;
+        }
         if read == 0 {
             return;
         }
