Ask the store at once after a long poll without a response

Without other traffic, all entries counted as not ready at the same time for 0.6 s after the connections to the store went silent, so that no load balancer had an entry left, although the store was sound: the long poll after the lost one waits for 1.2 s if there is no change, and an entry isn't ready without a response of the store for 2 s.

Evidence: a play with three entries on, each probed every 20 ms after the silence: none of them ready from 1.67 to 2.29 s.

Change: after a failure, a follower of the configuration or of the owners asks without a wait once.

--- a/crates/teaseltrack-cell/src/configuration.rs
+++ b/crates/teaseltrack-cell/src/configuration.rs
@@ -42,11 +42,17 @@
     logger: Logger,
 ) {
     let mut after: Option<u64> = None;
+    let mut wait = MAX_CHANGES_WAIT;
     loop {
-        match next_change(&store, &source, after, &sender, &logger).await {
-            Ok(version) => after = version,
+        match next_change(&store, &source, after, wait, &sender, &logger).await {
+            Ok(version) => {
+                after = version;
+                wait = MAX_CHANGES_WAIT;
+            }
             Err(error) => {
                 warn!(logger, "failed to follow the configuration"; "error" => %error);
+                // The next response shows at once whether the store responds again.
+                wait = Duration::ZERO;
                 sleep(RETRY_DELAY * 2).await;
             }
         }
@@ -59,6 +65,7 @@
     store: &Store,
     source: &ConfigurationSource<T>,
     after: Option<u64>,
+    wait: Duration,
     sender: &watch::Sender<Option<Arc<T>>>,
     logger: &Logger,
 ) -> Result<Option<u64>, StoreError> {
@@ -69,7 +76,7 @@
         }
         return Ok(Some(version));
     };
-    let page = store.changes(&source.table, after, MAX_CHANGES_WAIT).await?;
+    let page = store.changes(&source.table, after, wait).await?;
     if page.is_history_lost {
         info!(logger, "configuration changes no longer retained; reading the row again");
         return Ok(None);
--- a/crates/teaseltrack-cell/src/entry.rs
+++ b/crates/teaseltrack-cell/src/entry.rs
@@ -436,11 +436,17 @@
     let cells: Vec<CellId> = partition.cell_ids().collect();
     partition_sender.send_replace(Some(partition));
     let mut after: Option<u64> = None;
+    let mut wait = MAX_CHANGES_WAIT;
     loop {
-        match next_owners(&store, &cells, after, &sender).await {
-            Ok(version) => after = version,
+        match next_owners(&store, &cells, after, wait, &sender).await {
+            Ok(version) => {
+                after = version;
+                wait = MAX_CHANGES_WAIT;
+            }
             Err(error) => {
                 warn!(logger, "failed to follow the cells' owners; retrying"; "error" => %error);
+                // The next response shows at once whether the store responds again.
+                wait = Duration::ZERO;
                 sleep(RETRY_DELAY * 2).await;
             }
         }
@@ -451,6 +457,7 @@
     store: &Store,
     cells: &[CellId],
     after: Option<u64>,
+    wait: Duration,
     sender: &watch::Sender<KnownOwners>,
 ) -> Result<Option<u64>, StoreError> {
     let Some(after) = after else {
@@ -462,7 +469,7 @@
         }
         return Ok(Some(version));
     };
-    let page = store.changes(OWNERS_TABLE, after, MAX_CHANGES_WAIT).await?;
+    let page = store.changes(OWNERS_TABLE, after, wait).await?;
     if page.is_history_lost {
         return Ok(None);
     }
