Close connections between processes that have had no call for long

A process replaces a connection that went silent, and the process at its other end never learns of it: each silence leaves one descriptor and one task for each peer, for as long as the process lives.

Change: a server of calls closes a connection on which there was no call for 60 s. A client replaces one that it hasn't used for 30 s, so that no call meets a connection which is about to be closed. An earlier build that calls after a minute without calls gets no answer once, and connects again.

serve_calls_closes_a_connection_without_calls and call_replaces_a_connection_that_was_idle_for_long fail without the change.

--- a/crates/teaseltrack-cell/src/calls.rs
+++ b/crates/teaseltrack-cell/src/calls.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
+    pin::pin,
     sync::{Arc, Mutex, PoisonError},
     time::{Duration, Instant},
 };
@@ -27,7 +28,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{mpsc, oneshot, watch},
-    time::{sleep, timeout},
+    time::{self, sleep, timeout},
 };
 use tokio_serde::formats::MessagePack;
 use tokio_util::{
@@ -42,6 +43,11 @@
 
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
+/// Time without a call after which a server closes a connection: its client may have replaced it,
+/// which a connection that went silent doesn't show.
+const MAX_SERVED_IDLE_TIME: Duration = Duration::from_secs(60);
+/// Time without a call after which a client replaces its connection.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(30);
 
 /// Call received by this process.
 #[derive(Debug)]
@@ -163,9 +169,12 @@
         let calls = BaseChannel::with_defaults(transport).execute(server.clone().serve());
         let closing = closing.clone();
         tokio::spawn(async move {
-            let serve_all = calls.for_each(|call| async {
-                tokio::spawn(call);
-            });
+            let serve_all = async {
+                let mut calls = pin!(calls);
+                while let Ok(Some(call)) = timeout(MAX_SERVED_IDLE_TIME, calls.next()).await {
+                    tokio::spawn(call);
+                }
+            };
             tokio::select! {
                 () = serve_all => {}
                 () = closing.cancelled() => {}
@@ -188,6 +197,7 @@
 struct Connection {
     address: SocketAddr,
     client: CellControlClient,
+    used_at: time::Instant,
     /// Distinguishes the connection from later ones to the same address.
     identity: Arc<()>,
 }
@@ -283,9 +293,11 @@
     }
 
     async fn connect(&self, address: SocketAddr) -> Option<Connection> {
-        if let Some(connection) = &*self.lock()
+        if let Some(connection) = &mut *self.lock()
             && connection.address == address
+            && connection.used_at.elapsed() < MAX_IDLE_TIME
         {
+            connection.used_at = time::Instant::now();
             return Some(connection.clone());
         }
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
@@ -293,7 +305,8 @@
         let transport =
             tarpc::serde_transport::new(Framed::new(stream, codec()), MessagePack::default());
         let client = CellControlClient::new(client::Config::default(), transport).spawn();
-        let connection = Connection { address, client, identity: Arc::default() };
+        let (used_at, identity) = (time::Instant::now(), Arc::default());
+        let connection = Connection { address, client, used_at, identity };
         *self.lock() = Some(connection.clone());
         Some(connection)
     }
--- a/crates/teaseltrack-cell/tests/calls.rs
+++ b/crates/teaseltrack-cell/tests/calls.rs
@@ -1,6 +1,14 @@
 //! Calls between processes over a real connection.
 
-use std::{pin::pin, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    pin::pin,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use futures::StreamExt;
 use serde::{Deserialize, Serialize};
@@ -30,8 +38,10 @@
 };
 use teaseltrack_wire::cell::JobLookup;
 use tokio::{
-    net::TcpListener,
+    io::AsyncReadExt,
+    net::{TcpListener, TcpStream},
     sync::{mpsc, watch},
+    time,
 };
 use tokio_serde::{Deserializer, Serializer, formats::MessagePack};
 use tokio_util::{
@@ -68,7 +78,7 @@
         assert_eq!(received, expected);
         reply.send(Some(quote)).unwrap();
         // Keeps the mailbox open until the response has been read.
-        tokio::time::sleep(Duration::from_secs(5)).await;
+        time::sleep(Duration::from_secs(5)).await;
     });
     let client = CellClient::default();
     assert_eq!(client.quote(address, 3, "service".to_owned(), demands).await, Some(quote));
@@ -106,7 +116,7 @@
         assert_eq!((cell, received), (3, expected));
         reply.send(Some(vec![4, 0])).unwrap();
         // Keeps the mailbox open until the response has been read.
-        tokio::time::sleep(Duration::from_secs(5)).await;
+        time::sleep(Duration::from_secs(5)).await;
     });
     let client = CellClient::default();
     let rooms = client.promise_rooms(address, 3, requests.to_vec()).await;
@@ -258,3 +268,53 @@
         assert_eq!(client.supersede(address, 0, 2).await, None);
     }
 }
+
+/// Server without an owner; counts the connections that it accepts.
+async fn start_call_server() -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (inner, address) = (TcpListener::bind("127.0.0.1:0").await.unwrap(), listener.local_addr());
+    let inner_address = inner.local_addr().unwrap();
+    let local_owner = LocalOwner::new("instance-1".to_owned(), Arc::new(SystemClock));
+    let (owner, known_owner) = (watch::channel(None).1, watch::channel(KnownOwner::default()).1);
+    let server = CallServer { owner, known_owner, local_owner };
+    tokio::spawn(serve_calls(inner, server, CancellationToken::new()));
+    let count = Arc::new(AtomicUsize::new(0));
+    let accepted = count.clone();
+    tokio::spawn(async move {
+        while let Ok((mut client, _)) = listener.accept().await {
+            accepted.fetch_add(1, Ordering::SeqCst);
+            let mut upstream = TcpStream::connect(inner_address).await.unwrap();
+            tokio::spawn(async move {
+                drop(tokio::io::copy_bidirectional(&mut client, &mut upstream).await);
+            });
+        }
+    });
+    (address.unwrap(), count)
+}
+
+/// Guards against descriptors that are lost for good: a client replaces a connection that went silent, and its
+/// server doesn't learn of it.
+#[tokio::test(start_paused = true)]
+async fn serve_calls_closes_a_connection_without_calls() {
+    let (address, _) = start_call_server().await;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let connected_at = time::Instant::now();
+    let mut buffer = [0; 16];
+    let read = time::timeout(Duration::from_secs(90), stream.read(&mut buffer)).await;
+    assert_eq!(read.expect("the connection stays open").unwrap(), 0);
+    assert!(connected_at.elapsed() >= Duration::from_secs(60));
+}
+
+/// Guards against a call on a connection that its server is about to close.
+#[tokio::test]
+async fn call_replaces_a_connection_that_was_idle_for_long() {
+    let (address, accepted_count) = start_call_server().await;
+    let client = CellClient::default();
+    for (idle, expected) in [(0, 1), (29, 1), (29, 1), (31, 2)] {
+        time::pause();
+        time::advance(Duration::from_secs(idle)).await;
+        time::resume();
+        assert!(client.job_state(address, "job".to_owned()).await.is_some());
+        assert_eq!(accepted_count.load(Ordering::SeqCst), expected, "idle for {idle} s");
+    }
+}
