--- a/crates/teaseltrack-lab/src/relay.rs
+++ b/crates/teaseltrack-lab/src/relay.rs
@@ -115,16 +115,17 @@
     /// number.
     pub fn silence(&self, silence: Silence, is_chosen: impl Fn(usize) -> bool) -> usize {
         let open: Vec<_> = self.lock_open().iter().filter_map(Weak::upgrade).collect();
-        let chosen = open.iter().enumerate().filter(|(index, _)| is_chosen(*index));
-        let count = chosen.map(|(_, directions)| {
+        let mut count = 0;
+        for (_, directions) in open.iter().enumerate().filter(|(index, _)| is_chosen(*index)) {
             if silence != Silence::Responses {
                 directions.to_upstream.store(true, Ordering::Relaxed);
             }
             if silence != Silence::Requests {
                 directions.to_client.store(true, Ordering::Relaxed);
             }
-        });
-        count.count()
+            count += 1;
+        }
+        count
     }
 
     /// Number of connections that were accepted.
