Believe in another incarnation of a worker only once the worker confirms it

One heartbeat to an agent, without Version and Slots, with the address of its worker, another identifier and a later start, was taken for a restart of the worker. The owner reclaimed its tasks at once and started them elsewhere, while they ran on until the lease lapsed.

Cause: the decoder of heartbeats didn't know all fields that workers always send, and the agent believed what any heartbeat said of the worker's identity, although the worker itself can be asked. Asking for the fields alone would not have been enough: a false heartbeat may have all of them.

Before the agent believes in another incarnation, it asks the worker under the identifier in the heartbeat (WorkerCall::Identify, a call without effect); identifier, start and clock have to be the worker's own. Refuted heartbeats are counted and logged once. In the tests, the simulated worker refuses calls to another worker, and the system of owner and agents has its own file.

The test handle_heartbeat_ignores_one_older_than_the_last had a worker that answered under its earlier start after its restart; it answers under the new one now.

--- a/crates/teaseltrack-cell/src/agent.rs
+++ b/crates/teaseltrack-cell/src/agent.rs
@@ -6,6 +6,9 @@
 //! wait in a queue ([`call_queue`]) and belong to a session; those of a session that has ended are
 //! dropped. A start without a response is invalidated by a stop of the same attempt
 //! ([`unconfirmed_starts`]). A started run is tracked until its end is listed ([`started_runs`]).
+//!
+//! Which incarnation of the worker is current follows from the worker's responses alone. A heartbeat
+//! of another one is believed once they confirm it ([`unverified_heartbeats`]).
 
 use std::time::{Duration, Instant};
 
@@ -18,14 +21,14 @@
         progress::WorkerIncarnation,
         protocol::{
             EndedTask, KnownLeases, Order, RefusedStart, Report, ReportResponse, RunningTask,
-            SessionToken, StartOrder, TaskName, WorkerListing, WorkerStatus,
+            SessionToken, StartOrder, TaskName, WorkerListing, WorkerStatus, worker_of,
         },
     },
     clock::SharedClock,
     ids::{AttemptNumber, InstanceId},
     placement::Resources,
 };
-use teaseltrack_daemon::metrics::Metrics;
+use teaseltrack_daemon::{metrics::Metrics, odd_entries::OddEntries};
 use tokio::{
     sync::{mpsc, watch},
     time::{sleep, timeout},
@@ -37,18 +40,22 @@
         call_queue::{CallQueue, WaitingStart},
         started_runs::{MissingRun, StartedRuns},
         unconfirmed_starts::UnconfirmedStarts,
+        unverified_heartbeats::{HeartbeatKey, UnverifiedHeartbeats, Verdict, verify},
     },
     calls::{CellClient, KnownOwner},
     constants::{
         FULL_REPORT_INTERVAL, MAX_LEASE, PACING, REPORT_WAIT, RETRY_DELAY, SYNC_WAIT,
         WORKER_CALL_TIMEOUT,
     },
-    worker_port::{AddressedCall, WorkerAdapter, WorkerCall, WorkerError, WorkerResponse},
+    worker_port::{
+        AddressedCall, OTHER_WORKER, WorkerAdapter, WorkerCall, WorkerError, WorkerResponse,
+    },
 };
 
 pub mod call_queue;
 pub mod started_runs;
 pub mod unconfirmed_starts;
+pub mod unverified_heartbeats;
 
 /// Delay of the next sync call while the owner hasn't committed all listed ends.
 const UNCOMMITTED_ENDS_DELAY: Duration = Duration::from_millis(25);
@@ -76,6 +83,8 @@
 const MAX_ORDER_VALIDITY: Duration = Duration::from_secs(3_600);
 /// Number of failed tries of a stop call between two log entries.
 const STOP_LOG_INTERVAL: u32 = 8;
+/// Kind of a heartbeat that the worker's responses refute, in the reports of odd entries.
+const REFUTED_HEARTBEAT: &str = "refuted_heartbeat";
 
 /// Heartbeat of a worker.
 #[derive(Clone, Debug, PartialEq)]
@@ -84,8 +93,8 @@
     pub number: u64,
     /// Status of the worker.
     pub status: WorkerStatus,
-    /// Reading of the worker's clock, in milliseconds, if included.
-    pub clock_ms: Option<u64>,
+    /// Reading of the worker's clock, in milliseconds.
+    pub clock_ms: u64,
 }
 
 /// Reading of the worker's clock.
@@ -155,6 +164,15 @@
         /// Result of the call.
         result: Result<WorkerResponse, WorkerError>,
     },
+    /// A call that verifies a heartbeat completed.
+    Identified {
+        /// The heartbeat.
+        key: HeartbeatKey,
+        /// Time at which the call was sent.
+        sent_at: Instant,
+        /// Result of the call.
+        result: Result<WorkerResponse, WorkerError>,
+    },
 }
 
 /// Dependencies of an agent.
@@ -196,7 +214,12 @@
     status: Option<WorkerStatus>,
     /// Newest known state of the zone.
     evacuation: EvacuationNotice,
+    /// Current incarnation of the worker; empty until the worker has responded.
     incarnation: WorkerIncarnation,
+    /// Time at which the last call to which the incarnation has responded was sent.
+    identified_at: Option<Instant>,
+    unverified_heartbeats: UnverifiedHeartbeats,
+    refuted_heartbeats: OddEntries,
     /// Number of the last heartbeat of the incarnation.
     heartbeat_number: Option<u64>,
     /// Highest reading of the incarnation.
@@ -258,6 +281,7 @@
 
 impl Agent {
     fn new(context: AgentContext, events: mpsc::Sender<AgentEvent>, now: Instant) -> Self {
+        let refuted_heartbeats = OddEntries::new(context.metrics.clone(), context.logger.clone());
         Self {
             context,
             client: CellClient::default(),
@@ -267,6 +291,9 @@
             status: None,
             evacuation: EvacuationNotice::default(),
             incarnation: WorkerIncarnation::new(),
+            identified_at: None,
+            unverified_heartbeats: UnverifiedHeartbeats::default(),
+            refuted_heartbeats,
             heartbeat_number: None,
             clock: ClockReading { clock_ms: 0, received_at: now },
             earlier_leases_until_ms: None,
@@ -307,6 +334,9 @@
         if let Some(retry_at) = self.calls.next_retry_at() {
             wake = wake.min(retry_at.max(now + Duration::from_millis(1)));
         }
+        if let Some(call_at) = self.unverified_heartbeats.next_call_at() {
+            wake = wake.min(call_at);
+        }
         wake
     }
 
@@ -345,6 +375,9 @@
                 self.calls.other_completed();
                 self.handle_pace_result(session, &change, result);
             }
+            AgentEvent::Identified { key, sent_at, result } => {
+                self.handle_identify_result(key, sent_at, &result);
+            }
         }
     }
 
@@ -358,6 +391,7 @@
             self.send_sync(now);
         }
         self.send_queued_calls(now);
+        self.send_identify_calls(now);
         if now < self.next_report_at {
             return;
         }
@@ -379,23 +413,26 @@
     }
 
     fn handle_heartbeat(&mut self, heartbeat: Heartbeat) {
-        let Heartbeat { number, status, clock_ms } = heartbeat;
+        let now = self.context.clock.now();
         let known_started_unix_ms = self.status.as_ref().map_or(0, |status| status.started_unix_ms);
-        if status.started_unix_ms < known_started_unix_ms {
+        if heartbeat.status.started_unix_ms < known_started_unix_ms {
             return;
         }
-        let incarnation = status.incarnation();
-        if incarnation != self.incarnation {
-            info!(self.context.logger, "worker incarnation started"; "worker" => &incarnation,
-                "earlier_life" => &self.incarnation);
-            self.start_incarnation(incarnation);
+        if heartbeat.status.incarnation() == self.incarnation {
+            self.apply_heartbeat(heartbeat);
+        } else {
+            self.unverified_heartbeats.push(heartbeat, now);
         }
-        // Heartbeats may overtake each other.
+    }
+
+    /// Takes the status from a heartbeat of the current incarnation, unless a later one has overtaken it.
+    fn apply_heartbeat(&mut self, heartbeat: Heartbeat) {
+        let Heartbeat { number, status, clock_ms } = heartbeat;
         if self.heartbeat_number.is_some_and(|last| number < last) {
             return;
         }
         self.heartbeat_number = Some(number);
-        self.note_clock(clock_ms);
+        self.note_clock(Some(clock_ms));
         if self.status.as_ref() != Some(&status) {
             if status.is_draining {
                 info!(self.context.logger, "worker is draining"; "worker" => &self.incarnation,
@@ -406,6 +443,62 @@
         }
     }
 
+    fn send_identify_calls(&mut self, now: Instant) {
+        while let Some((key, heartbeat)) = self.unverified_heartbeats.next_due(now) {
+            let worker = heartbeat.status.worker.clone();
+            let call = AddressedCall { worker, session: self.session, call: WorkerCall::Identify };
+            let (limit, adapter) = (call.call.timeout(), self.context.worker.clone());
+            let events = self.events.clone();
+            tokio::spawn(async move {
+                let result = with_timeout(limit, adapter(call)).await;
+                drop(events.send(AgentEvent::Identified { key, sent_at: now, result }).await);
+            });
+        }
+    }
+
+    fn handle_identify_result(
+        &mut self,
+        key: HeartbeatKey,
+        sent_at: Instant,
+        result: &Result<WorkerResponse, WorkerError>,
+    ) {
+        let now = self.context.clock.now();
+        let Some(heartbeat) = self.unverified_heartbeats.get(key) else { return };
+        let known_worker = (!self.incarnation.is_empty()).then(|| worker_of(&self.incarnation));
+        let is_current = heartbeat.status.incarnation() == self.incarnation;
+        // The current incarnation may have started after the response was sent.
+        let is_outdated = self.identified_at.is_some_and(|identified_at| sent_at < identified_at);
+        match verify(heartbeat, result, known_worker) {
+            Verdict::Confirmed if is_outdated && !is_current => {
+                self.unverified_heartbeats.retry(key, now);
+            }
+            Verdict::Confirmed => {
+                let Some(heartbeat) = self.unverified_heartbeats.take(key) else { return };
+                if !is_current {
+                    let incarnation = heartbeat.status.incarnation();
+                    info!(self.context.logger, "worker incarnation started";
+                        "worker" => &incarnation, "earlier_life" => &self.incarnation);
+                    self.start_incarnation(incarnation);
+                }
+                self.identified_at = self.identified_at.max(Some(sent_at));
+                self.note_clock(result.as_ref().ok().and_then(|response| response.clock_ms));
+                self.apply_heartbeat(heartbeat);
+            }
+            Verdict::Refuted(field) => {
+                let Some(heartbeat) = self.unverified_heartbeats.take(key) else { return };
+                self.context.metrics.count("heartbeats_refuted");
+                let worker = &heartbeat.status.worker;
+                self.refuted_heartbeats.report(
+                    REFUTED_HEARTBEAT,
+                    (worker, field),
+                    worker,
+                    format!("{field}: denied by the worker {}", self.incarnation),
+                );
+            }
+            Verdict::Unknown => self.unverified_heartbeats.retry(key, now),
+        }
+    }
+
     /// Keeps the highest reading of the worker's clock.
     fn note_clock(&mut self, clock_ms: Option<u64>) {
         if let Some(clock_ms) = clock_ms.filter(|clock_ms| *clock_ms > self.clock.clock_ms) {
@@ -414,7 +507,9 @@
     }
 
     fn start_incarnation(&mut self, incarnation: WorkerIncarnation) {
+        self.context.metrics.count("worker_incarnations");
         self.incarnation = incarnation;
+        self.identified_at = None;
         self.heartbeat_number = None;
         self.clock = ClockReading { clock_ms: 0, received_at: self.context.clock.now() };
         self.earlier_leases_until_ms = None;
@@ -476,6 +571,9 @@
             Ok(response) => response,
             Err(error) => {
                 self.context.metrics.count("worker_calls_failed");
+                if matches!(&error, WorkerError::Refused { reason } if reason == OTHER_WORKER) {
+                    self.context.metrics.count("worker_identity_conflicts");
+                }
                 if self.is_reachable {
                     warn!(self.context.logger, "worker unreachable"; "worker" => &self.incarnation,
                         "error" => %error);
@@ -488,9 +586,10 @@
         };
         let known_started_unix_ms = self.status.as_ref().map(|status| status.started_unix_ms);
         if response.started_unix_ms.is_some() && response.started_unix_ms != known_started_unix_ms {
-            self.handle_worker_restart(response.started_unix_ms);
+            self.handle_worker_restart(&response, sent_at);
             return;
         }
+        self.identified_at = self.identified_at.max(Some(sent_at));
         if !self.is_reachable {
             info!(self.context.logger, "worker reachable again"; "worker" => &self.incarnation);
             self.is_reachable = true;
@@ -512,8 +611,10 @@
     }
 
     /// Handles a response from a later incarnation than that of the last heartbeat.
-    fn handle_worker_restart(&mut self, started_unix_ms: Option<u64>) {
-        let (Some(status), Some(started_unix_ms)) = (self.status.as_mut(), started_unix_ms) else {
+    fn handle_worker_restart(&mut self, response: &WorkerResponse, sent_at: Instant) {
+        let (Some(status), Some(started_unix_ms)) =
+            (self.status.as_mut(), response.started_unix_ms)
+        else {
             return;
         };
         if started_unix_ms < status.started_unix_ms {
@@ -525,6 +626,8 @@
         let incarnation = status.incarnation();
         info!(self.context.logger, "worker restarted"; "worker" => &incarnation);
         self.start_incarnation(incarnation);
+        self.identified_at = Some(sent_at);
+        self.note_clock(response.clock_ms);
         self.needs_report = true;
     }
 
--- a/crates/teaseltrack-cell/src/worker_port.rs
+++ b/crates/teaseltrack-cell/src/worker_port.rs
@@ -13,6 +13,9 @@
 
 use crate::constants::{CALL_TIMEOUT, WORKER_CALL_TIMEOUT};
 
+/// Reason of a refusal by another worker than the one that the call was addressed to.
+pub const OTHER_WORKER: &str = "addressed to another worker";
+
 /// Failure of a call to the worker.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum WorkerError {
@@ -25,7 +28,7 @@
     /// The worker refused the call, which was not and will not be executed.
     #[snafu(display("worker refused the call: {reason}"))]
     Refused {
-        /// Reason given by the worker.
+        /// Reason given by the worker, or [`OTHER_WORKER`].
         reason: String,
     },
 }
@@ -65,6 +68,9 @@
         /// Pace, in percent of full speed.
         percent: u32,
     },
+    /// Asks the worker whether it is the addressed one, for its start and for its clock. A worker that
+    /// has seen a later session responds as well.
+    Identify,
 }
 
 impl WorkerCall {
@@ -72,7 +78,9 @@
     pub fn timeout(&self) -> Duration {
         match self {
             Self::Sync { wait, .. } => *wait + CALL_TIMEOUT,
-            Self::Start { .. } | Self::Stop { .. } | Self::Pace { .. } => WORKER_CALL_TIMEOUT,
+            Self::Start { .. } | Self::Stop { .. } | Self::Pace { .. } | Self::Identify => {
+                WORKER_CALL_TIMEOUT
+            }
         }
     }
 }
--- a/crates/teaseltrack-cell/tests/agent.rs
+++ b/crates/teaseltrack-cell/tests/agent.rs
@@ -6,7 +6,7 @@
     future::{pending, ready},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -59,7 +59,7 @@
 }
 
 fn numbered_heartbeat(number: u64, status: WorkerStatus) -> AgentEvent {
-    AgentEvent::Heartbeat(Heartbeat { number, status, clock_ms: Some(1_000) })
+    AgentEvent::Heartbeat(Heartbeat { number, status, clock_ms: 1_000 })
 }
 
 fn heartbeat_with_capacity(number: u64, capacity: Resources) -> AgentEvent {
@@ -101,9 +101,12 @@
     ReportResponse { lease_until_ms, first_order: 1, orders, ..response(5, 0) }
 }
 
-/// Agent under test.
+/// Agent under test. Its worker identifies itself at once; the test's adapter gets all other calls.
 struct TestAgent {
     events: mpsc::Sender<AgentEvent>,
+    /// Start of the incarnation as which the worker identifies itself.
+    worker_start: Arc<AtomicU64>,
+    metrics: Metrics,
     closing: CancellationToken,
 }
 
@@ -113,22 +116,47 @@
         worker: impl FnOnce(mpsc::Sender<AgentEvent>) -> WorkerAdapter,
     ) -> Self {
         let (events, inbox) = mpsc::channel(AGENT_MAILBOX_SIZE);
+        let worker_start = Arc::new(AtomicU64::new(0));
+        let metrics = Metrics::scrape_only();
         let context = AgentContext {
             cell: 0,
             instance: "instance".to_owned(),
             address: "127.0.0.1:1".to_owned(),
             started_unix_ms: 1,
-            worker: worker(events.clone()),
+            worker: identifying_worker(worker_start.clone(), worker(events.clone())),
             clock: Arc::new(SystemClock),
             known_owner,
             owner_contact: watch::channel(None).0,
             has_uncommitted_ends: watch::channel(false).0,
             logger: silent(),
-            metrics: Metrics::scrape_only(),
+            metrics: metrics.clone(),
         };
         let closing = CancellationToken::new();
         tokio::spawn(run_agent(context, events.clone(), inbox, closing.clone()));
-        Self { events, closing }
+        Self { events, worker_start, metrics, closing }
+    }
+
+    /// Starts an incarnation of the worker with a heartbeat; returns once the agent believes it.
+    async fn start_incarnation(&self, started_unix_ms: u64, heartbeat: AgentEvent) {
+        let earlier_count = self.count("worker_incarnations");
+        self.worker_start.store(started_unix_ms, Ordering::Relaxed);
+        self.send(heartbeat).await;
+        self.wait_for_count("worker_incarnations", earlier_count + 1).await;
+    }
+
+    fn count(&self, name: &str) -> u64 {
+        let text = self.metrics.text().expect("text");
+        let prefix = format!("teaseltrack_{name}_total ");
+        text.lines().find_map(|line| line.strip_prefix(&prefix)?.parse().ok()).unwrap_or(0)
+    }
+
+    async fn wait_for_count(&self, name: &str, count: u64) {
+        let reached = async {
+            while self.count(name) < count {
+                sleep(Duration::from_millis(1)).await;
+            }
+        };
+        timeout(TIMEOUT, reached).await.expect("count not reached");
     }
 
     async fn send(&self, event: AgentEvent) {
@@ -142,6 +170,18 @@
     }
 }
 
+/// Worker that identifies itself as the incarnation with a start; all other calls go to `worker`.
+fn identifying_worker(worker_start: Arc<AtomicU64>, worker: WorkerAdapter) -> WorkerAdapter {
+    Arc::new(move |call: AddressedCall| {
+        if call.call != WorkerCall::Identify {
+            return worker(call);
+        }
+        let started_unix_ms = worker_start.load(Ordering::Relaxed);
+        let response = WorkerResponse { listing: None, ..worker_response(started_unix_ms) };
+        Box::pin(ready(Ok(response)))
+    })
+}
+
 /// Owner that gives the same response to all reports.
 struct TestOwner {
     known_owner: watch::Receiver<KnownOwner>,
@@ -288,13 +328,13 @@
     let (_owner, known_owner) = watch::channel(KnownOwner::default());
     let agent = TestAgent::start(known_owner, |_| worker);
 
-    agent.send(heartbeat(1)).await;
+    agent.start_incarnation(1, heartbeat(1)).await;
     agent.send(reported(1, response(5, 2))).await;
     assert_eq!(next_sync(&mut syncs, 5).await, 2);
 
     // The worker crashes and restarts; the response to an earlier report arrives only now.
     *started_unix_ms.lock().unwrap() = 2;
-    agent.send(heartbeat(2)).await;
+    agent.start_incarnation(2, heartbeat(2)).await;
     agent.send(reported(1, response(5, 2))).await;
     agent.send(reported(2, response(6, 0))).await;
     assert_eq!(next_sync(&mut syncs, 6).await, 0);
@@ -306,6 +346,7 @@
     let mut owner = TestOwner::start(response(5, 0)).await;
     let (calls, _) = mpsc::unbounded_channel();
     let agent = TestAgent::start(owner.known_owner.clone(), |_| worker(calls));
+    agent.start_incarnation(1, heartbeat(1)).await;
     for (number, capacity) in (1..).zip([CAPACITY, SMALL_CAPACITY, CAPACITY]) {
         agent.send(heartbeat_with_capacity(number, capacity)).await;
         owner.report(|report| reported_capacity(report) == Some(capacity)).await;
@@ -318,7 +359,7 @@
     let mut owner = TestOwner::start(response(5, 0)).await;
     let (calls, _) = mpsc::unbounded_channel();
     let agent = TestAgent::start(owner.known_owner.clone(), |_| worker(calls));
-    agent.send(heartbeat_with_capacity(4, SMALL_CAPACITY)).await;
+    agent.start_incarnation(1, heartbeat_with_capacity(4, SMALL_CAPACITY)).await;
     owner.report(|report| reported_capacity(report) == Some(SMALL_CAPACITY)).await;
     agent.send(heartbeat_with_capacity(3, CAPACITY)).await;
     for _ in 0..6 {
@@ -326,7 +367,7 @@
         assert_eq!(reported_capacity(&report), Some(SMALL_CAPACITY));
     }
     // A new incarnation numbers its heartbeats anew.
-    agent.send(heartbeat(2)).await;
+    agent.start_incarnation(2, heartbeat(2)).await;
     owner.report(|report| reported_capacity(report) == Some(CAPACITY)).await;
 }
 
@@ -342,7 +383,7 @@
         responding
     });
     let agent = TestAgent::start(owner.known_owner.clone(), |_| worker);
-    agent.send(heartbeat(1)).await;
+    agent.start_incarnation(1, heartbeat(1)).await;
     let is_restarted =
         |report: &Report| report.status.as_ref().is_some_and(|status| status.started_unix_ms == 2);
     let report = owner.report(is_restarted).await;
@@ -368,7 +409,7 @@
         responding
     });
     let agent = TestAgent::start(owner.known_owner.clone(), |_| worker);
-    agent.send(heartbeat(1)).await;
+    agent.start_incarnation(1, heartbeat(1)).await;
     for _ in 0..3 {
         let report = owner.report(|report| report.session == 5).await;
         assert_eq!(report.known_leases, None);
@@ -381,7 +422,7 @@
     let first_age_ms = age_ms(&report);
     owner.report(|report| age_ms(report) > first_age_ms + 100).await;
     // Another incarnation has leases of its own.
-    agent.send(heartbeat(2)).await;
+    agent.start_incarnation(2, heartbeat(2)).await;
     let report = owner.report(|report| report.session == 0).await;
     assert_eq!(report.known_leases, None);
 }
@@ -393,7 +434,7 @@
     let mut owner = TestOwner::start_build(granted, false).await;
     let (calls, _) = mpsc::unbounded_channel();
     let agent = TestAgent::start(owner.known_owner.clone(), |_| worker(calls));
-    agent.send(heartbeat(1)).await;
+    agent.start_incarnation(1, heartbeat(1)).await;
     for _ in 0..3 {
         let report = owner.report(|report| report.listing.is_some()).await;
         assert_eq!(report.known_leases, None);
@@ -408,7 +449,7 @@
         TestOwner::start(orders(vec![start(0, CAPACITY), start(1, SMALL_CAPACITY)])).await;
     let (calls, mut worker_calls) = mpsc::unbounded_channel();
     let agent = TestAgent::start(owner.known_owner.clone(), |_| worker(calls));
-    agent.send(heartbeat_with_capacity(1, SMALL_CAPACITY)).await;
+    agent.start_incarnation(1, heartbeat_with_capacity(1, SMALL_CAPACITY)).await;
     let report = owner.report(|report| !report.refused.is_empty()).await;
     assert_eq!(report.refused[0].task.index, 0);
     let call = timeout(TIMEOUT, worker_calls.recv()).await.expect("no call to the worker");
@@ -424,7 +465,7 @@
         TestOwner::start(orders(vec![start(0, CAPACITY), start(1, CAPACITY), stop])).await;
     let (calls, mut worker_calls) = mpsc::unbounded_channel();
     let agent = TestAgent::start(owner.known_owner.clone(), |_| worker(calls));
-    agent.send(heartbeat(1)).await;
+    agent.start_incarnation(1, heartbeat(1)).await;
     let report = owner.report(|report| !report.refused.is_empty()).await;
     assert_eq!(report.refused[0].task.index, 0);
     let call = timeout(TIMEOUT, worker_calls.recv()).await.expect("no call to the worker");
@@ -444,7 +485,7 @@
                     calls.send(call.call).ok();
                 }
                 WorkerCall::Sync { .. } => return synced(1),
-                WorkerCall::Stop { .. } | WorkerCall::Pace { .. } => {}
+                WorkerCall::Stop { .. } | WorkerCall::Pace { .. } | WorkerCall::Identify => {}
             }
             let no_response: BoxFuture<'static, Result<_, WorkerError>> = Box::pin(pending());
             no_response
@@ -452,7 +493,7 @@
     };
     let (_owner, known_owner) = watch::channel(KnownOwner::default());
     let agent = TestAgent::start(known_owner, worker);
-    agent.send(heartbeat(1)).await;
+    agent.start_incarnation(1, heartbeat(1)).await;
     let starts = (0..20).map(|index| start(index, CAPACITY)).collect();
     agent.send(reported(1, orders(starts))).await;
     let start_count = count_starts(&mut worker_calls).await;
@@ -475,7 +516,7 @@
     let mut owner = TestOwner::start(response).await;
     let (calls, mut worker_calls) = mpsc::unbounded_channel();
     let agent = TestAgent::start(owner.known_owner.clone(), |_| worker(calls));
-    agent.send(heartbeat(1)).await;
+    agent.start_incarnation(1, heartbeat(1)).await;
     let report = owner.report(|report| !report.refused.is_empty()).await;
     assert_eq!(report.refused[0].task.index, 0);
     assert!(worker_calls.try_recv().is_err());
@@ -497,7 +538,7 @@
                     calls.send(call.call).ok();
                 }
                 WorkerCall::Sync { .. } => return synced(1),
-                WorkerCall::Stop { .. } | WorkerCall::Pace { .. } => {}
+                WorkerCall::Stop { .. } | WorkerCall::Pace { .. } | WorkerCall::Identify => {}
             }
             let no_response: BoxFuture<'static, Result<_, WorkerError>> = Box::pin(pending());
             no_response
@@ -505,7 +546,7 @@
     };
     let (_owner, known_owner) = watch::channel(KnownOwner::default());
     let agent = TestAgent::start(known_owner, worker);
-    agent.send(heartbeat(1)).await;
+    agent.start_incarnation(1, heartbeat(1)).await;
     let starts = (0..20).map(|index| start(index, CAPACITY)).collect();
     let permitted = ReportResponse { evacuation: notice(2, false), ..orders(starts) };
     agent.send(reported(1, permitted)).await;
@@ -534,7 +575,7 @@
         })
     });
     let agent = TestAgent::start(owner.known_owner.clone(), |_| worker);
-    agent.send(heartbeat(1)).await;
+    agent.start_incarnation(1, heartbeat(1)).await;
     for _ in 0..4 {
         let report = owner.report(|report| report.listing.is_some()).await;
         let listing = report.listing.expect("expected");
@@ -566,7 +607,7 @@
     let (calls, mut worker_calls) = mpsc::unbounded_channel();
     let (_owner, known_owner) = watch::channel(KnownOwner::default());
     let agent = TestAgent::start(known_owner, |_| worker_without_responses(calls));
-    agent.send(heartbeat(1)).await;
+    agent.start_incarnation(1, heartbeat(1)).await;
     let starts = (0..20).map(|index| start(index, CAPACITY)).collect();
     let lease_until_ms = match meanwhile {
         // Long enough for the first starts only.
@@ -579,7 +620,7 @@
         timeout(TIMEOUT, worker_calls.recv()).await.expect("no call to the worker");
     }
     match meanwhile {
-        Meanwhile::Restart => agent.send(heartbeat(2)).await,
+        Meanwhile::Restart => agent.start_incarnation(2, heartbeat(2)).await,
         Meanwhile::NewSession => agent.send(reported(1, response(6, 0))).await,
         Meanwhile::Drain => {
             let draining = WorkerStatus { is_draining: true, ..status(1) };
@@ -649,7 +690,7 @@
     let (calls, mut worker_calls) = mpsc::unbounded_channel();
     let (_owner, known_owner) = watch::channel(KnownOwner::default());
     let agent = TestAgent::start(known_owner, |_| worker_with_a_busy_serving_task(calls));
-    agent.send(heartbeat(1)).await;
+    agent.start_incarnation(1, heartbeat(1)).await;
     let harmless = PairInterference {
         serving: "serving".to_owned(),
         best_effort: "best-effort".to_owned(),
@@ -682,7 +723,7 @@
     let mut owner = TestOwner::start(orders(starts)).await;
     let worker: WorkerAdapter = Arc::new(|_| Box::pin(pending()));
     let agent = TestAgent::start(owner.known_owner.clone(), |_| worker);
-    agent.send(heartbeat(1)).await;
+    agent.start_incarnation(1, heartbeat(1)).await;
     let report = owner.report(|report| !report.refused.is_empty()).await;
     assert!(!report.is_worker_reachable);
     assert!(report.refused.iter().all(|refused| refused.task.index >= 6), "was sent");
@@ -707,7 +748,7 @@
     });
     let (_owner, known_owner) = watch::channel(KnownOwner::default());
     let agent = TestAgent::start(known_owner, |_| worker);
-    agent.send(heartbeat(1)).await;
+    agent.start_incarnation(1, heartbeat(1)).await;
     agent.send(reported(1, response(5, 0))).await;
     let granted = ReportResponse { forget_until: 2, ..orders(Vec::new()) };
     agent.send(reported(1, granted)).await;
@@ -741,7 +782,7 @@
         _ => synced(1),
     });
     let agent = TestAgent::start(owner.known_owner.clone(), |_| worker);
-    agent.send(heartbeat(1)).await;
+    agent.start_incarnation(1, heartbeat(1)).await;
     let report = owner.report(|report| !report.refused.is_empty()).await;
     assert_eq!((report.refused[0].task.clone(), report.refused[0].attempt), (task(0), 1));
     assert_eq!(*remaining.lock().unwrap(), 0, "the attempt may still start");
@@ -797,7 +838,7 @@
         listing(&runs, &[])
     });
     let agent = TestAgent::start(owner.known_owner.clone(), |_| worker);
-    agent.send(heartbeat(1)).await;
+    agent.start_incarnation(1, heartbeat(1)).await;
     let report = owner.report(|report| !report.refused.is_empty()).await;
     let refused: Vec<_> =
         report.refused.iter().map(|refused| (refused.task.clone(), refused.attempt)).collect();
@@ -822,7 +863,7 @@
         _ => listing(&[run(1)], &[]),
     });
     let agent = TestAgent::start(owner.known_owner.clone(), |_| worker);
-    agent.send(heartbeat(1)).await;
+    agent.start_incarnation(1, heartbeat(1)).await;
     let has_end =
         |report: &Report| report.listing.as_ref().is_some_and(|listing| !listing.ended.is_empty());
     owner.report(has_end).await;
@@ -848,7 +889,7 @@
         })
     });
     let agent = TestAgent::start(owner.known_owner.clone(), |_| worker);
-    agent.send(heartbeat(1)).await;
+    agent.start_incarnation(1, heartbeat(1)).await;
     let running = |report: &Report| {
         let runs = report.listing.as_ref().and_then(|listing| listing.running.as_ref());
         runs.map(|runs| runs.iter().map(|run| run.task.index).collect::<BTreeSet<u32>>())
@@ -886,7 +927,7 @@
         })
     });
     let agent = TestAgent::start(owner.known_owner.clone(), |_| worker);
-    agent.send(heartbeat(1)).await;
+    agent.start_incarnation(1, heartbeat(1)).await;
     let has_end =
         |report: &Report| report.listing.as_ref().is_some_and(|listing| !listing.ended.is_empty());
     owner.report(has_end).await;
@@ -921,7 +962,7 @@
         })
     });
     let agent = TestAgent::start(owner.known_owner.clone(), |_| worker);
-    agent.send(heartbeat(1)).await;
+    agent.start_incarnation(1, heartbeat(1)).await;
     let report = owner.report(|report| report.listing.is_some()).await;
     let listing = report.listing.expect("a listing");
     assert_eq!((listing.running, listing.ended.len()), (None, 1));
@@ -948,7 +989,7 @@
         accepting(call)
     });
     let agent = TestAgent::start(owner.known_owner.clone(), |_| worker);
-    agent.send(heartbeat(1)).await;
+    agent.start_incarnation(1, heartbeat(1)).await;
     let report = owner.report(|report| !report.refused.is_empty()).await;
     assert_eq!((report.refused[0].task.clone(), report.refused[0].attempt), (task(0), 1));
     assert_eq!(stop_count.load(Ordering::Relaxed), 4, "the attempt may still start");
--- /dev/null
+++ b/crates/teaseltrack-cell/tests/false_heartbeats.rs
@@ -0,0 +1,105 @@
+//! Tests of an owner and its agents with heartbeats that aren't those of the agent's worker, or that
+//! are wrong about it.
+
+#[path = "util/simulated_worker.rs"]
+#[allow(dead_code, reason = "other test programs use all of it")]
+mod simulated_worker;
+#[path = "util/system.rs"]
+#[allow(dead_code, reason = "other test programs use all of it")]
+mod system;
+mod util;
+
+use std::time::{Duration, Instant};
+
+use simulated_worker::{LASTING, SimulatedWorker};
+use system::System;
+use teaseltrack::{cell::job::Stage, placement::Resources};
+use teaseltrack_cell::agent::{AgentEvent, Heartbeat};
+use tokio::time::sleep;
+
+const WORKER_COUNT: usize = 3;
+const RUN_TIME: Duration = Duration::from_secs(3);
+/// Time from the arrival of false heartbeats until nothing follows from them any more.
+const RECOVERY_TIME: Duration = Duration::from_secs(3);
+/// Time in which a job with a task for each worker starts; shorter than any wait for a lease.
+const START_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// Next heartbeat of a worker.
+fn true_heartbeat(worker: &SimulatedWorker) -> Heartbeat {
+    match worker.heartbeat() {
+        Some(AgentEvent::Heartbeat(heartbeat)) => heartbeat,
+        other => panic!("not a heartbeat: {other:?}"),
+    }
+}
+
+/// Stage with one task for each worker.
+fn task_on_each_worker() -> Stage {
+    Stage {
+        task_count: WORKER_COUNT as u32,
+        resources: Resources { cpu_milli: 50, memory_mib: 100, accelerators: 0 },
+        estimate_ms: 300,
+        max_per_worker: Some(1),
+        ..Stage::default()
+    }
+}
+
+async fn wait_for_runs(system: &System, count: usize, limit: Duration) {
+    let until = Instant::now() + limit;
+    while system.runs.lock().unwrap().len() < count {
+        assert!(Instant::now() < until, "{} runs", system.runs.lock().unwrap().len());
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Sends false heartbeats to an agent while tasks run, and asserts that these run once, that a job
+/// which needs each worker is started soon after, and that the owner has noted no restart.
+async fn assert_ignored(falsify: fn(&mut Heartbeat), count: usize) {
+    let mut system = System::start(WORKER_COUNT, RUN_TIME).await;
+    system.submit_stage(LASTING, task_on_each_worker());
+    system.submit(1, 12);
+    wait_for_runs(&system, WORKER_COUNT + 12, Duration::from_secs(10)).await;
+    for _ in 0..count {
+        let mut heartbeat = true_heartbeat(&system.workers[0]);
+        falsify(&mut heartbeat);
+        system.agents[0].send(AgentEvent::Heartbeat(heartbeat)).await.unwrap();
+    }
+    sleep(RECOVERY_TIME).await;
+    let run_count = system.runs.lock().unwrap().len();
+    assert_eq!(run_count, WORKER_COUNT + 12, "tasks were started again");
+    system.submit_stage(LASTING, task_on_each_worker());
+    wait_for_runs(&system, run_count + WORKER_COUNT, START_TIMEOUT).await;
+    system.assert_runs();
+    for metrics in &system.metrics {
+        let text = metrics.text().expect("text");
+        assert!(text.contains("teaseltrack_worker_incarnations_total 1\n"), "{text}");
+    }
+}
+
+fn name_other_worker(heartbeat: &mut Heartbeat) {
+    heartbeat.status.worker = "other".to_owned();
+}
+
+fn set_later_start(heartbeat: &mut Heartbeat) {
+    heartbeat.status.started_unix_ms += 1_000;
+}
+
+fn name_later_worker(heartbeat: &mut Heartbeat) {
+    name_other_worker(heartbeat);
+    set_later_start(heartbeat);
+}
+
+/// Guards against tasks that are started elsewhere while they run on, and against a sound worker that gets no
+/// more work, because a heartbeat names another incarnation than the one that responds to the agent's calls.
+#[yare::parameterized(
+    other_worker = { name_other_worker, 1 },
+    later_start = { set_later_start, 1 },
+    other_worker_with_later_start = { name_later_worker, 1 },
+    series = { name_later_worker, 30 },
+)]
+#[test_macro(tokio::test)]
+async fn handle_heartbeat_keeps_the_incarnation_that_responds(
+    falsify: fn(&mut Heartbeat),
+    count: usize,
+) {
+    assert_ignored(falsify, count).await;
+}
--- a/crates/teaseltrack-cell/tests/util/simulated_worker.rs
+++ b/crates/teaseltrack-cell/tests/util/simulated_worker.rs
@@ -15,7 +15,9 @@
 };
 use teaseltrack_cell::{
     agent::{AgentEvent, Heartbeat},
-    worker_port::{AddressedCall, WorkerAdapter, WorkerCall, WorkerError, WorkerResponse},
+    worker_port::{
+        AddressedCall, OTHER_WORKER, WorkerAdapter, WorkerCall, WorkerError, WorkerResponse,
+    },
 };
 use tokio::time::sleep;
 
@@ -109,7 +111,7 @@
             capacity: CAPACITY,
             ..WorkerStatus::default()
         };
-        let clock_ms = Some(self.clock_ms(&state));
+        let clock_ms = self.clock_ms(&state);
         let heartbeat = Heartbeat { number: state.heartbeat_number, status, clock_ms };
         (!state.is_cut).then_some(AgentEvent::Heartbeat(heartbeat))
     }
@@ -182,7 +184,7 @@
             let faults = match &call.call {
                 WorkerCall::Start { .. } => Some(&mut state.start_faults),
                 WorkerCall::Stop { .. } => Some(&mut state.stop_faults),
-                WorkerCall::Sync { .. } | WorkerCall::Pace { .. } => None,
+                WorkerCall::Sync { .. } | WorkerCall::Pace { .. } | WorkerCall::Identify => None,
             };
             let fault = faults.and_then(Vec::pop).unwrap_or_default();
             (fault, state.is_cut, state.started_unix_ms)
@@ -224,11 +226,18 @@
         let mut state = self.state.lock().unwrap();
         let now = Instant::now();
         self.end_due_runs(&mut state, now);
+        if call.worker != state.name {
+            return refused(OTHER_WORKER);
+        }
+        let clock_ms = self.clock_ms(&state);
+        if call.call == WorkerCall::Identify {
+            let (clock_ms, started_unix_ms) = (Some(clock_ms), Some(state.started_unix_ms));
+            return Ok(WorkerResponse { clock_ms, started_unix_ms, ..WorkerResponse::default() });
+        }
         if call.session < state.fence {
             return refused("fence");
         }
         state.fence = call.session;
-        let clock_ms = self.clock_ms(&state);
         let mut response = WorkerResponse { clock_ms: Some(clock_ms), ..WorkerResponse::default() };
         let extend_lease = |state: &mut WorkerState, until_ms: u64| {
             let lease = Duration::from_millis(until_ms.saturating_sub(clock_ms)).min(MAX_LEASE);
@@ -282,7 +291,7 @@
                     self.end_run(&mut state, &task, EndCause::Stopped, now);
                 }
             }
-            WorkerCall::Pace { .. } => {}
+            WorkerCall::Pace { .. } | WorkerCall::Identify => {}
         }
         Ok(response)
     }
