Let no single message hide the later ones of a sound worker

Its agent had once got a heartbeat with a later start. It answered the worker's own heartbeats with 200 and dropped them, for as long as the process lasted.

Cause: values of one message with which all later ones were compared for good. Besides the start in heartbeats: the start in the reports that an owner gets, the start in listings (the agent asked again at once, without a pause), the number of a heartbeat, and readings of the worker's clock in heartbeats and responses.

Change: the agent follows the order of the worker's responses, whatever the starts. Heartbeats of an incarnation are ordered by the worker's clock, which its responses bound; a higher reading is verified. A response raises the known reading by the time that has passed and 0.25 s at most. The owner believes a report of an earlier start once the later incarnation holds no lease and hasn't been reported for a second.

--- a/crates/teaseltrack-cell/src/agent.rs
+++ b/crates/teaseltrack-cell/src/agent.rs
@@ -8,7 +8,9 @@
 //! ([`unconfirmed_starts`]). A started run is tracked until its end is listed ([`started_runs`]).
 //!
 //! Which incarnation of the worker is current follows from the worker's responses alone. A heartbeat
-//! of another one is believed once they confirm it ([`unverified_heartbeats`]).
+//! of another one is believed once they confirm it ([`unverified_heartbeats`]), and so is one whose
+//! reading of the worker's clock is too high. Heartbeats are ordered by these readings, which the
+//! worker's responses bound, and not by their numbers, which nothing does.
 
 use std::time::{Duration, Instant};
 
@@ -85,6 +87,10 @@
 const STOP_LOG_INTERVAL: u32 = 8;
 /// Kind of a heartbeat that the worker's responses refute, in the reports of odd entries.
 const REFUTED_HEARTBEAT: &str = "refuted_heartbeat";
+/// Lead of a heartbeat's clock over the expected one up to which the worker isn't asked.
+const CLOCK_TOLERANCE: Duration = Duration::from_millis(250);
+/// Fraction by which the worker's clock may be slow.
+const MAX_CLOCK_DRIFT: f64 = 0.02;
 
 /// Heartbeat of a worker.
 #[derive(Clone, Debug, PartialEq)]
@@ -220,8 +226,8 @@
     identified_at: Option<Instant>,
     unverified_heartbeats: UnverifiedHeartbeats,
     refuted_heartbeats: OddEntries,
-    /// Number of the last heartbeat of the incarnation.
-    heartbeat_number: Option<u64>,
+    /// Clock and number of the last heartbeat of the incarnation.
+    last_heartbeat: Option<(u64, u64)>,
     /// Highest reading of the incarnation.
     clock: ClockReading,
     /// Latest end of a lease that an earlier process of this agent may have passed on; `None` until
@@ -294,7 +300,7 @@
             identified_at: None,
             unverified_heartbeats: UnverifiedHeartbeats::default(),
             refuted_heartbeats,
-            heartbeat_number: None,
+            last_heartbeat: None,
             clock: ClockReading { clock_ms: 0, received_at: now },
             earlier_leases_until_ms: None,
             epoch: 0,
@@ -414,11 +420,8 @@
 
     fn handle_heartbeat(&mut self, heartbeat: Heartbeat) {
         let now = self.context.clock.now();
-        let known_started_unix_ms = self.status.as_ref().map_or(0, |status| status.started_unix_ms);
-        if heartbeat.status.started_unix_ms < known_started_unix_ms {
-            return;
-        }
-        if heartbeat.status.incarnation() == self.incarnation {
+        let is_current = heartbeat.status.incarnation() == self.incarnation;
+        if is_current && heartbeat.clock_ms <= self.highest_clock_ms(now) {
             self.apply_heartbeat(heartbeat);
         } else {
             self.unverified_heartbeats.push(heartbeat, now);
@@ -428,11 +431,15 @@
     /// Takes the status from a heartbeat of the current incarnation, unless a later one has overtaken it.
     fn apply_heartbeat(&mut self, heartbeat: Heartbeat) {
         let Heartbeat { number, status, clock_ms } = heartbeat;
-        if self.heartbeat_number.is_some_and(|last| number < last) {
+        let order = (clock_ms, number);
+        if self.last_heartbeat.is_some_and(|last| order < last) {
             return;
         }
-        self.heartbeat_number = Some(number);
-        self.note_clock(Some(clock_ms));
+        self.last_heartbeat = Some(order);
+        if self.clock.clock_ms > 0 {
+            let lowest_ms = self.lowest_clock_ms(self.context.clock.now());
+            self.note_clock(Some(clock_ms.min(lowest_ms)));
+        }
         if self.status.as_ref() != Some(&status) {
             if status.is_draining {
                 info!(self.context.logger, "worker is draining"; "worker" => &self.incarnation,
@@ -499,10 +506,27 @@
         }
     }
 
-    /// Keeps the highest reading of the worker's clock.
+    /// Highest reading that the worker's clock can have reached by now.
+    fn highest_clock_ms(&self, now: Instant) -> u64 {
+        let elapsed = now.saturating_duration_since(self.clock.received_at) + CLOCK_TOLERANCE;
+        self.clock.clock_ms.saturating_add(elapsed.as_millis() as u64)
+    }
+
+    /// Reading that the worker's clock has reached by now.
+    fn lowest_clock_ms(&self, now: Instant) -> u64 {
+        let elapsed = now.saturating_duration_since(self.clock.received_at);
+        let elapsed = elapsed.mul_f64(1.0 - MAX_CLOCK_DRIFT);
+        self.clock.clock_ms.saturating_add(elapsed.as_millis() as u64)
+    }
+
+    /// Keeps the highest reading of the worker's clock. A single wrong one must not hide all later ones.
     fn note_clock(&mut self, clock_ms: Option<u64>) {
-        if let Some(clock_ms) = clock_ms.filter(|clock_ms| *clock_ms > self.clock.clock_ms) {
-            self.clock = ClockReading { clock_ms, received_at: self.context.clock.now() };
+        let Some(clock_ms) = clock_ms else { return };
+        let now = self.context.clock.now();
+        let is_first = self.clock.clock_ms == 0;
+        let clock_ms = if is_first { clock_ms } else { clock_ms.min(self.highest_clock_ms(now)) };
+        if clock_ms > self.clock.clock_ms {
+            self.clock = ClockReading { clock_ms, received_at: now };
         }
     }
 
@@ -510,7 +534,7 @@
         self.context.metrics.count("worker_incarnations");
         self.incarnation = incarnation;
         self.identified_at = None;
-        self.heartbeat_number = None;
+        self.last_heartbeat = None;
         self.clock = ClockReading { clock_ms: 0, received_at: self.context.clock.now() };
         self.earlier_leases_until_ms = None;
         self.session = 0;
@@ -610,16 +634,13 @@
         }
     }
 
-    /// Handles a response from a later incarnation than that of the last heartbeat.
+    /// Handles a response from another incarnation than the current one, under the same identifier.
     fn handle_worker_restart(&mut self, response: &WorkerResponse, sent_at: Instant) {
         let (Some(status), Some(started_unix_ms)) =
             (self.status.as_mut(), response.started_unix_ms)
         else {
             return;
         };
-        if started_unix_ms < status.started_unix_ms {
-            return;
-        }
         status.started_unix_ms = started_unix_ms;
         // The new incarnation may have another capacity; its first heartbeat tells.
         status.capacity = Resources::default();
--- a/crates/teaseltrack-cell/tests/agent.rs
+++ b/crates/teaseltrack-cell/tests/agent.rs
@@ -392,6 +392,21 @@
     owner.report(|report| reported_capacity(report) == Some(SMALL_CAPACITY)).await;
 }
 
+/// Guards against a sound worker that gets no more work, since its agent has once taken it for one with a later
+/// start, or since the worker's wall clock was set back before it restarted.
+#[tokio::test]
+async fn handle_sync_result_believes_an_earlier_start() {
+    let mut owner = TestOwner::start(response(5, 0)).await;
+    let (calls, _) = mpsc::unbounded_channel();
+    let agent = TestAgent::start(owner.known_owner.clone(), |_| worker(calls));
+    agent.start_incarnation(2, heartbeat(2)).await;
+    let started_unix_ms =
+        |report: &Report| report.status.as_ref().map(|status| status.started_unix_ms);
+    owner.report(|report| started_unix_ms(report) == Some(1)).await;
+    agent.send(heartbeat(1)).await;
+    owner.report(|report| reported_capacity(report) == Some(CAPACITY)).await;
+}
+
 /// Guards against a lease that the owner takes for expired too early, since the agent has reported before it
 /// knew what an earlier process of it had, or without one that it has got.
 #[tokio::test]
--- a/crates/teaseltrack-cell/tests/false_heartbeats.rs
+++ b/crates/teaseltrack-cell/tests/false_heartbeats.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use simulated_worker::{LASTING, SimulatedWorker};
-use system::System;
+use system::{HEARTBEAT_INTERVAL, System};
 use teaseltrack::{cell::job::Stage, placement::Resources};
 use teaseltrack_cell::agent::{AgentEvent, Heartbeat};
 use tokio::time::sleep;
@@ -103,3 +103,53 @@
 ) {
     assert_ignored(falsify, count).await;
 }
+
+fn remove_capacity(heartbeat: &mut Heartbeat) {
+    heartbeat.status.capacity = Resources::default();
+}
+
+fn set_high_number(heartbeat: &mut Heartbeat) {
+    remove_capacity(heartbeat);
+    heartbeat.number = u64::MAX;
+}
+
+fn set_high_clock(heartbeat: &mut Heartbeat) {
+    remove_capacity(heartbeat);
+    heartbeat.clock_ms += 1 << 40;
+}
+
+fn set_high_clock_and_number(heartbeat: &mut Heartbeat) {
+    set_high_clock(heartbeat);
+    heartbeat.number = u64::MAX;
+}
+
+/// Guards against a sound worker that gets no more work, because a heartbeat in its name hides all later ones.
+#[yare::parameterized(
+    high_number = { set_high_number },
+    high_clock = { set_high_clock },
+    high_clock_and_number = { set_high_clock_and_number },
+    unchanged_order = { remove_capacity },
+)]
+#[test_macro(tokio::test)]
+async fn handle_heartbeat_believes_those_after_a_false_one(falsify: fn(&mut Heartbeat)) {
+    assert_ignored(falsify, 1).await;
+}
+
+/// Guards against a restarted worker that waits for work longer than before, since its heartbeats have to be
+/// confirmed, in a series of restarts and beside heartbeats of its earlier incarnations.
+#[tokio::test]
+async fn handle_heartbeat_believes_restarts_in_a_series() {
+    let mut system = System::start(WORKER_COUNT, RUN_TIME).await;
+    for _ in 0..4 {
+        let earlier = true_heartbeat(&system.workers[0]);
+        system.workers[0].restart();
+        sleep(HEARTBEAT_INTERVAL / 2).await;
+        system.agents[0].send(AgentEvent::Heartbeat(earlier)).await.unwrap();
+        let run_count = system.runs.lock().unwrap().len();
+        system.submit_stage(LASTING, task_on_each_worker());
+        wait_for_runs(&system, run_count + WORKER_COUNT, START_TIMEOUT).await;
+        system.cancel_last();
+        sleep(Duration::from_millis(500)).await;
+    }
+    system.assert_runs();
+}
--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -1105,23 +1105,17 @@
         let status = report.status.as_ref()?;
         let agent = &report.agent;
         let incarnation = status.incarnation();
-        if let Some(&current) = self.by_agent.get(agent) {
+        if let Some(&current) = self.by_agent.get(agent)
+            && self.workers[current].incarnation != incarnation
+        {
             let worker = &self.workers[current];
             let current_unix_ms = worker.status.as_ref().map_or(0, |status| status.started_unix_ms);
-            if worker.incarnation != incarnation {
-                if current_unix_ms > status.started_unix_ms {
-                    return None;
-                }
-                // If the agent has restarted as well, so has the instance, and no task is to blame.
-                if worker.agent_started_unix_ms == report.started_unix_ms {
-                    self.attribute_crash(current, agent, now);
-                }
-                let status = self.workers[current].status.as_ref();
-                if status.is_none_or(|status| !status.is_draining) {
-                    self.note_loss(current, now);
-                }
-                self.replace_worker(current, &incarnation, now);
+            if current_unix_ms <= status.started_unix_ms {
+                self.note_restart(current, report, now);
+            } else if !worker.is_abandoned(now) {
+                return None;
             }
+            self.replace_worker(current, &incarnation, now);
         }
         let is_recorded = self.adopt_stored_worker(report, status, now);
         let key = match self.by_incarnation.get(&incarnation) {
@@ -1152,6 +1146,18 @@
         Some(key)
     }
 
+    /// Records that an agent's worker has ended.
+    fn note_restart(&mut self, ended: WorkerKey, report: &Report, now: Instant) {
+        // If the agent has restarted as well, so has the instance, and no task is to blame.
+        if self.workers[ended].agent_started_unix_ms == report.started_unix_ms {
+            self.attribute_crash(ended, &report.agent, now);
+        }
+        let status = self.workers[ended].status.as_ref();
+        if status.is_none_or(|status| !status.is_draining) {
+            self.note_loss(ended, now);
+        }
+    }
+
     /// Ends the agent's stored worker if the reported one is a later incarnation. Returns whether the
     /// reported worker is the stored one.
     fn adopt_stored_worker(
--- a/crates/teaseltrack/src/cell/worker.rs
+++ b/crates/teaseltrack/src/cell/worker.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use crate::{
@@ -18,6 +18,9 @@
     placement::Resources,
 };
 
+/// Longest time from the sending of a report to its arrival.
+const MAX_REPORT_DELAY: Duration = Duration::from_secs(1);
+
 /// Key of a task within the owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TaskKey {
@@ -256,6 +259,12 @@
         }
     }
 
+    /// Whether nothing runs on the worker any more, and its agent has stopped reporting it for good.
+    /// Reports that overtake each other name it in turn with another one for a short time only.
+    pub fn is_abandoned(&self, now: Instant) -> bool {
+        self.lease_end.is_none() && now >= self.last_report_at + MAX_REPORT_DELAY
+    }
+
     /// Starts a session; orders of the previous session are dropped.
     pub fn begin_session(&mut self, session: SessionToken, agent_started_unix_ms: u64) {
         self.session = session;
--- a/crates/teaseltrack/tests/cell/main.rs
+++ b/crates/teaseltrack/tests/cell/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod gang_faults;
 mod gangs;
+mod identities;
 mod idle_tasks;
 mod lost_ends;
 mod owner_changes;
