Forget a removed worker for all agents that have named it

What callers would see: jobs that make no progress, because the cell's owner ends as often as one takes over. Not seen in a deployment.

Cause: when a worker's incarnation ends, the owner removes it and gives the reporting agent the next one. A second agent that had named the same worker kept pointing to the removed one, and its next report indexed it.

Evidence: handle_heartbeat_keeps_the_incarnation_that_responds panicked in the owner (cell.rs, attach_agent) while its simulated worker responded under any identifier, so that three agents named one worker.

Change: the removal forgets the worker for all agents.

Test that fails before, with the same panic: attach_agent_survives_two_agents_that_have_named_one_worker.

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -1545,6 +1545,8 @@
     fn remove_worker(&mut self, key: WorkerKey) {
         if let Some(worker) = self.workers.remove(key) {
             self.by_incarnation.remove(&worker.incarnation);
+            // Several agents may have named it.
+            self.by_agent.retain(|_, named| *named != key);
         }
     }
 
--- a/crates/teaseltrack/tests/cell/identities.rs
+++ b/crates/teaseltrack/tests/cell/identities.rs
@@ -64,3 +64,19 @@
     }
     assert_eq!(fleet.start_count, 2, "reclaimed from the current incarnation");
 }
+
+/// Guards against an owner that ends, and each one after it, since an agent reports whose worker was replaced
+/// through another agent that had named it as well.
+#[test]
+fn attach_agent_survives_two_agents_that_have_named_one_worker() {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.run_steps(4);
+    let shared = fleet.instances[0].report().status;
+    let report = fleet.instances[1].report();
+    fleet.cell.handle_report(Report { status: shared, session: 0, ..report }, true, fleet.now);
+    fleet.restart_worker(0);
+    fleet.run_steps(20);
+    fleet.submit(stored_job(JOB, vec![stage(8)]));
+    fleet.run_steps(60);
+    assert_eq!(fleet.cell.state(JOB), Some(JobState::Completed));
+}
