Let a stored row end no worker of another agent

What callers would see: tasks that run twice after a change of the owner. Not seen in a deployment; found by reading.

Cause: a new owner takes the worker in an agent's stored row for ended once the agent reports a later one, and reclaims its tasks without waiting for the lease, also if another agent reports this worker as sound.

Change: the row ends no worker that has reported through another agent, or that another agent's row names; such tasks wait for the end of the lease.

--- a/crates/teaseltrack/src/cell.rs
+++ b/crates/teaseltrack/src/cell.rs
@@ -1173,6 +1173,7 @@
         }
         if stored.started_unix_ms < status.started_unix_ms
             && let Some(&ended) = self.by_incarnation.get(&stored.incarnation)
+            && !self.is_worker_of_another_agent(ended, &report.agent)
         {
             if has_same_agent {
                 self.attribute_crash(ended, &report.agent, now);
@@ -1182,6 +1183,13 @@
         false
     }
 
+    /// Whether a worker has reported through another agent, or is recorded as the one of another agent.
+    fn is_worker_of_another_agent(&self, key: WorkerKey, agent: &str) -> bool {
+        let worker = &self.workers[key];
+        worker.agent.as_ref().is_some_and(|other| other != agent)
+            || self.stored_workers.values().any(|stored| stored.incarnation == worker.incarnation)
+    }
+
     /// Ends a worker's incarnation and reclaims its runs. Starts that it hasn't listed may still
     /// reach the next incarnation. One with the same identifier can't tell them from its own, so these
     /// tasks stay assigned until its first listing; any other refuses them.
--- a/crates/teaseltrack/tests/cell/identities.rs
+++ b/crates/teaseltrack/tests/cell/identities.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use teaseltrack::cell::{
-    progress::JobState,
+    progress::{JobState, WorkerRecord},
     protocol::{Report, WorkerStatus},
 };
 
@@ -65,6 +65,27 @@
     assert_eq!(fleet.start_count, 2, "reclaimed from the current incarnation");
 }
 
+/// Guards against tasks that are started elsewhere while they run on, since a stored row names their worker
+/// as the earlier one of another agent.
+#[test]
+fn adopt_stored_worker_keeps_the_worker_of_another_agent() {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.run_steps(4);
+    fleet.submit(stored_job(JOB, vec![long_running(4)]));
+    fleet.run_steps(10);
+    assert_eq!(fleet.start_count, 4);
+    let named = fleet.instances[1].report().status.expect("a status");
+    let record = WorkerRecord {
+        incarnation: named.incarnation(),
+        started_unix_ms: 0,
+        agent_started_unix_ms: 1,
+    };
+    fleet.replace_owner();
+    fleet.cell.adopt_workers(vec![(fleet.instances[0].name.clone(), record)]);
+    fleet.run_steps(20);
+    assert_eq!(fleet.start_count, 4, "reclaimed from the worker of another agent");
+}
+
 /// Guards against an owner that ends, and each one after it, since an agent reports whose worker was replaced
 /// through another agent that had named it as well.
 #[test]
