Change what a worker is with the second heartbeat that says so

What callers would see: tasks on a worker without the label that they need, or over its capacity, for up to 1.5 s after one wrong heartbeat under the worker's own identifier and start. Not seen in a deployment.

Cause: capacity, labels, service and zone were taken from each heartbeat.

Change: within an incarnation, a change of these counts once two heartbeats in a row state it. A smaller capacity and the announcement of a shutdown count at once.

--- a/crates/teaseltrack-cell/src/agent.rs
+++ b/crates/teaseltrack-cell/src/agent.rs
@@ -39,6 +39,7 @@
 
 use crate::{
     agent::{
+        announced_status::AnnouncedStatus,
         call_queue::{CallQueue, WaitingStart},
         started_runs::{MissingRun, StartedRuns},
         unconfirmed_starts::UnconfirmedStarts,
@@ -54,6 +55,7 @@
     },
 };
 
+pub mod announced_status;
 pub mod call_queue;
 pub mod started_runs;
 pub mod unconfirmed_starts;
@@ -217,7 +219,9 @@
     calls: CallQueue,
     /// Cancelled at the end of the session; ends its calls.
     session_end: CancellationToken,
+    /// Status in effect.
     status: Option<WorkerStatus>,
+    announced_status: AnnouncedStatus,
     /// Newest known state of the zone.
     evacuation: EvacuationNotice,
     /// Current incarnation of the worker; empty until the worker has responded.
@@ -295,6 +299,7 @@
             calls: CallQueue::default(),
             session_end: CancellationToken::new(),
             status: None,
+            announced_status: AnnouncedStatus::default(),
             evacuation: EvacuationNotice::default(),
             incarnation: WorkerIncarnation::new(),
             identified_at: None,
@@ -440,6 +445,7 @@
             let lowest_ms = self.lowest_clock_ms(self.context.clock.now());
             self.note_clock(Some(clock_ms.min(lowest_ms)));
         }
+        let status = self.announced_status.announce(status);
         if self.status.as_ref() != Some(&status) {
             if status.is_draining {
                 info!(self.context.logger, "worker is draining"; "worker" => &self.incarnation,
@@ -535,6 +541,7 @@
         self.incarnation = incarnation;
         self.identified_at = None;
         self.last_heartbeat = None;
+        self.announced_status = AnnouncedStatus::default();
         self.clock = ClockReading { clock_ms: 0, received_at: self.context.clock.now() };
         self.earlier_leases_until_ms = None;
         self.session = 0;
--- a/crates/teaseltrack-cell/tests/false_heartbeats.rs
+++ b/crates/teaseltrack-cell/tests/false_heartbeats.rs
@@ -153,3 +153,16 @@
     }
     system.assert_runs();
 }
+
+/// Guards against starts on a worker without the required label, because a heartbeat in its name has it.
+#[tokio::test]
+async fn handle_heartbeat_believes_no_label_of_a_single_one() {
+    let mut system = System::start(WORKER_COUNT, RUN_TIME).await;
+    let required_label = Some("label".to_owned());
+    system.submit_stage(LASTING, Stage { required_label, ..task_on_each_worker() });
+    let mut heartbeat = true_heartbeat(&system.workers[0]);
+    heartbeat.status.labels = vec!["label".to_owned()];
+    system.agents[0].send(AgentEvent::Heartbeat(heartbeat)).await.unwrap();
+    sleep(RECOVERY_TIME).await;
+    assert_eq!(system.runs.lock().unwrap().len(), 0);
+}
