--- a/crates/teaseltrack-cell/tests/false_heartbeats.rs
+++ b/crates/teaseltrack-cell/tests/false_heartbeats.rs
@@ -11,6 +11,8 @@
 
 use std::time::{Duration, Instant};
 
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use simulated_worker::{LASTING, SimulatedWorker};
 use system::{HEARTBEAT_INTERVAL, System};
 use teaseltrack::{cell::job::Stage, placement::Resources};
@@ -166,3 +168,87 @@
     sleep(RECOVERY_TIME).await;
     assert_eq!(system.runs.lock().unwrap().len(), 0);
 }
+
+fn set_earlier_start(heartbeat: &mut Heartbeat) {
+    heartbeat.status.started_unix_ms -= 1;
+}
+
+/// Names the start that the worker's next incarnation will have.
+fn set_next_start(heartbeat: &mut Heartbeat) {
+    heartbeat.status.started_unix_ms += 1;
+}
+
+fn announce_shutdown(heartbeat: &mut Heartbeat) {
+    heartbeat.status.is_draining = true;
+}
+
+/// Sends a heartbeat to a random agent that is false in a random way, or is another agent's.
+async fn send_false_heartbeat(system: &System, rng: &mut ChaCha8Rng) {
+    const FALSIFICATIONS: [fn(&mut Heartbeat); 10] = [
+        name_other_worker,
+        set_later_start,
+        name_later_worker,
+        remove_capacity,
+        set_high_number,
+        set_high_clock,
+        set_high_clock_and_number,
+        set_earlier_start,
+        set_next_start,
+        announce_shutdown,
+    ];
+    let mut index = || rng.random_range(0..WORKER_COUNT);
+    let (agent, worker) = (index(), index());
+    let mut heartbeat = true_heartbeat(&system.workers[worker]);
+    if agent == worker {
+        FALSIFICATIONS[rng.random_range(0..FALSIFICATIONS.len())](&mut heartbeat);
+    }
+    system.agents[agent].send(AgentEvent::Heartbeat(heartbeat)).await.unwrap();
+}
+
+/// Runs jobs, of which some are cancelled, for 12 s with false heartbeats and restarts. Asserts the
+/// promises, and that all workers get work soon after.
+async fn run_with_false_heartbeats(seed: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut system = System::start(WORKER_COUNT, Duration::from_millis(300)).await;
+    for step in 0..60 {
+        for _ in 0..rng.random_range(0..4) {
+            send_false_heartbeat(&system, &mut rng).await;
+        }
+        if rng.random_bool(0.1) {
+            system.workers[rng.random_range(0..WORKER_COUNT)].restart();
+        }
+        if step % 3 == 0 {
+            system.submit(rng.random_range(1..4), rng.random_range(1..40));
+        }
+        if rng.random_bool(0.1) {
+            system.cancel_last();
+        }
+        sleep(Duration::from_millis(200)).await;
+    }
+    system.assert_completes(Duration::from_secs(30)).await;
+    let run_count = system.runs.lock().unwrap().len();
+    system.submit_stage(LASTING, task_on_each_worker());
+    wait_for_runs(&system, run_count + WORKER_COUNT, START_TIMEOUT).await;
+    system.assert_runs();
+}
+
+/// Seeds from the environment variable, or the first few.
+fn seeds() -> std::ops::RangeInclusive<u64> {
+    let count = std::env::var("FALSE_HEARTBEAT_SEEDS").ok().and_then(|count| count.parse().ok());
+    1..=count.unwrap_or(4)
+}
+
+/// Guards against tasks that run twice or are lost, and against sound workers without work, while heartbeats
+/// of several kinds of falseness arrive beside restarts.
+#[tokio::test(flavor = "multi_thread")]
+async fn false_heartbeats_break_no_promise() {
+    let runs: Vec<_> =
+        seeds().map(|seed| (seed, tokio::spawn(run_with_false_heartbeats(seed)))).collect();
+    let mut failed = Vec::new();
+    for (seed, run) in runs {
+        if run.await.is_err() {
+            failed.push(seed);
+        }
+    }
+    assert!(failed.is_empty(), "failed with seeds {failed:?}");
+}
