--- a/crates/teaseltrack-cell/tests/false_heartbeats.rs
+++ b/crates/teaseltrack-cell/tests/false_heartbeats.rs
@@ -238,8 +238,8 @@
     1..=count.unwrap_or(4)
 }
 
-/// Guards against tasks that run twice or are lost, and against sound workers without work, while heartbeats
-/// of several kinds of falseness arrive beside restarts.
+/// Guards against tasks that run twice or are lost, and against sound workers without work, while false
+/// heartbeats of several kinds arrive beside restarts.
 #[tokio::test(flavor = "multi_thread")]
 async fn false_heartbeats_break_no_promise() {
     let runs: Vec<_> =
